Lay out the workspace, the domain types and the design of ownership

Cause: the repository was empty. The types shared by all packages and the ownership protocol come first, since every part is built against them. Ruled out: journalling each admission in the platform (several milliseconds a job, stops in an outage); ids minted by the server (a call before each submission); owners among the agents (more owners, each with a narrower view).

--- /dev/null
+++ b/components/model/src/lib.rs
@@ -0,0 +1,26 @@
+//! Domain types shared by every package: keys, jobs, answers, and the messages
+//! between owners and agents.
+
+mod answer;
+mod job;
+mod keys;
+mod limits;
+mod message;
+mod roster;
+
+pub use answer::{Answer, Failure, FailureKind, FailureReason};
+pub use job::{JobMeta, JobSpec, TaskSpec};
+pub use keys::{
+    Attempt, FirmKey, Generation, GroupKey, JobDigest, JobKey, KindKey, ProcessKey, ShardKey,
+    TaskKey,
+};
+pub use limits::{
+    AUTHORITY_TTL_MS, CLOCK_SKEW_MS, HEARTBEAT_INTERVAL_MS, PERMIT_TTL_MS, RETENTION_MS,
+    TAKEOVER_HORIZON_MS,
+};
+pub use message::{
+    AgentEnvelope, AgentMessage, Fence, FirmShare, Heartbeat, HeartbeatAck, JobRecord, Load,
+    OwnerEnvelope, OwnerMessage, Permit, RefusalReason, Rules, ShardBeat, Start, TaskOutcome,
+    TaskRecord, TaskStart, TaskState,
+};
+pub use roster::{AgentInfo, EntryInfo, Member, MemberState, ShardRecord, TargetInfo};
--- /dev/null
+++ b/src/bin/shallotcross-agent.rs
@@ -0,0 +1,2 @@
+//! Agent program.
+fn main() {}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! Entry program.
+fn main() {}
