--- /dev/null
+++ b/components/dispatch/src/admission.rs
@@ -0,0 +1,148 @@
+//! Admission: groups, limits, and whether the deadline can be met.
+
+use model::{Answer, FailureKind, FailureReason, JobSpec};
+use rand::Rng;
+
+use crate::agents::{AgentKey, Agents};
+use crate::shard::{Cx, Shard};
+
+/// Come-back time when no target is there, in milliseconds.
+const NO_TARGET_RETRY_MS: u64 = 1_000;
+
+/// Bounds of a come-back time computed from the backlog, in milliseconds.
+const RETRY_RANGE_MS: (u64, u64) = (50, 10_000);
+
+/// A token bucket over tasks.
+#[derive(Debug, Default)]
+pub struct RateLimit {
+    tokens: f64,
+    refilled_us: u64,
+    started: bool,
+}
+
+impl RateLimit {
+    /// Takes tokens; returns the time until there are enough, in milliseconds, if there are not.
+    pub fn take(&mut self, tasks: f64, rate: f64, burst: f64, now_us: u64) -> Result<(), u64> {
+        if !self.started {
+            self.started = true;
+            self.tokens = burst;
+            self.refilled_us = now_us;
+        }
+        let passed_s = now_us.saturating_sub(self.refilled_us) as f64 / 1e6;
+        self.refilled_us = now_us;
+        self.tokens = (self.tokens + passed_s * rate).min(burst.max(tasks));
+        if self.tokens >= tasks {
+            self.tokens -= tasks;
+            return Ok(());
+        }
+        let missing = tasks - self.tokens;
+        Err((missing / rate.max(0.001) * 1e3).ceil() as u64)
+    }
+}
+
+/// Finds the agents that may run the job.
+pub fn check_group(shard: &Shard, cx: &Cx<'_>, spec: &JobSpec) -> Result<Vec<AgentKey>, Answer> {
+    let group = cx.rules.group(spec.meta.group);
+    if group.is_none_or(|group| !group.firms.contains(&shard.firm())) {
+        return Err(Answer::failed(
+            FailureKind::CannotRun,
+            FailureReason::NoTarget,
+            "the firm has no such target group",
+        ));
+    }
+    let candidates = shard.candidates(spec.meta.group, cx.agents);
+    if candidates.is_empty() {
+        return Err(Answer::refused(
+            FailureKind::NotRun,
+            FailureReason::NoTarget,
+            "no target of the group is there",
+            NO_TARGET_RETRY_MS,
+        ));
+    }
+    Ok(candidates)
+}
+
+/// Checks the firm's queue and rate limits.
+pub fn check_limits(shard: &mut Shard, cx: &Cx<'_>, spec: &JobSpec) -> Result<(), Answer> {
+    let Some(firm) = cx.rules.firm(shard.firm()) else {
+        return Err(Answer::failed(
+            FailureKind::CannotRun,
+            FailureReason::NoTarget,
+            "the firm is not configured",
+        ));
+    };
+    let shards = u32::from(shard.record.shard_count.max(1));
+    let waiting: u32 = shard.queues.values().map(|queue| queue.waiting_tasks).sum();
+    if waiting + spec.tasks.len() as u32 > (firm.max_queue_tasks / shards).max(1) {
+        return Err(Answer::refused(
+            FailureKind::NotRun,
+            FailureReason::OverQuota,
+            "the firm's queue is full",
+            NO_TARGET_RETRY_MS,
+        ));
+    }
+    let Some(rate) = firm.rate_tasks_per_s else {
+        return Ok(());
+    };
+    let shards = f64::from(shards);
+    let burst = f64::from(firm.burst_tasks.max(1)) / shards;
+    let taken = shard
+        .rate
+        .take(spec.tasks.len() as f64, rate / shards, burst, cx.now_us);
+    taken.map_err(|wait_ms| {
+        Answer::refused(
+            FailureKind::NotRun,
+            FailureReason::OverQuota,
+            "the firm's rate is used up",
+            wait_ms,
+        )
+    })
+}
+
+/// Work that the candidates do in a microsecond, in microseconds of a mean agent.
+pub fn service_rate(agents: &Agents, candidates: &[AgentKey], now_us: u64) -> f64 {
+    candidates
+        .iter()
+        .filter_map(|key| agents.get(*key))
+        .filter(|view| view.load.ready && !view.health.is_ejected(now_us))
+        .map(|view| f64::from(view.slots()) / view.slowness)
+        .sum()
+}
+
+/// Refuses a job whose deadline cannot be met behind the present backlog.
+pub fn check_deadline(
+    shard: &Shard,
+    cx: &mut Cx<'_>,
+    spec: &JobSpec,
+    candidates: &[AgentKey],
+) -> Result<(), Answer> {
+    let rate = service_rate(cx.agents, candidates, cx.now_us);
+    if rate <= 0.0 {
+        return Ok(());
+    }
+    let group = spec.meta.group;
+    let mut work_us = 0.0;
+    let mut longest_us: f64 = 0.0;
+    for task in &spec.tasks {
+        let expected_us = cx
+            .learning
+            .expected_us(shard.firm(), group, task.kind, task.declared_us);
+        work_us += expected_us;
+        longest_us = longest_us.max(expected_us);
+    }
+    let queued_us = shard.queues.get(&group).map_or(0, |queue| queue.work_us) as f64;
+    let finish_us = (queued_us + work_us) / rate + longest_us;
+    let left_us = spec.meta.deadline_unix_ms.saturating_sub(cx.now_unix_ms) as f64 * 1e3;
+    if finish_us <= left_us {
+        return Ok(());
+    }
+    let over_ms = ((finish_us - left_us) / 1e3) as u64;
+    let base_ms = over_ms.clamp(RETRY_RANGE_MS.0, RETRY_RANGE_MS.1);
+    let retry_after_ms = base_ms + cx.rng.random_range(0..=base_ms / 2);
+    Err(Answer::refused(
+        FailureKind::NotRun,
+        FailureReason::Overloaded,
+        "the deadline cannot be met behind the present backlog",
+        retry_after_ms,
+    ))
+}
--- /dev/null
+++ b/components/dispatch/src/agents.rs
@@ -0,0 +1,284 @@
+//! What an entry knows of the agents.
+
+use model::{
+    AgentInfo, FirmKey, GroupKey, HEARTBEAT_INTERVAL_MS, Heartbeat, Load, OwnerEnvelope,
+    OwnerMessage, Permit, ProcessKey, ShardBeat, ShardKey, TaskKey,
+};
+use rustc_hash::FxHashMap;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::action::Action;
+use crate::health::Health;
+
+/// Silence after which an agent's tasks are given up, in microseconds.
+///
+/// Longer than a garbage-collected target or a short cut keeps an agent from answering.
+pub const AGENT_GONE_US: u64 = 10_000_000;
+
+/// Silence after which an agent gets no new tasks, in microseconds.
+///
+/// Three heartbeats: one lost answer does not take an agent out of service.
+pub const AGENT_SILENT_US: u64 = 750_000;
+
+new_key_type! {
+    /// Locates an agent in the entry's arena.
+    pub struct AgentKey;
+}
+
+/// An agent as seen by this entry.
+#[derive(Debug)]
+pub struct AgentView {
+    pub info: AgentInfo,
+    pub last_heard_us: u64,
+    /// Whether a newer incarnation answers at the same address.
+    pub replaced: bool,
+    pub permit: Option<Permit>,
+    /// Time on this entry's clock after which the permit is not used any more.
+    pub permit_until_us: u64,
+    pub load: Load,
+    /// Tasks sent and not resolved, over all shards of this entry.
+    pub outstanding: u32,
+    /// Run time relative to the mean of all agents for the same kinds of task.
+    pub slowness: f64,
+    pub health: Health,
+    pub next_beat_us: u64,
+    /// Number of shards of this entry whose rosters list the agent.
+    pub rostered: u32,
+    /// Newest revision of the rules sent.
+    pub told_revision: u64,
+    outbox: Vec<OwnerMessage>,
+    urgent: bool,
+}
+
+impl AgentView {
+    fn new(info: AgentInfo, now_us: u64) -> Self {
+        Self {
+            info,
+            last_heard_us: now_us,
+            replaced: false,
+            permit: None,
+            permit_until_us: 0,
+            load: Load::default(),
+            outstanding: 0,
+            slowness: 1.0,
+            health: Health::default(),
+            next_beat_us: 0,
+            rostered: 0,
+            told_revision: 0,
+            outbox: Vec::new(),
+            urgent: false,
+        }
+    }
+
+    /// Queues a message that makes the envelope leave at once.
+    pub fn push(&mut self, message: OwnerMessage) {
+        self.outbox.push(message);
+        self.urgent = true;
+    }
+
+    /// Acknowledges an outcome, in one message with others of the same shard.
+    pub fn push_received(&mut self, shard: ShardKey, task: TaskKey) {
+        if let Some(OwnerMessage::Received { shard: last, tasks }) = self.outbox.last_mut()
+            && *last == shard
+        {
+            tasks.push(task);
+            return;
+        }
+        self.push(OwnerMessage::Received {
+            shard,
+            tasks: vec![task],
+        });
+    }
+
+    pub fn is_gone(&self, now_us: u64) -> bool {
+        self.replaced || now_us > self.last_heard_us + AGENT_GONE_US
+    }
+
+    /// Tells whether the agent can take another task now.
+    pub fn has_room(&self, now_us: u64) -> bool {
+        self.load.ready
+            && !self.info.draining
+            && !self.replaced
+            && now_us < self.permit_until_us
+            && now_us < self.last_heard_us + AGENT_SILENT_US
+            && self.outstanding < u32::from(self.load.window)
+    }
+
+    pub fn slots(&self) -> u32 {
+        self.info
+            .target
+            .as_ref()
+            .map_or(1, |target| u32::from(target.slots.max(1)))
+    }
+
+    pub fn serves(&self, firm: FirmKey, group: GroupKey) -> bool {
+        self.info
+            .target
+            .as_ref()
+            .is_some_and(|target| target.group == group && target.firms.contains(&firm))
+    }
+}
+
+/// All agents known to an entry.
+#[derive(Debug, Default)]
+pub struct Agents {
+    arena: SlotMap<AgentKey, AgentView>,
+    by_process: FxHashMap<ProcessKey, AgentKey>,
+    by_address: FxHashMap<String, ProcessKey>,
+    next_beat_us: u64,
+}
+
+impl Agents {
+    pub fn get(&self, key: AgentKey) -> Option<&AgentView> {
+        self.arena.get(key)
+    }
+
+    pub fn get_mut(&mut self, key: AgentKey) -> Option<&mut AgentView> {
+        self.arena.get_mut(key)
+    }
+
+    pub fn find(&self, process: ProcessKey) -> Option<AgentKey> {
+        self.by_process.get(&process).copied()
+    }
+
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut AgentView> {
+        self.arena.values_mut()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (AgentKey, &AgentView)> {
+        self.arena.iter()
+    }
+
+    /// Takes in an announcement.
+    pub fn announce(&mut self, info: AgentInfo, now_us: u64) -> AgentKey {
+        self.mark_replaced(&info);
+        if let Some(key) = self.find(info.key) {
+            let view = &mut self.arena[key];
+            view.last_heard_us = now_us;
+            view.info = info;
+            return key;
+        }
+        self.insert(info, now_us)
+    }
+
+    /// Returns the view of a roster member, making one for a member never heard of.
+    pub fn ensure(&mut self, process: ProcessKey, address: &str, now_us: u64) -> AgentKey {
+        if let Some(key) = self.find(process) {
+            return key;
+        }
+        let info = AgentInfo {
+            key: process,
+            address: address.to_owned(),
+            failure_domain: String::new(),
+            target: None,
+            draining: false,
+        };
+        self.insert_silently(info, now_us)
+    }
+
+    fn insert(&mut self, info: AgentInfo, now_us: u64) -> AgentKey {
+        self.by_address.insert(info.address.clone(), info.key);
+        self.insert_silently(info, now_us)
+    }
+
+    fn insert_silently(&mut self, info: AgentInfo, now_us: u64) -> AgentKey {
+        let process = info.key;
+        let key = self.arena.insert(AgentView::new(info, now_us));
+        self.by_process.insert(process, key);
+        key
+    }
+
+    fn mark_replaced(&mut self, info: &AgentInfo) {
+        let Some(&earlier) = self.by_address.get(&info.address) else {
+            return;
+        };
+        if earlier == info.key {
+            return;
+        }
+        if let Some(key) = self.find(earlier) {
+            self.arena[key].replaced = true;
+        }
+        self.by_address.insert(info.address.clone(), info.key);
+    }
+
+    /// Forgets agents that are gone and on no roster.
+    pub fn forget_gone(&mut self, now_us: u64) {
+        let gone: Vec<AgentKey> = self
+            .arena
+            .iter()
+            .filter(|(_, view)| view.rostered == 0 && view.is_gone(now_us))
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            let Some(view) = self.arena.remove(key) else {
+                continue;
+            };
+            self.by_process.remove(&view.info.key);
+            if self.by_address.get(&view.info.address) == Some(&view.info.key) {
+                self.by_address.remove(&view.info.address);
+            }
+        }
+    }
+
+    /// Makes an agent's heartbeat due at once.
+    pub fn hasten_beat(&mut self, key: AgentKey, now_us: u64) {
+        if let Some(view) = self.arena.get_mut(key) {
+            view.next_beat_us = now_us;
+            self.next_beat_us = now_us;
+        }
+    }
+
+    /// Returns the agents whose heartbeat is due.
+    pub fn beats_due(&mut self, now_us: u64) -> Vec<AgentKey> {
+        if now_us < self.next_beat_us {
+            return Vec::new();
+        }
+        let mut due = Vec::new();
+        self.next_beat_us = now_us + HEARTBEAT_INTERVAL_MS * 1_000;
+        for (key, view) in &self.arena {
+            if view.rostered == 0 || view.replaced {
+                continue;
+            }
+            if view.next_beat_us <= now_us {
+                due.push(key);
+                continue;
+            }
+            self.next_beat_us = self.next_beat_us.min(view.next_beat_us);
+        }
+        due
+    }
+
+    /// Queues a heartbeat and sets the time of the next one.
+    pub fn beat(&mut self, key: AgentKey, shards: Vec<ShardBeat>, now_us: u64, next_us: u64) {
+        let view = &mut self.arena[key];
+        view.next_beat_us = next_us;
+        view.push(OwnerMessage::Heartbeat(Heartbeat {
+            sent_us: now_us,
+            shards,
+        }));
+    }
+
+    /// Sends what is queued for agents that have something urgent.
+    pub fn flush(
+        &mut self,
+        from: ProcessKey,
+        from_address: &str,
+        actions: &mut Vec<Action>,
+    ) -> u64 {
+        let mut sent = 0;
+        for view in self.arena.values_mut().filter(|view| view.urgent) {
+            view.urgent = false;
+            sent += 1;
+            actions.push(Action::Send {
+                address: view.info.address.clone(),
+                envelope: OwnerEnvelope {
+                    from,
+                    from_address: from_address.to_owned(),
+                    to: view.info.key,
+                    messages: std::mem::take(&mut view.outbox),
+                },
+            });
+        }
+        sent
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/authority.rs
@@ -0,0 +1,27 @@
+//! Evidence that this entry still owns a shard.
+
+use model::{AUTHORITY_TTL_MS, MemberState};
+
+use crate::roster::MemberView;
+
+const AUTHORITY_TTL_US: u64 = AUTHORITY_TTL_MS * 1_000;
+
+/// Returns the time until which a majority of the active members vouches for the owner,
+/// in microseconds on the owner's clock.
+///
+/// With no active member there is no evidence, and zero is returned.
+pub fn authority_until_us<'a>(members: impl Iterator<Item = &'a MemberView>) -> u64 {
+    let mut sent: Vec<u64> = members
+        .filter(|member| member.state == MemberState::Active)
+        .map(|member| member.acked_sent_us)
+        .collect();
+    if sent.is_empty() {
+        return 0;
+    }
+    let needed = sent.len() / 2 + 1;
+    let (_, oldest_needed, _) = sent.select_nth_unstable_by(needed - 1, |a, b| b.cmp(a));
+    match *oldest_needed {
+        0 => 0,
+        sent_us => sent_us + AUTHORITY_TTL_US,
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/claims.rs
@@ -0,0 +1,183 @@
+//! Which entry should own a shard, and when another one takes over.
+
+use std::collections::BTreeMap;
+
+use model::{EntryInfo, FirmKey, Generation, Member, ProcessKey, ShardKey, ShardRecord};
+
+/// Silence of an owner whose host refuses connections before it is replaced, in microseconds.
+///
+/// Two pings: a refused connection proves that the process is gone.
+const REFUSED_SILENCE_US: u64 = 500_000;
+
+/// Silence of an owner before it is replaced, in microseconds.
+///
+/// Safety does not rest on it; it keeps short pauses from causing take-overs.
+const SILENCE_US: u64 = 2_000_000;
+
+/// Silence after which another entry is not considered as an owner, in microseconds.
+const LIVE_US: u64 = 1_000_000;
+
+/// Another entry.
+#[derive(Debug)]
+pub struct Peer {
+    pub info: EntryInfo,
+    pub last_heard_us: u64,
+    pub refused: bool,
+    pub draining: bool,
+}
+
+/// A shard's record as last seen in the platform.
+#[derive(Debug, Clone)]
+pub struct Known {
+    pub record: ShardRecord,
+    pub revision: u64,
+    pub first_seen_us: u64,
+}
+
+/// What an entry knows of shards and of other entries.
+#[derive(Debug, Default)]
+pub struct Claims {
+    pub known: BTreeMap<ShardKey, Known>,
+    pub peers: BTreeMap<ProcessKey, Peer>,
+    /// Whether the platform's records have been read once.
+    pub synced: bool,
+}
+
+impl Claims {
+    /// Notes that another entry answered.
+    pub fn peer_heard(&mut self, info: EntryInfo, draining: bool, now_us: u64) {
+        self.peers.insert(
+            info.key,
+            Peer {
+                info,
+                last_heard_us: now_us,
+                refused: false,
+                draining,
+            },
+        );
+    }
+
+    /// Notes that an entry's host refused a connection.
+    pub fn peer_refused(&mut self, process: ProcessKey) {
+        if let Some(peer) = self.peers.get_mut(&process) {
+            peer.refused = true;
+        }
+    }
+
+    /// Takes in a record; returns whether it is newer than what was known.
+    pub fn record_seen(&mut self, record: ShardRecord, revision: u64, now_us: u64) -> bool {
+        let shard = record.shard;
+        let known = self.known.get(&shard);
+        if known.is_some_and(|known| known.revision >= revision) {
+            return false;
+        }
+        let same_owner = known.is_some_and(|known| known.record.owner == record.owner);
+        let first_seen_us = match known {
+            Some(known) if same_owner => known.first_seen_us,
+            _ => now_us,
+        };
+        self.known.insert(
+            shard,
+            Known {
+                record,
+                revision,
+                first_seen_us,
+            },
+        );
+        true
+    }
+
+    /// Returns the number of shards of a firm; what was created goes before what is configured.
+    pub fn shard_count(&self, firm: FirmKey, configured: u16) -> u16 {
+        let first = ShardKey { firm, index: 0 };
+        self.known
+            .get(&first)
+            .map_or(configured, |known| known.record.shard_count)
+            .max(1)
+    }
+
+    fn owner_is_silent(&self, known: &Known, now_us: u64) -> bool {
+        let peer = self.peers.get(&known.record.owner);
+        let refused = peer.is_some_and(|peer| peer.refused);
+        let heard_us = peer
+            .map_or(0, |peer| peer.last_heard_us)
+            .max(known.first_seen_us);
+        let limit_us = if refused {
+            REFUSED_SILENCE_US
+        } else {
+            SILENCE_US
+        };
+        now_us > heard_us + limit_us
+    }
+
+    /// Returns the live entry that should own a shard, if it is not this one.
+    pub fn best_peer(&self, shard: ShardKey, now_us: u64) -> Option<&Peer> {
+        self.peers
+            .values()
+            .filter(|peer| serves(&peer.info, shard.firm))
+            .filter(|peer| !peer.draining && !peer.refused)
+            .filter(|peer| now_us < peer.last_heard_us + LIVE_US)
+            .max_by_key(|peer| weight(shard, peer.info.key))
+    }
+
+    fn is_mine(&self, me: &EntryInfo, shard: ShardKey, now_us: u64) -> bool {
+        if !serves(me, shard.firm) {
+            return false;
+        }
+        self.best_peer(shard, now_us)
+            .is_none_or(|peer| weight(shard, peer.info.key) < weight(shard, me.key))
+    }
+
+    /// Returns the record to claim a shard with, if this entry should own it now.
+    pub fn claim(
+        &self,
+        me: &EntryInfo,
+        shard: ShardKey,
+        shard_count: u16,
+        joining: Vec<Member>,
+        now_us: u64,
+    ) -> Option<(u64, ShardRecord)> {
+        if !self.synced || !self.is_mine(me, shard, now_us) {
+            return None;
+        }
+        let Some(known) = self.known.get(&shard) else {
+            return Some((0, first_record(me, shard, shard_count, joining)));
+        };
+        if known.record.owner == me.key || !self.owner_is_silent(known, now_us) {
+            return None;
+        }
+        let mut record = known.record.clone();
+        record.generation = record.generation.next();
+        record.owner = me.key;
+        record.owner_address.clone_from(&me.address);
+        Some((known.revision, record))
+    }
+}
+
+fn first_record(
+    me: &EntryInfo,
+    shard: ShardKey,
+    shard_count: u16,
+    roster: Vec<Member>,
+) -> ShardRecord {
+    ShardRecord {
+        shard,
+        shard_count,
+        generation: Generation(1),
+        owner: me.key,
+        owner_address: me.address.clone(),
+        roster,
+    }
+}
+
+fn serves(info: &EntryInfo, firm: FirmKey) -> bool {
+    info.firms.is_empty() || info.firms.contains(&firm)
+}
+
+/// Weight of an entry for a shard (rendezvous hashing, Thaler and Ravishankar 1998).
+fn weight(shard: ShardKey, entry: ProcessKey) -> u64 {
+    let mut value = entry.0 ^ (u64::from(shard.firm.0) << 16) ^ u64::from(shard.index);
+    value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/components/dispatch/src/dispatcher.rs
@@ -0,0 +1,397 @@
+//! All decisions of one entry.
+
+use std::collections::BTreeMap;
+
+use model::{
+    AgentEnvelope, AgentInfo, AgentMessage, Answer, EntryInfo, FailureKind, FailureReason,
+    HEARTBEAT_INTERVAL_MS, JobKey, OwnerMessage, ProcessKey, Rules, ShardBeat, ShardKey,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::action::{Action, Submission, WaiterKey};
+use crate::agents::{AgentKey, Agents};
+use crate::claims::Claims;
+use crate::counters::Counters;
+use crate::handover::Table;
+use crate::learning::Learning;
+use crate::ownership::Claim;
+use crate::rules::{DispatchRules, Policy};
+use crate::shard::{Cx, Shard};
+use crate::state::PeerState;
+
+/// Where a job is to be decided.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Route {
+    /// This entry owns the shard.
+    Own(ShardKey),
+    /// Another entry owns the shard.
+    Other {
+        /// Incarnation of the owner.
+        owner: ProcessKey,
+        /// Address of the owner, as `ip:port`.
+        address: String,
+    },
+    /// No owner is known.
+    Unknown,
+}
+
+/// All decisions of one entry; events and the time go in, actions come out.
+pub struct Dispatcher {
+    pub(crate) me: EntryInfo,
+    pub(crate) agents: Agents,
+    pub(crate) learning: Learning,
+    pub(crate) rules: DispatchRules,
+    pub(crate) policy: Policy,
+    pub(crate) counters: Counters,
+    pub(crate) rng: SmallRng,
+    pub(crate) shards: BTreeMap<ShardKey, Shard>,
+    pub(crate) claims: Claims,
+    pub(crate) claiming: BTreeMap<ShardKey, Claim>,
+    pub(crate) imports: BTreeMap<ShardKey, Table>,
+    pub(crate) draining: bool,
+    pub(crate) next_review_us: u64,
+    next_forget_us: u64,
+}
+
+/// Splits the dispatcher into a shard's surroundings and the shards.
+macro_rules! cx {
+    ($self:ident, $now_us:expr, $now_unix_ms:expr, $actions:expr) => {
+        Cx {
+            now_us: $now_us,
+            now_unix_ms: $now_unix_ms,
+            agents: &mut $self.agents,
+            learning: &mut $self.learning,
+            rules: &$self.rules,
+            policy: &$self.policy,
+            counters: &mut $self.counters,
+            rng: &mut $self.rng,
+            actions: $actions,
+        }
+    };
+}
+pub(crate) use cx;
+
+/// Interval at which agents and records that have expired are dropped, in microseconds.
+const FORGET_INTERVAL_US: u64 = 1_000_000;
+
+impl Dispatcher {
+    /// Builds the decisions of an entry that owns nothing yet.
+    #[must_use]
+    pub fn new(me: EntryInfo, policy: Policy, seed: u64) -> Self {
+        Self {
+            me,
+            agents: Agents::default(),
+            learning: Learning::default(),
+            rules: DispatchRules::default(),
+            policy,
+            counters: Counters::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            shards: BTreeMap::new(),
+            claims: Claims::default(),
+            claiming: BTreeMap::new(),
+            imports: BTreeMap::new(),
+            draining: false,
+            next_review_us: 0,
+            next_forget_us: 0,
+        }
+    }
+
+    /// Returns the incarnation of this entry.
+    #[must_use]
+    pub fn me(&self) -> ProcessKey {
+        self.me.key
+    }
+
+    /// Returns what this entry tells of itself.
+    #[must_use]
+    pub fn info(&self) -> &EntryInfo {
+        &self.me
+    }
+
+    /// Returns the counts since the start.
+    #[must_use]
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Returns the rules in force.
+    #[must_use]
+    pub fn rules(&self) -> &DispatchRules {
+        &self.rules
+    }
+
+    pub(crate) fn agents(&self) -> &Agents {
+        &self.agents
+    }
+
+    pub(crate) fn shards(&self) -> impl Iterator<Item = &Shard> {
+        self.shards.values()
+    }
+
+    pub(crate) fn shard(&self, key: ShardKey) -> Option<&Shard> {
+        self.shards.get(&key)
+    }
+
+    pub(crate) fn peer_states(&self, now_us: u64) -> Vec<PeerState> {
+        self.claims
+            .peers
+            .values()
+            .map(|peer| PeerState {
+                entry: peer.info.key.to_string(),
+                address: peer.info.address.clone(),
+                silent_ms: now_us.saturating_sub(peer.last_heard_us) / 1_000,
+            })
+            .collect()
+    }
+
+    /// Puts newer rules in force; older ones are ignored.
+    pub fn apply_rules(&mut self, rules: DispatchRules) -> bool {
+        if rules.revision <= self.rules.revision {
+            return false;
+        }
+        self.rules = rules;
+        true
+    }
+
+    /// Returns the shard that holds a job.
+    #[must_use]
+    pub fn shard_of(&self, key: JobKey) -> ShardKey {
+        let configured = self
+            .rules
+            .firm(key.firm)
+            .map_or(1, |rules| rules.shard_count);
+        key.shard(self.claims.shard_count(key.firm, configured))
+    }
+
+    /// Returns where a job is to be decided.
+    #[must_use]
+    pub fn route(&self, key: JobKey) -> Route {
+        let shard = self.shard_of(key);
+        if self.shards.contains_key(&shard) {
+            return Route::Own(shard);
+        }
+        match self.claims.known.get(&shard) {
+            Some(known) if known.record.owner != self.me.key => Route::Other {
+                owner: known.record.owner,
+                address: known.record.owner_address.clone(),
+            },
+            _ => Route::Unknown,
+        }
+    }
+
+    /// Returns the owners of all shards known, for agents.
+    pub fn owners(&self) -> impl Iterator<Item = (ShardKey, ProcessKey, &str)> {
+        self.claims.known.values().map(|known| {
+            let record = &known.record;
+            (record.shard, record.owner, record.owner_address.as_str())
+        })
+    }
+
+    /// Takes in an agent's announcement.
+    pub fn agent_announced(&mut self, info: AgentInfo, now_us: u64) {
+        self.agents.announce(info, now_us);
+    }
+
+    /// Decides about one copy of a submission; copies for shards owned elsewhere are moved.
+    pub fn submit(
+        &mut self,
+        submission: Submission,
+        now_us: u64,
+        now_unix_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let key = self.shard_of(submission.spec.meta.key);
+        let Some(shard) = self.shards.get_mut(&key) else {
+            actions.push(Action::Moved {
+                waiter: submission.waiter,
+            });
+            return;
+        };
+        let mut cx = cx!(self, now_us, now_unix_ms, actions);
+        shard.submit(&mut cx, submission);
+    }
+
+    /// Cancels a job; returns its final answer, or none if it is not known here.
+    pub fn cancel(
+        &mut self,
+        key: JobKey,
+        now_us: u64,
+        now_unix_ms: u64,
+        actions: &mut Vec<Action>,
+    ) -> Option<Answer> {
+        let shard_key = self.shard_of(key);
+        let shard = self.shards.get_mut(&shard_key)?;
+        let mut cx = cx!(self, now_us, now_unix_ms, actions);
+        shard.cancel(&mut cx, key)
+    }
+
+    /// Takes a waiting copy off its job; the job goes on.
+    pub fn forget_waiter(&mut self, key: JobKey, waiter: WaiterKey) {
+        let shard_key = self.shard_of(key);
+        if let Some(shard) = self.shards.get_mut(&shard_key) {
+            shard.forget_waiter(key, waiter);
+        }
+    }
+
+    /// Takes in messages of an agent.
+    pub fn agent_envelope(
+        &mut self,
+        envelope: AgentEnvelope,
+        now_us: u64,
+        now_unix_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        self.counters.envelopes_received += 1;
+        if envelope.to != self.me.key {
+            self.counters.messages_stray += 1;
+            return;
+        }
+        let Some(agent) = self.agents.find(envelope.from) else {
+            self.counters.messages_stray += 1;
+            return;
+        };
+        if let Some(view) = self.agents.get_mut(agent) {
+            view.last_heard_us = now_us;
+            view.load = envelope.load;
+        }
+        self.bring_up_to_date(agent);
+        for message in envelope.messages {
+            self.agent_message(envelope.from, message, now_us, now_unix_ms, actions);
+        }
+    }
+
+    /// Sends the rules to an agent that has older ones.
+    fn bring_up_to_date(&mut self, agent: AgentKey) {
+        let rules = &self.rules.agent_rules;
+        let Some(view) = self.agents.get_mut(agent) else {
+            return;
+        };
+        let told = view.told_revision >= rules.revision;
+        if view.load.config_revision >= rules.revision || told {
+            return;
+        }
+        view.told_revision = rules.revision;
+        view.push(OwnerMessage::Configure(rules.clone()));
+    }
+
+    fn agent_message(
+        &mut self,
+        from: ProcessKey,
+        message: AgentMessage,
+        now_us: u64,
+        now_unix_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        if let AgentMessage::HeartbeatAck(ack) = &message {
+            for shard in self.shards.values_mut() {
+                let mut cx = cx!(self, now_us, now_unix_ms, actions);
+                shard.handle(&mut cx, from, AgentMessage::HeartbeatAck(ack.clone()));
+            }
+            return;
+        }
+        let Some(key) = shard_of_message(&message) else {
+            return;
+        };
+        let Some(shard) = self.shards.get_mut(&key) else {
+            self.counters.messages_stray += 1;
+            return;
+        };
+        let mut cx = cx!(self, now_us, now_unix_ms, actions);
+        if shard.handle(&mut cx, from, message).is_some() {
+            actions.push(Action::Read { shard: key });
+        }
+    }
+
+    /// Does everything that is due and sends what is queued.
+    pub fn poll(&mut self, now_us: u64, now_unix_ms: u64, actions: &mut Vec<Action>) {
+        self.poll_ownership(now_us, now_unix_ms, actions);
+        for shard in self.shards.values_mut() {
+            let mut cx = cx!(self, now_us, now_unix_ms, actions);
+            shard.poll(&mut cx);
+        }
+        self.send_beats(now_us);
+        self.forget(now_us, now_unix_ms);
+        self.counters.envelopes_sent += self.agents.flush(self.me.key, &self.me.address, actions);
+    }
+
+    /// Returns the next time at which something is due, in microseconds.
+    #[must_use]
+    pub fn next_wake_us(&self, now_us: u64) -> u64 {
+        let beat_us = now_us + HEARTBEAT_INTERVAL_MS * 1_000 / 2;
+        self.shards
+            .values()
+            .filter_map(Shard::next_wake_us)
+            .fold(beat_us, u64::min)
+    }
+
+    fn send_beats(&mut self, now_us: u64) {
+        for key in self.agents.beats_due(now_us) {
+            let Some(view) = self.agents.get(key) else {
+                continue;
+            };
+            let process = view.info.key;
+            let group = view.info.target.as_ref().map(|target| target.group);
+            let beats: Vec<ShardBeat> = self
+                .shards
+                .values()
+                .filter_map(|shard| shard.beat_for(process, group))
+                .collect();
+            let next_us = now_us + HEARTBEAT_INTERVAL_MS * 1_000;
+            self.agents.beat(key, beats, now_us, next_us);
+        }
+    }
+
+    fn forget(&mut self, now_us: u64, now_unix_ms: u64) {
+        if now_us < self.next_forget_us {
+            return;
+        }
+        self.next_forget_us = now_us + FORGET_INTERVAL_US;
+        self.agents.forget_gone(now_us);
+        for shard in self.shards.values_mut() {
+            shard.records.expire(now_unix_ms);
+        }
+    }
+
+    /// Takes agents out of service that fail far more than the others of their group.
+    pub(crate) fn eject_failing(&mut self, now_us: u64) {
+        if !self.policy.ejection {
+            return;
+        }
+        let ejected = crate::health::eject_failing(&mut self.agents, &self.rules, now_us);
+        self.counters.ejections += u64::from(ejected);
+    }
+
+    /// Answers all waiting copies because the process ends; for a bound on draining.
+    pub fn abandon(&mut self, actions: &mut Vec<Action>) {
+        for shard in self.shards.values_mut() {
+            for job in shard.jobs.values_mut() {
+                for waiter in job.waiters.drain(..) {
+                    let answer = Answer::failed(
+                        FailureKind::MayHaveRun,
+                        FailureReason::Draining,
+                        "the process stopped before the job was done",
+                    );
+                    actions.push(Action::Answer { waiter, answer });
+                }
+            }
+        }
+    }
+
+    /// Returns the rules that agents are to apply.
+    #[must_use]
+    pub fn agent_rules(&self) -> &Rules {
+        &self.rules.agent_rules
+    }
+}
+
+fn shard_of_message(message: &AgentMessage) -> Option<ShardKey> {
+    match message {
+        AgentMessage::Fenced { shard, .. }
+        | AgentMessage::Accepted { shard, .. }
+        | AgentMessage::Refused { shard, .. }
+        | AgentMessage::RevokeFailed { shard, .. }
+        | AgentMessage::Finished { shard, .. } => Some(*shard),
+        AgentMessage::HeartbeatAck(_) => None,
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/placement.rs
@@ -0,0 +1,130 @@
+//! Chooses the agent for a task.
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use crate::agents::{AgentKey, AgentView, Agents};
+use crate::rules::{Placement, Policy};
+
+/// What is to be placed.
+#[derive(Debug, Clone, Copy)]
+pub struct Request {
+    /// Expected run time on an agent of slowness one, in microseconds.
+    pub expected_us: f64,
+    /// An agent that has just refused the task.
+    pub avoid: Option<AgentKey>,
+    /// Tasks that wait behind this one.
+    pub backlog_tasks: u32,
+}
+
+/// Chooses an agent with room, or none if the task is to wait.
+pub fn choose(
+    policy: &Policy,
+    agents: &Agents,
+    candidates: &[AgentKey],
+    request: Request,
+    turn: &mut usize,
+    rng: &mut SmallRng,
+    now_us: u64,
+) -> Option<AgentKey> {
+    let open = |key: &AgentKey| {
+        agents
+            .get(*key)
+            .is_some_and(|view| view.has_room(now_us) && !view.health.is_ejected(now_us))
+    };
+    match policy.placement {
+        Placement::LeastExpected => least_expected(policy, agents, candidates, request, now_us),
+        Placement::LeastConnections => candidates
+            .iter()
+            .copied()
+            .filter(open)
+            .min_by_key(|key| outstanding(agents, *key)),
+        Placement::Random => {
+            let open: Vec<AgentKey> = candidates.iter().copied().filter(open).collect();
+            pick(&open, rng)
+        }
+        Placement::RoundRobin => {
+            let count = candidates.len();
+            let found = (0..count)
+                .map(|step| candidates[(*turn + step) % count])
+                .find(open)?;
+            let position = candidates.iter().position(|key| *key == found)?;
+            *turn = position + 1;
+            Some(found)
+        }
+        Placement::PowerOfTwo => {
+            let open: Vec<AgentKey> = candidates.iter().copied().filter(open).collect();
+            let first = pick(&open, rng)?;
+            let second = pick(&open, rng)?;
+            if outstanding(agents, second) < outstanding(agents, first) {
+                return Some(second);
+            }
+            Some(first)
+        }
+    }
+}
+
+fn pick(keys: &[AgentKey], rng: &mut SmallRng) -> Option<AgentKey> {
+    if keys.is_empty() {
+        return None;
+    }
+    Some(keys[rng.random_range(0..keys.len())])
+}
+
+fn outstanding(agents: &Agents, key: AgentKey) -> u32 {
+    agents.get(key).map_or(u32::MAX, |view| view.outstanding)
+}
+
+/// Returns the expected time until the agent has finished the task, in microseconds.
+fn finish_us(view: &AgentView, expected_us: f64) -> f64 {
+    let run_us = expected_us * view.slowness;
+    let slots = view.slots();
+    if view.outstanding < slots {
+        return run_us;
+    }
+    let ahead = f64::from(view.outstanding - slots + 1) / f64::from(slots);
+    run_us + ahead * run_us
+}
+
+fn least_expected(
+    policy: &Policy,
+    agents: &Agents,
+    candidates: &[AgentKey],
+    request: Request,
+    now_us: u64,
+) -> Option<AgentKey> {
+    let mut best: Option<(f64, AgentKey)> = None;
+    let mut rate_per_us = 0.0;
+    let mut fastest_us = f64::INFINITY;
+    for &key in candidates {
+        let Some(view) = agents.get(key) else {
+            continue;
+        };
+        if view.health.is_ejected(now_us) || !view.load.ready {
+            continue;
+        }
+        let run_us = request.expected_us * view.slowness;
+        rate_per_us += f64::from(view.slots()) / run_us.max(1.0);
+        fastest_us = fastest_us.min(run_us);
+        if !view.has_room(now_us) || (view.health.on_trial && view.outstanding > 0) {
+            continue;
+        }
+        let mut score_us = finish_us(view, request.expected_us);
+        if request.avoid == Some(key) {
+            score_us *= 4.0;
+        }
+        if best.is_none_or(|(least_us, _)| score_us < least_us) {
+            best = Some((score_us, key));
+        }
+    }
+    let (score_us, key) = best?;
+    if !policy.hold_back {
+        return Some(key);
+    }
+    let wait_us = f64::from(request.backlog_tasks + 1) / rate_per_us;
+    let worth_waiting = wait_us + fastest_us < score_us * HOLD_BACK_FACTOR;
+    (!worth_waiting).then_some(key)
+}
+
+/// Part of the slow agent's time that waiting must save; estimates are rough.
+const HOLD_BACK_FACTOR: f64 = 0.5;
--- /dev/null
+++ b/components/dispatch/src/records.rs
@@ -0,0 +1,130 @@
+//! Records of answered and refused jobs, kept for the retention period.
+
+use std::collections::BTreeSet;
+
+use model::RETENTION_MS;
+use model::{Answer, Attempt, CLOCK_SKEW_MS, Failure, FailureKind, FailureReason, JobKey, JobMeta};
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+
+/// Bytes of results kept for resubmissions.
+const MAX_RESULT_BYTES: usize = 256 * 1024 * 1024;
+
+/// A final answer with what is needed to recognise copies.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Record {
+    pub key: JobKey,
+    pub id: String,
+    pub body_digest: u128,
+    pub submitted_unix_ms: u64,
+    pub answer: Answer,
+    /// Newest attempt of any task; a later submission under the id must go above it.
+    pub last_attempt: Attempt,
+}
+
+impl Record {
+    pub fn new(meta: &JobMeta, answer: Answer, last_attempt: Attempt) -> Self {
+        Self {
+            key: meta.key,
+            id: meta.id.clone(),
+            body_digest: meta.body_digest,
+            submitted_unix_ms: meta.submitted_unix_ms,
+            answer,
+            last_attempt,
+        }
+    }
+
+    /// Tells whether a newer submission under the same id may be admitted.
+    pub fn allows_newer(&self, submitted_unix_ms: u64) -> bool {
+        let not_run = matches!(
+            &self.answer,
+            Answer::Failed(Failure {
+                kind: FailureKind::NotRun | FailureKind::CannotRun,
+                ..
+            })
+        );
+        not_run && submitted_unix_ms > self.submitted_unix_ms
+    }
+
+    fn expires_unix_ms(&self) -> u64 {
+        self.submitted_unix_ms + RETENTION_MS + 2 * CLOCK_SKEW_MS
+    }
+
+    fn result_bytes(&self) -> usize {
+        match &self.answer {
+            Answer::Complete(results) => results.iter().map(|result| result.len()).sum(),
+            Answer::Failed(_) => 0,
+        }
+    }
+}
+
+/// Records of one shard by job, dropped when the retention period has passed.
+#[derive(Debug, Default)]
+pub struct Records {
+    by_key: FxHashMap<JobKey, Record>,
+    expiry: BTreeSet<(u64, JobKey)>,
+    /// Jobs with results in the order of their answers, the oldest first.
+    with_results: std::collections::VecDeque<JobKey>,
+    result_bytes: usize,
+}
+
+impl Records {
+    pub fn get(&self, key: JobKey) -> Option<&Record> {
+        self.by_key.get(&key)
+    }
+
+    pub fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Record> {
+        self.by_key.values()
+    }
+
+    pub fn insert(&mut self, record: Record) {
+        self.remove(record.key);
+        self.expiry.insert((record.expires_unix_ms(), record.key));
+        let bytes = record.result_bytes();
+        if bytes > 0 {
+            self.result_bytes += bytes;
+            self.with_results.push_back(record.key);
+        }
+        self.by_key.insert(record.key, record);
+        self.drop_results();
+    }
+
+    pub fn remove(&mut self, key: JobKey) {
+        let Some(record) = self.by_key.remove(&key) else {
+            return;
+        };
+        self.expiry.remove(&(record.expires_unix_ms(), key));
+        self.result_bytes -= record.result_bytes();
+    }
+
+    /// Drops records whose jobs are too old to be accepted again.
+    pub fn expire(&mut self, now_unix_ms: u64) {
+        while let Some(&(expires_unix_ms, key)) = self.expiry.first() {
+            if expires_unix_ms > now_unix_ms {
+                return;
+            }
+            self.remove(key);
+        }
+    }
+
+    fn drop_results(&mut self) {
+        while self.result_bytes > MAX_RESULT_BYTES {
+            let Some(key) = self.with_results.pop_front() else {
+                return;
+            };
+            let Some(record) = self.by_key.get_mut(&key) else {
+                continue;
+            };
+            self.result_bytes -= record.result_bytes();
+            record.answer = Answer::failed(
+                FailureKind::MayHaveRun,
+                FailureReason::ResultDropped,
+                "the job ran; its results are no longer held",
+            );
+        }
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/recovery.rs
@@ -0,0 +1,291 @@
+//! Fencing of agents after a take-over, and what they tell.
+
+use model::{
+    Answer, FailureKind, FailureReason, Fence, JobRecord, MemberState, OwnerMessage, ProcessKey,
+    TAKEOVER_HORIZON_MS, TaskKey, TaskOutcome, TaskState,
+};
+
+use crate::agents::AgentKey;
+use crate::job::{Job, JobSlot, TaskPhase};
+use crate::shard::{Cx, Phase, REPEAT_US, Shard};
+
+/// Time for which a new owner waits for the last agents' answers, in microseconds.
+///
+/// A live agent answers within a round trip; one more repetition covers a lost message.
+const FENCE_GRACE_US: u64 = 500_000;
+
+impl Shard {
+    /// Sends the fence to members that have not answered it.
+    pub fn send_fences(&mut self, cx: &mut Cx<'_>) {
+        let fence = Fence {
+            shard: self.key,
+            generation: self.record.generation,
+        };
+        for member in &mut self.members {
+            if member.fenced || member.next_fence_us > cx.now_us {
+                continue;
+            }
+            let Some(view) = cx.agents.get_mut(member.agent) else {
+                continue;
+            };
+            if view.replaced {
+                continue;
+            }
+            member.next_fence_us = cx.now_us + REPEAT_US;
+            view.push(OwnerMessage::Fence(fence.clone()));
+        }
+    }
+
+    /// Takes in a part of a member's answer to the fence.
+    pub fn note_fenced(
+        &mut self,
+        cx: &mut Cx<'_>,
+        from: ProcessKey,
+        part: u32,
+        part_count: u32,
+        jobs: Vec<JobRecord>,
+    ) {
+        let Some(member) = self.member_mut(from) else {
+            cx.counters.messages_stray += 1;
+            return;
+        };
+        let was_fenced = member.fenced;
+        let new_part = member.note_part(part, part_count);
+        let agent = member.agent;
+        let now_fenced = member.fenced;
+        if was_fenced || !new_part {
+            return;
+        }
+        if now_fenced {
+            cx.agents.hasten_beat(agent, cx.now_us);
+        }
+        for record in jobs {
+            self.merge(cx, agent, record);
+        }
+        if now_fenced {
+            self.release_unheld(cx, agent);
+        }
+    }
+
+    fn merge(&mut self, cx: &mut Cx<'_>, agent: AgentKey, record: JobRecord) {
+        let Some(slot) = self.slot_for(cx, &record) else {
+            return;
+        };
+        for task in record.tasks {
+            let key = TaskKey {
+                job: record.meta.key,
+                index: task.index,
+            };
+            let Some(known) = self
+                .jobs
+                .get_mut(slot)
+                .and_then(|job| job.tasks.get_mut(usize::from(task.index)))
+            else {
+                return;
+            };
+            known.attempt = known.attempt.max(task.attempt);
+            match task.state {
+                TaskState::NotStarted => self.return_task(cx, slot, key, agent),
+                TaskState::Running => self.note_held(cx, slot, key, agent),
+                TaskState::Finished(outcome) => {
+                    self.note_held(cx, slot, key, agent);
+                    self.apply_finished(cx, slot, key, agent, outcome);
+                }
+                TaskState::ResultDropped if self.is_done(slot, key) => {}
+                TaskState::ResultDropped => {
+                    self.note_held(cx, slot, key, agent);
+                    let answer = Answer::failed(
+                        FailureKind::MayHaveRun,
+                        FailureReason::ResultDropped,
+                        "a task ran; its result is no longer held",
+                    );
+                    self.fail_job(cx, slot, answer);
+                }
+            }
+        }
+    }
+
+    /// Finds the job of a record, making it while the shard is being recovered.
+    fn slot_for(&mut self, cx: &mut Cx<'_>, record: &JobRecord) -> Option<JobSlot> {
+        let key = record.meta.key;
+        if let Some(slot) = self.by_key.get(&key) {
+            return Some(*slot);
+        }
+        let recovering = matches!(self.phase, Phase::Fencing { .. });
+        if !recovering || !self.unclean || self.records.get(key).is_some() {
+            return None;
+        }
+        self.arrivals += 1;
+        let job = Job::recovered(
+            record.meta.clone(),
+            self.arrivals,
+            cx.now_us,
+            cx.now_unix_ms,
+        );
+        let deadline_us = job.deadline_us;
+        let slot = self.jobs.insert(job);
+        self.by_key.insert(key, slot);
+        self.deadlines.insert((deadline_us, slot));
+        Some(slot)
+    }
+
+    fn is_done(&self, slot: JobSlot, key: TaskKey) -> bool {
+        let task = &self.jobs[slot].tasks[usize::from(key.index)];
+        matches!(task.phase, TaskPhase::Done(_))
+    }
+
+    /// Notes that an agent has started a task.
+    fn note_held(&mut self, cx: &mut Cx<'_>, slot: JobSlot, key: TaskKey, agent: AgentKey) {
+        let task = &mut self.jobs[slot].tasks[usize::from(key.index)];
+        if matches!(task.phase, TaskPhase::Waiting) {
+            self.in_progress += 1;
+            if let Some(view) = cx.agents.get_mut(agent) {
+                view.outstanding += 1;
+            }
+        }
+        if matches!(task.phase, TaskPhase::Done(_)) {
+            return;
+        }
+        task.phase = TaskPhase::Sent {
+            agent,
+            sent_us: cx.now_us,
+            acknowledged: true,
+        };
+    }
+
+    fn apply_finished(
+        &mut self,
+        cx: &mut Cx<'_>,
+        slot: JobSlot,
+        key: TaskKey,
+        agent: AgentKey,
+        outcome: TaskOutcome,
+    ) {
+        let sent = self.jobs.get(slot).is_some_and(|job| {
+            matches!(
+                job.tasks[usize::from(key.index)].phase,
+                TaskPhase::Sent { .. }
+            )
+        });
+        if sent {
+            self.take_outcome(cx, slot, key, agent, outcome);
+        }
+    }
+
+    /// Lets a task wait again that an agent held and did not start.
+    fn return_task(&mut self, cx: &mut Cx<'_>, slot: JobSlot, key: TaskKey, agent: AgentKey) {
+        let job = &mut self.jobs[slot];
+        let task = &mut job.tasks[usize::from(key.index)];
+        let held = matches!(task.phase, TaskPhase::Sent { agent: at, .. } if at == agent);
+        if !held {
+            return;
+        }
+        task.phase = TaskPhase::Waiting;
+        job.waiting.push(key.index);
+        self.in_progress = self.in_progress.saturating_sub(1);
+        crate::shard::decrement(cx.agents, agent);
+        if self.jobs[slot].has_payloads {
+            self.enqueue(cx, slot, &[key.index]);
+        }
+    }
+
+    /// Lets tasks wait again that were sent to an agent and never reached it.
+    fn release_unheld(&mut self, cx: &mut Cx<'_>, agent: AgentKey) {
+        let generation = self.record.generation.0;
+        let mut unheld = Vec::new();
+        for (slot, job) in &self.jobs {
+            for (index, task) in job.tasks.iter().enumerate() {
+                let TaskPhase::Sent {
+                    agent: at,
+                    acknowledged,
+                    ..
+                } = task.phase
+                else {
+                    continue;
+                };
+                let of_this_generation = u64::from(task.attempt.0) >= generation * 4_096;
+                if at == agent && !acknowledged && !of_this_generation {
+                    unheld.push((slot, job.meta.key, index as u16));
+                }
+            }
+        }
+        for (slot, job, index) in unheld {
+            self.return_task(cx, slot, TaskKey { job, index }, agent);
+        }
+    }
+
+    /// Begins to serve once enough agents have answered the fence.
+    pub fn finish_fencing(&mut self, cx: &mut Cx<'_>) {
+        let Phase::Fencing { since_us } = self.phase else {
+            return;
+        };
+        let active = self.count_active(|_| true);
+        let fenced = self.count_active(|member| member.fenced);
+        let all = self.members.iter().all(|member| member.fenced);
+        let majority = active == 0 || fenced * 2 > active;
+        let waited = cx.now_us >= since_us + FENCE_GRACE_US;
+        let enough = all || (majority && waited);
+        if !enough {
+            return;
+        }
+        self.phase = Phase::Serving;
+        if !self.unclean {
+            return;
+        }
+        self.complete = all;
+        self.horizon_unix_ms = cx.now_unix_ms + TAKEOVER_HORIZON_MS;
+        self.resume_jobs(cx);
+    }
+
+    fn forget(&mut self, slot: JobSlot) {
+        let Some(job) = self.jobs.remove(slot) else {
+            return;
+        };
+        self.by_key.remove(&job.meta.key);
+        self.deadlines.remove(&(job.deadline_us, slot));
+    }
+
+    fn count_active(&self, wanted: impl Fn(&crate::roster::MemberView) -> bool) -> usize {
+        self.members
+            .iter()
+            .filter(|member| member.state == MemberState::Active)
+            .filter(|member| wanted(member))
+            .count()
+    }
+
+    /// Decides about the tasks of recovered jobs that no agent has started.
+    fn resume_jobs(&mut self, cx: &mut Cx<'_>) {
+        let slots: Vec<JobSlot> = self.jobs.keys().collect();
+        for slot in slots {
+            let job = &mut self.jobs[slot];
+            if job.has_payloads {
+                continue;
+            }
+            let unstarted: Vec<u16> = job
+                .tasks
+                .iter()
+                .enumerate()
+                .filter(|(_, task)| task.phase == TaskPhase::Waiting)
+                .map(|(index, _)| index as u16)
+                .collect();
+            if unstarted.is_empty() {
+                continue;
+            }
+            if unstarted.len() == job.tasks.len() {
+                // The previous owner may have refused the job as not run.
+                self.forget(slot);
+                continue;
+            }
+            if !self.complete {
+                let answer = Answer::failed(
+                    FailureKind::MayHaveRun,
+                    FailureReason::AgentLost,
+                    "an agent that may have run part of the job did not answer the new owner",
+                );
+                self.fail_job(cx, slot, answer);
+                continue;
+            }
+            job.waiting = unstarted;
+        }
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/shard.rs
@@ -0,0 +1,609 @@
+//! One shard at its owner: phases, authority, scheduling and deadlines.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use model::{
+    Answer, Attempt, FailureKind, FailureReason, FirmKey, GroupKey, JobKey, MemberState,
+    OwnerMessage, ProcessKey, ShardBeat, ShardKey, ShardRecord, Start, TaskKey, TaskStart,
+};
+use rand::rngs::SmallRng;
+use rustc_hash::FxHashMap;
+use slotmap::SlotMap;
+
+use crate::action::{Action, Submission, WaiterKey};
+use crate::admission::RateLimit;
+use crate::agents::{AgentKey, Agents};
+use crate::authority::authority_until_us;
+use crate::counters::Counters;
+use crate::job::{Job, JobSlot, TaskPhase};
+use crate::learning::Learning;
+use crate::placement::{self, Request};
+use crate::queue::Queue;
+use crate::records::{Record, Records};
+use crate::roster::{MemberView, member_views, release};
+use crate::rules::{DispatchRules, Policy};
+
+/// Time after which an unacknowledged start is sent again, in microseconds.
+///
+/// Well above a round trip between failure domains, well below a heartbeat's time-out.
+const RESEND_US: u64 = 400_000;
+
+/// Interval at which an unanswered fence or revocation is sent again, in microseconds.
+pub const REPEAT_US: u64 = 200_000;
+
+/// What a shard's decisions need of their surroundings.
+pub struct Cx<'a> {
+    pub now_us: u64,
+    pub now_unix_ms: u64,
+    pub agents: &'a mut Agents,
+    pub learning: &'a mut Learning,
+    pub rules: &'a DispatchRules,
+    pub policy: &'a Policy,
+    pub counters: &'a mut Counters,
+    pub rng: &'a mut SmallRng,
+    pub actions: &'a mut Vec<Action>,
+}
+
+impl Cx<'_> {
+    pub fn answer(&mut self, waiter: WaiterKey, answer: Answer) {
+        self.actions.push(Action::Answer { waiter, answer });
+    }
+}
+
+/// Where a shard stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Waits for the agents' answers to the fence.
+    Fencing { since_us: u64 },
+    /// Admits and starts.
+    Serving,
+    /// Has given its table to another entry and changes nothing any more.
+    Yielding,
+}
+
+/// A change of the shard's record that is under way.
+#[derive(Debug)]
+pub struct PendingSwap {
+    pub record: ShardRecord,
+    pub in_flight: bool,
+    /// Whether the answer to a try was lost.
+    pub unknown: bool,
+    pub next_try_us: u64,
+}
+
+/// A copy that waits until the shard can decide about it.
+#[derive(Debug)]
+pub struct Parked {
+    pub submission: Submission,
+    pub give_up_us: u64,
+}
+
+/// A task of a settled job that is still at an agent.
+#[derive(Debug)]
+pub struct Orphan {
+    pub agent: AgentKey,
+    pub attempt: Attempt,
+    pub next_revoke_us: u64,
+    pub abort: bool,
+}
+
+/// A shard owned by this entry.
+pub struct Shard {
+    pub key: ShardKey,
+    pub record: ShardRecord,
+    pub revision: u64,
+    pub members: Vec<MemberView>,
+    pub by_process: FxHashMap<ProcessKey, usize>,
+    pub phase: Phase,
+    /// Whether a previous owner may have acted without having handed over.
+    pub unclean: bool,
+    /// Whether every agent of the roster answered the fence.
+    pub complete: bool,
+    /// Unknown submissions dated up to here are refused, in Unix milliseconds.
+    pub horizon_unix_ms: u64,
+    pub swap: Option<PendingSwap>,
+    pub next_swap_us: u64,
+    /// The record to write once the next owner has accepted the table.
+    pub handing_to: Option<ShardRecord>,
+    pub authority_until_us: u64,
+    pub jobs: SlotMap<JobSlot, Job>,
+    pub by_key: FxHashMap<JobKey, JobSlot>,
+    pub records: Records,
+    pub queues: BTreeMap<GroupKey, Queue>,
+    pub deadlines: BTreeSet<(u64, JobSlot)>,
+    pub parked: VecDeque<Parked>,
+    pub orphans: FxHashMap<TaskKey, Orphan>,
+    pub unacknowledged: VecDeque<(u64, JobSlot, u16, Attempt)>,
+    pub in_progress: u32,
+    pub arrivals: u64,
+    pub rate: RateLimit,
+    turn: usize,
+}
+
+impl Shard {
+    /// Takes charge of a shard whose record now names this entry as owner.
+    pub fn new(record: ShardRecord, revision: u64, unclean: bool, cx: &mut Cx<'_>) -> Self {
+        let members = member_views(&record, cx.agents, cx.now_us);
+        let mut shard = Self {
+            key: record.shard,
+            record,
+            revision,
+            members,
+            by_process: FxHashMap::default(),
+            phase: Phase::Fencing {
+                since_us: cx.now_us,
+            },
+            unclean,
+            complete: true,
+            horizon_unix_ms: 0,
+            swap: None,
+            next_swap_us: 0,
+            handing_to: None,
+            authority_until_us: 0,
+            jobs: SlotMap::with_key(),
+            by_key: FxHashMap::default(),
+            records: Records::default(),
+            queues: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            parked: VecDeque::new(),
+            orphans: FxHashMap::default(),
+            unacknowledged: VecDeque::new(),
+            in_progress: 0,
+            arrivals: 0,
+            rate: RateLimit::default(),
+            turn: 0,
+        };
+        shard.index_members();
+        shard
+    }
+
+    pub fn firm(&self) -> FirmKey {
+        self.key.firm
+    }
+
+    pub fn index_members(&mut self) {
+        self.by_process = self
+            .members
+            .iter()
+            .enumerate()
+            .map(|(position, member)| (member.process, position))
+            .collect();
+    }
+
+    pub fn member_mut(&mut self, process: ProcessKey) -> Option<&mut MemberView> {
+        let position = *self.by_process.get(&process)?;
+        self.members.get_mut(position)
+    }
+
+    /// Recomputes the end of the authority.
+    ///
+    /// While a change of the roster is under way, both rosters must vouch.
+    pub fn refresh_authority(&mut self) {
+        let mut until_us = authority_until_us(self.members.iter());
+        if let Some(swap) = &self.swap {
+            until_us = until_us.min(self.authority_of(&swap.record));
+        }
+        self.authority_until_us = until_us;
+    }
+
+    fn authority_of(&self, record: &ShardRecord) -> u64 {
+        let views: Vec<MemberView> = record
+            .roster
+            .iter()
+            .map(|member| {
+                let known = self.by_process.get(&member.agent);
+                let acked_sent_us = known.map_or(0, |at| self.members[*at].acked_sent_us);
+                let mut view = MemberView::new(member, AgentKey::default(), 0);
+                view.acked_sent_us = acked_sent_us;
+                view
+            })
+            .collect();
+        authority_until_us(views.iter())
+    }
+
+    pub fn has_authority(&self, now_us: u64) -> bool {
+        now_us < self.authority_until_us
+    }
+
+    /// Returns the entry of this shard in a heartbeat to an agent, if it is concerned.
+    pub fn beat_for(&self, agent: ProcessKey, group: Option<GroupKey>) -> Option<ShardBeat> {
+        self.by_process.get(&agent)?;
+        let backlog = group
+            .and_then(|group| self.queues.get(&group))
+            .map_or(0, |queue| queue.waiting_tasks);
+        Some(ShardBeat {
+            shard: self.key,
+            generation: self.record.generation,
+            backlog,
+        })
+    }
+
+    /// Returns the members that may be sent tasks of a group.
+    pub fn candidates(&self, group: GroupKey, agents: &Agents) -> Vec<AgentKey> {
+        self.members
+            .iter()
+            .filter(|member| member.fenced && member.state == MemberState::Active)
+            .filter(|member| {
+                agents
+                    .get(member.agent)
+                    .is_some_and(|view| view.serves(self.firm(), group))
+            })
+            .map(|member| member.agent)
+            .collect()
+    }
+
+    /// Does what is due: fences, deadlines, repetitions, parked copies, scheduling.
+    pub fn poll(&mut self, cx: &mut Cx<'_>) {
+        if self.phase == Phase::Yielding {
+            return;
+        }
+        self.send_fences(cx);
+        self.finish_fencing(cx);
+        self.pass_deadlines(cx);
+        self.give_up_parked(cx);
+        if self.phase != Phase::Serving {
+            return;
+        }
+        self.retry_parked(cx);
+        self.resend(cx);
+        self.repeat_revocations(cx);
+        self.schedule(cx);
+    }
+
+    /// Returns the next time at which something is due, in microseconds.
+    pub fn next_wake_us(&self) -> Option<u64> {
+        let deadline = self.deadlines.first().map(|(at_us, _)| *at_us);
+        let parked = self.parked.iter().map(|parked| parked.give_up_us).min();
+        [deadline, parked].into_iter().flatten().min()
+    }
+
+    fn pass_deadlines(&mut self, cx: &mut Cx<'_>) {
+        while let Some(&(deadline_us, slot)) = self.deadlines.first() {
+            if deadline_us > cx.now_us {
+                return;
+            }
+            self.deadlines.pop_first();
+            let kind = self.failure_kind(slot, cx.now_us);
+            self.fail_job(
+                cx,
+                slot,
+                Answer::failed(kind, FailureReason::DeadlinePassed, "the deadline passed"),
+            );
+        }
+    }
+
+    /// Returns what may be claimed if the job failed now.
+    pub fn failure_kind(&self, slot: JobSlot, now_us: u64) -> FailureKind {
+        let untouched = self.jobs.get(slot).is_some_and(Job::is_untouched);
+        // Without authority another owner may be running the same job.
+        if untouched && self.has_authority(now_us) {
+            return FailureKind::NotRun;
+        }
+        FailureKind::MayHaveRun
+    }
+
+    fn resend(&mut self, cx: &mut Cx<'_>) {
+        while let Some(&(sent_us, slot, index, attempt)) = self.unacknowledged.front() {
+            if cx.now_us < sent_us + RESEND_US {
+                return;
+            }
+            self.unacknowledged.pop_front();
+            self.resend_task(cx, slot, index, attempt);
+        }
+    }
+
+    fn resend_task(&mut self, cx: &mut Cx<'_>, slot: JobSlot, index: u16, attempt: Attempt) {
+        let Some(job) = self.jobs.get(slot) else {
+            return;
+        };
+        let task = &job.tasks[usize::from(index)];
+        let TaskPhase::Sent {
+            agent,
+            acknowledged: false,
+            ..
+        } = task.phase
+        else {
+            return;
+        };
+        if task.attempt != attempt || !job.has_payloads {
+            return;
+        }
+        self.unacknowledged
+            .push_back((cx.now_us, slot, index, attempt));
+        if !self.has_authority(cx.now_us) {
+            return;
+        }
+        cx.counters.tasks_resent += 1;
+        self.send_starts(cx, agent, slot, &[index]);
+    }
+
+    fn repeat_revocations(&mut self, cx: &mut Cx<'_>) {
+        if self.orphans.is_empty() {
+            return;
+        }
+        let mut due: FxHashMap<(AgentKey, bool), Vec<(TaskKey, Attempt)>> = FxHashMap::default();
+        for (task, orphan) in &mut self.orphans {
+            if orphan.next_revoke_us > cx.now_us {
+                continue;
+            }
+            orphan.next_revoke_us = cx.now_us + REPEAT_US;
+            due.entry((orphan.agent, orphan.abort))
+                .or_default()
+                .push((*task, orphan.attempt));
+        }
+        for ((agent, abort), tasks) in due {
+            self.send_revoke(cx, agent, tasks, abort);
+        }
+    }
+
+    fn send_revoke(
+        &self,
+        cx: &mut Cx<'_>,
+        agent: AgentKey,
+        tasks: Vec<(TaskKey, Attempt)>,
+        abort: bool,
+    ) {
+        if let Some(view) = cx.agents.get_mut(agent) {
+            view.push(OwnerMessage::Revoke {
+                shard: self.key,
+                generation: self.record.generation,
+                tasks,
+                abort,
+            });
+        }
+    }
+
+    /// Sends waiting tasks to agents with room.
+    fn schedule(&mut self, cx: &mut Cx<'_>) {
+        if !self.has_authority(cx.now_us) {
+            return;
+        }
+        let groups: Vec<GroupKey> = self
+            .queues
+            .iter()
+            .filter(|(_, queue)| queue.waiting_tasks > 0)
+            .map(|(group, _)| *group)
+            .collect();
+        for group in groups {
+            self.schedule_group(cx, group);
+        }
+    }
+
+    fn schedule_group(&mut self, cx: &mut Cx<'_>, group: GroupKey) {
+        let candidates = self.candidates(group, cx.agents);
+        if candidates.is_empty() {
+            return;
+        }
+        let quota = self.quota_tasks(cx.rules);
+        let mut batches: BTreeMap<(JobSlot, AgentKey), Vec<u16>> = BTreeMap::new();
+        while self.in_progress < quota {
+            let Some((slot, index, agent)) = self.place_next(cx, group, &candidates) else {
+                break;
+            };
+            batches.entry((slot, agent)).or_default().push(index);
+        }
+        for ((slot, agent), indexes) in batches {
+            cx.counters.tasks_sent += indexes.len() as u64;
+            cx.counters.start_messages += 1;
+            self.send_starts(cx, agent, slot, &indexes);
+        }
+    }
+
+    fn quota_tasks(&self, rules: &DispatchRules) -> u32 {
+        let Some(firm) = rules.firm(self.firm()) else {
+            return 0;
+        };
+        (firm.quota_tasks / u32::from(self.record.shard_count.max(1))).max(1)
+    }
+
+    fn place_next(
+        &mut self,
+        cx: &mut Cx<'_>,
+        group: GroupKey,
+        candidates: &[AgentKey],
+    ) -> Option<(JobSlot, u16, AgentKey)> {
+        let firm = self.firm();
+        let queue = self.queues.get_mut(&group)?;
+        let slot = queue.first()?;
+        let job = &mut self.jobs[slot];
+        let index = *job.waiting.last()?;
+        let task = &mut job.tasks[usize::from(index)];
+        let expected_us = cx
+            .learning
+            .expected_us(firm, group, task.kind, task.declared_us);
+        let request = Request {
+            expected_us,
+            avoid: task.avoid,
+            backlog_tasks: queue.waiting_tasks.saturating_sub(1),
+        };
+        let agent = placement::choose(
+            cx.policy,
+            cx.agents,
+            candidates,
+            request,
+            &mut self.turn,
+            cx.rng,
+            cx.now_us,
+        )?;
+        task.attempt = next_attempt(task.attempt, self.record.generation.0);
+        task.attempts_made += 1;
+        task.phase = TaskPhase::Sent {
+            agent,
+            sent_us: cx.now_us,
+            acknowledged: false,
+        };
+        self.unacknowledged
+            .push_back((cx.now_us, slot, index, task.attempt));
+        job.waiting.pop();
+        queue.count_out(1, expected_us as u64);
+        if job.waiting.is_empty() {
+            queue.remove(job);
+        }
+        self.in_progress += 1;
+        if let Some(view) = cx.agents.get_mut(agent) {
+            view.outstanding += 1;
+        }
+        Some((slot, index, agent))
+    }
+
+    fn send_starts(&self, cx: &mut Cx<'_>, agent: AgentKey, slot: JobSlot, indexes: &[u16]) {
+        let job = &self.jobs[slot];
+        let firm = self.firm();
+        let tasks = indexes
+            .iter()
+            .map(|index| {
+                let task = &job.tasks[usize::from(*index)];
+                let group = job.meta.group;
+                TaskStart {
+                    index: *index,
+                    attempt: task.attempt,
+                    kind: task.kind,
+                    expected_us: cx
+                        .learning
+                        .expected_us(firm, group, task.kind, task.declared_us)
+                        as u64,
+                    payload: task.payload.clone(),
+                }
+            })
+            .collect();
+        let Some(view) = cx.agents.get_mut(agent) else {
+            return;
+        };
+        let Some(permit) = view.permit else {
+            return;
+        };
+        view.push(OwnerMessage::Start(Start {
+            shard: self.key,
+            generation: self.record.generation,
+            permit,
+            job: job.meta.clone(),
+            remaining_us: job.deadline_us.saturating_sub(cx.now_us),
+            tasks,
+        }));
+    }
+
+    /// Lets the tasks of a job wait for agents.
+    pub fn enqueue(&mut self, cx: &mut Cx<'_>, slot: JobSlot, indexes: &[u16]) {
+        let firm = self.firm();
+        let job = &mut self.jobs[slot];
+        let group = job.meta.group;
+        let mut work_us = 0.0;
+        for index in indexes {
+            let task = &job.tasks[usize::from(*index)];
+            work_us += cx
+                .learning
+                .expected_us(firm, group, task.kind, task.declared_us);
+        }
+        let queue = self.queues.entry(group).or_default();
+        queue.count_in(indexes.len() as u32, work_us as u64);
+        queue.insert(slot, job, cx.policy.order);
+    }
+
+    /// Ends a job without a result and takes back what can be taken back.
+    pub fn fail_job(&mut self, cx: &mut Cx<'_>, slot: JobSlot, answer: Answer) {
+        cx.counters.failed += 1;
+        self.settle(cx, slot, answer);
+    }
+
+    /// Ends a job with its final answer.
+    pub fn settle(&mut self, cx: &mut Cx<'_>, slot: JobSlot, answer: Answer) {
+        let Some(mut job) = self.jobs.remove(slot) else {
+            return;
+        };
+        self.by_key.remove(&job.meta.key);
+        self.deadlines.remove(&(job.deadline_us, slot));
+        self.leave_queue(cx, &mut job);
+        self.release_agents(cx, &job);
+        for waiter in std::mem::take(&mut job.waiters) {
+            cx.answer(waiter, answer.clone());
+        }
+        let last_attempt = job.last_attempt();
+        self.records
+            .insert(Record::new(&job.meta, answer, last_attempt));
+    }
+
+    fn leave_queue(&mut self, cx: &mut Cx<'_>, job: &mut Job) {
+        if job.queue_rank.is_none() {
+            return;
+        }
+        let firm = self.firm();
+        let Some(queue) = self.queues.get_mut(&job.meta.group) else {
+            return;
+        };
+        queue.remove(job);
+        let mut work_us = 0.0;
+        for index in &job.waiting {
+            let task = &job.tasks[usize::from(*index)];
+            work_us += cx
+                .learning
+                .expected_us(firm, job.meta.group, task.kind, task.declared_us);
+        }
+        queue.count_out(job.waiting.len() as u32, work_us as u64);
+    }
+
+    /// Takes back tasks that are still at agents.
+    fn release_agents(&mut self, cx: &mut Cx<'_>, job: &Job) {
+        for (index, task) in job.tasks.iter().enumerate() {
+            let TaskPhase::Sent { agent, .. } = task.phase else {
+                continue;
+            };
+            let key = TaskKey {
+                job: job.meta.key,
+                index: index as u16,
+            };
+            self.orphans.insert(
+                key,
+                Orphan {
+                    agent,
+                    attempt: task.attempt,
+                    next_revoke_us: cx.now_us,
+                    abort: false,
+                },
+            );
+        }
+        if !self.orphans.is_empty() {
+            self.repeat_revocations(cx);
+        }
+    }
+
+    /// Gives up the shard; every waiting copy is to be routed anew.
+    pub fn dissolve(mut self, cx: &mut Cx<'_>) {
+        release(&self.members, cx.agents);
+        for parked in self.parked.drain(..) {
+            cx.actions.push(Action::Moved {
+                waiter: parked.submission.waiter,
+            });
+        }
+        for (_, job) in self.jobs.drain() {
+            release_outstanding(cx.agents, &job);
+            for waiter in job.waiters {
+                cx.actions.push(Action::Moved { waiter });
+            }
+        }
+        for orphan in self.orphans.values() {
+            decrement(cx.agents, orphan.agent);
+        }
+    }
+}
+
+fn release_outstanding(agents: &mut Agents, job: &Job) {
+    for task in &job.tasks {
+        if let TaskPhase::Sent { agent, .. } = task.phase {
+            decrement(agents, agent);
+        }
+    }
+}
+
+/// Counts one task less at an agent.
+pub fn decrement(agents: &mut Agents, agent: AgentKey) {
+    if let Some(view) = agents.get_mut(agent) {
+        view.outstanding = view.outstanding.saturating_sub(1);
+    }
+}
+
+/// Returns an attempt above every attempt of this and of earlier generations.
+fn next_attempt(last: Attempt, generation: u64) -> Attempt {
+    const ATTEMPTS_PER_GENERATION: u64 = 4_096;
+    let first = (generation.saturating_mul(ATTEMPTS_PER_GENERATION)) as u32;
+    Attempt((last.0 + 1).max(first))
+}
--- /dev/null
+++ b/components/dispatch/src/submission.rs
@@ -0,0 +1,313 @@
+//! Submissions, cancellations and status of jobs at their owner.
+
+use model::{
+    Answer, Attempt, CLOCK_SKEW_MS, Failure, FailureKind, FailureReason, JobKey, JobSpec,
+    RETENTION_MS,
+};
+use rand::Rng;
+
+use crate::action::{Submission, WaiterKey};
+use crate::admission;
+use crate::job::{Job, JobSlot, TaskPhase};
+use crate::records::Record;
+use crate::shard::{Cx, Parked, Phase, Shard};
+
+/// Longest time for which a copy waits for the shard to be able to decide, in microseconds.
+///
+/// Covers a take-over: detection, the fence's grace period and a compare-and-swap.
+const PARK_US: u64 = 5_000_000;
+
+/// Records kept for one shard; bounds its memory when refusals pour in.
+const MAX_RECORDS: usize = 2_000_000;
+
+/// Largest random addition to a come-back time, in milliseconds.
+const JITTER_MS: u64 = 250;
+
+impl Shard {
+    /// Decides about one copy of a submission.
+    pub fn submit(&mut self, cx: &mut Cx<'_>, submission: Submission) {
+        if self.phase != Phase::Serving {
+            self.park(cx, submission);
+            return;
+        }
+        let key = submission.spec.meta.key;
+        if let Some(slot) = self.by_key.get(&key).copied() {
+            self.join(cx, slot, submission);
+            return;
+        }
+        if let Some(answer) = self.recorded_answer(&submission.spec) {
+            cx.counters.resubmitted += 1;
+            cx.answer(submission.waiter, answer);
+            return;
+        }
+        if !self.has_authority(cx.now_us) {
+            self.park(cx, submission);
+            return;
+        }
+        if self.records.len() >= MAX_RECORDS {
+            cx.answer(submission.waiter, records_full());
+            return;
+        }
+        if let Err(answer) = self.check(cx, &submission.spec) {
+            self.refuse(cx, &submission, answer);
+            return;
+        }
+        self.admit(cx, submission);
+    }
+
+    fn park(&mut self, cx: &mut Cx<'_>, submission: Submission) {
+        let meta = &submission.spec.meta;
+        let left_us = meta.deadline_unix_ms.saturating_sub(cx.now_unix_ms) * 1_000;
+        self.parked.push_back(Parked {
+            give_up_us: cx.now_us + left_us.min(PARK_US),
+            submission,
+        });
+    }
+
+    /// Decides about parked copies again.
+    pub fn retry_parked(&mut self, cx: &mut Cx<'_>) {
+        if !self.has_authority(cx.now_us) {
+            return;
+        }
+        for parked in std::mem::take(&mut self.parked) {
+            self.submit(cx, parked.submission);
+        }
+    }
+
+    /// Answers parked copies for which the shard could not decide in time.
+    pub fn give_up_parked(&mut self, cx: &mut Cx<'_>) {
+        let now_us = cx.now_us;
+        if self.parked.iter().all(|parked| parked.give_up_us > now_us) {
+            return;
+        }
+        let (late, waiting) = std::mem::take(&mut self.parked)
+            .into_iter()
+            .partition(|parked| parked.give_up_us <= now_us);
+        self.parked = waiting;
+        for parked in Vec::from(late) {
+            // Other copies may have been admitted by an earlier owner.
+            let answer = Answer::refused(
+                FailureKind::MayHaveRun,
+                FailureReason::NoAuthority,
+                "the owner of the shard could not prove its ownership in time",
+                1_000 + cx.rng.random_range(0..JITTER_MS),
+            );
+            cx.answer(parked.submission.waiter, answer);
+        }
+    }
+
+    fn join(&mut self, cx: &mut Cx<'_>, slot: JobSlot, submission: Submission) {
+        let job = &mut self.jobs[slot];
+        if job.meta.body_digest != submission.spec.meta.body_digest {
+            cx.counters.conflicts += 1;
+            cx.answer(submission.waiter, conflict());
+            return;
+        }
+        cx.counters.resubmitted += 1;
+        job.waiters.push(submission.waiter);
+        if job.has_payloads {
+            return;
+        }
+        job.fill(submission.spec.tasks);
+        let waiting = job.waiting.clone();
+        if !waiting.is_empty() {
+            self.enqueue(cx, slot, &waiting);
+        }
+    }
+
+    fn recorded_answer(&mut self, spec: &JobSpec) -> Option<Answer> {
+        let record = self.records.get(spec.meta.key)?;
+        if record.allows_newer(spec.meta.submitted_unix_ms) {
+            return None;
+        }
+        if record.body_digest != spec.meta.body_digest {
+            return Some(conflict());
+        }
+        Some(record.answer.clone())
+    }
+
+    /// Checks whether a submission that is not known may be admitted.
+    fn check(&mut self, cx: &mut Cx<'_>, spec: &JobSpec) -> Result<(), Answer> {
+        self.check_times(cx, spec)?;
+        self.check_horizon(cx, spec)?;
+        let candidates = admission::check_group(self, cx, spec)?;
+        admission::check_limits(self, cx, spec)?;
+        if cx.policy.admission {
+            admission::check_deadline(self, cx, spec, &candidates)?;
+        }
+        Ok(())
+    }
+
+    fn check_times(&self, cx: &Cx<'_>, spec: &JobSpec) -> Result<(), Answer> {
+        let meta = &spec.meta;
+        if meta.submitted_unix_ms + RETENTION_MS < cx.now_unix_ms {
+            return Err(Answer::failed(
+                FailureKind::MayHaveRun,
+                FailureReason::TooOld,
+                "the submission is older than the retention period; its fate is not known",
+            ));
+        }
+        if meta.submitted_unix_ms > cx.now_unix_ms + CLOCK_SKEW_MS {
+            let ahead_ms = meta.submitted_unix_ms - cx.now_unix_ms;
+            if ahead_ms > RETENTION_MS {
+                return Err(Answer::failed(
+                    FailureKind::CannotRun,
+                    FailureReason::ClockAhead,
+                    "submitted_unix_ms lies beyond the retention period; set the clock right",
+                ));
+            }
+            let detail = format!("submitted_unix_ms lies {ahead_ms} ms ahead; set the clock right");
+            return Err(Answer::refused(
+                FailureKind::NotRun,
+                FailureReason::ClockAhead,
+                detail,
+                ahead_ms,
+            ));
+        }
+        if meta.deadline_unix_ms <= cx.now_unix_ms {
+            return Err(Answer::failed(
+                FailureKind::NotRun,
+                FailureReason::DeadlinePassed,
+                "the deadline had passed on arrival",
+            ));
+        }
+        Ok(())
+    }
+
+    fn check_horizon(&self, cx: &mut Cx<'_>, spec: &JobSpec) -> Result<(), Answer> {
+        let submitted_unix_ms = spec.meta.submitted_unix_ms;
+        if submitted_unix_ms > self.horizon_unix_ms {
+            return Ok(());
+        }
+        let left_ms = self.horizon_unix_ms.saturating_sub(cx.now_unix_ms);
+        let retry_after_ms = left_ms + cx.rng.random_range(1..JITTER_MS);
+        let (kind, detail) = if self.complete {
+            (
+                FailureKind::NotRun,
+                "the shard changed owners before the job was started",
+            )
+        } else {
+            (
+                FailureKind::MayHaveRun,
+                "the shard changed owners and an agent that may have run the job is gone",
+            )
+        };
+        Err(Answer::refused(
+            kind,
+            FailureReason::TakenOver,
+            detail,
+            retry_after_ms,
+        ))
+    }
+
+    fn last_attempt(&self, key: JobKey) -> Attempt {
+        self.records
+            .get(key)
+            .map(|record| record.last_attempt)
+            .unwrap_or_default()
+    }
+
+    fn refuse(&mut self, cx: &mut Cx<'_>, submission: &Submission, answer: Answer) {
+        cx.counters.refused += 1;
+        // A date far ahead would keep the record for as long; no copy is that late.
+        if submission.spec.meta.submitted_unix_ms > cx.now_unix_ms + RETENTION_MS {
+            cx.answer(submission.waiter, answer);
+            return;
+        }
+        let meta = &submission.spec.meta;
+        let last_attempt = self.last_attempt(meta.key);
+        self.records
+            .insert(Record::new(meta, answer.clone(), last_attempt));
+        cx.answer(submission.waiter, answer);
+    }
+
+    fn admit(&mut self, cx: &mut Cx<'_>, submission: Submission) {
+        cx.counters.admitted += 1;
+        let Submission { spec, waiter } = submission;
+        let key = spec.meta.key;
+        let last_attempt = self.last_attempt(key);
+        self.records.remove(key);
+        self.arrivals += 1;
+        let mut job = Job::new(spec, self.arrivals, cx.now_us, cx.now_unix_ms);
+        job.start_above(last_attempt);
+        job.waiters.push(waiter);
+        job.work_us = self.work_us(cx, &job);
+        let waiting = job.waiting.clone();
+        let deadline_us = job.deadline_us;
+        let slot = self.jobs.insert(job);
+        self.by_key.insert(key, slot);
+        self.deadlines.insert((deadline_us, slot));
+        self.enqueue(cx, slot, &waiting);
+    }
+
+    fn work_us(&self, cx: &Cx<'_>, job: &Job) -> u64 {
+        job.tasks
+            .iter()
+            .map(|task| {
+                cx.learning
+                    .expected_us(self.firm(), job.meta.group, task.kind, task.declared_us)
+                    as u64
+            })
+            .sum()
+    }
+
+    /// Cancels a job; returns its final answer, or none if the job is not known.
+    pub fn cancel(&mut self, cx: &mut Cx<'_>, key: JobKey) -> Option<Answer> {
+        if let Some(slot) = self.by_key.get(&key).copied() {
+            let kind = self.failure_kind(slot, cx.now_us);
+            let answer = Answer::failed(kind, FailureReason::Cancelled, "cancelled by the client");
+            self.fail_job(cx, slot, answer.clone());
+            self.abort_orphans(cx, key);
+            return Some(answer);
+        }
+        self.records.get(key).map(|record| record.answer.clone())
+    }
+
+    fn abort_orphans(&mut self, cx: &Cx<'_>, job: JobKey) {
+        for (task, orphan) in &mut self.orphans {
+            if task.job == job {
+                orphan.abort = true;
+                orphan.next_revoke_us = cx.now_us;
+            }
+        }
+    }
+
+    /// Takes a waiting copy off its job; the job goes on.
+    pub fn forget_waiter(&mut self, key: JobKey, waiter: WaiterKey) {
+        self.parked
+            .retain(|parked| parked.submission.waiter != waiter);
+        if let Some(slot) = self.by_key.get(&key) {
+            self.jobs[*slot].waiters.retain(|other| *other != waiter);
+        }
+    }
+
+    /// Counts tasks that have finished, of a job in progress.
+    pub fn progress(&self, key: JobKey) -> Option<(u16, u16)> {
+        let job = &self.jobs[*self.by_key.get(&key)?];
+        let done = job
+            .tasks
+            .iter()
+            .filter(|task| matches!(task.phase, TaskPhase::Done(_)))
+            .count();
+        Some((done as u16, job.meta.task_count))
+    }
+}
+
+fn conflict() -> Answer {
+    Answer::Failed(Failure {
+        kind: FailureKind::CannotRun,
+        reason: FailureReason::Conflict,
+        detail: "the id is in use for a job with another body".to_owned(),
+        retry_after_ms: None,
+    })
+}
+
+/// Claims nothing about the job, since the refusal could not be remembered.
+fn records_full() -> Answer {
+    Answer::refused(
+        FailureKind::MayHaveRun,
+        FailureReason::Overloaded,
+        "too many jobs in the retention period",
+        RETENTION_MS,
+    )
+}
--- a/components/model/src/roster.rs
+++ b/components/model/src/roster.rs
@@ -71,6 +71,8 @@
 pub struct ShardRecord {
     /// The shard.
     pub shard: ShardKey,
+    /// Number of shards of the firm, fixed when its first shard is created.
+    pub shard_count: u16,
     /// Counts the owners so far.
     pub generation: Generation,
     /// Incarnation of the owner.
