--- /dev/null
+++ b/components/execution/src/agent.rs
@@ -0,0 +1,324 @@
+//! The agent: its state, its inputs and the order in which it works.
+
+use model::{
+    AgentMessage, Heartbeat, HeartbeatAck, JobKey, Load, OwnerEnvelope, OwnerMessage,
+    PERMIT_TTL_MS, Permit, ProcessKey, RefusalReason, Rules, ShardKey, TargetInfo,
+};
+use rustc_hash::FxHashMap;
+use slotmap::SlotMap;
+
+use crate::actions::{AgentAction, CallKey};
+use crate::builder::Settings;
+use crate::counters::CounterSet;
+use crate::delivery::Resends;
+use crate::fence::Shard;
+#[cfg(feature = "mutants")]
+use crate::mutation::Mutation;
+use crate::outbox::Outbox;
+use crate::queue::Queue;
+use crate::results::Results;
+use crate::table::{Table, TaskRef};
+use crate::target::Target;
+use crate::window::Owners;
+
+/// Decides which tasks start at one target.
+///
+/// Every method takes the time of the caller's monotonic clock and appends what is to
+/// be done to `actions`; time that seems to run backwards counts as standing still.
+#[derive(Debug)]
+pub struct Agent {
+    pub(crate) settings: Settings,
+    pub(crate) now_us: u64,
+    pub(crate) now_unix_ms: u64,
+    pub(crate) target: Target,
+    pub(crate) draining: bool,
+    /// Time since which no call has run.
+    pub(crate) quiet_since_us: u64,
+    pub(crate) config_revision: u64,
+    pub(crate) shards: FxHashMap<ShardKey, Shard>,
+    pub(crate) table: Table,
+    pub(crate) calls: SlotMap<CallKey, TaskRef>,
+    pub(crate) queue: Queue,
+    pub(crate) results: Results,
+    pub(crate) resends: Resends,
+    pub(crate) owners: Owners,
+    pub(crate) outbox: Outbox,
+    pub(crate) counters: CounterSet,
+}
+
+impl Agent {
+    pub(crate) fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            now_us: 0,
+            now_unix_ms: 0,
+            target: Target::default(),
+            draining: false,
+            quiet_since_us: 0,
+            config_revision: 0,
+            shards: FxHashMap::default(),
+            table: Table::default(),
+            calls: SlotMap::with_key(),
+            queue: Queue::default(),
+            results: Results::default(),
+            resends: Resends::default(),
+            owners: Owners::default(),
+            outbox: Outbox::default(),
+            counters: CounterSet::default(),
+        }
+    }
+
+    /// Returns the key of this incarnation.
+    #[must_use]
+    pub fn key(&self) -> ProcessKey {
+        self.settings.key
+    }
+
+    /// Handles the messages of one owner.
+    ///
+    /// An envelope for another incarnation is counted and has no other effect.
+    pub fn handle(
+        &mut self,
+        now_us: u64,
+        now_unix_ms: u64,
+        envelope: OwnerEnvelope,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        self.advance_unix(now_unix_ms);
+        self.advance(now_us);
+        if envelope.to == self.settings.key {
+            for message in envelope.messages {
+                self.handle_message(envelope.from, message, actions);
+            }
+        } else {
+            self.counters.process.misaddressed += envelope.messages.len() as u64;
+        }
+        self.complete(actions);
+    }
+
+    /// Records that the target lives and what it offers, until `expires_us`.
+    pub fn target_announced(
+        &mut self,
+        now_us: u64,
+        info: TargetInfo,
+        expires_us: u64,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        self.target.announce(info, expires_us);
+        self.advance(now_us);
+        self.divide_windows();
+        self.complete(actions);
+    }
+
+    /// Records that the target has left; refuses what waits for it.
+    pub fn target_left(&mut self, now_us: u64, actions: &mut Vec<AgentAction>) {
+        self.advance(now_us);
+        self.lose_target();
+        self.complete(actions);
+    }
+
+    /// Stops taking work and refuses what waits; running tasks finish.
+    pub fn drain(&mut self, now_us: u64, actions: &mut Vec<AgentAction>) {
+        self.advance(now_us);
+        if !self.draining {
+            self.draining = true;
+            self.quiet_since_us = self.now_us;
+            self.refuse_all_queued(RefusalReason::Draining);
+        }
+        self.complete(actions);
+    }
+
+    /// Returns whether a draining agent may stop.
+    ///
+    /// That is so once nothing runs and each outcome is acknowledged or has been waited
+    /// for long enough, as of the last event.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let is_delivered =
+            self.table.unacknowledged() == 0 || self.now_us >= self.acknowledgement_limit_us();
+        self.draining && self.calls.is_empty() && self.queue.len() == 0 && is_delivered
+    }
+
+    /// Does what has become due.
+    pub fn tick(&mut self, now_us: u64, now_unix_ms: u64, actions: &mut Vec<AgentAction>) {
+        self.advance_unix(now_unix_ms);
+        self.advance(now_us);
+        self.resend_due();
+        self.complete(actions);
+    }
+
+    /// Returns the time at which [`Self::tick`] has something to do, if there is any.
+    #[must_use]
+    pub fn next_wake_us(&self) -> Option<u64> {
+        let has_waiting = self.queue.len() > 0;
+        let drained_us = (self.draining && self.calls.is_empty() && !self.is_idle())
+            .then(|| self.acknowledgement_limit_us());
+        [
+            self.target.expires_us(),
+            self.queue.earliest_deadline_us(),
+            self.target.resumes_us(self.now_us).filter(|_| has_waiting),
+            self.resends.next_due_us(),
+            drained_us,
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+
+    fn handle_message(
+        &mut self,
+        from: ProcessKey,
+        message: OwnerMessage,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        match message {
+            OwnerMessage::Fence(fence) => self.fence(from, &fence),
+            OwnerMessage::Heartbeat(heartbeat) => self.heartbeat(from, &heartbeat),
+            OwnerMessage::Start(start) => self.start(from, start),
+            OwnerMessage::Revoke {
+                shard,
+                generation,
+                tasks,
+                abort,
+            } => {
+                self.revoke(from, (shard, generation), &tasks, abort, actions);
+            }
+            OwnerMessage::Received { shard, tasks } => self.received(from, shard, &tasks),
+            OwnerMessage::Settled { shard, jobs } => self.settled(from, shard, &jobs),
+            OwnerMessage::Configure(rules) => self.configure(&rules),
+        }
+    }
+
+    fn heartbeat(&mut self, from: ProcessKey, heartbeat: &Heartbeat) {
+        let mut shards = Vec::with_capacity(heartbeat.shards.len());
+        let mut backlogs = Vec::with_capacity(heartbeat.shards.len());
+        for beat in &heartbeat.shards {
+            if self.fenced(beat.shard) == Some((beat.generation, from)) {
+                shards.push((beat.shard, beat.generation));
+                backlogs.push((beat.shard.firm, beat.backlog));
+            }
+        }
+        self.owners.record(from, self.now_us, &backlogs);
+        self.divide_windows();
+        let permit = Permit {
+            agent: self.settings.key,
+            expires_us: self.now_us + PERMIT_TTL_MS * 1_000,
+        };
+        let sent_us = heartbeat.sent_us;
+        let ack = HeartbeatAck {
+            sent_us,
+            shards,
+            permit,
+        };
+        self.outbox.push(from, AgentMessage::HeartbeatAck(ack));
+    }
+
+    fn settled(&mut self, from: ProcessKey, shard: ShardKey, jobs: &[JobKey]) {
+        if !self.is_owner(shard, from) {
+            self.counters.firm(shard.firm).stale += 1;
+            return;
+        }
+        for &key in jobs {
+            self.settle_job(shard, key);
+        }
+        self.evict_results();
+    }
+
+    fn configure(&mut self, rules: &Rules) {
+        if rules.revision <= self.config_revision {
+            return;
+        }
+        self.config_revision = rules.revision;
+        self.queue.apply_rules(rules);
+        self.divide_windows();
+    }
+
+    fn advance_unix(&mut self, now_unix_ms: u64) {
+        // A clock that is set back must not bring back the time of a removed record.
+        self.now_unix_ms = self.now_unix_ms.max(now_unix_ms);
+        for (job, shard) in self.table.remove_expired(self.now_unix_ms) {
+            self.forget_job(shard, job);
+        }
+        self.results.trim(&self.table);
+    }
+
+    pub(crate) fn advance(&mut self, now_us: u64) {
+        self.now_us = self.now_us.max(now_us);
+        if self
+            .target
+            .expires_us()
+            .is_some_and(|expires_us| expires_us <= self.now_us)
+        {
+            self.lose_target();
+        }
+        if self.owners.remove_silent(self.now_us) {
+            self.divide_windows();
+        }
+        #[cfg(feature = "mutants")]
+        if self.settings.mutation == Some(Mutation::RunPastDeadline) {
+            return;
+        }
+        for at in self.queue.overdue(self.now_us) {
+            self.refuse_queued(at, RefusalReason::DeadlinePassed);
+        }
+    }
+
+    pub(crate) fn complete(&mut self, actions: &mut Vec<AgentAction>) {
+        self.dispatch(actions);
+        let key = self.settings.key;
+        for (to, messages) in self.outbox.take() {
+            let load = self.load(to);
+            Outbox::seal(key, to, load, messages, actions);
+        }
+    }
+
+    fn lose_target(&mut self) {
+        self.target.leave();
+        self.refuse_all_queued(RefusalReason::TargetDown);
+    }
+
+    fn refuse_all_queued(&mut self, reason: RefusalReason) {
+        for at in self.queue.all() {
+            self.refuse_queued(at, reason);
+        }
+    }
+
+    fn divide_windows(&mut self) {
+        let capacity = self
+            .target
+            .slots()
+            .saturating_add(self.settings.lookahead_tasks);
+        let queue = &self.queue;
+        self.owners.divide(capacity, |firm| queue.weight(firm));
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        let is_paused = self.target.resumes_us(self.now_us).is_some();
+        !self.draining && self.target.info().is_some() && !is_paused
+    }
+
+    pub(crate) fn load(&self, to: ProcessKey) -> Load {
+        let ready = self.is_ready();
+        let window = match (ready, self.target.is_failing()) {
+            (false, _) => 0,
+            (true, true) => 1,
+            (true, false) => self.owners.window(to),
+        };
+        Load {
+            window,
+            running: saturating_u16(self.calls.len()),
+            queued: saturating_u16(self.queue.len()),
+            ready,
+            config_revision: self.config_revision,
+        }
+    }
+
+    fn acknowledgement_limit_us(&self) -> u64 {
+        self.quiet_since_us
+            .saturating_add(self.settings.drain_wait_us)
+    }
+}
+
+fn saturating_u16(count: usize) -> u16 {
+    u16::try_from(count).unwrap_or(u16::MAX)
+}
--- /dev/null
+++ b/components/execution/src/calls.rs
@@ -0,0 +1,157 @@
+//! Calls of the target: which task starts next, and what becomes of it.
+
+use model::{RefusalReason, TaskOutcome};
+
+use crate::actions::{AgentAction, CallKey, CallOutcome};
+use crate::agent::Agent;
+use crate::delivery::finished;
+use crate::table::{Delivery, FinishedTask, RunningTask, State, TaskRef};
+
+impl Agent {
+    /// Records how a call ended.
+    ///
+    /// An outcome of a call that is not under way is counted and has no other effect.
+    pub fn invoke_done(
+        &mut self,
+        now_us: u64,
+        call: CallKey,
+        outcome: CallOutcome,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        self.advance(now_us);
+        match self.calls.remove(call) {
+            Some(at) => self.end_call(at, outcome),
+            None => self.counters.process.late_outcomes += 1,
+        }
+        self.complete(actions);
+    }
+
+    pub(crate) fn dispatch(&mut self, actions: &mut Vec<AgentAction>) {
+        let limit = usize::from(self.target.call_limit(self.now_us));
+        while self.calls.len() < limit {
+            let Some((_, at)) = self.queue.peek() else {
+                break;
+            };
+            self.invoke(at, actions);
+        }
+    }
+
+    fn invoke(&mut self, at: TaskRef, actions: &mut Vec<AgentAction>) {
+        let call = self.calls.insert(at);
+        let started_us = self.now_us;
+        let queued = self.table.update(at, |task| {
+            let idle = State::Idle {
+                unacknowledged: None,
+            };
+            let State::Queued(queued) = std::mem::replace(&mut task.state, idle) else {
+                unreachable!("only queued tasks are in the queue");
+            };
+            task.state = State::Running(RunningTask {
+                attempt: queued.attempt,
+                call,
+                started_us,
+                cost_us: queued.cost_us,
+                aborted: false,
+            });
+            queued
+        });
+        let (Some(queued), Some(job)) = (queued, self.table.job(at.job)) else {
+            unreachable!("records of queued tasks are kept");
+        };
+        let firm = job.shard.firm;
+        self.queue
+            .remove(firm, (queued.deadline_us, queued.sequence));
+        self.queue.charge(firm, queued.cost_us);
+        self.counters.firm(firm).invoked += 1;
+        let remaining_us = queued.deadline_us.saturating_sub(self.now_us);
+        actions.push(AgentAction::Invoke {
+            call,
+            task: job.task_key(at.index),
+            attempt: queued.attempt,
+            job_id: job
+                .meta
+                .as_ref()
+                .map_or_else(String::new, |meta| meta.id.clone()),
+            firm,
+            payload: queued.payload,
+            timeout_us: remaining_us.min(self.settings.call_timeout_us),
+            expires_us: queued.deadline_us,
+        });
+    }
+
+    fn end_call(&mut self, at: TaskRef, outcome: CallOutcome) {
+        let Some(&State::Running(running)) = self.table.task(at).map(|task| &task.state) else {
+            return;
+        };
+        if self.calls.is_empty() {
+            self.quiet_since_us = self.now_us;
+        }
+        let outcome = match outcome {
+            CallOutcome::NotStarted(_) => return self.end_not_started(at, running),
+            CallOutcome::Done(result) => TaskOutcome::Done(result),
+            CallOutcome::Failed(detail) => TaskOutcome::Failed(detail),
+            CallOutcome::Unknown(detail) => TaskOutcome::Unknown(detail),
+        };
+        // A broken connection shows nothing about whether the next one is possible.
+        if !matches!(outcome, TaskOutcome::Unknown(_)) {
+            self.target.record_started();
+        }
+        self.finish(at, running, outcome);
+    }
+
+    fn end_not_started(&mut self, at: TaskRef, running: RunningTask) {
+        if let Some(job) = self.table.job(at.job) {
+            let firm = job.shard.firm;
+            self.queue.correct(firm, running.cost_us, 0);
+            self.counters.firm(firm).not_started += 1;
+        }
+        let reason = if running.aborted {
+            RefusalReason::Revoked
+        } else {
+            self.target.record_not_started(self.now_us);
+            self.not_started_reason()
+        };
+        self.refuse_held(at, running.attempt, reason);
+    }
+
+    fn not_started_reason(&self) -> RefusalReason {
+        if self.target.info().is_none() || self.target.is_failing() {
+            RefusalReason::TargetDown
+        } else {
+            RefusalReason::TargetRefused
+        }
+    }
+
+    fn finish(&mut self, at: TaskRef, running: RunningTask, outcome: TaskOutcome) {
+        let Some(job) = self.table.job(at.job) else {
+            return;
+        };
+        let (shard, key, is_settled) = (job.shard, job.task_key(at.index), job.settled);
+        let ran_us = self.now_us - running.started_us;
+        self.queue.correct(shard.firm, running.cost_us, ran_us);
+        self.counters.firm(shard.firm).finished += 1;
+        let delivery = if is_settled {
+            Delivery::Received
+        } else {
+            Delivery::Unacknowledged
+        };
+        let message = self.table.update(at, |task| {
+            task.state = State::Finished(FinishedTask {
+                attempt: running.attempt,
+                outcome: Some(outcome),
+                ran_us,
+                delivery,
+            });
+            finished(shard, key, task)
+        });
+        if let (Some(owner), Some(message)) = (self.owner(shard), message.flatten()) {
+            self.outbox.push(owner, message);
+        }
+        if is_settled {
+            self.results.add_settled(at);
+        } else {
+            self.resends.schedule(self.now_us, at, running.attempt);
+        }
+        self.evict_results();
+    }
+}
--- /dev/null
+++ b/components/execution/src/counters.rs
@@ -0,0 +1,55 @@
+//! Counters of events by cause, kept separately for each firm.
+
+use model::{FirmKey, RefusalReason};
+use rustc_hash::FxHashMap;
+use serde::Serialize;
+
+/// Counts events since the agent started.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize)]
+pub struct Counters {
+    /// Calls of the target.
+    pub invoked: u64,
+    /// Calls that ended with an outcome.
+    pub finished: u64,
+    /// Calls that ended without starting the task.
+    pub not_started: u64,
+    /// Starts of tasks that were already held.
+    pub duplicates: u64,
+    /// Messages of an older generation.
+    pub stale: u64,
+    /// Messages under a generation that is not in force or belongs to another owner.
+    pub conflicting: u64,
+    /// Starts that were dropped because no record could be kept of a refusal.
+    pub unrecorded: u64,
+    /// Messages whose job does not belong to the shard they name.
+    pub misplaced: u64,
+    /// Outcomes of calls that are not under way.
+    pub late_outcomes: u64,
+    /// Messages meant for another incarnation.
+    pub misaddressed: u64,
+    /// Outcomes and refusals sent again.
+    pub resent: u64,
+    /// Results dropped to bound memory.
+    pub results_dropped: u64,
+    /// Refusals by reason.
+    pub refused: FxHashMap<RefusalReason, u64>,
+}
+
+impl Counters {
+    pub(crate) fn count_refusal(&mut self, reason: RefusalReason) {
+        *self.refused.entry(reason).or_default() += 1;
+    }
+}
+
+/// Counters of the process and of each firm.
+#[derive(Debug, Default)]
+pub(crate) struct CounterSet {
+    pub process: Counters,
+    pub firms: FxHashMap<FirmKey, Counters>,
+}
+
+impl CounterSet {
+    pub fn firm(&mut self, firm: FirmKey) -> &mut Counters {
+        self.firms.entry(firm).or_default()
+    }
+}
--- /dev/null
+++ b/components/execution/src/delivery.rs
@@ -0,0 +1,259 @@
+//! Delivery of outcomes and refusals until their acknowledgement.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use model::{
+    AgentMessage, Attempt, JobKey, ProcessKey, RefusalReason, ShardKey, TaskKey, TaskOutcome,
+};
+
+use crate::agent::Agent;
+use crate::table::{Delivery, JobRef, State, Table, Task, TaskRef};
+
+const MIN_RESEND_US: u64 = 500_000;
+const MAX_RESEND_US: u64 = 4_000_000;
+
+/// Outcome or refusal that is sent again at `due_us` unless acknowledged by then.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Resend {
+    due_us: u64,
+    at: TaskRef,
+    attempt: Attempt,
+    interval_us: u64,
+}
+
+impl Resend {
+    fn is_current(&self, table: &Table) -> bool {
+        table.task(self.at).and_then(Task::unacknowledged) == Some(self.attempt)
+    }
+}
+
+/// Outcomes and refusals in the order in which they are sent again.
+#[derive(Debug, Default)]
+pub(crate) struct Resends {
+    heap: BinaryHeap<Reverse<Resend>>,
+}
+
+impl Resends {
+    pub fn schedule(&mut self, now_us: u64, at: TaskRef, attempt: Attempt) {
+        self.push(now_us, at, attempt, MIN_RESEND_US);
+    }
+
+    pub fn next_due_us(&self) -> Option<u64> {
+        self.heap.peek().map(|Reverse(resend)| resend.due_us)
+    }
+
+    fn push(&mut self, now_us: u64, at: TaskRef, attempt: Attempt, interval_us: u64) {
+        let due_us = now_us + interval_us;
+        self.heap.push(Reverse(Resend {
+            due_us,
+            at,
+            attempt,
+            interval_us,
+        }));
+    }
+
+    fn pop_due(&mut self, now_us: u64) -> Option<Resend> {
+        let &Reverse(resend) = self.heap.peek()?;
+        if resend.due_us > now_us {
+            return None;
+        }
+        self.heap.pop();
+        Some(resend)
+    }
+
+    fn prune(&mut self, table: &Table) {
+        while self
+            .heap
+            .peek()
+            .is_some_and(|Reverse(resend)| !resend.is_current(table))
+        {
+            self.heap.pop();
+        }
+    }
+}
+
+impl Agent {
+    pub(crate) fn resend_due(&mut self) {
+        while let Some(resend) = self.resends.pop_due(self.now_us) {
+            if !resend.is_current(&self.table) {
+                continue;
+            }
+            self.send_state(resend.at);
+            let interval_us = (resend.interval_us * 2).min(MAX_RESEND_US);
+            self.resends
+                .push(self.now_us, resend.at, resend.attempt, interval_us);
+        }
+    }
+
+    /// Sends the outcome or the refusal of a task to the owner of its shard.
+    pub(crate) fn send_state(&mut self, at: TaskRef) {
+        let Some((shard, message)) = self.state_message(at) else {
+            return;
+        };
+        let Some(owner) = self.owner(shard) else {
+            return;
+        };
+        self.counters.firm(shard.firm).resent += 1;
+        self.outbox.push(owner, message);
+    }
+
+    fn state_message(&self, at: TaskRef) -> Option<(ShardKey, AgentMessage)> {
+        let job = self.table.job(at.job)?;
+        let (shard, key) = (job.shard, job.task_key(at.index));
+        let task = self.table.task(at)?;
+        let message = match &task.state {
+            State::Idle {
+                unacknowledged: Some(reason),
+            } => refused(shard, key, task.tombstoned?, *reason),
+            State::Finished(_) => finished(shard, key, task)?,
+            _ => return None,
+        };
+        Some((shard, message))
+    }
+
+    /// Refuses a waiting task and keeps refusing until the owner knows.
+    pub(crate) fn refuse_queued(&mut self, at: TaskRef, reason: RefusalReason) {
+        let Some(attempt) = self.dequeue(at) else {
+            return;
+        };
+        self.refuse_held(at, attempt, reason);
+    }
+
+    /// Tells the owner that an accepted task did not start.
+    pub(crate) fn refuse_held(&mut self, at: TaskRef, attempt: Attempt, reason: RefusalReason) {
+        let Some(job) = self.table.job(at.job) else {
+            return;
+        };
+        let (shard, key, is_settled) = (job.shard, job.task_key(at.index), job.settled);
+        let newest = self.table.update(at, |task| {
+            let unacknowledged = (!is_settled).then_some(reason);
+            task.state = State::Idle { unacknowledged };
+            task.raise_tombstone(attempt)
+        });
+        let (Some(newest), Some(owner)) = (newest, self.owner(shard)) else {
+            return;
+        };
+        self.counters.firm(shard.firm).count_refusal(reason);
+        self.outbox.push(owner, refused(shard, key, newest, reason));
+        if !is_settled {
+            self.resends.schedule(self.now_us, at, newest);
+        }
+    }
+
+    /// Takes a task out of the queue, leaving it idle; returns its attempt.
+    pub(crate) fn dequeue(&mut self, at: TaskRef) -> Option<Attempt> {
+        let firm = self.table.job(at.job)?.shard.firm;
+        let idle = State::Idle {
+            unacknowledged: None,
+        };
+        let State::Queued(queued) = &self.table.task(at)?.state else {
+            return None;
+        };
+        let (attempt, position) = (queued.attempt, (queued.deadline_us, queued.sequence));
+        self.queue.remove(firm, position);
+        self.table.update(at, |task| task.state = idle);
+        Some(attempt)
+    }
+
+    pub(crate) fn received(&mut self, from: ProcessKey, shard: ShardKey, tasks: &[TaskKey]) {
+        if !self.is_owner(shard, from) {
+            self.counters.firm(shard.firm).stale += 1;
+            return;
+        }
+        for key in tasks {
+            let Some(job) = self.find_job(shard, key.job) else {
+                continue;
+            };
+            let at = TaskRef {
+                job,
+                index: key.index,
+            };
+            if self.acknowledge(at) {
+                self.results.add_received(at);
+            }
+        }
+        self.evict_results();
+        self.resends.prune(&self.table);
+    }
+
+    pub(crate) fn settle_job(&mut self, shard: ShardKey, key: JobKey) {
+        let Some(at) = self.find_job(shard, key) else {
+            return;
+        };
+        let Some(job) = self.table.job_mut(at) else {
+            return;
+        };
+        job.settled = true;
+        let indices: Vec<u16> = job.tasks.iter().map(|task| task.index).collect();
+        for index in indices {
+            let task = TaskRef { job: at, index };
+            self.acknowledge(task);
+            if self
+                .table
+                .task(task)
+                .is_some_and(|task| task.result_bytes() > 0)
+            {
+                self.results.add_settled(task);
+            }
+        }
+        self.resends.prune(&self.table);
+    }
+
+    /// Marks what is known of a task as delivered; returns whether that makes a result
+    /// droppable.
+    fn acknowledge(&mut self, at: TaskRef) -> bool {
+        let result = self.table.update(at, |task| match &mut task.state {
+            State::Idle { unacknowledged } => {
+                *unacknowledged = None;
+                false
+            }
+            State::Finished(done) if done.delivery != Delivery::Received => {
+                done.delivery = Delivery::Received;
+                true
+            }
+            _ => false,
+        });
+        result.unwrap_or(false)
+    }
+
+    pub(crate) fn evict_results(&mut self) {
+        let max_bytes = self.settings.max_result_bytes;
+        self.counters.process.results_dropped += self.results.evict(&mut self.table, max_bytes);
+    }
+
+    /// Returns a job of the shard; a job that is held under another shard is not found.
+    pub(crate) fn find_job(&self, shard: ShardKey, key: JobKey) -> Option<JobRef> {
+        let at = self.table.find(key)?;
+        (self.table.job(at)?.shard == shard).then_some(at)
+    }
+}
+
+pub(crate) fn refused(
+    shard: ShardKey,
+    task: TaskKey,
+    attempt: Attempt,
+    reason: RefusalReason,
+) -> AgentMessage {
+    AgentMessage::Refused {
+        shard,
+        task,
+        attempt,
+        reason,
+    }
+}
+
+/// Builds the message for a finished task.
+pub(crate) fn finished(shard: ShardKey, key: TaskKey, task: &Task) -> Option<AgentMessage> {
+    let State::Finished(done) = &task.state else {
+        return None;
+    };
+    let dropped = || TaskOutcome::Unknown("result no longer held".to_owned());
+    Some(AgentMessage::Finished {
+        shard,
+        task: key,
+        attempt: done.attempt,
+        outcome: done.outcome.clone().unwrap_or_else(dropped),
+        ran_us: done.ran_us,
+    })
+}
--- a/components/execution/src/lib.rs
+++ b/components/execution/src/lib.rs
@@ -1,1 +1,31 @@
-//! Placeholder.
+//! Decides, beside one target, which tasks start, and remembers which have started.
+//!
+//! The crate performs no I/O and reads no clock: events and the current time go in,
+//! [`AgentAction`]s come out. See `docs/DESIGN.md` for the protocol.
+
+mod actions;
+mod agent;
+mod builder;
+mod calls;
+mod counters;
+mod delivery;
+mod fence;
+#[cfg(feature = "mutants")]
+mod mutation;
+mod outbox;
+mod queue;
+mod results;
+mod revoke;
+mod start;
+mod state;
+mod table;
+mod target;
+mod window;
+
+pub use actions::{AgentAction, CallKey, CallOutcome};
+pub use agent::Agent;
+pub use builder::AgentBuilder;
+pub use counters::Counters;
+#[cfg(feature = "mutants")]
+pub use mutation::Mutation;
+pub use state::{AgentState, OwnerState, ShardState};
--- /dev/null
+++ b/components/execution/src/outbox.rs
@@ -0,0 +1,93 @@
+//! Collects messages into one envelope for each destination.
+
+use model::{AgentEnvelope, AgentMessage, JobRecord, Load, ProcessKey, TaskOutcome, TaskState};
+
+use crate::actions::AgentAction;
+use crate::table::outcome_bytes;
+
+/// Size above which an envelope is split, so that it fits a frame.
+const ENVELOPE_BYTES: usize = 1 << 20;
+/// Estimate of what a message takes without results.
+const MESSAGE_BYTES: usize = 64;
+/// Estimate of what a job takes without its id and results.
+const JOB_BYTES: usize = 128;
+/// Estimate of what a task takes without its result.
+const TASK_BYTES: usize = 16;
+
+/// Messages of the current call, by destination.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    messages: Vec<(ProcessKey, Vec<AgentMessage>)>,
+}
+
+impl Outbox {
+    pub fn push(&mut self, to: ProcessKey, message: AgentMessage) {
+        match self.messages.iter_mut().find(|(key, _)| *key == to) {
+            Some((_, messages)) => messages.push(message),
+            None => self.messages.push((to, vec![message])),
+        }
+    }
+
+    pub fn take(&mut self) -> Vec<(ProcessKey, Vec<AgentMessage>)> {
+        std::mem::take(&mut self.messages)
+    }
+
+    /// Appends the envelopes that carry `messages`: one, unless they are large.
+    pub fn seal(
+        from: ProcessKey,
+        to: ProcessKey,
+        load: Load,
+        messages: Vec<AgentMessage>,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let mut rest = messages;
+        while !rest.is_empty() {
+            let tail = rest.split_off(fitting(&rest));
+            let messages = std::mem::replace(&mut rest, tail);
+            actions.push(AgentAction::Send(AgentEnvelope {
+                from,
+                to,
+                load,
+                messages,
+            }));
+        }
+    }
+}
+
+/// Returns how many of the messages fit one envelope; at least one.
+fn fitting(messages: &[AgentMessage]) -> usize {
+    let mut bytes = 0;
+    for (count, message) in messages.iter().enumerate() {
+        bytes += message_bytes(message);
+        if bytes > ENVELOPE_BYTES && count > 0 {
+            return count;
+        }
+    }
+    messages.len()
+}
+
+fn message_bytes(message: &AgentMessage) -> usize {
+    match message {
+        AgentMessage::Finished { outcome, .. } => MESSAGE_BYTES + outcome_bytes(outcome),
+        AgentMessage::Fenced { jobs, .. } => {
+            MESSAGE_BYTES + jobs.iter().map(job_bytes).sum::<usize>()
+        }
+        _ => MESSAGE_BYTES,
+    }
+}
+
+fn job_bytes(job: &JobRecord) -> usize {
+    let tasks = job.tasks.iter().map(|task| match &task.state {
+        TaskState::Finished(outcome) => task_bytes(Some(outcome)),
+        _ => task_bytes(None),
+    });
+    job_header_bytes(job.meta.id.len()) + tasks.sum::<usize>()
+}
+
+pub(crate) fn job_header_bytes(id_bytes: usize) -> usize {
+    JOB_BYTES + id_bytes
+}
+
+pub(crate) fn task_bytes(outcome: Option<&TaskOutcome>) -> usize {
+    TASK_BYTES + outcome.map_or(0, outcome_bytes)
+}
--- /dev/null
+++ b/components/execution/src/queue.rs
@@ -0,0 +1,153 @@
+//! Order in which waiting tasks start.
+//!
+//! Firms share the target by start-time fair queueing; within a firm the task with
+//! the earliest deadline goes first, then the one that arrived first.
+
+use std::collections::BTreeMap;
+
+use model::{FirmKey, Rules};
+use rustc_hash::FxHashMap;
+
+use crate::table::TaskRef;
+
+/// Scale of virtual time, so that a division by a weight keeps precision.
+const VIRTUAL_SCALE: u64 = 64;
+const MIN_COST_US: u64 = 1_000;
+const MAX_COST_US: u64 = 10_000_000;
+
+/// Deadline and arrival number of a waiting task.
+pub(crate) type Position = (u64, u64);
+
+#[derive(Debug)]
+struct FirmQueue {
+    tasks: BTreeMap<Position, TaskRef>,
+    weight: u64,
+    /// Virtual time at which the firm's next task may start.
+    next_start: u64,
+}
+
+impl FirmQueue {
+    fn new(weight: u64) -> Self {
+        Self {
+            tasks: BTreeMap::new(),
+            weight,
+            next_start: 0,
+        }
+    }
+}
+
+/// The waiting tasks of all firms.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    firms: FxHashMap<FirmKey, FirmQueue>,
+    weights: FxHashMap<FirmKey, u64>,
+    virtual_time: u64,
+    next_sequence: u64,
+    len: usize,
+}
+
+impl Queue {
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    pub fn weight(&self, firm: FirmKey) -> u64 {
+        self.weights.get(&firm).copied().unwrap_or(1)
+    }
+
+    pub fn apply_rules(&mut self, rules: &Rules) {
+        self.weights = rules
+            .shares
+            .iter()
+            .map(|share| (share.firm, u64::from(share.weight.max(1))))
+            .collect();
+        for (firm, queue) in &mut self.firms {
+            queue.weight = self.weights.get(firm).copied().unwrap_or(1);
+        }
+    }
+
+    /// Adds a task and returns its arrival number.
+    pub fn push(&mut self, firm: FirmKey, deadline_us: u64, at: TaskRef) -> u64 {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        let weight = self.weight(firm);
+        let queue = self
+            .firms
+            .entry(firm)
+            .or_insert_with(|| FirmQueue::new(weight));
+        if queue.tasks.is_empty() {
+            queue.next_start = queue.next_start.max(self.virtual_time);
+        }
+        queue.tasks.insert((deadline_us, sequence), at);
+        self.len += 1;
+        sequence
+    }
+
+    pub fn remove(&mut self, firm: FirmKey, position: Position) {
+        let Some(queue) = self.firms.get_mut(&firm) else {
+            return;
+        };
+        if queue.tasks.remove(&position).is_some() {
+            self.len -= 1;
+        }
+    }
+
+    /// Returns the first task of the firm whose turn it is.
+    pub fn peek(&self) -> Option<(FirmKey, TaskRef)> {
+        self.firms
+            .iter()
+            .filter_map(|(&firm, queue)| {
+                let (_, &at) = queue.tasks.first_key_value()?;
+                Some((queue.next_start, firm, at))
+            })
+            .min()
+            .map(|(_, firm, at)| (firm, at))
+    }
+
+    /// Charges a firm for a task that starts now.
+    pub fn charge(&mut self, firm: FirmKey, cost_us: u64) {
+        let Some(queue) = self.firms.get_mut(&firm) else {
+            return;
+        };
+        self.virtual_time = self.virtual_time.max(queue.next_start);
+        queue.next_start += virtual_cost(cost_us, queue.weight);
+    }
+
+    /// Corrects the charge of a task whose run time is known now.
+    pub fn correct(&mut self, firm: FirmKey, charged_us: u64, ran_us: u64) {
+        let Some(queue) = self.firms.get_mut(&firm) else {
+            return;
+        };
+        let charged = virtual_cost(charged_us, queue.weight);
+        let actual = virtual_cost(ran_us, queue.weight);
+        queue.next_start = (queue.next_start + actual).saturating_sub(charged);
+    }
+
+    /// Returns the tasks whose deadline is not after `now_us`.
+    pub fn overdue(&self, now_us: u64) -> Vec<TaskRef> {
+        self.firms
+            .values()
+            .flat_map(|queue| queue.tasks.range(..=(now_us, u64::MAX)))
+            .map(|(_, &at)| at)
+            .collect()
+    }
+
+    pub fn all(&self) -> Vec<TaskRef> {
+        self.firms
+            .values()
+            .flat_map(|queue| queue.tasks.values().copied())
+            .collect()
+    }
+
+    pub fn earliest_deadline_us(&self) -> Option<u64> {
+        self.firms
+            .values()
+            .filter_map(|queue| queue.tasks.first_key_value())
+            .map(|(&(deadline_us, _), _)| deadline_us)
+            .min()
+    }
+}
+
+fn virtual_cost(cost_us: u64, weight: u64) -> u64 {
+    cost_us.clamp(MIN_COST_US, MAX_COST_US) * VIRTUAL_SCALE / weight
+}
--- /dev/null
+++ b/components/execution/src/start.rs
@@ -0,0 +1,351 @@
+//! Acceptance and refusal of tasks.
+
+use model::{
+    AgentMessage, Attempt, JobKey, ProcessKey, RefusalReason, ShardKey, Start, TaskKey, TaskStart,
+};
+
+use crate::agent::Agent;
+use crate::delivery::{finished, refused};
+use crate::fence::Authority;
+#[cfg(feature = "mutants")]
+use crate::mutation::Mutation;
+use crate::table::{JobRef, QueuedTask, RECORD_RETENTION_MS, State, TaskRef};
+
+/// Share of the record limit, as a divisor, that is reserved for refusals.
+const REFUSAL_RESERVE_DIVISOR: usize = 8;
+
+/// What the tasks of one start message have in common.
+#[derive(Debug, Clone, Copy)]
+struct Context {
+    from: ProcessKey,
+    shard: ShardKey,
+    key: JobKey,
+    job: JobRef,
+    authority: Authority,
+    deadline_us: u64,
+    /// Why no task of the message may start.
+    refusal: Option<RefusalReason>,
+}
+
+impl Context {
+    fn task_key(&self, index: u16) -> TaskKey {
+        TaskKey {
+            job: self.key,
+            index,
+        }
+    }
+}
+
+impl Agent {
+    pub(crate) fn start(&mut self, from: ProcessKey, start: Start) {
+        let shard = start.shard;
+        let authority = self.start_authority(&start, from);
+        match authority {
+            Authority::Conflicting => {
+                self.counters.firm(shard.firm).conflicting += 1;
+                return;
+            }
+            Authority::Stale => self.counters.firm(shard.firm).stale += 1,
+            Authority::Owner | Authority::Unfenced => {}
+        }
+        if !self.is_placed(&start) {
+            self.counters.firm(shard.firm).misplaced += 1;
+            return;
+        }
+        if self.is_too_old(&start) && self.table.find(start.job.key).is_none() {
+            self.refuse_unrecorded(from, &start);
+            return;
+        }
+        let refusal = self.job_refusal(authority, &start);
+        let deadline_us = self.now_us.saturating_add(start.remaining_us);
+        let key = start.job.key;
+        let Some(job) = self.record_job(&start) else {
+            self.counters.firm(shard.firm).unrecorded += 1;
+            return;
+        };
+        let context = Context {
+            from,
+            shard,
+            key,
+            job,
+            authority,
+            deadline_us,
+            refusal,
+        };
+        let mut accepted = Vec::new();
+        for task in start.tasks {
+            if let Some(attempt) = self.start_task(&context, task.index, task) {
+                accepted.push(attempt);
+            }
+        }
+        if !accepted.is_empty() {
+            self.outbox.push(
+                from,
+                AgentMessage::Accepted {
+                    shard,
+                    tasks: accepted,
+                },
+            );
+        }
+    }
+
+    /// Decides on one task; returns the attempt that is held.
+    fn start_task(
+        &mut self,
+        context: &Context,
+        index: u16,
+        start: TaskStart,
+    ) -> Option<(TaskKey, Attempt)> {
+        let at = TaskRef {
+            job: context.job,
+            index,
+        };
+        let key = context.task_key(index);
+        if context.authority == Authority::Owner && self.is_held(at) {
+            self.counters.firm(context.shard.firm).duplicates += 1;
+            return self
+                .repeat(context, at, start.attempt)
+                .map(|attempt| (key, attempt));
+        }
+        if let Some(reason) = self.task_refusal(context, at, start.attempt) {
+            self.refuse_start(context, at, start.attempt, reason);
+            return None;
+        }
+        let attempt = start.attempt;
+        self.enqueue(context, at, start);
+        Some((key, attempt))
+    }
+
+    /// Answers from the table; returns the attempt of a task that waits or runs.
+    fn repeat(&mut self, context: &Context, at: TaskRef, attempt: Attempt) -> Option<Attempt> {
+        let key = context.task_key(at.index);
+        let task = self.table.task(at)?;
+        match &task.state {
+            State::Idle { .. } => None,
+            State::Running(running) => Some(running.attempt),
+            State::Finished(_) => {
+                let message = finished(context.shard, key, task)?;
+                self.outbox.push(context.from, message);
+                None
+            }
+            State::Queued(_) => self.table.update(at, |task| match &mut task.state {
+                State::Queued(queued) => {
+                    queued.attempt = queued.attempt.max(attempt);
+                    Some(queued.attempt)
+                }
+                _ => None,
+            })?,
+        }
+    }
+
+    fn enqueue(&mut self, context: &Context, at: TaskRef, start: TaskStart) {
+        self.table.ensure_task(at);
+        if let Some(job) = self.table.job_mut(at.job) {
+            job.settled = false;
+        }
+        let sequence = self.queue.push(context.shard.firm, context.deadline_us, at);
+        let queued = QueuedTask {
+            attempt: start.attempt,
+            payload: start.payload,
+            deadline_us: context.deadline_us,
+            sequence,
+            cost_us: start.expected_us,
+        };
+        self.table
+            .update(at, |task| task.state = State::Queued(queued));
+    }
+
+    /// Refuses an attempt, provided that this can be recorded and is true.
+    fn refuse_start(
+        &mut self,
+        context: &Context,
+        at: TaskRef,
+        attempt: Attempt,
+        reason: RefusalReason,
+    ) {
+        #[cfg(feature = "mutants")]
+        if self.settings.mutation == Some(Mutation::ForgetTombstones) {
+            let key = context.task_key(at.index);
+            self.outbox
+                .push(context.from, refused(context.shard, key, attempt, reason));
+            return;
+        }
+        if !self.record_task(at) {
+            return;
+        }
+        let Some(newest) = self
+            .table
+            .update(at, |task| task.rule_out(attempt))
+            .flatten()
+        else {
+            return;
+        };
+        self.counters.firm(context.shard.firm).count_refusal(reason);
+        let key = context.task_key(at.index);
+        self.outbox
+            .push(context.from, refused(context.shard, key, newest, reason));
+    }
+
+    /// Refuses tasks that are so old that their age alone rules them out for good.
+    fn refuse_unrecorded(&mut self, to: ProcessKey, start: &Start) {
+        let reason = RefusalReason::DeadlinePassed;
+        for task in &start.tasks {
+            let key = TaskKey {
+                job: start.job.key,
+                index: task.index,
+            };
+            self.counters.firm(start.shard.firm).count_refusal(reason);
+            self.outbox
+                .push(to, refused(start.shard, key, task.attempt, reason));
+        }
+    }
+
+    fn job_refusal(&self, authority: Authority, start: &Start) -> Option<RefusalReason> {
+        match authority {
+            Authority::Owner => {}
+            Authority::Stale => return Some(RefusalReason::StaleGeneration),
+            _ => return Some(RefusalReason::Unfenced),
+        }
+        if self.refuses_work() {
+            return Some(RefusalReason::Draining);
+        }
+        if !self.is_permitted(start) {
+            return Some(RefusalReason::PermitExpired);
+        }
+        if self.is_too_old(start) || start.remaining_us == 0 {
+            return Some(RefusalReason::DeadlinePassed);
+        }
+        if self.target.info().is_none() {
+            return Some(RefusalReason::TargetDown);
+        }
+        (!self.target.accepts(&start.job)).then_some(RefusalReason::TargetRefused)
+    }
+
+    fn task_refusal(
+        &self,
+        context: &Context,
+        at: TaskRef,
+        attempt: Attempt,
+    ) -> Option<RefusalReason> {
+        let known = self.table.task(at);
+        let tombstoned = known.and_then(|task| task.tombstoned);
+        if context.authority == Authority::Owner && tombstoned >= Some(attempt) {
+            return Some(RefusalReason::Tombstoned);
+        }
+        if context.refusal.is_some() {
+            return context.refusal;
+        }
+        let is_full = self.queue.len() >= self.settings.max_queue_tasks
+            || self.table.result_bytes() >= self.settings.max_result_bytes
+            || (known.is_none() && self.table.records() >= self.settings.max_records);
+        is_full.then_some(RefusalReason::QueueFull)
+    }
+
+    fn start_authority(&self, start: &Start, from: ProcessKey) -> Authority {
+        let authority = self.authority(start.shard, start.generation, from);
+        #[cfg(feature = "mutants")]
+        if self.settings.mutation == Some(Mutation::AcceptStaleGeneration)
+            && authority == Authority::Stale
+        {
+            return Authority::Owner;
+        }
+        authority
+    }
+
+    fn is_held(&self, at: TaskRef) -> bool {
+        let Some(task) = self.table.task(at) else {
+            return false;
+        };
+        #[cfg(feature = "mutants")]
+        if self.settings.mutation == Some(Mutation::RestartFinished) {
+            return !matches!(task.state, State::Idle { .. } | State::Finished(_));
+        }
+        !matches!(task.state, State::Idle { .. })
+    }
+
+    fn refuses_work(&self) -> bool {
+        #[cfg(feature = "mutants")]
+        if self.settings.mutation == Some(Mutation::WorkWhileDraining) {
+            return false;
+        }
+        self.draining
+    }
+
+    fn is_permitted(&self, start: &Start) -> bool {
+        #[cfg(feature = "mutants")]
+        if self.settings.mutation == Some(Mutation::IgnorePermit) {
+            return true;
+        }
+        start.permit.agent == self.settings.key && start.permit.expires_us > self.now_us
+    }
+
+    /// Returns whether the record of the job may be gone.
+    fn is_too_old(&self, start: &Start) -> bool {
+        record_expiry_unix_ms(start) <= self.now_unix_ms
+    }
+
+    /// Returns whether job, firm and shard agree with each other and with the record.
+    fn is_placed(&self, start: &Start) -> bool {
+        let key = start.job.key;
+        let known = self.table.find(key).and_then(|at| self.table.job(at));
+        key.firm == start.shard.firm && known.is_none_or(|job| job.shard == start.shard)
+    }
+
+    /// Returns the record of a job, made or renewed now.
+    fn record_job(&mut self, start: &Start) -> Option<JobRef> {
+        let expires_unix_ms = record_expiry_unix_ms(start);
+        let at = match self.table.find(start.job.key) {
+            Some(at) => at,
+            None if !self.has_record_left() => return None,
+            None => self.insert_job(start.job.key, start.shard, expires_unix_ms),
+        };
+        let job = self.table.job_mut(at)?;
+        job.expires_unix_ms = job.expires_unix_ms.max(expires_unix_ms);
+        let is_renewed = job.meta.as_ref().is_none_or(|meta| {
+            meta.submitted_unix_ms < start.job.submitted_unix_ms
+                && !job.tasks.iter().any(|task| task.has_started())
+        });
+        if is_renewed {
+            job.meta = Some(start.job.clone());
+        }
+        Some(at)
+    }
+
+    pub(crate) fn insert_job(
+        &mut self,
+        key: JobKey,
+        shard: ShardKey,
+        expires_unix_ms: u64,
+    ) -> JobRef {
+        let at = self.table.insert_job(key, shard, expires_unix_ms);
+        self.shards.entry(shard).or_default().jobs.insert(at);
+        at
+    }
+
+    /// Makes sure that a task has a record; returns whether it has.
+    pub(crate) fn record_task(&mut self, at: TaskRef) -> bool {
+        if self.table.task(at).is_some() {
+            return true;
+        }
+        if !self.has_record_left() {
+            if let Some(job) = self.table.job(at.job) {
+                self.counters.firm(job.shard.firm).unrecorded += 1;
+            }
+            return false;
+        }
+        self.table.ensure_task(at);
+        true
+    }
+
+    pub(crate) fn has_record_left(&self) -> bool {
+        let max_records = self.settings.max_records;
+        self.table.records() < max_records + max_records / REFUSAL_RESERVE_DIVISOR
+    }
+}
+
+fn record_expiry_unix_ms(start: &Start) -> u64 {
+    start
+        .job
+        .submitted_unix_ms
+        .saturating_add(RECORD_RETENTION_MS)
+}
--- /dev/null
+++ b/components/execution/src/table.rs
@@ -0,0 +1,324 @@
+//! The table of jobs and tasks that an agent has seen.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use bytes::Bytes;
+use model::{
+    Attempt, CLOCK_SKEW_MS, JobKey, JobMeta, RETENTION_MS, RefusalReason, ShardKey, TaskKey,
+    TaskOutcome,
+};
+use rustc_hash::FxHashMap;
+use slotmap::SlotMap;
+
+use crate::actions::CallKey;
+
+/// Time for which a record outlives the submission time of its job.
+pub(crate) const RECORD_RETENTION_MS: u64 = RETENTION_MS + 2 * CLOCK_SKEW_MS;
+
+slotmap::new_key_type! {
+    /// Identifies a job in the table.
+    pub(crate) struct JobRef;
+}
+
+/// Locates a task in the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct TaskRef {
+    pub job: JobRef,
+    pub index: u16,
+}
+
+/// A job with the tasks that the agent knows.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub key: JobKey,
+    pub shard: ShardKey,
+    /// Missing if the job is known only from a revocation.
+    pub meta: Option<JobMeta>,
+    pub expires_unix_ms: u64,
+    pub settled: bool,
+    /// Sorted by index.
+    pub tasks: Vec<Task>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Task {
+    pub index: u16,
+    /// The newest attempt that is ruled out.
+    pub tombstoned: Option<Attempt>,
+    pub state: State,
+}
+
+#[derive(Debug)]
+pub(crate) enum State {
+    /// Neither held nor started; holds a refusal that the owner has not acknowledged.
+    Idle {
+        unacknowledged: Option<RefusalReason>,
+    },
+    Queued(QueuedTask),
+    Running(RunningTask),
+    Finished(FinishedTask),
+}
+
+#[derive(Debug)]
+pub(crate) struct QueuedTask {
+    pub attempt: Attempt,
+    pub payload: Bytes,
+    pub deadline_us: u64,
+    pub sequence: u64,
+    pub cost_us: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RunningTask {
+    pub attempt: Attempt,
+    pub call: CallKey,
+    pub started_us: u64,
+    pub cost_us: u64,
+    pub aborted: bool,
+}
+
+#[derive(Debug)]
+pub(crate) struct FinishedTask {
+    pub attempt: Attempt,
+    /// Missing once the result was dropped.
+    pub outcome: Option<TaskOutcome>,
+    pub ran_us: u64,
+    pub delivery: Delivery,
+}
+
+/// Whether the owner of the shard has an outcome.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Delivery {
+    /// Sent again until acknowledged.
+    Unacknowledged,
+    /// Part of the answer to a fence, which the new owner asks for until it has it.
+    Fenced,
+    /// The owner acknowledged the outcome.
+    Received,
+}
+
+impl Task {
+    fn new(index: u16) -> Self {
+        Self {
+            index,
+            tombstoned: None,
+            state: State::Idle {
+                unacknowledged: None,
+            },
+        }
+    }
+
+    pub fn has_started(&self) -> bool {
+        matches!(self.state, State::Running(_) | State::Finished(_))
+    }
+
+    /// Returns the attempt whose outcome or refusal the owner has not acknowledged.
+    pub fn unacknowledged(&self) -> Option<Attempt> {
+        match &self.state {
+            State::Idle {
+                unacknowledged: Some(_),
+            } => self.tombstoned,
+            State::Finished(task) if task.delivery == Delivery::Unacknowledged => {
+                Some(task.attempt)
+            }
+            _ => None,
+        }
+    }
+
+    pub fn result_bytes(&self) -> usize {
+        match &self.state {
+            State::Finished(task) => task.outcome.as_ref().map_or(0, outcome_bytes),
+            _ => 0,
+        }
+    }
+
+    pub fn raise_tombstone(&mut self, attempt: Attempt) -> Attempt {
+        let newest = self.tombstoned.map_or(attempt, |known| known.max(attempt));
+        self.tombstoned = Some(newest);
+        newest
+    }
+
+    /// Rules out `attempt` and returns the newest attempt ruled out, or nothing if that
+    /// attempt may still run or has run.
+    pub fn rule_out(&mut self, attempt: Attempt) -> Option<Attempt> {
+        match &self.state {
+            State::Idle { .. } => Some(self.raise_tombstone(attempt)),
+            State::Queued(queued) if attempt < queued.attempt => {
+                Some(self.raise_tombstone(attempt))
+            }
+            _ => None,
+        }
+    }
+}
+
+pub(crate) fn outcome_bytes(outcome: &TaskOutcome) -> usize {
+    match outcome {
+        TaskOutcome::Done(result) => result.len(),
+        TaskOutcome::Failed(detail) | TaskOutcome::Unknown(detail) => detail.len(),
+    }
+}
+
+impl Job {
+    pub fn task_key(&self, index: u16) -> TaskKey {
+        TaskKey {
+            job: self.key,
+            index,
+        }
+    }
+
+    fn position(&self, index: u16) -> Result<usize, usize> {
+        // Most jobs run whole at one agent, so that position and index agree.
+        match self.tasks.get(usize::from(index)) {
+            Some(task) if task.index == index => Ok(usize::from(index)),
+            _ => self.tasks.binary_search_by_key(&index, |task| task.index),
+        }
+    }
+
+    fn is_live(&self) -> bool {
+        self.tasks
+            .iter()
+            .any(|task| matches!(task.state, State::Queued(_) | State::Running(_)))
+    }
+
+    fn has_undelivered_outcome(&self) -> bool {
+        self.tasks.iter().any(|task| {
+            matches!(&task.state, State::Finished(done) if done.delivery != Delivery::Received)
+        })
+    }
+}
+
+/// All jobs, with totals that are kept up to date.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    jobs: SlotMap<JobRef, Job>,
+    by_key: FxHashMap<JobKey, JobRef>,
+    expiries: BinaryHeap<Reverse<(u64, JobRef)>>,
+    records: usize,
+    unacknowledged: usize,
+    result_bytes: usize,
+}
+
+impl Table {
+    pub fn records(&self) -> usize {
+        self.records
+    }
+
+    pub fn unacknowledged(&self) -> usize {
+        self.unacknowledged
+    }
+
+    pub fn result_bytes(&self) -> usize {
+        self.result_bytes
+    }
+
+    pub fn jobs(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values()
+    }
+
+    pub fn find(&self, key: JobKey) -> Option<JobRef> {
+        self.by_key.get(&key).copied()
+    }
+
+    pub fn job(&self, at: JobRef) -> Option<&Job> {
+        self.jobs.get(at)
+    }
+
+    pub fn job_mut(&mut self, at: JobRef) -> Option<&mut Job> {
+        self.jobs.get_mut(at)
+    }
+
+    pub fn insert_job(&mut self, key: JobKey, shard: ShardKey, expires_unix_ms: u64) -> JobRef {
+        let at = self.jobs.insert(Job {
+            key,
+            shard,
+            meta: None,
+            expires_unix_ms,
+            settled: false,
+            tasks: Vec::new(),
+        });
+        self.by_key.insert(key, at);
+        self.expiries.push(Reverse((expires_unix_ms, at)));
+        at
+    }
+
+    pub fn task(&self, at: TaskRef) -> Option<&Task> {
+        let job = self.jobs.get(at.job)?;
+        job.position(at.index)
+            .ok()
+            .map(|position| &job.tasks[position])
+    }
+
+    /// Adds a task unless it is there already.
+    pub fn ensure_task(&mut self, at: TaskRef) {
+        let Some(job) = self.jobs.get_mut(at.job) else {
+            return;
+        };
+        if let Err(position) = job.position(at.index) {
+            job.tasks.insert(position, Task::new(at.index));
+            self.records += 1;
+        }
+    }
+
+    /// Changes a task and keeps the totals.
+    pub fn update<R>(&mut self, at: TaskRef, change: impl FnOnce(&mut Task) -> R) -> Option<R> {
+        let job = self.jobs.get_mut(at.job)?;
+        let position = job.position(at.index).ok()?;
+        let task = &mut job.tasks[position];
+        let was_unacknowledged = usize::from(task.unacknowledged().is_some());
+        let bytes_before = task.result_bytes();
+        let result = change(task);
+        let is_unacknowledged = usize::from(task.unacknowledged().is_some());
+        self.unacknowledged = self.unacknowledged + is_unacknowledged - was_unacknowledged;
+        self.result_bytes = self.result_bytes + task.result_bytes() - bytes_before;
+        Some(result)
+    }
+
+    /// Removes jobs whose retention is over and returns where they were.
+    ///
+    /// A job with queued or running tasks stays, and one with an outcome that no owner has
+    /// acknowledged stays for a second retention period.
+    pub fn remove_expired(&mut self, now_unix_ms: u64) -> Vec<(JobRef, ShardKey)> {
+        let mut removed = Vec::new();
+        while let Some(&Reverse((due_unix_ms, at))) = self.expiries.peek() {
+            if due_unix_ms > now_unix_ms {
+                break;
+            }
+            self.expiries.pop();
+            let Some(job) = self.jobs.get(at) else {
+                continue;
+            };
+            if let Some(retry_unix_ms) = postponed_expiry(job, now_unix_ms) {
+                self.expiries.push(Reverse((retry_unix_ms, at)));
+                continue;
+            }
+            removed.push((at, job.shard));
+            self.remove_job(at);
+        }
+        removed
+    }
+
+    fn remove_job(&mut self, at: JobRef) {
+        let Some(job) = self.jobs.remove(at) else {
+            return;
+        };
+        self.by_key.remove(&job.key);
+        self.records -= job.tasks.len();
+        for task in &job.tasks {
+            self.unacknowledged -= usize::from(task.unacknowledged().is_some());
+            self.result_bytes -= task.result_bytes();
+        }
+    }
+}
+
+/// Returns when to look at a due job again if it is not to be removed yet.
+fn postponed_expiry(job: &Job, now_unix_ms: u64) -> Option<u64> {
+    if job.expires_unix_ms > now_unix_ms {
+        return Some(job.expires_unix_ms);
+    }
+    if job.is_live() {
+        return Some(now_unix_ms + RETENTION_MS);
+    }
+    let last_unix_ms = job.expires_unix_ms.saturating_add(RETENTION_MS);
+    (job.has_undelivered_outcome() && last_unix_ms > now_unix_ms).then_some(last_unix_ms)
+}
--- /dev/null
+++ b/components/execution/src/target.rs
@@ -0,0 +1,80 @@
+//! The target beside the agent: whether it lives and how much it may be given.
+
+use model::{JobMeta, TargetInfo};
+
+/// Calls in a row that the target did not start before the agent backs off.
+const BACKOFF_THRESHOLD: u32 = 3;
+const MIN_BACKOFF_US: u64 = 100_000;
+const MAX_BACKOFF_US: u64 = 5_000_000;
+
+/// State of the target as the agent sees it.
+#[derive(Debug, Default)]
+pub(crate) struct Target {
+    announced: Option<(TargetInfo, u64)>,
+    failures: u32,
+    resumes_us: u64,
+}
+
+impl Target {
+    pub fn announce(&mut self, info: TargetInfo, expires_us: u64) {
+        self.announced = Some((info, expires_us));
+    }
+
+    pub fn leave(&mut self) {
+        self.announced = None;
+    }
+
+    pub fn info(&self) -> Option<&TargetInfo> {
+        self.announced.as_ref().map(|(info, _)| info)
+    }
+
+    pub fn expires_us(&self) -> Option<u64> {
+        self.announced.as_ref().map(|&(_, expires_us)| expires_us)
+    }
+
+    /// Returns when the back-off ends if one is in force.
+    pub fn resumes_us(&self, now_us: u64) -> Option<u64> {
+        (self.resumes_us > now_us).then_some(self.resumes_us)
+    }
+
+    pub fn accepts(&self, job: &JobMeta) -> bool {
+        self.info()
+            .is_some_and(|info| info.group == job.group && info.firms.contains(&job.key.firm))
+    }
+
+    pub fn slots(&self) -> u16 {
+        self.info()
+            .map_or(0, |info| info.slots.min(info.connections))
+    }
+
+    pub fn is_failing(&self) -> bool {
+        self.failures >= BACKOFF_THRESHOLD
+    }
+
+    /// Returns how many calls may run at the same time now.
+    pub fn call_limit(&self, now_us: u64) -> u16 {
+        if self.resumes_us > now_us {
+            return 0;
+        }
+        // One call shows whether a failing target has recovered.
+        if self.is_failing() {
+            self.slots().min(1)
+        } else {
+            self.slots()
+        }
+    }
+
+    pub fn record_started(&mut self) {
+        self.failures = 0;
+        self.resumes_us = 0;
+    }
+
+    pub fn record_not_started(&mut self, now_us: u64) {
+        self.failures = self.failures.saturating_add(1);
+        if self.is_failing() {
+            let doublings = (self.failures - BACKOFF_THRESHOLD).min(16);
+            let backoff_us = (MIN_BACKOFF_US << doublings).min(MAX_BACKOFF_US);
+            self.resumes_us = now_us + backoff_us;
+        }
+    }
+}
--- /dev/null
+++ b/components/execution/src/window.rs
@@ -0,0 +1,89 @@
+//! Divides the target's capacity into one window for each owner.
+
+use model::{AUTHORITY_TTL_MS, FirmKey, ProcessKey};
+use rustc_hash::FxHashMap;
+
+/// Fraction bits of a share.
+const SHARE_BITS: u32 = 16;
+
+#[derive(Debug)]
+pub(crate) struct Owner {
+    expires_us: u64,
+    /// Firms with tasks that wait at the owner.
+    pub waiting: Vec<FirmKey>,
+    pub backlog: u32,
+    pub window: u16,
+}
+
+/// The owners that sent a heartbeat recently.
+#[derive(Debug, Default)]
+pub(crate) struct Owners {
+    owners: FxHashMap<ProcessKey, Owner>,
+}
+
+impl Owners {
+    pub fn iter(&self) -> impl Iterator<Item = (ProcessKey, &Owner)> {
+        self.owners.iter().map(|(&key, owner)| (key, owner))
+    }
+
+    pub fn record(&mut self, key: ProcessKey, now_us: u64, backlogs: &[(FirmKey, u32)]) {
+        let mut waiting: Vec<_> = backlogs
+            .iter()
+            .filter(|&&(_, backlog)| backlog > 0)
+            .map(|&(firm, _)| firm)
+            .collect();
+        waiting.sort_unstable();
+        waiting.dedup();
+        let backlog = backlogs
+            .iter()
+            .fold(0, |sum: u32, &(_, backlog)| sum.saturating_add(backlog));
+        let owner = Owner {
+            expires_us: now_us + AUTHORITY_TTL_MS * 1_000,
+            waiting,
+            backlog,
+            window: 1,
+        };
+        self.owners.insert(key, owner);
+    }
+
+    /// Removes owners that have been silent for too long; returns whether there were any.
+    pub fn remove_silent(&mut self, now_us: u64) -> bool {
+        let before = self.owners.len();
+        self.owners.retain(|_, owner| owner.expires_us > now_us);
+        self.owners.len() != before
+    }
+
+    /// Returns the window of an owner, or that of an unknown one.
+    pub fn window(&self, key: ProcessKey) -> u16 {
+        self.owners.get(&key).map_or(1, |owner| owner.window)
+    }
+
+    /// Computes all windows anew for `capacity` tasks.
+    ///
+    /// Firms with a backlog share the capacity by weight, and the owners of a firm
+    /// share equally; without any backlog all owners share equally.
+    pub fn divide(&mut self, capacity: u16, weight: impl Fn(FirmKey) -> u64) {
+        let mut waiting: FxHashMap<FirmKey, u64> = FxHashMap::default();
+        for firm in self.owners.values().flat_map(|owner| &owner.waiting) {
+            *waiting.entry(*firm).or_default() += 1;
+        }
+        let capacity = u64::from(capacity) << SHARE_BITS;
+        if waiting.is_empty() {
+            let share = capacity / (self.owners.len().max(1) as u64);
+            self.set_all(|_| share);
+            return;
+        }
+        let total_weight: u64 = waiting.keys().map(|&firm| weight(firm)).sum();
+        self.set_all(|owner| {
+            let share = |firm: &FirmKey| capacity * weight(*firm) / (total_weight * waiting[firm]);
+            owner.waiting.iter().map(share).sum()
+        });
+    }
+
+    fn set_all(&mut self, share: impl Fn(&Owner) -> u64) {
+        for owner in self.owners.values_mut() {
+            let tasks = share(owner) >> SHARE_BITS;
+            owner.window = u16::try_from(tasks).unwrap_or(u16::MAX).max(1);
+        }
+    }
+}
