Add the history recorder and a checker for each promise

Cause: the promises are to be shown by checking histories of concurrent runs, and nothing recorded or judged them yet. Ruled out: judging answers by each process's own account (the target's receipt of a task is the truth); the linearizability search alone (exponential in the operations under way when a history is bad, so a direct check runs first). Change: plain events with JSON lines, ten checkers, registers for answers and configuration, a report, seeded numbers, and a timed queue with faulty links.

--- /dev/null
+++ b/components/proof/src/check/answers.rs
@@ -0,0 +1,157 @@
+//! Contents of answers.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use model::{Answer, FailureKind, TaskKey};
+
+use crate::check::{Bounds, Promise, Violation};
+use crate::event::EventKind;
+use crate::history::{Event, History};
+use crate::index::{CopyView, Index};
+use crate::linear::answer::check_answers;
+use crate::results::{digest, result_of};
+
+/// Checks that every answer is complete or failed.
+///
+/// A complete answer has one result for each task, each returned by a target before.
+/// An answer that says that a task ran and failed follows a start of the job.
+#[must_use]
+pub fn check_whole_answer(history: &History, _bounds: &Bounds) -> Vec<Violation> {
+    let index = Index::new(history);
+    let finished = finished_tasks(history);
+    let mut violations = Vec::new();
+    for copy in index.copies.values() {
+        for (event, answer) in &copy.answers {
+            let problem = match answer {
+                Answer::Complete(results) => find_gap(copy, event, results, &finished),
+                Answer::Failed(failure) if failure.kind == FailureKind::RanAndFailed => {
+                    let starts = index.starts_of(copy.submission.meta.key);
+                    let started = starts
+                        .iter()
+                        .any(|(start, _)| start.sequence < event.sequence);
+                    (!started).then(|| "failed as run but no task had started".to_owned())
+                }
+                Answer::Failed(_) => None,
+            };
+            if let Some(problem) = problem {
+                let message = format!("copy {}: {problem}", copy.submission.copy);
+                let events = [copy.submitted, event];
+                violations.push(Violation::new(Promise::WholeAnswer, message, &events));
+            }
+        }
+    }
+    violations
+}
+
+type Finished<'a> = BTreeMap<TaskKey, Vec<(&'a Event, u64)>>;
+
+fn finished_tasks(history: &History) -> Finished<'_> {
+    let mut finished = Finished::new();
+    for event in history.events() {
+        if let EventKind::TaskFinished {
+            task,
+            result_digest,
+        } = &event.kind
+        {
+            finished
+                .entry(*task)
+                .or_default()
+                .push((event, *result_digest));
+        }
+    }
+    finished
+}
+
+fn find_gap(
+    copy: &CopyView<'_>,
+    answered: &Event,
+    results: &[Bytes],
+    finished: &Finished<'_>,
+) -> Option<String> {
+    let task_count = copy.submission.payload_digests.len();
+    if results.len() != task_count {
+        return Some(format!("{} results for {task_count} tasks", results.len()));
+    }
+    (0u16..).zip(results).find_map(|(index, result)| {
+        let job = copy.submission.meta.key;
+        let known = finished
+            .get(&TaskKey { job, index })
+            .map_or(&[][..], Vec::as_slice);
+        let result_digest = digest(result);
+        let returned = known
+            .iter()
+            .any(|(event, known)| event.sequence < answered.sequence && *known == result_digest);
+        (!returned).then(|| format!("no target returned the result of task {index}"))
+    })
+}
+
+/// Checks that every caller receives the answer to its own request, once.
+///
+/// Each result is the one of the copy's own task and payload, nobody is answered unasked or
+/// twice, targets receive only payloads that were submitted, and the answers to all copies of a
+/// job are those of one write-once register.
+#[must_use]
+pub fn check_own_answer(history: &History, _bounds: &Bounds) -> Vec<Violation> {
+    let index = Index::new(history);
+    let mut violations = check_addressees(&index);
+    for copy in index.copies.values() {
+        for (event, answer) in &copy.answers {
+            if let Some(position) = find_foreign(copy, answer) {
+                let message = format!("copy {}: foreign result {position}", copy.submission.copy);
+                let events = [copy.submitted, event];
+                violations.push(Violation::new(Promise::OwnAnswer, message, &events));
+            }
+        }
+    }
+    violations.extend(check_payloads(&index));
+    for job in index.copies_by_job.keys() {
+        let copies: Vec<_> = index.copies_of(*job).collect();
+        violations.extend(check_answers(&copies));
+    }
+    violations
+}
+
+fn check_addressees(index: &Index<'_>) -> Vec<Violation> {
+    let stray = index.stray_answers.iter().map(|(event, copy)| {
+        let message = format!("answer to copy {copy} that was not submitted");
+        Violation::new(Promise::OwnAnswer, message, &[event])
+    });
+    let repeated = index
+        .copies
+        .values()
+        .filter(|copy| copy.answers.len() > 1)
+        .map(|copy| {
+            let message = format!("copy {} answered more than once", copy.submission.copy);
+            let events: Vec<_> = copy.answers.iter().map(|(event, _)| *event).collect();
+            Violation::new(Promise::OwnAnswer, message, &events)
+        });
+    stray.chain(repeated).collect()
+}
+
+fn find_foreign(copy: &CopyView<'_>, answer: &Answer) -> Option<u16> {
+    let Answer::Complete(results) = answer else {
+        return None;
+    };
+    let job = copy.submission.meta.key;
+    let tasks = (0u16..).zip(&copy.submission.payload_digests);
+    tasks
+        .zip(results)
+        .find_map(|((index, payload_digest), result)| {
+            let expected = result_of(TaskKey { job, index }, *payload_digest);
+            (*result != expected).then_some(index)
+        })
+}
+
+fn check_payloads(index: &Index<'_>) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (event, start) in index.starts.values().flatten() {
+        let is_asked =
+            |copy: &CopyView<'_>| copy.submitted.sequence < event.sequence && copy.asked_for(start);
+        if !index.copies_of(start.task.job).any(is_asked) {
+            let message = format!("task {:?} started with a payload not submitted", start.task);
+            violations.push(Violation::new(Promise::OwnAnswer, message, &[event]));
+        }
+    }
+    violations
+}
--- /dev/null
+++ b/components/proof/src/check/configuration.rs
@@ -0,0 +1,267 @@
+//! Configuration.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use model::ProcessKey;
+
+use crate::check::{Bounds, Promise, Violation};
+use crate::event::{EventKind, SwapOutcome};
+use crate::history::{Event, History};
+use crate::index::{extend_due, pauses, windows};
+use crate::linear::Operation;
+use crate::linear::register::{RegisterOperation, check_register};
+
+/// Checks that an accepted revision, or a newer one, is in force in every live process in time,
+/// and that no process goes back.
+///
+/// The bound counts from the acceptance or the process's start. While the platform is down or
+/// the process is paused or unreachable, it starts anew when that ends. A process that is
+/// stopping or dead owes nothing.
+#[must_use]
+pub fn check_config_in_force(history: &History, bounds: &Bounds) -> Vec<Violation> {
+    let outages = windows(
+        history,
+        |kind| *kind == EventKind::PlatformDown,
+        |kind| *kind == EventKind::PlatformUp,
+    );
+    let mut violations = check_reverts(history);
+    violations.extend(check_made_up(history));
+    for process in history.events() {
+        let EventKind::ProcessStarted(key) = process.kind else {
+            continue;
+        };
+        let view = ProcessView::new(history, process, key, &outages);
+        for event in history.events() {
+            if let EventKind::ConfigAccepted { revision, .. } = event.kind {
+                violations.extend(view.check(history, bounds, event, revision));
+            }
+        }
+    }
+    violations
+}
+
+/// What decides when a process owes a revision.
+struct ProcessView<'a> {
+    key: ProcessKey,
+    started: &'a Event,
+    ended_us: u64,
+    blocked: Vec<(u64, u64)>,
+}
+
+impl<'a> ProcessView<'a> {
+    fn new(history: &History, started: &'a Event, key: ProcessKey, outages: &[(u64, u64)]) -> Self {
+        let is_end = |kind: &EventKind| {
+            [
+                EventKind::GracefulStop(key),
+                EventKind::Stopped(key),
+                EventKind::Killed(key),
+            ]
+            .contains(kind)
+        };
+        let end = history.events().iter().find(|event| is_end(&event.kind));
+        let mut blocked = outages.to_vec();
+        blocked.extend(pauses(history, key));
+        blocked.extend(windows(
+            history,
+            |kind| *kind == EventKind::Unreachable(key),
+            |kind| *kind == EventKind::Reachable(key),
+        ));
+        Self {
+            key,
+            started,
+            ended_us: end.map_or(u64::MAX, |event| event.at_us),
+            blocked,
+        }
+    }
+
+    fn check(
+        &self,
+        history: &History,
+        bounds: &Bounds,
+        accepted: &Event,
+        revision: u64,
+    ) -> Option<Violation> {
+        let since_us = accepted.at_us.max(self.started.at_us);
+        let due_us = since_us + bounds.config_us;
+        let due_us = extend_due(since_us, due_us, &self.blocked, bounds.config_us);
+        if self.ended_us <= due_us || history.end_us() <= due_us {
+            return None;
+        }
+        let is_in_force = history.events().iter().any(|event| match event.kind {
+            EventKind::ConfigInForce {
+                process,
+                revision: found,
+            } => process == self.key && found >= revision && event.at_us <= due_us,
+            _ => false,
+        });
+        let message = format!(
+            "revision {revision} not in force at {} by {due_us} us",
+            self.key
+        );
+        let violation = Violation::new(Promise::Configuration, message, &[accepted]);
+        (!is_in_force).then_some(violation)
+    }
+}
+
+fn check_reverts(history: &History) -> Vec<Violation> {
+    let mut newest = BTreeMap::<ProcessKey, (u64, &Event)>::new();
+    let mut violations = Vec::new();
+    for event in history.events() {
+        let EventKind::ConfigInForce { process, revision } = event.kind else {
+            continue;
+        };
+        match newest.get(&process) {
+            Some((previous, earlier)) if *previous > revision => {
+                let message = format!("{process} went back from {previous} to {revision}");
+                let events = [*earlier, event];
+                violations.push(Violation::new(Promise::Configuration, message, &events));
+            }
+            _ => {
+                newest.insert(process, (revision, event));
+            }
+        }
+    }
+    violations
+}
+
+/// Finds revisions in force that no operator made. Those older than every accepted one were
+/// there before the run; a swap without a known outcome may have made any.
+fn check_made_up(history: &History) -> Vec<Violation> {
+    let mut accepted = BTreeSet::new();
+    let mut open_swaps = BTreeSet::new();
+    for event in history.events() {
+        match event.kind {
+            EventKind::SwapCalled { operation, .. } => {
+                open_swaps.insert(operation);
+            }
+            EventKind::SwapReturned { operation, outcome } if outcome != SwapOutcome::Unknown => {
+                open_swaps.remove(&operation);
+                if let SwapOutcome::Accepted { revision } = outcome {
+                    accepted.insert(revision);
+                }
+            }
+            EventKind::ConfigAccepted { revision, .. } => {
+                accepted.insert(revision);
+            }
+            _ => {}
+        }
+    }
+    if !open_swaps.is_empty() {
+        return Vec::new();
+    }
+    let is_made_up = |revision: u64| {
+        accepted.first().is_some_and(|first| revision > *first) && !accepted.contains(&revision)
+    };
+    let violation = |event: &Event| match event.kind {
+        EventKind::ConfigInForce { process, revision } if is_made_up(revision) => {
+            let message = format!("revision {revision} in force at {process}, never accepted");
+            Some(Violation::new(Promise::Configuration, message, &[event]))
+        }
+        _ => None,
+    };
+    history.events().iter().filter_map(violation).collect()
+}
+
+/// Checks that the operators' swaps and reads are those of one register with compare-and-swap.
+#[must_use]
+pub fn check_config_register(history: &History, _bounds: &Bounds) -> Vec<Violation> {
+    let mut violations = check_accepted_once(history);
+    let (events, operations) = register_operations(history);
+    if let Err(problem) = check_register(&operations) {
+        violations.push(Violation::new(Promise::Configuration, problem, &events));
+    }
+    violations
+}
+
+fn check_accepted_once(history: &History) -> Vec<Violation> {
+    let mut accepted = BTreeMap::new();
+    let mut violations = Vec::new();
+    for event in history.events() {
+        let EventKind::ConfigAccepted { revision, .. } = event.kind else {
+            continue;
+        };
+        if let Some(first) = accepted.insert(revision, event) {
+            let message = format!("two edits accepted as revision {revision}");
+            violations.push(Violation::new(
+                Promise::Configuration,
+                message,
+                &[first, event],
+            ));
+        }
+    }
+    violations
+}
+
+fn register_operations(history: &History) -> (Vec<&Event>, Vec<Operation<RegisterOperation>>) {
+    let mut events = Vec::new();
+    let mut swaps = BTreeMap::new();
+    let mut reads = BTreeMap::new();
+    let mut operations = Vec::new();
+    for event in history.events() {
+        let operation = match event.kind {
+            EventKind::SwapCalled {
+                operation,
+                expected_revision,
+                value_digest,
+                ..
+            } => {
+                swaps.insert(operation, (event, expected_revision, value_digest));
+                None
+            }
+            EventKind::ReadCalled { operation, .. } => {
+                reads.insert(operation, event);
+                None
+            }
+            EventKind::SwapReturned { operation, outcome } => {
+                swaps
+                    .remove(&operation)
+                    .map(|(call, expected_revision, value_digest)| {
+                        let swap = RegisterOperation::Swap {
+                            expected_revision,
+                            value_digest,
+                            outcome,
+                        };
+                        (call, swap)
+                    })
+            }
+            EventKind::ReadReturned {
+                operation,
+                revision,
+                value_digest,
+            } => reads.remove(&operation).map(|call| {
+                (
+                    call,
+                    RegisterOperation::Read {
+                        revision,
+                        value_digest,
+                    },
+                )
+            }),
+            _ => None,
+        };
+        if let Some((call, operation)) = operation {
+            events.extend([call, event]);
+            let (called, returned) = (call.sequence, event.sequence);
+            operations.push(Operation {
+                called,
+                returned,
+                operation,
+            });
+        }
+    }
+    for (call, expected_revision, value_digest) in swaps.into_values() {
+        let outcome = SwapOutcome::Unknown;
+        let operation = RegisterOperation::Swap {
+            expected_revision,
+            value_digest,
+            outcome,
+        };
+        events.push(call);
+        operations.push(Operation {
+            called: call.sequence,
+            returned: u64::MAX,
+            operation,
+        });
+    }
+    (events, operations)
+}
--- /dev/null
+++ b/components/proof/src/check/refusals.rs
@@ -0,0 +1,75 @@
+//! Refusals that claim that no task ran.
+
+use model::Answer;
+
+use crate::check::{Bounds, Promise, Violation};
+use crate::event::TaskStarted;
+use crate::history::{Event, History};
+use crate::index::{CopyView, Index, claims_not_run};
+
+/// Checks that answers of the kinds *not run* and *cannot run* are true.
+///
+/// Let such an answer go to a copy of the submission made at `t`. It is false if any task of the
+/// job starts anywhere in the history, before or after the answer, unless the start belongs to a
+/// submission newer than `t` that a client sent after it had sent this copy:
+///
+/// - a start before the copy was sent always counts;
+/// - a start that is known to be made under a submission counts unless that is newer than `t`;
+/// - any other start counts unless a submission newer than `t` was sent before it.
+///
+/// A refusal for a conflict speaks of the copy's own body: only starts with payloads that no
+/// copy of another body of the job has count.
+#[must_use]
+pub fn check_true_refusal(history: &History, _bounds: &Bounds) -> Vec<Violation> {
+    let index = Index::new(history);
+    let mut violations = Vec::new();
+    for copy in index.copies.values() {
+        for (event, answer) in &copy.answers {
+            if !claims_not_run(answer) {
+                continue;
+            }
+            if let Some(start) = find_start(&index, copy, answer) {
+                let message = format!("copy {} refused as not run", copy.submission.copy);
+                let events = [copy.submitted, event, start];
+                violations.push(Violation::new(Promise::TrueRefusal, message, &events));
+            }
+        }
+    }
+    violations
+}
+
+fn find_start<'a>(index: &Index<'a>, copy: &CopyView<'_>, answer: &Answer) -> Option<&'a Event> {
+    let starts = index.starts_of(copy.submission.meta.key);
+    let own_body_only = CopyView::is_conflict(answer);
+    starts
+        .iter()
+        .find(|(event, start)| {
+            (!own_body_only || is_own(index, copy, start)) && counts(index, copy, event, start)
+        })
+        .map(|(event, _)| *event)
+}
+
+fn is_own(index: &Index<'_>, copy: &CopyView<'_>, start: &TaskStarted) -> bool {
+    let meta = &copy.submission.meta;
+    let is_other = |other: &CopyView<'_>| {
+        other.submission.meta.body_digest != meta.body_digest && other.asked_for(start)
+    };
+    copy.asked_for(start) && !index.copies_of(meta.key).any(is_other)
+}
+
+fn counts(index: &Index<'_>, copy: &CopyView<'_>, event: &Event, start: &TaskStarted) -> bool {
+    let meta = &copy.submission.meta;
+    if event.sequence < copy.submitted.sequence {
+        return true;
+    }
+    if let Some(started_unix_ms) = start.submitted_unix_ms
+        && started_unix_ms <= meta.submitted_unix_ms
+    {
+        return true;
+    }
+    let is_newer = |other: &CopyView<'_>| {
+        other.submission.meta.submitted_unix_ms > meta.submitted_unix_ms
+            && other.submitted.sequence < event.sequence
+    };
+    !index.copies_of(meta.key).any(is_newer)
+}
--- /dev/null
+++ b/components/proof/src/check/starts.rs
@@ -0,0 +1,96 @@
+//! Starts of tasks.
+
+use std::collections::BTreeMap;
+
+use model::Answer;
+
+use crate::check::{Bounds, Promise, Violation};
+use crate::history::{Event, History};
+use crate::index::{CopyView, Index, claims_not_run};
+
+/// Checks that no task starts twice, whatever its attempts and submissions.
+#[must_use]
+pub fn check_starts_once(history: &History, _bounds: &Bounds) -> Vec<Violation> {
+    let index = Index::new(history);
+    let mut first_starts = BTreeMap::new();
+    let mut violations = Vec::new();
+    for (event, start) in index.starts.values().flatten() {
+        if let Some(first) = first_starts.insert(start.task, *event) {
+            let message = format!("task {:?} started again", start.task);
+            violations.push(Violation::new(
+                Promise::StartsOnce,
+                message,
+                &[first, event],
+            ));
+        }
+    }
+    violations
+}
+
+/// Checks that jobs that are not repeatable run at most once.
+///
+/// Besides a second start of a task this is the start of anything under a newer submission
+/// while an older one may have run: one that was answered before, and no copy of it as not run.
+#[must_use]
+pub fn check_at_most_once(history: &History, _bounds: &Bounds) -> Vec<Violation> {
+    let index = Index::new(history);
+    let mut violations = Vec::new();
+    for (job, starts) in &index.starts {
+        if index
+            .copies_of(*job)
+            .all(|copy| copy.submission.meta.repeatable)
+        {
+            continue;
+        }
+        let mut first_starts = BTreeMap::new();
+        for (event, start) in starts {
+            if let Some(first) = first_starts.insert(start.task, *event) {
+                let message = format!("task {:?} of a job that is not repeatable", start.task);
+                violations.push(Violation::new(
+                    Promise::AtMostOnce,
+                    message,
+                    &[first, event],
+                ));
+            }
+            let Some(submitted_unix_ms) = start.submitted_unix_ms else {
+                continue;
+            };
+            let copies: Vec<_> = index.copies_of(*job).collect();
+            if let Some(answered) = unresolved_before(&copies, submitted_unix_ms, event) {
+                let message = format!("{:?} started again after it may have run", start.task);
+                violations.push(Violation::new(
+                    Promise::AtMostOnce,
+                    message,
+                    &[answered, event],
+                ));
+            }
+        }
+    }
+    violations
+}
+
+/// Finds an answer before `start` to a submission older than `submitted_unix_ms` that may have
+/// run: one with no copy that was answered as not run.
+fn unresolved_before<'a>(
+    copies: &[&CopyView<'a>],
+    submitted_unix_ms: u64,
+    start: &Event,
+) -> Option<&'a Event> {
+    let answers = |copy: &CopyView<'a>| {
+        let before = |(event, answer): &(&'a Event, &'a Answer)| {
+            event.sequence < start.sequence && !CopyView::is_conflict(answer)
+        };
+        copy.answers.clone().into_iter().filter(before)
+    };
+    let is_resolved = |older_unix_ms: u64| {
+        copies
+            .iter()
+            .filter(|copy| copy.submission.meta.submitted_unix_ms == older_unix_ms)
+            .any(|copy| answers(copy).any(|(_, answer)| claims_not_run(answer)))
+    };
+    copies
+        .iter()
+        .filter(|copy| copy.submission.meta.submitted_unix_ms < submitted_unix_ms)
+        .filter(|copy| !is_resolved(copy.submission.meta.submitted_unix_ms))
+        .find_map(|copy| answers(copy).map(|(event, _)| event).next())
+}
--- a/components/proof/src/lib.rs
+++ b/components/proof/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! Proof of the promises to callers and operators: recorded histories, a checker for each
+//! promise, and a deterministic event queue for fakes at the interfaces.
+
+pub mod check;
+pub mod event;
+pub mod fault;
+pub mod history;
+mod index;
+pub mod linear;
+pub mod report;
+pub mod results;
+pub mod seed;
+pub mod simnet;
