Add the runtime package

The wall clock is sampled once and advanced by the monotonic clock, so that it never steps unless it is sampled again on purpose.

--- /dev/null
+++ b/components/runtime/src/clock.rs
@@ -0,0 +1,106 @@
+//! Monotonic and wall clocks of the process.
+
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const SECONDS_PER_DAY: u64 = 86_400;
+
+struct Anchor {
+    started: Instant,
+    unix_started_ms: AtomicU64,
+}
+
+fn anchor() -> &'static Anchor {
+    static ANCHOR: OnceLock<Anchor> = OnceLock::new();
+    ANCHOR.get_or_init(|| Anchor {
+        started: Instant::now(),
+        unix_started_ms: AtomicU64::new(system_unix_ms()),
+    })
+}
+
+fn system_unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
+}
+
+/// Returns the microseconds since the process started, on a clock that never goes back.
+#[must_use]
+pub fn monotonic_us() -> u64 {
+    anchor().started.elapsed().as_micros() as u64
+}
+
+/// Returns the instant of a point in time on the clock of [`monotonic_us`].
+///
+/// Points beyond the range of [`Instant`] become the current time.
+#[must_use]
+pub fn instant_at(monotonic_us: u64) -> Instant {
+    let started = anchor().started;
+    started
+        .checked_add(Duration::from_micros(monotonic_us))
+        .unwrap_or_else(Instant::now)
+}
+
+/// Returns the wall clock in milliseconds since the Unix epoch.
+///
+/// The system's wall clock is sampled once and advanced by the monotonic clock, so a
+/// step of the system's clock is not seen until [`resample_clock`] is called.
+#[must_use]
+pub fn unix_ms() -> u64 {
+    let anchor = anchor();
+    let elapsed_ms = anchor.started.elapsed().as_millis() as u64;
+    anchor.unix_started_ms.load(Ordering::Relaxed) + elapsed_ms
+}
+
+/// Returns how far the system's wall clock is ahead of [`unix_ms`], in milliseconds.
+#[must_use]
+pub fn clock_drift_ms() -> i64 {
+    system_unix_ms() as i64 - unix_ms() as i64
+}
+
+/// Samples the system's wall clock again and returns the drift that this removed, in
+/// milliseconds.
+pub fn resample_clock() -> i64 {
+    let drift_ms = clock_drift_ms();
+    let unix_started_ms = &anchor().unix_started_ms;
+    let corrected_ms = unix_started_ms
+        .load(Ordering::Relaxed)
+        .saturating_add_signed(drift_ms);
+    unix_started_ms.store(corrected_ms, Ordering::Relaxed);
+    drift_ms
+}
+
+/// Formats a wall clock time as RFC 3339 in UTC with milliseconds.
+#[must_use]
+pub fn format_rfc3339_ms(unix_ms: u64) -> String {
+    let seconds = unix_ms / 1_000;
+    let (year, month, day) = civil_date(seconds / SECONDS_PER_DAY);
+    let second_of_day = seconds % SECONDS_PER_DAY;
+    format!(
+        "{year:04}-{month:02}-{day:02}T{:02}:{:02}:{:02}.{:03}Z",
+        second_of_day / 3_600,
+        second_of_day / 60 % 60,
+        second_of_day % 60,
+        unix_ms % 1_000,
+    )
+}
+
+// Counts years from March, so that the leap day is the last day of a year.
+fn civil_date(days_since_epoch: u64) -> (u64, u64, u64) {
+    let days = days_since_epoch + 719_468;
+    let era = days / 146_097;
+    let day_of_era = days % 146_097;
+    let year_of_era =
+        (day_of_era - day_of_era / 1_460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let march_month = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * march_month + 2) / 5 + 1;
+    let month = if march_month < 10 {
+        march_month + 3
+    } else {
+        march_month - 9
+    };
+    let year = year_of_era + era * 400 + u64::from(month <= 2);
+    (year, month, day)
+}
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -1,1 +1,24 @@
-//! Placeholder.
+//! Runtime of a process: the single-threaded executor, clocks, logging, signals,
+//! metrics and state dumps.
+
+mod clock;
+mod dump;
+mod executor;
+mod logging;
+mod metrics;
+mod process;
+mod signals;
+mod stop;
+
+pub use clock::{
+    clock_drift_ms, format_rfc3339_ms, instant_at, monotonic_us, resample_clock, unix_ms,
+};
+pub use dump::{DumpError, dump_on_signal, dump_to_string, write_dump, write_dump_to};
+pub use executor::{TIMER_TURN_MS, run};
+pub use logging::{LogError, LogFormat, LogOptions, format_json, format_text, init_logging};
+pub use metrics::{Metrics, MetricsError};
+pub use process::draw_process_key;
+pub use signals::{SIGNAL_POLL_MS, Signals};
+pub use stop::{Stop, Stopped};
+
+pub use prometheus;
--- /dev/null
+++ b/components/runtime/src/logging.rs
@@ -0,0 +1,108 @@
+//! Logging to standard error.
+
+use std::fmt::Arguments;
+use std::io;
+
+use derive_more::{Display, Error, From};
+use log::{Level, LevelFilter, Record, SetLoggerError};
+use serde::Serialize;
+use strum::{EnumString, IntoStaticStr};
+
+use crate::clock;
+
+/// Form of a log line.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum LogFormat {
+    /// Time, level, part and message, separated by spaces.
+    #[default]
+    Text,
+    /// One JSON object.
+    Json,
+}
+
+/// What is logged, and how.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogOptions {
+    /// Form of the lines.
+    pub format: LogFormat,
+    /// Level of all parts that `part_levels` does not name.
+    pub level: LevelFilter,
+    /// Levels of single parts.
+    pub part_levels: Vec<(String, LevelFilter)>,
+}
+
+impl Default for LogOptions {
+    fn default() -> Self {
+        Self {
+            format: LogFormat::default(),
+            level: LevelFilter::Info,
+            part_levels: Vec::new(),
+        }
+    }
+}
+
+/// The process already has a logger.
+#[derive(Debug, Display, Error, From)]
+#[display("logging is already set up")]
+pub struct LogError(SetLoggerError);
+
+#[derive(Serialize)]
+struct JsonLine<'a> {
+    time: &'a str,
+    level: &'a str,
+    part: &'a str,
+    message: &'a str,
+}
+
+/// Starts logging to standard error; the target of a record names the part.
+///
+/// # Errors
+///
+/// Fails if the process already has a logger.
+pub fn init_logging(options: LogOptions) -> Result<(), LogError> {
+    let format = options.format;
+    let mut dispatch =
+        fern::Dispatch::new()
+            .level(options.level)
+            .format(move |out, message, record| {
+                out.finish(format_args!("{}", format_line(format, message, record)));
+            });
+    for (part, level) in options.part_levels {
+        dispatch = dispatch.level_for(part, level);
+    }
+    dispatch.chain(io::stderr()).apply()?;
+    Ok(())
+}
+
+fn format_line(format: LogFormat, message: &Arguments<'_>, record: &Record<'_>) -> String {
+    let time = clock::format_rfc3339_ms(clock::unix_ms());
+    let message = message.to_string();
+    match format {
+        LogFormat::Text => format_text(&time, record.level(), record.target(), &message),
+        LogFormat::Json => format_json(&time, record.level(), record.target(), &message),
+    }
+}
+
+/// Formats a log line as text; line breaks in the message are escaped.
+#[must_use]
+pub fn format_text(time: &str, level: Level, part: &str, message: &str) -> String {
+    let message = message.replace('\n', "\\n").replace('\r', "\\r");
+    format!("{time} {level:<5} {part}: {message}")
+}
+
+/// Formats a log line as a JSON object.
+///
+/// # Panics
+///
+/// Never panics, since strings always have a JSON form.
+#[must_use]
+pub fn format_json(time: &str, level: Level, part: &str, message: &str) -> String {
+    let line = JsonLine {
+        time,
+        level: level.as_str(),
+        part,
+        message,
+    };
+    serde_json::to_string(&line).expect("strings have a JSON form")
+}
