--- /dev/null
+++ b/components/protocol/src/codec.rs
@@ -0,0 +1,152 @@
+//! Framing and encoding of calls.
+
+use std::io;
+use std::marker::PhantomData;
+use std::pin::Pin;
+use std::time::Duration;
+
+use bincode::Options;
+use bytes::{Bytes, BytesMut};
+use monoio::net::TcpStream;
+use monoio_compat::TcpStreamCompat;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tarpc::serde_transport::{self, Transport};
+use tarpc::tokio_serde::{Deserializer, Serializer};
+use tarpc::{ClientMessage, Response};
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Largest frame that is sent or accepted, in bytes.
+pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+
+/// Longest time until the deadline of a call, in milliseconds.
+pub const MAX_CALL_MS: u64 = 3_600_000;
+
+const STREAM_BUFFER_BYTES: usize = 16 * 1024;
+
+// Position of `Request` among the variants of `tarpc::ClientMessage`.
+const REQUEST_VARIANT: u32 = 0;
+
+pub(crate) type ServerTransport<Req, Resp> =
+    Transport<TcpStreamCompat, ClientMessage<Req>, Response<Resp>, RequestCodec<Req, Resp>>;
+
+pub(crate) type ClientTransport<Req, Resp> =
+    Transport<TcpStreamCompat, Response<Resp>, ClientMessage<Req>, ResponseCodec<Req, Resp>>;
+
+/// Codec of the receiver of calls.
+pub(crate) struct RequestCodec<Req, Resp>(PhantomData<(Req, Resp)>);
+
+/// Codec of the sender of calls.
+pub(crate) struct ResponseCodec<Req, Resp>(PhantomData<(Req, Resp)>);
+
+pub(crate) fn server_transport<Req, Resp>(stream: TcpStream) -> ServerTransport<Req, Resp>
+where
+    Req: DeserializeOwned,
+    Resp: Serialize,
+{
+    serde_transport::new(
+        framing().new_framed(compat(stream)),
+        RequestCodec(PhantomData),
+    )
+}
+
+pub(crate) fn client_transport<Req, Resp>(stream: TcpStream) -> ClientTransport<Req, Resp>
+where
+    Req: Serialize,
+    Resp: DeserializeOwned,
+{
+    serde_transport::new(
+        framing().new_framed(compat(stream)),
+        ResponseCodec(PhantomData),
+    )
+}
+
+fn framing() -> tokio_util::codec::length_delimited::Builder {
+    let mut builder = LengthDelimitedCodec::builder();
+    builder.max_frame_length(MAX_FRAME_BYTES);
+    builder
+}
+
+fn compat(stream: TcpStream) -> TcpStreamCompat {
+    TcpStreamCompat::new_with_buffer_size(stream, STREAM_BUFFER_BYTES, STREAM_BUFFER_BYTES)
+}
+
+fn options() -> impl Options + Copy {
+    bincode::DefaultOptions::new()
+}
+
+fn invalid(error: bincode::Error) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, error)
+}
+
+fn encode<T: Serialize>(item: &T) -> io::Result<Bytes> {
+    options().serialize(item).map(Bytes::from).map_err(invalid)
+}
+
+fn decode<T: DeserializeOwned>(frame: &[u8]) -> io::Result<T> {
+    options().deserialize(frame).map_err(invalid)
+}
+
+/// Refuses a request whose deadline is too far in the future.
+///
+/// `tarpc` adds the time left to the clock and to its timer without a check, and panics
+/// if it is out of range.
+fn check_time_left(mut frame: &[u8]) -> io::Result<()> {
+    let variant: u32 = options().deserialize_from(&mut frame).map_err(invalid)?;
+    if variant != REQUEST_VARIANT {
+        return Ok(());
+    }
+    let time_left: Duration = options().deserialize_from(&mut frame).map_err(invalid)?;
+    if time_left > Duration::from_millis(MAX_CALL_MS) {
+        return Err(io::Error::new(
+            io::ErrorKind::InvalidData,
+            "deadline is too far in the future",
+        ));
+    }
+    Ok(())
+}
+
+impl<Req, Resp> Deserializer<ClientMessage<Req>> for RequestCodec<Req, Resp>
+where
+    Req: DeserializeOwned,
+{
+    type Error = io::Error;
+
+    fn deserialize(self: Pin<&mut Self>, frame: &BytesMut) -> io::Result<ClientMessage<Req>> {
+        check_time_left(frame)?;
+        decode(frame)
+    }
+}
+
+impl<Req, Resp> Serializer<Response<Resp>> for RequestCodec<Req, Resp>
+where
+    Resp: Serialize,
+{
+    type Error = io::Error;
+
+    fn serialize(self: Pin<&mut Self>, response: &Response<Resp>) -> io::Result<Bytes> {
+        encode(response)
+    }
+}
+
+impl<Req, Resp> Deserializer<Response<Resp>> for ResponseCodec<Req, Resp>
+where
+    Resp: DeserializeOwned,
+{
+    type Error = io::Error;
+
+    fn deserialize(self: Pin<&mut Self>, frame: &BytesMut) -> io::Result<Response<Resp>> {
+        decode(frame)
+    }
+}
+
+impl<Req, Resp> Serializer<ClientMessage<Req>> for ResponseCodec<Req, Resp>
+where
+    Req: Serialize,
+{
+    type Error = io::Error;
+
+    fn serialize(self: Pin<&mut Self>, message: &ClientMessage<Req>) -> io::Result<Bytes> {
+        encode(message)
+    }
+}
--- /dev/null
+++ b/components/protocol/src/error.rs
@@ -0,0 +1,72 @@
+//! Failures of calls.
+
+use std::io;
+
+use derive_more::{Display, Error};
+use tarpc::client::RpcError;
+
+use crate::hello::Refusal;
+
+/// Why a call has no result, and whether the peer may have acted on it.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum LinkError {
+    /// The peer has not acted on the call and will not.
+    #[display("not sent: {_0}")]
+    NotSent(LinkFault),
+    /// The peer may have acted on the call.
+    #[display("outcome unknown: {_0}")]
+    Unknown(LinkFault),
+}
+
+/// What went wrong on a connection.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum LinkFault {
+    /// The address is not of the form `ip:port`.
+    #[display("address is not ip:port")]
+    BadAddress,
+    /// The connection could not be made.
+    #[display("cannot connect: {_0}")]
+    Connect(#[error(not(source))] String),
+    /// The peer refused the connection.
+    #[display("peer refused the connection: {_0}")]
+    Refused(Refusal),
+    /// The peer does not speak the protocol.
+    #[display("peer does not speak the protocol")]
+    NotProtocol,
+    /// The deadline passed.
+    #[display("deadline passed")]
+    DeadlinePassed,
+    /// The connection is closed.
+    #[display("connection closed")]
+    Closed,
+    /// The call cannot be encoded or is larger than a frame.
+    #[display("call cannot be encoded: {_0}")]
+    Unsendable(#[error(not(source))] String),
+    /// Too many calls are under way on the connection.
+    #[display("peer is at its limit of calls")]
+    Busy,
+    /// The connection broke.
+    #[display("connection broke: {_0}")]
+    Broken(#[error(not(source))] String),
+}
+
+impl LinkError {
+    /// Tells whether the peer may have acted on the call.
+    #[must_use]
+    pub fn may_have_acted(&self) -> bool {
+        matches!(self, Self::Unknown(_))
+    }
+
+    pub(crate) fn from_rpc(error: RpcError) -> Self {
+        match error {
+            RpcError::Shutdown => Self::Unknown(LinkFault::Closed),
+            RpcError::Send(cause) => Self::NotSent(LinkFault::Unsendable(cause.to_string())),
+            RpcError::Channel(cause) => Self::Unknown(LinkFault::Broken(cause.to_string())),
+            RpcError::DeadlineExceeded => Self::Unknown(LinkFault::DeadlinePassed),
+            RpcError::Server(refusal) if refusal.kind == io::ErrorKind::WouldBlock => {
+                Self::NotSent(LinkFault::Busy)
+            }
+            RpcError::Server(cause) => Self::Unknown(LinkFault::Broken(cause.to_string())),
+        }
+    }
+}
--- /dev/null
+++ b/components/protocol/src/server.rs
@@ -0,0 +1,293 @@
+//! Serving of incoming connections.
+
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+
+use futures::{FutureExt, SinkExt, Stream};
+use model::{AgentEnvelope, OwnerEnvelope, ProcessKey};
+use monoio::net::{TcpListener, TcpStream};
+use runtime::Stop;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tarpc::RequestName;
+use tarpc::server::{BaseChannel, Channel, Config, Requests, Serve};
+
+use crate::codec::server_transport;
+use crate::counters::{LinkCounters, LinkEvent, OpenConnection};
+use crate::handlers::{AgentHandlers, EntryHandlers};
+use crate::hello::{self, HELLO_TIMEOUT_MS, Hello, Reply, ReplyCode, Service, VERSION};
+use crate::service::{AgentService, EntryService};
+
+/// Connections that a server accepts unless told otherwise.
+pub const DEFAULT_CONNECTION_LIMIT: usize = 4_096;
+
+/// Calls that one connection may have under way.
+pub const MAX_CALLS_PER_CONNECTION: usize = 65_536;
+
+// Connections above the limit that are still told that they are refused.
+const REFUSALS_IN_PROGRESS: usize = 64;
+const PENDING_RESPONSE_BUFFER: usize = 1_024;
+const ACCEPT_RETRY_MS: u64 = 100;
+
+/// Settings of a server.
+#[derive(Debug, Clone)]
+pub struct ServerSettings {
+    own: ProcessKey,
+    connection_limit: usize,
+    counters: LinkCounters,
+    stop: Stop,
+}
+
+impl ServerSettings {
+    /// Returns a builder for the settings of the process `own`.
+    #[must_use]
+    pub fn builder(own: ProcessKey) -> ServerSettingsBuilder {
+        ServerSettingsBuilder {
+            settings: Self {
+                own,
+                connection_limit: DEFAULT_CONNECTION_LIMIT,
+                counters: LinkCounters::default(),
+                stop: Stop::new(),
+            },
+        }
+    }
+}
+
+/// Builds [`ServerSettings`].
+#[derive(Debug, Clone)]
+pub struct ServerSettingsBuilder {
+    settings: ServerSettings,
+}
+
+impl ServerSettingsBuilder {
+    /// Sets the number of connections that are accepted at the same time.
+    #[must_use]
+    pub fn connection_limit(mut self, connection_limit: usize) -> Self {
+        self.settings.connection_limit = connection_limit;
+        self
+    }
+
+    /// Sets the counters of connections.
+    #[must_use]
+    pub fn counters(mut self, counters: LinkCounters) -> Self {
+        self.settings.counters = counters;
+        self
+    }
+
+    /// Sets the switch that stops the server.
+    #[must_use]
+    pub fn stop(mut self, stop: Stop) -> Self {
+        self.settings.stop = stop;
+        self
+    }
+
+    /// Returns the settings.
+    #[must_use]
+    pub fn build(self) -> ServerSettings {
+        self.settings
+    }
+}
+
+/// Serves an agent's port until the server is stopped.
+///
+/// After the stop no connection is accepted, and an open connection closes as soon as no
+/// call is under way on it.
+pub async fn serve_agent(
+    listener: TcpListener,
+    settings: ServerSettings,
+    exchange: impl Fn(OwnerEnvelope) -> AgentEnvelope + 'static,
+) {
+    let handlers = AgentHandlers {
+        exchange: Rc::new(exchange),
+    };
+    accept_connections(listener, Service::Agent, handlers.serve(), settings).await;
+}
+
+/// Serves an entry's port until the server is stopped.
+///
+/// After the stop no connection is accepted, and an open connection closes as soon as no
+/// call is under way on it.
+pub async fn serve_entry(listener: TcpListener, settings: ServerSettings, handlers: EntryHandlers) {
+    accept_connections(listener, Service::Entry, handlers.serve(), settings).await;
+}
+
+async fn accept_connections<S>(
+    listener: TcpListener,
+    service: Service,
+    serve: S,
+    settings: ServerSettings,
+) where
+    S: Serve + Clone + 'static,
+    S::Req: RequestName + DeserializeOwned + 'static,
+    S::Resp: Serialize + 'static,
+{
+    let server = Rc::new(Server {
+        service,
+        settings,
+        greeting: LinkCounters::default(),
+    });
+    while let Some(accepted) = server.accept(&listener).await {
+        match accepted {
+            Ok(stream) => server.admit(stream, serve.clone()),
+            Err(error) => server.pause_after(&error).await,
+        }
+    }
+}
+
+struct Server {
+    service: Service,
+    settings: ServerSettings,
+    // Counts the connections whose hello is still to come.
+    greeting: LinkCounters,
+}
+
+impl Server {
+    /// Returns the next connection, or nothing once the server is stopped.
+    async fn accept(&self, listener: &TcpListener) -> Option<io::Result<TcpStream>> {
+        let stopped = self.settings.stop.stopped();
+        let accepted = Box::pin(listener.accept());
+        match futures::future::select(stopped, accepted).await {
+            futures::future::Either::Left(_) => None,
+            futures::future::Either::Right((result, _)) => Some(result.map(|(stream, _)| stream)),
+        }
+    }
+
+    async fn pause_after(&self, error: &io::Error) {
+        self.settings.counters.count(LinkEvent::AcceptFailed);
+        log::warn!("Connection cannot be accepted: {error}.");
+        monoio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
+    }
+
+    fn admit<S>(self: &Rc<Self>, stream: TcpStream, serve: S)
+    where
+        S: Serve + Clone + 'static,
+        S::Req: RequestName + DeserializeOwned + 'static,
+        S::Resp: Serialize + 'static,
+    {
+        let connections = self.settings.counters.open() + self.greeting.open();
+        if connections >= self.settings.connection_limit + REFUSALS_IN_PROGRESS {
+            self.settings.counters.count(LinkEvent::RefusedLimit);
+            return;
+        }
+        monoio::spawn(Rc::clone(self).run_connection(stream, serve));
+    }
+
+    async fn run_connection<S>(self: Rc<Self>, mut stream: TcpStream, serve: S)
+    where
+        S: Serve + Clone + 'static,
+        S::Req: RequestName + DeserializeOwned + 'static,
+        S::Resp: Serialize + 'static,
+    {
+        let _open = match self.greet(&mut stream).await {
+            Ok(open) => open,
+            Err(event) => return self.report_refusal(event),
+        };
+        self.settings.counters.count(LinkEvent::Accepted);
+        if let Err(error) = serve_calls(stream, serve, &self.settings.stop).await {
+            self.settings.counters.count(LinkEvent::Broken);
+            log::warn!("Connection broke: {error}.");
+        }
+    }
+
+    fn report_refusal(&self, event: LinkEvent) {
+        self.settings.counters.count(event);
+        log::info!("Connection refused: {}.", <&str>::from(event));
+    }
+
+    async fn greet(&self, stream: &mut TcpStream) -> Result<OpenConnection, LinkEvent> {
+        let _greeting = self.greeting.enter();
+        let hello_timeout = Duration::from_millis(HELLO_TIMEOUT_MS);
+        match monoio::time::timeout(hello_timeout, self.exchange_hello(stream)).await {
+            Ok(Ok(greeted)) => greeted,
+            Ok(Err(_)) | Err(_) => Err(LinkEvent::HelloIncomplete),
+        }
+    }
+
+    async fn exchange_hello(
+        &self,
+        stream: &mut TcpStream,
+    ) -> io::Result<Result<OpenConnection, LinkEvent>> {
+        stream.set_nodelay(true)?;
+        let Some(hello) = hello::read_hello(stream).await? else {
+            return Ok(Err(LinkEvent::Garbage));
+        };
+        let judged = self.judge(&hello);
+        let code = match judged {
+            Ok(_) => ReplyCode::Accepted,
+            Err((code, _)) => code,
+        };
+        let reply = Reply {
+            version: VERSION,
+            code,
+            key: self.settings.own,
+        };
+        hello::write_reply(stream, reply).await?;
+        Ok(judged.map_err(|(_, event)| event))
+    }
+
+    fn judge(&self, hello: &Hello) -> Result<OpenConnection, (ReplyCode, LinkEvent)> {
+        if hello.version != VERSION {
+            log::warn!(
+                "Peer {} speaks version {}, this process version {VERSION}.",
+                hello.from,
+                hello.version
+            );
+            return Err((ReplyCode::Version, LinkEvent::RefusedVersion));
+        }
+        if hello.service != self.service.number() {
+            return Err((ReplyCode::Service, LinkEvent::RefusedService));
+        }
+        if hello.expected.is_some_and(|key| key != self.settings.own) {
+            return Err((ReplyCode::Key, LinkEvent::RefusedKey));
+        }
+        if self.settings.counters.open() >= self.settings.connection_limit {
+            return Err((ReplyCode::Limit, LinkEvent::RefusedLimit));
+        }
+        Ok(self.settings.counters.enter())
+    }
+}
+
+/// Serves the calls of one connection until it ends, or is idle after the stop.
+async fn serve_calls<S>(stream: TcpStream, serve: S, stop: &Stop) -> io::Result<()>
+where
+    S: Serve + Clone + 'static,
+    S::Req: RequestName + DeserializeOwned + 'static,
+    S::Resp: Serialize + 'static,
+{
+    let config = Config {
+        pending_response_buffer: PENDING_RESPONSE_BUFFER,
+    };
+    let transport = server_transport::<S::Req, S::Resp>(stream);
+    let channel = BaseChannel::new(config, transport);
+    let channel = channel.max_concurrent_requests(MAX_CALLS_PER_CONNECTION);
+    let mut requests = Box::pin(channel.requests());
+    while let Some(request) = next_request(requests.as_mut(), stop).await {
+        let request = request.map_err(io::Error::other)?;
+        monoio::spawn(request.execute(serve.clone()));
+    }
+    let mut requests = requests.as_mut();
+    let result = requests.channel_pin_mut().close().await;
+    result.map_err(io::Error::other)
+}
+
+async fn next_request<C: Channel>(
+    mut requests: Pin<&mut Requests<C>>,
+    stop: &Stop,
+) -> Option<<Requests<C> as Stream>::Item> {
+    let mut stopped = stop.stopped();
+    poll_fn(|context| {
+        if let Poll::Ready(next) = requests.as_mut().poll_next(context) {
+            return Poll::Ready(next);
+        }
+        let is_stopped = stopped.poll_unpin(context).is_ready();
+        if is_stopped && requests.channel().in_flight_requests() == 0 {
+            return Poll::Ready(None);
+        }
+        Poll::Pending
+    })
+    .await
+}
