Add settings, the operators' configuration and its publication

Cause: entries and agents need validated settings, and operators need to merge a folder, see where each value came from and put it in force.

Ruled out: faults from the deserialiser, since it stops at the first one and cannot name the file of a merged value; a table of keys is checked first instead.

Publishing is a state machine without I/O; a lost answer is resolved by reading back.

--- /dev/null
+++ b/components/config/src/folder/keys.rs
@@ -0,0 +1,58 @@
+//! The keys of the operators' folder.
+
+use model::RETENTION_MS;
+use strum::VariantNames;
+
+use crate::configuration::Preference;
+use crate::schema::{Key, Kind};
+
+/// Largest number of tasks that a limit may name.
+const MAX_TASKS: u64 = 1_000_000;
+
+/// Largest payload or result that a limit may name, in bytes.
+const MAX_BODY_BYTES: u64 = 67_108_864;
+
+/// The keys at the top of each file.
+pub(super) const ROOT: &[Key] = &[
+    Key::optional("limits", Kind::Table(LIMITS)),
+    Key::optional("operators", Kind::Table(OPERATORS)),
+    Key::optional("firms", Kind::Named(&Kind::Table(FIRM))),
+    Key::optional("groups", Kind::Named(&Kind::Table(GROUP))),
+];
+
+const LIMITS: &[Key] = &[
+    Key::integer("max_tasks_per_job", 1, u16::MAX as u64),
+    Key::integer("max_payload_bytes", 1, MAX_BODY_BYTES),
+    Key::integer("max_result_bytes", 1, MAX_BODY_BYTES),
+    Key::integer("max_deadline_ms", 1, RETENTION_MS),
+];
+
+const OPERATORS: &[Key] = &[Key::optional("tokens", Kind::Tokens)];
+
+const FIRM: &[Key] = &[
+    Key::optional("tokens", Kind::Tokens),
+    Key::integer("weight", 1, 1_000),
+    Key::integer("shards", 1, 64),
+    Key::integer("quota_tasks", 1, MAX_TASKS),
+    Key::integer("rate_tasks_per_s", 1, MAX_TASKS),
+    Key::integer("burst_tasks", 1, MAX_TASKS),
+    Key::integer("max_queue_tasks", 1, MAX_TASKS),
+    Key::integer("default_deadline_ms", 1, RETENTION_MS),
+    Key::integer("max_deadline_ms", 1, RETENTION_MS),
+    Key::integer("max_tasks_per_job", 1, u16::MAX as u64),
+    Key::optional("prefer", Kind::Choice(Preference::VARIANTS)),
+    Key::optional("teams", Kind::Named(&Kind::Table(TEAM))),
+];
+
+const TEAM: &[Key] = &[
+    Key::optional("tokens", Kind::Tokens),
+    Key::integer("quota_tasks", 1, MAX_TASKS),
+    Key::integer("weight", 1, 1_000),
+];
+
+const GROUP: &[Key] = &[
+    Key::optional("firms", Kind::Names),
+    Key::integer("max_eject_percent", 0, 100),
+    Key::integer("lookahead_tasks", 0, 1_000),
+    Key::integer("max_attempts", 1, 100),
+];
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -1,1 +1,32 @@
-//! Placeholder.
+//! Configuration: the settings of one process, and the operators' configuration that
+//! is in force everywhere.
+
+mod configuration;
+mod current;
+mod diff;
+mod fault;
+mod folder;
+mod published;
+mod schema;
+mod settings;
+mod suggest;
+mod token;
+
+pub use configuration::{
+    Configuration, Firm, Group, Limits, Operators, Preference, Principal, Team,
+};
+pub use current::{ApplyOutcome, Current, Snapshot};
+pub use diff::{Change, ChangeKind, changes};
+pub use fault::{Fault, Severity};
+pub use folder::{
+    FileStamp, Merged, Provenance, SourceFile, merge_files, merge_folder, read_folder, read_stable,
+};
+pub use published::{
+    CONFIG_KEY, FORMAT_VERSION, MAX_ANCESTORS, MAX_VALUE_BYTES, Published, PublishedBuilder,
+    PublishedError,
+};
+pub use settings::{
+    AgentLimits, AgentSettings, EntryLimits, EntrySettings, LogFormat, LogLevel, LogSettings,
+    SettingsError,
+};
+pub use token::Token;
--- /dev/null
+++ b/components/config/src/published.rs
@@ -0,0 +1,195 @@
+//! The operators' configuration as the platform holds it.
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+use crate::configuration::Configuration;
+use crate::fault::Fault;
+use crate::folder::{Merged, Provenance, validate};
+
+/// Key of the configuration in the platform.
+pub const CONFIG_KEY: &str = "/shallotcross/config";
+
+/// Version of the published form that this release writes, and the newest that it reads.
+pub const FORMAT_VERSION: u32 = 1;
+
+/// Largest size of the published form, in bytes.
+pub const MAX_VALUE_BYTES: usize = 1_000_000;
+
+/// Number of earlier publications that a publication names.
+pub const MAX_ANCESTORS: usize = 16;
+
+/// The one value under [`CONFIG_KEY`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Published {
+    /// Version of the form of this value.
+    pub format_version: u32,
+    /// Random id that tells this publication from every other.
+    pub publication_id: String,
+    /// Ids of the publications before this one, the newest first.
+    pub ancestors: Vec<String>,
+    /// Who published.
+    pub editor: String,
+    /// When it was published.
+    pub published_unix_ms: u64,
+    /// Revision that this publication replaced; zero if there was none.
+    pub base_revision: u64,
+    /// The configuration.
+    pub merged: Configuration,
+    /// Name of the file that each value came from.
+    pub provenance: Provenance,
+}
+
+/// Builds a [`Published`].
+#[derive(Debug, Clone)]
+pub struct PublishedBuilder {
+    published: Published,
+}
+
+/// Why a published value cannot be used.
+#[derive(Debug, Display, Error, Clone, PartialEq, Eq)]
+pub enum PublishedError {
+    /// The value was written by a newer release.
+    #[display(
+        "{CONFIG_KEY}: format_version: {found} is newer than {FORMAT_VERSION}; \
+         update this process"
+    )]
+    NewerFormat {
+        /// The version found.
+        found: u32,
+    },
+    /// The value is not a configuration.
+    #[display("{CONFIG_KEY}: {message}; publish the operators' folder again")]
+    Malformed {
+        /// What is wrong with it.
+        message: String,
+    },
+    /// The configuration holds an invalid value.
+    #[display("{CONFIG_KEY}: {fault}; publish the operators' folder again")]
+    Invalid {
+        /// The first invalid value.
+        fault: Fault,
+    },
+    /// The value is too large for the platform.
+    #[display(
+        "{CONFIG_KEY}: {size_bytes} bytes exceed {MAX_VALUE_BYTES}; remove teams, tokens or firms"
+    )]
+    TooLarge {
+        /// Size of the value.
+        size_bytes: usize,
+    },
+}
+
+#[derive(Debug, Deserialize)]
+struct Header {
+    format_version: u32,
+}
+
+impl Published {
+    /// Starts to build the published form of a merged folder.
+    #[must_use]
+    pub fn builder(merged: Merged) -> PublishedBuilder {
+        PublishedBuilder {
+            published: Self {
+                format_version: FORMAT_VERSION,
+                publication_id: String::new(),
+                ancestors: Vec::new(),
+                editor: String::new(),
+                published_unix_ms: 0,
+                base_revision: 0,
+                merged: merged.configuration,
+                provenance: merged.provenance,
+            },
+        }
+    }
+
+    /// Encodes the value for the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value is too large for the platform.
+    pub fn encode(&self) -> Result<String, PublishedError> {
+        let text = serde_json::to_string(self).map_err(|error| malformed(&error))?;
+        if text.len() > MAX_VALUE_BYTES {
+            return Err(PublishedError::TooLarge {
+                size_bytes: text.len(),
+            });
+        }
+        Ok(text)
+    }
+
+    /// Decodes a value from the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value comes from a newer release, is malformed, or holds a
+    /// configuration that cannot be put in force.
+    pub fn decode(bytes: &[u8]) -> Result<Self, PublishedError> {
+        let header: Header = serde_json::from_slice(bytes).map_err(|error| malformed(&error))?;
+        if header.format_version > FORMAT_VERSION {
+            return Err(PublishedError::NewerFormat {
+                found: header.format_version,
+            });
+        }
+        let published: Self = serde_json::from_slice(bytes).map_err(|error| malformed(&error))?;
+        match validate(&published.merged, &published.provenance)
+            .into_iter()
+            .next()
+        {
+            Some(fault) => Err(PublishedError::Invalid { fault }),
+            None => Ok(published),
+        }
+    }
+
+    /// Makes this publication the one that follows `base`, which is in force at `revision`.
+    #[must_use]
+    pub fn following(mut self, revision: u64, base: Option<&Self>) -> Self {
+        self.base_revision = revision;
+        self.ancestors.clear();
+        if let Some(base) = base {
+            self.ancestors.push(base.publication_id.clone());
+            self.ancestors.extend(base.ancestors.iter().cloned());
+            self.ancestors.truncate(MAX_ANCESTORS);
+        }
+        self
+    }
+}
+
+impl PublishedBuilder {
+    /// Sets the random id that tells this publication from every other.
+    #[must_use]
+    pub fn publication_id(mut self, publication_id: impl Into<String>) -> Self {
+        self.published.publication_id = publication_id.into();
+        self
+    }
+
+    /// Sets who publishes.
+    #[must_use]
+    pub fn editor(mut self, editor: impl Into<String>) -> Self {
+        self.published.editor = editor.into();
+        self
+    }
+
+    /// Sets when it is published.
+    #[must_use]
+    pub fn published_unix_ms(mut self, published_unix_ms: u64) -> Self {
+        self.published.published_unix_ms = published_unix_ms;
+        self
+    }
+
+    /// Returns the published form.
+    #[must_use]
+    pub fn build(self) -> Published {
+        self.published
+    }
+}
+
+fn malformed(error: &serde_json::Error) -> PublishedError {
+    // The text of a data error may quote a value, which may be a token.
+    let message = format!(
+        "is malformed at line {}, column {}",
+        error.line(),
+        error.column()
+    );
+    PublishedError::Malformed { message }
+}
--- /dev/null
+++ b/components/config/src/settings/agent.rs
@@ -0,0 +1,124 @@
+//! Settings of an agent.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+
+use super::load::{self, SettingsError};
+use super::log::{self, LogSettings};
+use crate::fault::Fault;
+use crate::schema::{Key, Kind};
+
+const KEYS: &[Key] = &[
+    Key::required("announce_address", Kind::Address),
+    Key::required("peer_address", Kind::Address),
+    Key::optional("advertised_peer_address", Kind::Address),
+    Key::required("failure_domain", Kind::Text),
+    Key::required("entries", Kind::Addresses { min_count: 1 }),
+    Key::integer("drain_timeout_ms", 0, 600_000),
+    Key::optional("log", Kind::Table(log::KEYS)),
+    Key::optional("limits", Kind::Table(LIMITS)),
+];
+
+const LIMITS: &[Key] = &[
+    Key::integer("max_queue_tasks", 1, 1_000_000),
+    Key::integer("max_held_bytes", 1, 68_719_476_736),
+    Key::integer("max_result_bytes", 1, 67_108_864),
+    Key::integer("connect_timeout_ms", 1, 60_000),
+    Key::integer("announce_timeout_ms", 1, 600_000),
+];
+
+/// Settings of an agent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentSettings {
+    /// Loopback address that the target beside the agent announces itself to.
+    pub announce_address: SocketAddr,
+    /// Address that entries connect to.
+    pub peer_address: SocketAddr,
+    /// Address for entries as seen from other hosts, if it differs.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertised_peer_address: Option<SocketAddr>,
+    /// Failure domain of the host.
+    pub failure_domain: String,
+    /// Addresses of entries to start with.
+    pub entries: Vec<SocketAddr>,
+    /// Longest time that a planned stop waits for tasks in progress.
+    #[serde(default = "load::default_drain_timeout_ms")]
+    pub drain_timeout_ms: u64,
+    /// What is logged.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Limits on what the agent holds.
+    #[serde(default)]
+    pub limits: AgentLimits,
+}
+
+/// Limits on what an agent holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct AgentLimits {
+    /// Tasks that may wait at the agent.
+    pub max_queue_tasks: u32,
+    /// Memory for payloads and results.
+    pub max_held_bytes: u64,
+    /// Size of one task's result.
+    pub max_result_bytes: u64,
+    /// Longest time to connect to the target.
+    pub connect_timeout_ms: u64,
+    /// Longest time between two announcements of a live target.
+    pub announce_timeout_ms: u64,
+}
+
+impl Default for AgentLimits {
+    fn default() -> Self {
+        Self {
+            max_queue_tasks: 1_000,
+            max_held_bytes: 268_435_456,
+            max_result_bytes: 1_048_576,
+            connect_timeout_ms: 1_000,
+            announce_timeout_ms: 5_000,
+        }
+    }
+}
+
+impl AgentSettings {
+    /// Loads the settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault in the file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        Self::from_toml(&path.display().to_string(), &load::read(path)?)
+    }
+
+    /// Parses the settings from the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault in the text.
+    pub fn from_toml(file: &str, text: &str) -> Result<Self, SettingsError> {
+        load::parse(file, text, KEYS, contradictions)
+    }
+
+    /// Returns the address for entries to use, given the one that was bound.
+    #[must_use]
+    pub fn advertised_peer_address(&self, bound: SocketAddr) -> SocketAddr {
+        self.advertised_peer_address.unwrap_or(bound)
+    }
+}
+
+fn contradictions(file: &str, settings: &AgentSettings) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    if !settings.announce_address.ip().is_loopback() {
+        let fault = Fault::error(file, "announce_address", "is not a loopback address");
+        faults.push(fault.with_remedy("use an address such as \"127.0.0.1:7200\""));
+    }
+    faults.extend(load::check_advertised(
+        file,
+        "peer_address",
+        settings.peer_address,
+        settings.advertised_peer_address,
+    ));
+    faults
+}
