--- /dev/null
+++ b/components/agent/src/metrics.rs
@@ -0,0 +1,122 @@
+//! Metrics of an agent.
+
+use runtime::prometheus::{IntCounterVec, IntGauge, IntGaugeVec};
+use runtime::{Metrics, MetricsError};
+
+use crate::process::Shared;
+
+/// The metrics of an agent, filled in when they are asked for.
+pub struct AgentMetrics {
+    metrics: Metrics,
+    tasks: IntGaugeVec,
+    unacknowledged: IntGauge,
+    records: IntGauge,
+    result_bytes: IntGauge,
+    config_revision: IntGauge,
+    ready: IntGauge,
+    events: IntCounterVec,
+    links: IntCounterVec,
+}
+
+impl AgentMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a name is malformed or taken.
+    pub fn new() -> Result<Self, MetricsError> {
+        let metrics = Metrics::new();
+        Ok(Self {
+            tasks: metrics.gauge_vec(
+                "shallotcross_agent_tasks",
+                "Tasks at the agent by state.",
+                &["state"],
+            )?,
+            unacknowledged: metrics.gauge(
+                "shallotcross_agent_unacknowledged",
+                "Outcomes and refusals that no owner has acknowledged.",
+            )?,
+            records: metrics.gauge("shallotcross_agent_records", "Records of tasks.")?,
+            result_bytes: metrics.gauge(
+                "shallotcross_agent_result_bytes",
+                "Size of the results held.",
+            )?,
+            config_revision: metrics.gauge(
+                "shallotcross_agent_config_revision",
+                "Revision of the configuration in force.",
+            )?,
+            ready: metrics.gauge("shallotcross_agent_ready", "Whether owners may send tasks.")?,
+            events: metrics.counter_vec(
+                "shallotcross_agent_events_total",
+                "Events by cause.",
+                &["cause"],
+            )?,
+            links: metrics.counter_vec(
+                "shallotcross_agent_link_events_total",
+                "Events on connections of entries.",
+                &["event"],
+            )?,
+            metrics,
+        })
+    }
+
+    /// Returns the metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric cannot be encoded.
+    pub fn render(&self, shared: &Shared) -> Result<String, MetricsError> {
+        let state = shared.core.borrow().state();
+        self.tasks
+            .with_label_values(&["running"])
+            .set(state.running as i64);
+        self.tasks
+            .with_label_values(&["queued"])
+            .set(state.queued as i64);
+        self.unacknowledged.set(state.unacknowledged as i64);
+        self.records.set(state.records as i64);
+        self.result_bytes.set(state.result_bytes as i64);
+        self.config_revision.set(state.config_revision as i64);
+        self.ready.set(i64::from(state.ready));
+        self.set_events(&state);
+        for (event, count) in shared.links.iter() {
+            raise(&self.links, event, count);
+        }
+        self.metrics.encode()
+    }
+
+    fn set_events(&self, state: &execution::AgentState) {
+        let counters = state.process.iter().chain(state.firms.values());
+        let mut totals = std::collections::BTreeMap::<String, u64>::new();
+        for counter in counters {
+            let named = [
+                ("invoked", counter.invoked),
+                ("finished", counter.finished),
+                ("not_started", counter.not_started),
+                ("duplicate", counter.duplicates),
+                ("stale", counter.stale),
+                ("conflicting", counter.conflicting),
+                ("late_outcome", counter.late_outcomes),
+                ("misaddressed", counter.misaddressed),
+                ("resent", counter.resent),
+                ("result_dropped", counter.results_dropped),
+            ];
+            for (name, count) in named {
+                *totals.entry(name.to_owned()).or_default() += count;
+            }
+            for (reason, count) in &counter.refused {
+                let name: &'static str = reason.into();
+                *totals.entry(format!("refused_{name}")).or_default() += count;
+            }
+        }
+        for (name, count) in totals {
+            raise(&self.events, &name, count);
+        }
+    }
+}
+
+/// Raises a counter to a count kept elsewhere.
+fn raise(counters: &IntCounterVec, label: &str, count: u64) {
+    let counter = counters.with_label_values(&[label]);
+    counter.inc_by(count.saturating_sub(counter.get()));
+}
--- /dev/null
+++ b/components/agent/src/tasks.rs
@@ -0,0 +1,186 @@
+//! Calls of the target, and messages to entries.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use execution::{AgentAction, CallKey, CallOutcome};
+use futures::future::{AbortHandle, abortable};
+use model::{AgentEnvelope, FirmKey, OwnerEnvelope, TargetInfo};
+use runtime::{monotonic_us, unix_ms};
+use targets::{Announcement, Invocation, InvokeOutcome, Invoker};
+
+use crate::process::Shared;
+
+/// Time after which an unanswered message to an entry is given up, in microseconds.
+///
+/// The decisions send again what was not acknowledged.
+const EXCHANGE_US: u64 = 2_000_000;
+
+/// The target beside the agent and the calls to it.
+#[derive(Default)]
+pub struct Calls {
+    target: Option<Target>,
+    aborts: HashMap<CallKey, AbortHandle>,
+}
+
+struct Target {
+    announcement: Announcement,
+    invoker: Invoker,
+}
+
+impl Calls {
+    /// Takes in an announcement; connections are kept while the address is the same.
+    pub fn announced(&mut self, announcement: Announcement) {
+        if let Some(target) = &mut self.target
+            && target.announcement.address == announcement.address
+            && target.announcement.connections == announcement.connections
+        {
+            target.announcement = announcement;
+            return;
+        }
+        let connections = usize::from(announcement.connections);
+        let invoker = Invoker::new(announcement.address, connections);
+        self.target = Some(Target {
+            announcement,
+            invoker,
+        });
+    }
+
+    /// Forgets the target; calls under way go on.
+    pub fn left(&mut self) {
+        self.target = None;
+    }
+
+    /// Returns the name of the target.
+    pub fn target_name(&self) -> Option<&str> {
+        self.target
+            .as_ref()
+            .map(|target| target.announcement.name.as_str())
+    }
+
+    /// Returns what the target announced.
+    pub fn target_info(&self) -> Option<TargetInfo> {
+        self.target
+            .as_ref()
+            .map(|target| target.announcement.target_info())
+    }
+
+    fn call(&self, firm: FirmKey) -> Option<(Invoker, String)> {
+        let target = self.target.as_ref()?;
+        let name = target
+            .announcement
+            .firms
+            .iter()
+            .find(|name| FirmKey::from_name(name) == firm)?;
+        Some((target.invoker.clone(), name.clone()))
+    }
+}
+
+impl Shared {
+    /// Does what the decisions ask for.
+    pub fn perform(self: &Rc<Self>, actions: Vec<AgentAction>) {
+        for action in actions {
+            match action {
+                AgentAction::Send(envelope) => {
+                    monoio::spawn(Rc::clone(self).send(envelope));
+                }
+                AgentAction::Abort { call } => {
+                    if let Some(handle) = self.calls.borrow_mut().aborts.remove(&call) {
+                        handle.abort();
+                    }
+                }
+                AgentAction::Invoke {
+                    call,
+                    task,
+                    attempt,
+                    job_id,
+                    firm,
+                    payload,
+                    timeout_us,
+                    ..
+                } => {
+                    let invocation = Invocation {
+                        firm: String::new(),
+                        job_id,
+                        index: task.index,
+                        attempt,
+                        payload,
+                        timeout: Duration::from_micros(timeout_us),
+                    };
+                    self.invoke(call, firm, invocation);
+                }
+            }
+        }
+    }
+
+    fn invoke(self: &Rc<Self>, call: CallKey, firm: FirmKey, mut invocation: Invocation) {
+        let Some((invoker, name)) = self.calls.borrow().call(firm) else {
+            let outcome = CallOutcome::NotStarted("the target is gone".to_owned());
+            monoio::spawn(Rc::clone(self).finish(call, outcome));
+            return;
+        };
+        invocation.firm = name;
+        let (future, handle) = abortable(async move { invoker.invoke(&invocation).await });
+        self.calls.borrow_mut().aborts.insert(call, handle);
+        let shared = Rc::clone(self);
+        monoio::spawn(async move {
+            let outcome = match future.await {
+                Ok(outcome) => call_outcome(outcome),
+                Err(_) => CallOutcome::Unknown("stopped at the owner's request".to_owned()),
+            };
+            shared.finish(call, outcome).await;
+        });
+    }
+
+    async fn finish(self: Rc<Self>, call: CallKey, outcome: CallOutcome) {
+        self.calls.borrow_mut().aborts.remove(&call);
+        let mut actions = Vec::new();
+        self.core
+            .borrow_mut()
+            .invoke_done(monotonic_us(), call, outcome, &mut actions);
+        self.perform(actions);
+    }
+
+    async fn send(self: Rc<Self>, envelope: AgentEnvelope) {
+        let Some(address) = self.directory.borrow().address(envelope.to) else {
+            log::debug!("Entry {} has no known address.", envelope.to);
+            return;
+        };
+        let expected = Some(envelope.to);
+        let link = match self.entries.link(&address, expected).await {
+            Ok(link) => link,
+            Err(error) => {
+                log::debug!("Entry {address} cannot be reached: {error}.");
+                return;
+            }
+        };
+        match link.exchange(envelope, monotonic_us() + EXCHANGE_US).await {
+            Ok(answer) => self.answered(answer),
+            Err(error) => {
+                log::debug!("Entry {address} did not answer: {error}.");
+                self.entries.remove(&address);
+            }
+        }
+    }
+
+    fn answered(self: &Rc<Self>, answer: OwnerEnvelope) {
+        if answer.messages.is_empty() {
+            return;
+        }
+        let mut actions = Vec::new();
+        self.core
+            .borrow_mut()
+            .handle(monotonic_us(), unix_ms(), answer, &mut actions);
+        self.perform(actions);
+    }
+}
+
+fn call_outcome(outcome: InvokeOutcome) -> CallOutcome {
+    match outcome {
+        InvokeOutcome::Done(result) => CallOutcome::Done(result),
+        InvokeOutcome::Failed(detail) => CallOutcome::Failed(detail),
+        InvokeOutcome::NotStarted(detail) => CallOutcome::NotStarted(detail),
+        InvokeOutcome::Unknown(detail) => CallOutcome::Unknown(detail),
+    }
+}
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -8,6 +8,7 @@
 mod hello;
 mod link;
 mod message;
+mod pool;
 mod server;
 mod service;
 
@@ -21,6 +22,7 @@
     AnnounceReply, CancelReply, ConfigDocument, EntryPing, EntryPong, HandOver, HandOverReply,
     JobProgress, OwnedShard, OwnerHint, ShardOwner, StatusReply, SubmitReply,
 };
+pub use pool::{AgentPool, EntryPool, Pool};
 pub use server::{
     DEFAULT_CONNECTION_LIMIT, MAX_CALLS_PER_CONNECTION, ServerSettings, ServerSettingsBuilder,
     serve_agent, serve_entry,
--- /dev/null
+++ b/components/protocol/src/pool.rs
@@ -0,0 +1,109 @@
+//! Open connections to other processes, by address.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+
+use model::ProcessKey;
+
+use crate::error::LinkError;
+use crate::link::{AgentLink, EntryLink, Link};
+
+/// Time for which a connection may take to open, in microseconds.
+///
+/// A few round trips between failure domains; a host that is gone must not hold up retries.
+const CONNECT_US: u64 = 500_000;
+
+/// Connections to agents.
+pub type AgentPool = Pool<crate::service::AgentServiceClient>;
+
+/// Connections to entries.
+pub type EntryPool = Pool<crate::service::EntryServiceClient>;
+
+/// Open connections of one kind, made on first use and again after they close.
+pub struct Pool<C> {
+    own: ProcessKey,
+    links: RefCell<HashMap<String, Link<C>>>,
+}
+
+impl<C: Clone> Pool<C> {
+    /// Builds a pool without connections for the process `own`.
+    #[must_use]
+    pub fn new(own: ProcessKey) -> Self {
+        Self {
+            own,
+            links: RefCell::default(),
+        }
+    }
+
+    /// Closes the connection to an address.
+    pub fn remove(&self, address: &str) {
+        self.links.borrow_mut().remove(address);
+    }
+
+    /// Returns the number of connections.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.links.borrow().len()
+    }
+
+    /// Tells whether there is no connection.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.links.borrow().is_empty()
+    }
+
+    fn open_link(&self, address: &str, expected: Option<ProcessKey>) -> Option<Link<C>> {
+        let links = self.links.borrow();
+        let link = links.get(address)?;
+        let fits = expected.is_none_or(|key| key == link.peer());
+        (!link.is_closed() && fits).then(|| link.clone())
+    }
+
+    fn keep(&self, address: &str, link: &Link<C>) {
+        self.links
+            .borrow_mut()
+            .insert(address.to_owned(), link.clone());
+    }
+}
+
+impl AgentPool {
+    /// Returns a connection to the agent at `address`, of the incarnation `expected` if given.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the agent cannot be reached or refuses the connection.
+    pub async fn link(
+        &self,
+        address: &str,
+        expected: Option<ProcessKey>,
+    ) -> Result<AgentLink, LinkError> {
+        if let Some(link) = self.open_link(address, expected) {
+            return Ok(link);
+        }
+        let deadline_us = runtime::monotonic_us() + CONNECT_US;
+        let link = AgentLink::connect(address, self.own, expected, deadline_us).await?;
+        self.keep(address, &link);
+        Ok(link)
+    }
+}
+
+impl EntryPool {
+    /// Returns a connection to the entry at `address`, of the incarnation `expected` if given.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entry cannot be reached or refuses the connection.
+    pub async fn link(
+        &self,
+        address: &str,
+        expected: Option<ProcessKey>,
+    ) -> Result<EntryLink, LinkError> {
+        if let Some(link) = self.open_link(address, expected) {
+            return Ok(link);
+        }
+        let deadline_us = runtime::monotonic_us() + CONNECT_US;
+        let link = EntryLink::connect(address, self.own, expected, deadline_us).await?;
+        self.keep(address, &link);
+        Ok(link)
+    }
+}
