--- a/components/platform/src/wire/int64.rs
+++ b/components/platform/src/wire/int64.rs
@@ -20,3 +20,7 @@
         Repr::Text(text) => text.parse().map_err(D::Error::custom),
     }
 }
+
+pub(super) fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
