Test merging, settings and publication

Ruled out: leaving out all contradictions of a firm that has an invalid value, since that hides faults; each contradiction now names the keys it depends on.

--- a/components/config/src/folder/contradictions.rs
+++ b/components/config/src/folder/contradictions.rs
@@ -1,7 +1,6 @@
 //! Finds values that are valid one by one and contradict each other.
 
 use std::collections::BTreeMap;
-use std::hash::Hash;
 
 use model::{FirmKey, GroupKey};
 use toml::Table;
@@ -20,113 +19,154 @@
         Err(error) => return vec![Fault::error("published", "", error.to_string())],
     };
     let mut faults = Checker::new("published", Severity::Error).check(&mut table, keys::ROOT);
-    faults.extend(contradictions(configuration, provenance));
+    let found = contradictions(configuration, provenance);
+    faults.extend(found.into_iter().map(|contradiction| contradiction.fault));
     faults.retain(Fault::is_error);
     faults
 }
 
+/// A fault in values that are valid one by one.
+#[derive(Debug)]
+pub(super) struct Contradiction {
+    pub(super) fault: Fault,
+    /// Keys of the values that contradict each other.
+    keys: Vec<String>,
+}
+
+impl Contradiction {
+    /// Tells whether one of the values was left out because of the given error.
+    pub(super) fn follows_from(&self, error: &Fault) -> bool {
+        let faulty = error.key.split('[').next().unwrap_or_default();
+        let is_faulty = |key: &String| {
+            let rest = key.strip_prefix(faulty);
+            rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+        };
+        self.keys.iter().any(is_faulty)
+    }
+}
+
 /// Returns all contradictions in a merged configuration.
-pub(super) fn contradictions(configuration: &Configuration, provenance: &Provenance) -> Vec<Fault> {
+pub(super) fn contradictions(
+    configuration: &Configuration,
+    provenance: &Provenance,
+) -> Vec<Contradiction> {
     let mut finder = Finder {
         configuration,
         provenance,
-        faults: Vec::new(),
+        found: Vec::new(),
     };
     finder.firms();
     finder.groups();
     finder.tokens();
-    finder.faults
+    finder.found
 }
 
 struct Finder<'a> {
     configuration: &'a Configuration,
     provenance: &'a Provenance,
-    faults: Vec<Fault>,
+    found: Vec<Contradiction>,
 }
 
 impl Finder<'_> {
     fn firms(&mut self) {
         let configuration = self.configuration;
         if configuration.firms.is_empty() {
-            self.error("firms", "names no firm", "add a table [firms.NAME]");
+            let fault = self.error("firms", "names no firm");
+            self.add(fault.with_remedy("add a table [firms.NAME]"), &[]);
         }
         for (name, firm) in &configuration.firms {
-            self.deadlines(name, firm);
-            self.sizes(name, firm);
-            self.teams(name, firm);
+            let path = format!("firms.{name}");
+            self.deadlines(&path, firm);
+            self.sizes(&path, firm);
+            self.rate(&path, firm);
+            self.teams(&path, firm);
         }
         self.collisions("firms", configuration.firms.keys(), FirmKey::from_name);
     }
 
-    fn deadlines(&mut self, name: &str, firm: &Firm) {
-        let key = format!("firms.{name}.default_deadline_ms");
-        if firm.default_deadline_ms > firm.max_deadline_ms {
-            let message = format!(
-                "{} exceeds the firm's max_deadline_ms, {}",
-                firm.default_deadline_ms, firm.max_deadline_ms
+    fn deadlines(&mut self, path: &str, firm: &Firm) {
+        let default_key = format!("{path}.default_deadline_ms");
+        let max_key = format!("{path}.max_deadline_ms");
+        let (default_ms, max_ms) = (firm.default_deadline_ms, firm.max_deadline_ms);
+        if default_ms > max_ms {
+            let message = format!("the default, {default_ms}, exceeds max_deadline_ms, {max_ms}");
+            let fault = self.error(&default_key, message);
+            self.add(
+                fault.with_remedy("lower default_deadline_ms, or raise max_deadline_ms"),
+                &[&max_key],
             );
-            self.error(&key, &message, "lower it, or raise max_deadline_ms");
         }
         let limit_ms = self.configuration.limits.max_deadline_ms;
-        if firm.max_deadline_ms > limit_ms {
-            let key = format!("firms.{name}.max_deadline_ms");
-            let message = format!(
-                "{} exceeds limits.max_deadline_ms, {limit_ms}",
-                firm.max_deadline_ms
-            );
-            self.error(&key, &message, "lower it, or raise the limit");
+        if max_ms > limit_ms {
+            let message = format!("the firm's {max_ms} exceeds limits.max_deadline_ms, {limit_ms}");
+            let fault = self.error(&max_key, message);
+            let fault = fault.with_remedy("lower the firm's value, or raise the limit");
+            self.add(fault, &["limits.max_deadline_ms"]);
         }
     }
 
-    fn sizes(&mut self, name: &str, firm: &Firm) {
-        let key = format!("firms.{name}.max_tasks_per_job");
+    fn sizes(&mut self, path: &str, firm: &Firm) {
+        let key = format!("{path}.max_tasks_per_job");
         let largest = firm.max_tasks_per_job;
         let limit = self.configuration.limits.max_tasks_per_job;
         if largest > limit {
-            let message = format!("{largest} exceeds limits.max_tasks_per_job, {limit}");
-            self.error(&key, &message, "lower it, or raise the limit");
+            let message = format!("the firm's {largest} exceeds limits.max_tasks_per_job, {limit}");
+            let fault = self
+                .error(&key, message)
+                .with_remedy("lower the firm's value, or raise the limit");
+            self.add(fault, &["limits.max_tasks_per_job"]);
         }
         if u32::from(largest) > firm.quota_tasks {
-            let message = format!("{largest} exceeds quota_tasks, {}", firm.quota_tasks);
-            self.warning(
-                &key,
-                &message,
-                "lower it: the largest jobs are never admitted",
+            let message = format!(
+                "max_tasks_per_job, {largest}, exceeds quota_tasks, {}",
+                firm.quota_tasks
             );
+            let fault = self.warning(&key, message);
+            let fault =
+                fault.with_remedy("lower max_tasks_per_job: the largest jobs are never admitted");
+            self.add(fault, &[&format!("{path}.quota_tasks")]);
         }
+    }
+
+    fn rate(&mut self, path: &str, firm: &Firm) {
+        let rate_key = format!("{path}.rate_tasks_per_s");
+        let burst_key = format!("{path}.burst_tasks");
+        let largest = firm.max_tasks_per_job;
         if firm
             .burst()
             .is_some_and(|burst_tasks| u32::from(largest) > burst_tasks)
         {
-            let message = format!("{largest} exceeds what the rate lets through at once");
-            self.warning(&key, &message, "lower it, or raise burst_tasks");
+            let message =
+                format!("max_tasks_per_job, {largest}, exceeds what the rate lets through at once");
+            let fault = self.warning(&format!("{path}.max_tasks_per_job"), message);
+            let fault = fault.with_remedy("lower max_tasks_per_job, or raise burst_tasks");
+            self.add(fault, &[&rate_key, &burst_key]);
         }
         if firm.burst_tasks.is_some() && firm.rate_tasks_per_s.is_none() {
-            let key = format!("firms.{name}.burst_tasks");
-            self.warning(
-                &key,
-                "has no effect without a rate",
-                "set rate_tasks_per_s as well",
+            let fault = self.warning(&burst_key, "has no effect without a rate");
+            self.add(
+                fault.with_remedy("set rate_tasks_per_s as well"),
+                &[&rate_key],
             );
         }
     }
 
-    fn teams(&mut self, name: &str, firm: &Firm) {
+    fn teams(&mut self, path: &str, firm: &Firm) {
         let has_token =
             !firm.tokens.is_empty() || firm.teams.values().any(|team| !team.tokens.is_empty());
         if !has_token {
-            let key = format!("firms.{name}.tokens");
-            self.warning(&key, "no client of the firm has a token", "add a token");
+            let message = "no client of the firm has a token";
+            let fault = self.warning(&format!("{path}.tokens"), message);
+            self.add(fault.with_remedy("add a token"), &[]);
         }
         for (team, settings) in &firm.teams {
-            if settings.quota(firm) > firm.quota_tasks {
-                let key = format!("firms.{name}.teams.{team}.quota_tasks");
-                let message = format!(
-                    "{} exceeds the firm's quota_tasks, {}",
-                    settings.quota(firm),
-                    firm.quota_tasks
-                );
-                self.warning(&key, &message, "lower it, or raise the firm's quota");
+            let (own_tasks, firm_tasks) = (settings.quota(firm), firm.quota_tasks);
+            if own_tasks > firm_tasks {
+                let message =
+                    format!("the team's {own_tasks} exceeds the firm's quota_tasks, {firm_tasks}");
+                let fault = self.warning(&format!("{path}.teams.{team}.quota_tasks"), message);
+                let fault = fault.with_remedy("lower the team's quota, or raise the firm's");
+                self.add(fault, &[&format!("{path}.quota_tasks")]);
             }
         }
     }
@@ -142,10 +182,10 @@
     fn group(&mut self, name: &str, group: &Group) {
         let key = format!("groups.{name}.firms");
         if group.firms.is_empty() {
-            self.error(
-                &key,
-                "names no firm",
-                "list the firms that may use the group",
+            let fault = self.error(&key, "names no firm");
+            self.add(
+                fault.with_remedy("list the firms that may use the group"),
+                &[],
             );
         }
         for firm in &group.firms {
@@ -153,15 +193,13 @@
                 continue;
             }
             let message = format!("names the firm `{firm}`, which is not declared");
-            self.error(
-                &key,
-                &message,
-                &format!("add [firms.{firm}], or correct the name"),
-            );
+            let fault = self.error(&key, message);
+            let fault = fault.with_remedy(format!("add [firms.{firm}], or correct the name"));
+            self.add(fault, &[&format!("firms.{firm}")]);
         }
     }
 
-    fn collisions<'a, K: Copy + Eq + Hash + Ord>(
+    fn collisions<'a, K: Copy + Ord>(
         &mut self,
         table: &str,
         names: impl Iterator<Item = &'a String>,
@@ -171,7 +209,8 @@
         for name in names {
             if let Some(other) = seen.insert(key_of(name), name) {
                 let message = format!("has the same internal key as `{other}`");
-                self.error(&format!("{table}.{name}"), &message, "choose another name");
+                let fault = self.error(&format!("{table}.{name}"), message);
+                self.add(fault.with_remedy("choose another name"), &[]);
             }
         }
     }
@@ -180,20 +219,29 @@
         let configuration = self.configuration;
         let mut seen: BTreeMap<&Token, Principal<'_>> = BTreeMap::new();
         for (principal, token) in configuration.tokens() {
-            let Some(other) = seen.insert(token, principal) else {
-                continue;
-            };
-            let (key, other_key) = (tokens_key(principal), tokens_key(other));
-            if key == other_key {
-                self.warning(&key, "lists a token twice", "remove one of the two");
-                continue;
+            if let Some(other) = seen.insert(token, principal) {
+                self.same_token(&tokens_key(principal), &tokens_key(other));
             }
-            let other_file = self.file(&other_key);
-            let message = format!("holds a token that `{other_key}` in {other_file} holds as well");
-            self.error(&key, &message, "give each of the two a token of its own");
         }
     }
 
+    fn same_token(&mut self, key: &str, other: &str) {
+        if key == other {
+            let fault = self.warning(key, "lists a token twice");
+            self.add(fault.with_remedy("remove one of the two"), &[]);
+            return;
+        }
+        let message = format!(
+            "holds a token that `{other}` in {} holds as well",
+            self.file(other)
+        );
+        let fault = self.error(key, message);
+        self.add(
+            fault.with_remedy("give each of the two a token of its own"),
+            &[other],
+        );
+    }
+
     /// Returns the file that set the key, or a key below it, or the tables that hold it.
     fn file(&self, key: &str) -> String {
         if let Some(file) = self.provenance.get(key) {
@@ -211,14 +259,25 @@
         }
     }
 
-    fn error(&mut self, key: &str, message: &str, remedy: &str) {
-        let fault = Fault::error(&self.file(key), key, message).with_remedy(remedy);
-        self.faults.push(fault);
+    fn error(&self, key: &str, message: impl Into<String>) -> Fault {
+        Fault::error(&self.file(key), key, message)
     }
 
-    fn warning(&mut self, key: &str, message: &str, remedy: &str) {
-        let fault = Fault::warning(&self.file(key), key, message).with_remedy(remedy);
-        self.faults.push(fault);
+    fn warning(&self, key: &str, message: impl Into<String>) -> Fault {
+        Fault::warning(&self.file(key), key, message)
+    }
+
+    /// Adds a fault that depends on its own key and on others.
+    ///
+    /// If its own key has a default value, the fault is reported at one that a file sets.
+    fn add(&mut self, mut fault: Fault, others: &[&str]) {
+        let mut keys = vec![fault.key.clone()];
+        keys.extend(others.iter().map(|key| String::from(*key)));
+        if let Some(key) = keys.iter().find(|key| self.provenance.contains_key(*key)) {
+            fault.key.clone_from(key);
+            fault.file = self.file(key);
+        }
+        self.found.push(Contradiction { fault, keys });
     }
 }
 
--- a/components/config/src/folder/merge.rs
+++ b/components/config/src/folder/merge.rs
@@ -6,7 +6,7 @@
 
 use toml::{Table, Value};
 
-use super::contradictions::contradictions;
+use super::contradictions::{Contradiction, contradictions};
 use super::keys;
 use super::read::SourceFile;
 use crate::configuration::Configuration;
@@ -79,8 +79,9 @@
             }
         };
         let mut found = contradictions(&configuration, &self.provenance);
-        found.retain(|fault| !self.is_consequence(fault));
-        self.faults.extend(found);
+        found.retain(|contradiction| !self.is_consequence(contradiction));
+        self.faults
+            .extend(found.into_iter().map(|contradiction| contradiction.fault));
         if self.faults.iter().any(Fault::is_error) {
             return Err(self.faults);
         }
@@ -92,23 +93,12 @@
     }
 
     /// Tells whether a contradiction may only be due to an invalid value that was left out.
-    fn is_consequence(&self, contradiction: &Fault) -> bool {
-        let errors = self.faults.iter().filter(|fault| fault.is_error());
-        errors.into_iter().any(|error| {
-            error.key.starts_with("limits") || owner(&error.key) == owner(&contradiction.key)
-        })
+    fn is_consequence(&self, contradiction: &Contradiction) -> bool {
+        let mut errors = self.faults.iter().filter(|fault| fault.is_error());
+        errors.any(|error| contradiction.follows_from(error))
     }
 }
 
-/// Returns the table that a key belongs to, such as `firms.NAME`.
-fn owner(key: &str) -> &str {
-    let end = key
-        .match_indices('.')
-        .nth(1)
-        .map_or(key.len(), |(at, _)| at);
-    &key[..end]
-}
-
 fn parse(file: &SourceFile) -> Result<Table, Fault> {
     if file.bytes.is_empty() {
         return Err(Fault::error(&file.name, "line 1", "is empty")
--- /dev/null
+++ b/components/config/tests/settings.rs
@@ -0,0 +1,129 @@
+//! Settings files are validated as they load.
+
+use std::fs;
+
+use config::{AgentSettings, EntrySettings, LogFormat, LogLevel};
+use errors::ExitCode;
+
+const ENTRY: &str = "listen_address = '127.0.0.1:8080'\npeer_address = '127.0.0.1:7100'\n\
+                     failure_domain = 'kochi-1'\nplatform_addresses = ['127.0.0.1:2379']\n";
+
+const AGENT: &str = "announce_address = '127.0.0.1:7200'\npeer_address = '10.0.0.5:7100'\n\
+                     failure_domain = 'kochi-1'\nentries = ['10.0.0.1:7100']\n";
+
+#[test]
+fn minimal_files_get_defaults() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let path = dir.path().join("entry.toml");
+    fs::write(&path, ENTRY).expect("a file");
+    let entry = EntrySettings::load(&path).expect("valid");
+    assert_eq!(
+        (entry.drain_timeout_ms, entry.limits.max_header_bytes),
+        (30_000, 16_384)
+    );
+    assert_eq!(
+        (entry.log.format, entry.log.level),
+        (LogFormat::Text, LogLevel::Info)
+    );
+    assert!(entry.firms.is_empty() && entry.seed_peers.is_empty());
+    let bound = "127.0.0.1:7100".parse().expect("an address");
+    assert_eq!(entry.advertised_peer_address(bound), bound);
+
+    let agent = AgentSettings::from_toml("agent.toml", AGENT).expect("valid");
+    assert_eq!(
+        (agent.drain_timeout_ms, agent.limits.max_queue_tasks),
+        (30_000, 1_000)
+    );
+    let missing = AgentSettings::load(&dir.path().join("none.toml")).expect_err("missing");
+    assert!(missing.to_string().contains("none.toml"), "{missing}");
+}
+
+#[test]
+fn log_levels_can_be_set_per_part() {
+    let text = format!("{ENTRY}[log]\nformat = 'json'\n[log.parts]\ndispatch = 'debug'");
+    let entry = EntrySettings::from_toml("entry.toml", &text).expect("valid");
+    assert_eq!(entry.log.parts["dispatch"], LogLevel::Debug);
+    assert_eq!(entry.log.format, LogFormat::Json);
+}
+
+#[test]
+fn entry_faults_name_file_key_and_remedy() {
+    let cases = [
+        (
+            "drain_timout_ms = 5",
+            "drain_timout_ms",
+            "did you mean `drain_timeout_ms`",
+        ),
+        (
+            "drain_timeout = '5s'",
+            "drain_timeout",
+            "drain_timeout_ms = 5000",
+        ),
+        (
+            "drain_timeout_ms = '5s'",
+            "drain_timeout_ms",
+            "drain_timeout_ms = 5000",
+        ),
+        ("region = 3", "region", "quotes"),
+        ("seed_peers = ['host:1']", "seed_peers[0]", "IP number"),
+        ("[log]\nlevel = 'loud'", "log.level", "\"trace\""),
+        (
+            "[limits]\nmax_header_bytes = 1",
+            "limits.max_header_bytes",
+            "from 256",
+        ),
+        (
+            "[limits]\nmax_conections = 1",
+            "limits.max_conections",
+            "`max_connections`",
+        ),
+        (
+            "advertised_peer_address = '0.0.0.0:1'",
+            "advertised_peer_address",
+            "set",
+        ),
+        ("x = [", "line 5", "correct the TOML"),
+    ];
+    for (text, key, remedy) in cases {
+        let text = format!("{ENTRY}{text}");
+        let error = EntrySettings::from_toml("entry.toml", &text).expect_err(&text);
+        assert_eq!(error.faults.len(), 1, "{error}");
+        let fault = &error.faults[0];
+        assert_eq!(
+            (fault.file.as_str(), fault.key.as_str()),
+            ("entry.toml", key)
+        );
+        assert!(fault.remedy.contains(remedy), "{fault}");
+    }
+}
+
+#[test]
+fn all_missing_keys_are_reported() {
+    let error = EntrySettings::from_toml("entry.toml", "").expect_err("empty");
+    let keys: Vec<&str> = error
+        .faults
+        .iter()
+        .map(|fault| fault.key.as_str())
+        .collect();
+    let required = [
+        "listen_address",
+        "peer_address",
+        "failure_domain",
+        "platform_addresses",
+    ];
+    assert_eq!(keys, required);
+    assert_eq!(errors::Error::from(error).exit_code, ExitCode::Invalid);
+}
+
+#[test]
+fn addresses_that_contradict_each_other_are_refused() {
+    let wildcard = ENTRY.replace("127.0.0.1:7100", "0.0.0.0:7100");
+    let error = EntrySettings::from_toml("entry.toml", &wildcard).expect_err("no host");
+    assert_eq!(error.faults[0].key, "peer_address");
+    let same = ENTRY.replace(":7100", ":8080");
+    let error = EntrySettings::from_toml("entry.toml", &same).expect_err("same port");
+    assert_eq!(error.faults[0].key, "peer_address");
+    let open = AGENT.replace("127.0.0.1:7200", "10.0.0.5:7200");
+    let error = AgentSettings::from_toml("agent.toml", &open).expect_err("not loopback");
+    assert_eq!(error.faults[0].key, "announce_address");
+}
--- a/components/operators/src/publish.rs
+++ b/components/operators/src/publish.rs
@@ -3,63 +3,16 @@
 //! The state machine reads the value in force, swaps it, and reads back whenever the answer
 //! to the swap does not tell whether the value was written.
 
-use config::{Configuration, Fault, MAX_ANCESTORS, Published, PublishedError, Severity, changes};
+use config::{Change, Configuration, MAX_ANCESTORS, Published, PublishedError, changes};
 
+use crate::call::{Action, Event, Expected, Stored};
 use crate::conflict::{Conflict, Edit};
 use crate::outcome::Outcome;
+use crate::shards::shard_changes;
 
 /// Failed calls after which the state machine gives up.
 pub const MAX_FAILURES: u32 = 8;
 
-/// What the operator expects to be in force.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Expected {
-    /// Whatever is in force when the command starts.
-    Latest,
-    /// The revision that the operator last saw; zero if there was no value.
-    Revision(u64),
-}
-
-/// The platform's value with its revision.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Stored {
-    /// Revision of the last write of the key.
-    pub revision: u64,
-    /// The value.
-    pub value: Vec<u8>,
-}
-
-/// What the caller is to do next; after a failed call it may wait first.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Read the value under [`config::CONFIG_KEY`], linearizably.
-    Read,
-    /// Write the value if its revision is still the expected one; zero means no value.
-    CompareAndSwap {
-        /// Revision that the value must have.
-        expected_revision: u64,
-        /// The new value.
-        value: String,
-    },
-    /// Stop.
-    Finish(Outcome),
-}
-
-/// What became of the last call.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Event {
-    /// The read returned a value, or that there is none.
-    Read(Option<Stored>),
-    /// The read failed.
-    ReadFailed(String),
-    /// The value was written at this revision.
-    Swapped(u64),
-    /// The value had another revision and was not written.
-    SwapRefused,
-    /// The call failed, and the value may have been written.
-    SwapUnknown(String),
-}
-
 /// Publishes one configuration.
 #[derive(Debug)]
 pub struct Publish {
@@ -112,15 +65,15 @@
         match (state, event) {
             (State::Finished(outcome), _) => self.finish(outcome),
             (State::Reading, Event::Read(stored)) => self.begin(stored),
-            (State::Reading, event) => self.retry_read(&message_of(&event)),
+            (State::Reading, event) => self.retry_read(&event.message()),
             (State::Swapping(base), Event::Swapped(revision)) => self.swapped(&base, revision),
             (State::Swapping(base), Event::SwapRefused) => self.read_back(base),
             (State::Swapping(base), event) => {
                 self.in_doubt = true;
-                self.fail(base, &message_of(&event))
+                self.fail(base, &event.message())
             }
             (State::ReadingBack(base), Event::Read(stored)) => self.resolve(base, stored),
-            (State::ReadingBack(base), event) => self.fail(base, &message_of(&event)),
+            (State::ReadingBack(base), event) => self.fail(base, &event.message()),
         }
     }
 
@@ -275,7 +228,7 @@
         self.lost(&base, message)
     }
 
-    fn changes_from(&self, base: &Base) -> Vec<config::Change> {
+    fn changes_from(&self, base: &Base) -> Vec<Change> {
         let empty = Configuration::default();
         let from = base.published.as_ref().map_or(&empty, |base| &base.merged);
         changes(from, &self.published.merged)
@@ -294,40 +247,3 @@
         None => other.ancestors.len() < MAX_ANCESTORS,
     }
 }
-
-/// Reports firms whose number of shards would change.
-///
-/// A resubmitted job would reach another shard, which does not know what ran before.
-fn shard_changes(current: &Configuration, own: &Published) -> Vec<Fault> {
-    let mut faults = Vec::new();
-    for (name, firm) in &own.merged.firms {
-        let Some(before) = current.firms.get(name) else {
-            continue;
-        };
-        if before.shards == firm.shards {
-            continue;
-        }
-        let key = format!("firms.{name}.shards");
-        faults.push(Fault {
-            severity: Severity::Error,
-            file: own
-                .provenance
-                .get(&key)
-                .map_or("default", String::as_str)
-                .to_owned(),
-            key,
-            message: format!("cannot change from {} to {}", before.shards, firm.shards),
-            remedy: String::from("keep the number, or declare a firm of another name"),
-        });
-    }
-    faults
-}
-
-fn message_of(event: &Event) -> String {
-    match event {
-        Event::ReadFailed(message) | Event::SwapUnknown(message) => message.clone(),
-        Event::Read(_) | Event::Swapped(_) | Event::SwapRefused => {
-            String::from("the answer does not belong to the call")
-        }
-    }
-}
