Check the agent's decisions by rules, random sequences and mutants

A failing target's back-off doubled with every call that had begun before the back-off; such failures are not counted any more. Shrinking the mutants' sequences was ruled out: only detection matters, and it takes long.

Moves records, load and task state to modules of their own.

--- a/components/execution/src/agent.rs
+++ b/components/execution/src/agent.rs
@@ -1,9 +1,6 @@
 //! The agent: its state, its inputs and the order in which it works.
 
-use model::{
-    AgentMessage, Heartbeat, HeartbeatAck, JobKey, Load, OwnerEnvelope, OwnerMessage,
-    PERMIT_TTL_MS, Permit, ProcessKey, RefusalReason, Rules, ShardKey, TargetInfo,
-};
+use model::{JobKey, OwnerEnvelope, OwnerMessage, ProcessKey, RefusalReason, ShardKey, TargetInfo};
 use rustc_hash::FxHashMap;
 use slotmap::SlotMap;
 
@@ -189,30 +186,6 @@
         }
     }
 
-    fn heartbeat(&mut self, from: ProcessKey, heartbeat: &Heartbeat) {
-        let mut shards = Vec::with_capacity(heartbeat.shards.len());
-        let mut backlogs = Vec::with_capacity(heartbeat.shards.len());
-        for beat in &heartbeat.shards {
-            if self.fenced(beat.shard) == Some((beat.generation, from)) {
-                shards.push((beat.shard, beat.generation));
-                backlogs.push((beat.shard.firm, beat.backlog));
-            }
-        }
-        self.owners.record(from, self.now_us, &backlogs);
-        self.divide_windows();
-        let permit = Permit {
-            agent: self.settings.key,
-            expires_us: self.now_us + PERMIT_TTL_MS * 1_000,
-        };
-        let sent_us = heartbeat.sent_us;
-        let ack = HeartbeatAck {
-            sent_us,
-            shards,
-            permit,
-        };
-        self.outbox.push(from, AgentMessage::HeartbeatAck(ack));
-    }
-
     fn settled(&mut self, from: ProcessKey, shard: ShardKey, jobs: &[JobKey]) {
         if !self.is_owner(shard, from) {
             self.counters.firm(shard.firm).stale += 1;
@@ -224,24 +197,6 @@
         self.evict_results();
     }
 
-    fn configure(&mut self, rules: &Rules) {
-        if rules.revision <= self.config_revision {
-            return;
-        }
-        self.config_revision = rules.revision;
-        self.queue.apply_rules(rules);
-        self.divide_windows();
-    }
-
-    fn advance_unix(&mut self, now_unix_ms: u64) {
-        // A clock that is set back must not bring back the time of a removed record.
-        self.now_unix_ms = self.now_unix_ms.max(now_unix_ms);
-        for (job, shard) in self.table.remove_expired(self.now_unix_ms) {
-            self.forget_job(shard, job);
-        }
-        self.results.trim(&self.table);
-    }
-
     pub(crate) fn advance(&mut self, now_us: u64) {
         self.now_us = self.now_us.max(now_us);
         if self
@@ -283,42 +238,8 @@
         }
     }
 
-    fn divide_windows(&mut self) {
-        let capacity = self
-            .target
-            .slots()
-            .saturating_add(self.settings.lookahead_tasks);
-        let queue = &self.queue;
-        self.owners.divide(capacity, |firm| queue.weight(firm));
-    }
-
-    pub(crate) fn is_ready(&self) -> bool {
-        let is_paused = self.target.resumes_us(self.now_us).is_some();
-        !self.draining && self.target.info().is_some() && !is_paused
-    }
-
-    pub(crate) fn load(&self, to: ProcessKey) -> Load {
-        let ready = self.is_ready();
-        let window = match (ready, self.target.is_failing()) {
-            (false, _) => 0,
-            (true, true) => 1,
-            (true, false) => self.owners.window(to),
-        };
-        Load {
-            window,
-            running: saturating_u16(self.calls.len()),
-            queued: saturating_u16(self.queue.len()),
-            ready,
-            config_revision: self.config_revision,
-        }
-    }
-
     fn acknowledgement_limit_us(&self) -> u64 {
         self.quiet_since_us
             .saturating_add(self.settings.drain_wait_us)
     }
 }
-
-fn saturating_u16(count: usize) -> u16 {
-    u16::try_from(count).unwrap_or(u16::MAX)
-}
--- a/components/execution/src/calls.rs
+++ b/components/execution/src/calls.rs
@@ -5,7 +5,8 @@
 use crate::actions::{AgentAction, CallKey, CallOutcome};
 use crate::agent::Agent;
 use crate::delivery::finished;
-use crate::table::{Delivery, FinishedTask, RunningTask, State, TaskRef};
+use crate::table::TaskRef;
+use crate::task::{Delivery, FinishedTask, RunningTask, State};
 
 impl Agent {
     /// Records how a call ended.
--- a/components/execution/src/delivery.rs
+++ b/components/execution/src/delivery.rs
@@ -8,7 +8,8 @@
 };
 
 use crate::agent::Agent;
-use crate::table::{Delivery, JobRef, State, Table, Task, TaskRef};
+use crate::table::{JobRef, Table, TaskRef};
+use crate::task::{Delivery, State, Task};
 
 const MIN_RESEND_US: u64 = 500_000;
 const MAX_RESEND_US: u64 = 4_000_000;
--- a/components/execution/src/fence.rs
+++ b/components/execution/src/fence.rs
@@ -9,14 +9,15 @@
 #[cfg(feature = "mutants")]
 use crate::mutation::Mutation;
 use crate::outbox::{job_header_bytes, task_bytes};
-use crate::table::{Delivery, Job, JobRef, State, Task, TaskRef};
+use crate::table::{Job, JobRef, TaskRef};
+use crate::task::{Delivery, State, Task};
 
 /// Size above which an answer to a fence continues in another part.
 const PART_BYTES: usize = 256 << 10;
 
 /// Consecutive tasks of one job in a part of an answer.
 #[derive(Debug, Clone, Copy)]
-struct Span {
+pub(crate) struct Span {
     job: JobRef,
     first: u16,
     last: u16,
@@ -30,7 +31,7 @@
     pub jobs: FxHashSet<JobRef>,
     /// What was known when the newest generation fenced. The division into parts stays
     /// as it is, so that parts of repeated answers can be combined.
-    parts: Vec<Vec<Span>>,
+    pub parts: Vec<Vec<Span>>,
 }
 
 /// How the sender of a message relates to the shard.
@@ -98,19 +99,6 @@
         self.answer_fence(from, fence.shard);
     }
 
-    pub(crate) fn forget_job(&mut self, key: ShardKey, job: JobRef) {
-        let Some(shard) = self.shards.get_mut(&key) else {
-            return;
-        };
-        shard.jobs.remove(&job);
-        if shard.jobs.is_empty() {
-            shard.parts.clear();
-            if shard.fenced.is_none() {
-                self.shards.remove(&key);
-            }
-        }
-    }
-
     fn adopt(&mut self, from: ProcessKey, fence: &Fence) {
         let shard = self.shards.entry(fence.shard).or_default();
         shard.fenced = Some((fence.generation, from));
--- a/components/execution/src/lib.rs
+++ b/components/execution/src/lib.rs
@@ -10,16 +10,19 @@
 mod counters;
 mod delivery;
 mod fence;
+mod load;
 #[cfg(feature = "mutants")]
 mod mutation;
 mod outbox;
 mod queue;
+mod records;
 mod results;
 mod revoke;
 mod start;
 mod state;
 mod table;
 mod target;
+mod task;
 mod window;
 
 pub use actions::{AgentAction, CallKey, CallOutcome};
--- a/components/execution/src/outbox.rs
+++ b/components/execution/src/outbox.rs
@@ -3,7 +3,7 @@
 use model::{AgentEnvelope, AgentMessage, JobRecord, Load, ProcessKey, TaskOutcome, TaskState};
 
 use crate::actions::AgentAction;
-use crate::table::outcome_bytes;
+use crate::task::outcome_bytes;
 
 /// Size above which an envelope is split, so that it fits a frame.
 const ENVELOPE_BYTES: usize = 1 << 20;
--- /dev/null
+++ b/components/execution/src/records.rs
@@ -0,0 +1,92 @@
+//! Records of jobs and tasks, and how long they are kept.
+
+use model::{JobKey, ShardKey, Start};
+
+use crate::agent::Agent;
+use crate::table::{JobRef, RECORD_RETENTION_MS, TaskRef};
+
+/// Share of the record limit, as a divisor, that is reserved for refusals.
+const REFUSAL_RESERVE_DIVISOR: usize = 8;
+
+impl Agent {
+    pub(crate) fn advance_unix(&mut self, now_unix_ms: u64) {
+        // A clock that is set back must not bring back the time of a removed record.
+        self.now_unix_ms = self.now_unix_ms.max(now_unix_ms);
+        for (job, shard) in self.table.remove_expired(self.now_unix_ms) {
+            self.forget_job(shard, job);
+        }
+        self.results.trim(&self.table);
+    }
+
+    /// Returns the record of a job, made or renewed now.
+    pub(crate) fn record_job(&mut self, start: &Start) -> Option<JobRef> {
+        let expires_unix_ms = record_expiry_unix_ms(start);
+        let at = match self.table.find(start.job.key) {
+            Some(at) => at,
+            None if !self.has_record_left() => return None,
+            None => self.insert_job(start.job.key, start.shard, expires_unix_ms),
+        };
+        let job = self.table.job_mut(at)?;
+        job.expires_unix_ms = job.expires_unix_ms.max(expires_unix_ms);
+        let is_renewed = job.meta.as_ref().is_none_or(|meta| {
+            meta.submitted_unix_ms < start.job.submitted_unix_ms
+                && !job.tasks.iter().any(|task| task.has_started())
+        });
+        if is_renewed {
+            job.meta = Some(start.job.clone());
+        }
+        Some(at)
+    }
+
+    pub(crate) fn insert_job(
+        &mut self,
+        key: JobKey,
+        shard: ShardKey,
+        expires_unix_ms: u64,
+    ) -> JobRef {
+        let at = self.table.insert_job(key, shard, expires_unix_ms);
+        self.shards.entry(shard).or_default().jobs.insert(at);
+        at
+    }
+
+    /// Makes sure that a task has a record; returns whether it has.
+    pub(crate) fn record_task(&mut self, at: TaskRef) -> bool {
+        if self.table.task(at).is_some() {
+            return true;
+        }
+        if !self.has_record_left() {
+            if let Some(job) = self.table.job(at.job) {
+                self.counters.firm(job.shard.firm).unrecorded += 1;
+            }
+            return false;
+        }
+        self.table.ensure_task(at);
+        true
+    }
+
+    pub(crate) fn has_record_left(&self) -> bool {
+        let max_records = self.settings.max_records;
+        self.table.records() < max_records + max_records / REFUSAL_RESERVE_DIVISOR
+    }
+
+    fn forget_job(&mut self, key: ShardKey, job: JobRef) {
+        let Some(shard) = self.shards.get_mut(&key) else {
+            return;
+        };
+        shard.jobs.remove(&job);
+        if shard.jobs.is_empty() {
+            shard.parts.clear();
+            if shard.fenced.is_none() {
+                self.shards.remove(&key);
+            }
+        }
+    }
+}
+
+/// Returns when the record of the job may be removed.
+pub(crate) fn record_expiry_unix_ms(start: &Start) -> u64 {
+    start
+        .job
+        .submitted_unix_ms
+        .saturating_add(RECORD_RETENTION_MS)
+}
--- a/components/execution/src/results.rs
+++ b/components/execution/src/results.rs
@@ -2,7 +2,8 @@
 
 use std::collections::VecDeque;
 
-use crate::table::{Delivery, State, Table, Task, TaskRef};
+use crate::table::{Table, TaskRef};
+use crate::task::{Delivery, State, Task};
 
 /// Results that may be dropped, in the order in which they became so.
 #[derive(Debug, Default)]
--- a/components/execution/src/revoke.rs
+++ b/components/execution/src/revoke.rs
@@ -7,7 +7,8 @@
 use crate::agent::Agent;
 use crate::delivery::{finished, refused};
 use crate::fence::Authority;
-use crate::table::{RECORD_RETENTION_MS, State, TaskRef};
+use crate::table::{RECORD_RETENTION_MS, TaskRef};
+use crate::task::State;
 
 impl Agent {
     pub(crate) fn revoke(
--- a/components/execution/src/state.rs
+++ b/components/execution/src/state.rs
@@ -8,7 +8,8 @@
 use crate::agent::Agent;
 use crate::counters::Counters;
 use crate::fence::Shard;
-use crate::table::{Job, State};
+use crate::table::Job;
+use crate::task::State;
 
 /// State of an agent, whole or as far as it concerns one firm.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
--- a/components/execution/src/table.rs
+++ b/components/execution/src/table.rs
@@ -3,15 +3,11 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use bytes::Bytes;
-use model::{
-    Attempt, CLOCK_SKEW_MS, JobKey, JobMeta, RETENTION_MS, RefusalReason, ShardKey, TaskKey,
-    TaskOutcome,
-};
+use model::{CLOCK_SKEW_MS, JobKey, JobMeta, RETENTION_MS, ShardKey, TaskKey};
 use rustc_hash::FxHashMap;
 use slotmap::SlotMap;
 
-use crate::actions::CallKey;
+use crate::task::{Delivery, State, Task};
 
 /// Time for which a record outlives the submission time of its job.
 pub(crate) const RECORD_RETENTION_MS: u64 = RETENTION_MS + 2 * CLOCK_SKEW_MS;
@@ -41,124 +37,6 @@
     pub tasks: Vec<Task>,
 }
 
-#[derive(Debug)]
-pub(crate) struct Task {
-    pub index: u16,
-    /// The newest attempt that is ruled out.
-    pub tombstoned: Option<Attempt>,
-    pub state: State,
-}
-
-#[derive(Debug)]
-pub(crate) enum State {
-    /// Neither held nor started; holds a refusal that the owner has not acknowledged.
-    Idle {
-        unacknowledged: Option<RefusalReason>,
-    },
-    Queued(QueuedTask),
-    Running(RunningTask),
-    Finished(FinishedTask),
-}
-
-#[derive(Debug)]
-pub(crate) struct QueuedTask {
-    pub attempt: Attempt,
-    pub payload: Bytes,
-    pub deadline_us: u64,
-    pub sequence: u64,
-    pub cost_us: u64,
-}
-
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct RunningTask {
-    pub attempt: Attempt,
-    pub call: CallKey,
-    pub started_us: u64,
-    pub cost_us: u64,
-    pub aborted: bool,
-}
-
-#[derive(Debug)]
-pub(crate) struct FinishedTask {
-    pub attempt: Attempt,
-    /// Missing once the result was dropped.
-    pub outcome: Option<TaskOutcome>,
-    pub ran_us: u64,
-    pub delivery: Delivery,
-}
-
-/// Whether the owner of the shard has an outcome.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Delivery {
-    /// Sent again until acknowledged.
-    Unacknowledged,
-    /// Part of the answer to a fence, which the new owner asks for until it has it.
-    Fenced,
-    /// The owner acknowledged the outcome.
-    Received,
-}
-
-impl Task {
-    fn new(index: u16) -> Self {
-        Self {
-            index,
-            tombstoned: None,
-            state: State::Idle {
-                unacknowledged: None,
-            },
-        }
-    }
-
-    pub fn has_started(&self) -> bool {
-        matches!(self.state, State::Running(_) | State::Finished(_))
-    }
-
-    /// Returns the attempt whose outcome or refusal the owner has not acknowledged.
-    pub fn unacknowledged(&self) -> Option<Attempt> {
-        match &self.state {
-            State::Idle {
-                unacknowledged: Some(_),
-            } => self.tombstoned,
-            State::Finished(task) if task.delivery == Delivery::Unacknowledged => {
-                Some(task.attempt)
-            }
-            _ => None,
-        }
-    }
-
-    pub fn result_bytes(&self) -> usize {
-        match &self.state {
-            State::Finished(task) => task.outcome.as_ref().map_or(0, outcome_bytes),
-            _ => 0,
-        }
-    }
-
-    pub fn raise_tombstone(&mut self, attempt: Attempt) -> Attempt {
-        let newest = self.tombstoned.map_or(attempt, |known| known.max(attempt));
-        self.tombstoned = Some(newest);
-        newest
-    }
-
-    /// Rules out `attempt` and returns the newest attempt ruled out, or nothing if that
-    /// attempt may still run or has run.
-    pub fn rule_out(&mut self, attempt: Attempt) -> Option<Attempt> {
-        match &self.state {
-            State::Idle { .. } => Some(self.raise_tombstone(attempt)),
-            State::Queued(queued) if attempt < queued.attempt => {
-                Some(self.raise_tombstone(attempt))
-            }
-            _ => None,
-        }
-    }
-}
-
-pub(crate) fn outcome_bytes(outcome: &TaskOutcome) -> usize {
-    match outcome {
-        TaskOutcome::Done(result) => result.len(),
-        TaskOutcome::Failed(detail) | TaskOutcome::Unknown(detail) => detail.len(),
-    }
-}
-
 impl Job {
     pub fn task_key(&self, index: u16) -> TaskKey {
         TaskKey {
--- a/components/execution/src/target.rs
+++ b/components/execution/src/target.rs
@@ -70,6 +70,10 @@
     }
 
     pub fn record_not_started(&mut self, now_us: u64) {
+        if self.resumes_us > now_us {
+            // Calls made before the back-off tell nothing new.
+            return;
+        }
         self.failures = self.failures.saturating_add(1);
         if self.is_failing() {
             let doublings = (self.failures - BACKOFF_THRESHOLD).min(16);
--- /dev/null
+++ b/components/execution/tests/execution/mutants.rs
@@ -0,0 +1,36 @@
+//! Each mutant must break a promise in some random sequence.
+
+use execution::{AgentBuilder, Mutation};
+use proptest::test_runner::{Config, RngAlgorithm, TestError, TestRng, TestRunner};
+use rstest::rstest;
+
+use crate::harness::AGENT;
+use crate::sequences::{Run, steps};
+
+const CASES: u32 = 20_000;
+
+#[rstest]
+#[case(Mutation::AcceptStaleGeneration)]
+#[case(Mutation::IgnorePermit)]
+#[case(Mutation::RestartFinished)]
+#[case(Mutation::ForgetTombstones)]
+#[case(Mutation::RunPastDeadline)]
+#[case(Mutation::WorkWhileDraining)]
+#[case(Mutation::FenceKeepsQueued)]
+fn mutant_breaks_a_promise(#[case] mutation: Mutation) {
+    let config = Config {
+        cases: CASES,
+        max_shrink_iters: 0,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let outcome = runner.run(&steps(), |steps| {
+        Run::new(AgentBuilder::new(AGENT).mutation(mutation)).check(steps)
+    });
+    let Err(TestError::Fail(reason, _)) = outcome else {
+        panic!("{mutation:?} is not detected: {outcome:?}");
+    };
+    println!("{mutation:?}: {reason}");
+}
--- /dev/null
+++ b/components/execution/tests/execution/sequences.rs
@@ -0,0 +1,491 @@
+//! Random sequences of events, checked against the agent's promises.
+
+use std::collections::{HashMap, HashSet};
+
+use execution::{AgentAction, AgentBuilder, CallKey, CallOutcome};
+use model::{
+    AgentMessage, Attempt, Generation, OwnerEnvelope, OwnerMessage, Permit, ProcessKey, Start,
+    TaskKey, TaskOutcome, TaskState,
+};
+use proptest::prelude::*;
+use proptest::test_runner::TestCaseResult;
+
+use crate::harness::{
+    AGENT, Harness, OTHER, OWNER, SHARD, envelope, fence, fence_answer, not_started, result,
+    start_message,
+};
+
+const SLOTS: u16 = 2;
+
+/// One step. Indices choose from what there is, modulo its number.
+#[derive(Debug, Clone, Copy)]
+pub enum Step {
+    /// One of two owners takes the shard over.
+    TakeOver(bool),
+    Beat(bool),
+    Start {
+        by: bool,
+        job: u64,
+        index: u16,
+        attempt: u32,
+        remaining_us: u64,
+    },
+    Revoke {
+        by: bool,
+        job: u64,
+        index: u16,
+        attempt: u32,
+        abort: bool,
+    },
+    Acknowledge {
+        by: bool,
+        job: u64,
+        index: u16,
+        settle: bool,
+    },
+    /// A message under way arrives, and perhaps will arrive again.
+    Deliver {
+        message: usize,
+        again: bool,
+    },
+    Lose(usize),
+    End {
+        call: usize,
+        outcome: u8,
+    },
+    Pass(u64),
+    Announce,
+    Leave,
+    Drain,
+}
+
+pub fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let by = any::<bool>;
+    let step = prop_oneof![
+        2 => by().prop_map(Step::TakeOver),
+        2 => by().prop_map(Step::Beat),
+        8 => (by(), 0..3_u64, 0..2_u16, 1..4_u32, prop_oneof![Just(50_000), Just(60_000_000_u64)])
+            .prop_map(|(by, job, index, attempt, remaining_us)| {
+                Step::Start { by, job, index, attempt, remaining_us }
+            }),
+        2 => (by(), 0..3_u64, 0..2_u16, 1..4_u32, any::<bool>()).prop_map(
+            |(by, job, index, attempt, abort)| Step::Revoke { by, job, index, attempt, abort }
+        ),
+        1 => (by(), 0..3_u64, 0..2_u16, any::<bool>())
+            .prop_map(|(by, job, index, settle)| Step::Acknowledge { by, job, index, settle }),
+        20 => (any::<usize>(), any::<bool>())
+            .prop_map(|(message, again)| Step::Deliver { message, again }),
+        1 => any::<usize>().prop_map(Step::Lose),
+        6 => (any::<usize>(), 0..5_u8).prop_map(|(call, outcome)| Step::End { call, outcome }),
+        4 => prop_oneof![Just(10_000), Just(200_000), Just(1_100_000_u64)].prop_map(Step::Pass),
+        1 => Just(Step::Announce),
+        1 => Just(Step::Leave),
+        1 => Just(Step::Drain),
+    ];
+    prop::collection::vec(step, 1..120)
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Ran {
+    Running,
+    Finished(TaskOutcome),
+}
+
+/// An agent, two owners and the messages between them, with what was promised so far.
+pub struct Run {
+    harness: Harness,
+    generations: HashMap<ProcessKey, u64>,
+    permits: HashMap<ProcessKey, Permit>,
+    last_generation: u64,
+    in_flight: Vec<OwnerEnvelope>,
+    fenced: Option<(u64, ProcessKey)>,
+    target_alive: bool,
+    draining: bool,
+    /// Attempts that may start, each as delivered by the owner of the generation.
+    startable: HashSet<(TaskKey, Attempt, u64)>,
+    calls: Vec<(CallKey, TaskKey)>,
+    ran: HashMap<TaskKey, (Attempt, Ran)>,
+    refused: HashMap<TaskKey, Attempt>,
+    accepted: HashMap<TaskKey, Attempt>,
+}
+
+fn owner(first: bool) -> ProcessKey {
+    if first { OWNER } else { OTHER }
+}
+
+impl Run {
+    pub fn new(builder: AgentBuilder) -> Self {
+        let mut harness = Harness::new(builder);
+        harness.announce(SLOTS);
+        Self {
+            harness,
+            generations: HashMap::new(),
+            permits: HashMap::new(),
+            last_generation: 0,
+            in_flight: Vec::new(),
+            fenced: None,
+            target_alive: true,
+            draining: false,
+            startable: HashSet::new(),
+            calls: Vec::new(),
+            ran: HashMap::new(),
+            refused: HashMap::new(),
+            accepted: HashMap::new(),
+        }
+    }
+
+    pub fn check(&mut self, steps: Vec<Step>) -> TestCaseResult {
+        for step in steps {
+            self.step(step)?;
+        }
+        self.check_end()
+    }
+
+    fn step(&mut self, step: Step) -> TestCaseResult {
+        let actions = match step {
+            Step::TakeOver(by) => {
+                self.last_generation += 1;
+                self.generations.insert(owner(by), self.last_generation);
+                let message = fence(SHARD, self.last_generation);
+                self.in_flight.push(envelope(owner(by), vec![message]));
+                return Ok(());
+            }
+            Step::Start {
+                by,
+                job,
+                index,
+                attempt,
+                remaining_us,
+            } => {
+                self.send_start(owner(by), job, (index, attempt), remaining_us);
+                return Ok(());
+            }
+            Step::Revoke {
+                by,
+                job,
+                index,
+                attempt,
+                abort,
+            } => {
+                let tasks = vec![(key(job, index), Attempt(attempt))];
+                let generation = self.generation(owner(by));
+                let message = OwnerMessage::Revoke {
+                    shard: SHARD,
+                    generation,
+                    tasks,
+                    abort,
+                };
+                self.in_flight.push(envelope(owner(by), vec![message]));
+                return Ok(());
+            }
+            Step::Lose(message) => {
+                if !self.in_flight.is_empty() {
+                    self.in_flight.swap_remove(message % self.in_flight.len());
+                }
+                return Ok(());
+            }
+            Step::Acknowledge {
+                by,
+                job,
+                index,
+                settle,
+            } => {
+                let task = key(job, index);
+                self.harness.send(owner(by), acknowledgement(task, settle))
+            }
+            Step::Beat(by) => {
+                let generation = self.generation(owner(by)).0;
+                self.harness.beat(owner(by), &[(SHARD, generation, 1)])
+            }
+            Step::Deliver { message, again } => return self.deliver(message, again),
+            Step::End { call, outcome } => return self.end(call, outcome),
+            Step::Pass(elapsed_us) => self.harness.tick_after(elapsed_us),
+            Step::Announce => {
+                self.target_alive = true;
+                self.harness.announce(SLOTS)
+            }
+            Step::Leave => {
+                self.target_alive = false;
+                let mut actions = Vec::new();
+                self.harness
+                    .agent
+                    .target_left(self.harness.now_us, &mut actions);
+                actions
+            }
+            Step::Drain => {
+                self.draining = true;
+                self.harness.drain()
+            }
+        };
+        self.observe(&actions)
+    }
+
+    fn generation(&self, owner: ProcessKey) -> Generation {
+        Generation(self.generations.get(&owner).copied().unwrap_or(0))
+    }
+
+    fn send_start(&mut self, from: ProcessKey, job: u64, task: (u16, u32), remaining_us: u64) {
+        let Some(&permit) = self.permits.get(&from) else {
+            return;
+        };
+        let mut start = start_message(SHARD, job, &[task], 0);
+        start.generation = self.generation(from);
+        start.permit = permit;
+        start.remaining_us = remaining_us;
+        self.in_flight
+            .push(envelope(from, vec![OwnerMessage::Start(start)]));
+    }
+
+    fn deliver(&mut self, message: usize, again: bool) -> TestCaseResult {
+        if self.in_flight.is_empty() {
+            return Ok(());
+        }
+        let at = message % self.in_flight.len();
+        let envelope = self.in_flight[at].clone();
+        if !again {
+            self.in_flight.remove(at);
+        }
+        let from = envelope.from;
+        let message = envelope.messages[0].clone();
+        if let OwnerMessage::Start(start) = &message {
+            self.note_start(from, start);
+        }
+        let actions = self.harness.deliver(envelope);
+        if let OwnerMessage::Fence(fence) = message {
+            self.check_fence(from, fence.generation.0, &actions)?;
+        }
+        self.observe(&actions)
+    }
+
+    fn note_start(&mut self, from: ProcessKey, start: &Start) {
+        let is_permitted = start.permit.expires_us > self.harness.now_us;
+        let is_owner = self.fenced == Some((start.generation.0, from));
+        if is_permitted && is_owner && self.target_alive && !self.draining {
+            let task = &start.tasks[0];
+            let key = TaskKey {
+                job: start.job.key,
+                index: task.index,
+            };
+            self.startable
+                .insert((key, task.attempt, start.generation.0));
+        }
+    }
+
+    fn end(&mut self, call: usize, outcome: u8) -> TestCaseResult {
+        if self.calls.is_empty() {
+            return Ok(());
+        }
+        let (call, key) = self.calls.swap_remove(call % self.calls.len());
+        let (outcome, ran) = match outcome {
+            0 => (not_started(), None),
+            1 => (
+                CallOutcome::Unknown(String::new()),
+                Some(TaskOutcome::Unknown(String::new())),
+            ),
+            2 => (
+                CallOutcome::Failed(String::new()),
+                Some(TaskOutcome::Failed(String::new())),
+            ),
+            _ => (result(3), Some(TaskOutcome::Done(vec![0; 3].into()))),
+        };
+        match ran {
+            Some(outcome) => self
+                .ran
+                .entry(key)
+                .and_modify(|ran| ran.1 = Ran::Finished(outcome)),
+            None => {
+                self.ran.remove(&key);
+                self.ran.entry(key)
+            }
+        };
+        let mut actions = self.harness.done(call, outcome.clone());
+        self.observe(&actions)?;
+        actions = self.harness.done(call, outcome);
+        self.observe(&actions)
+    }
+
+    /// Checks what the agent does against what it promised.
+    fn observe(&mut self, actions: &[AgentAction]) -> TestCaseResult {
+        let mut destinations = HashSet::new();
+        for action in actions {
+            match action {
+                AgentAction::Invoke {
+                    call,
+                    task,
+                    attempt,
+                    expires_us,
+                    ..
+                } => {
+                    self.check_invoke(*task, *attempt, *expires_us)?;
+                    self.calls.push((*call, *task));
+                    self.ran.insert(*task, (*attempt, Ran::Running));
+                }
+                AgentAction::Send(envelope) => {
+                    prop_assert!(
+                        destinations.insert(envelope.to),
+                        "two envelopes for one owner"
+                    );
+                }
+                AgentAction::Abort { call } => {
+                    prop_assert!(self.calls.iter().any(|(known, _)| known == call));
+                }
+            }
+        }
+        prop_assert!(self.calls.len() <= usize::from(SLOTS));
+        for envelope in actions.iter().filter_map(sent) {
+            for message in &envelope.messages {
+                self.check_message(envelope.to, message)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn check_invoke(&self, task: TaskKey, attempt: Attempt, expires_us: u64) -> TestCaseResult {
+        let (generation, _) = self.fenced.unwrap_or((0, OWNER));
+        prop_assert!(!self.ran.contains_key(&task), "a task starts twice");
+        prop_assert!(
+            self.refused.get(&task) < Some(&attempt),
+            "a refused attempt starts"
+        );
+        prop_assert!(
+            expires_us > self.harness.now_us,
+            "a task starts after its deadline"
+        );
+        prop_assert!(
+            self.startable.contains(&(task, attempt, generation)),
+            "a task starts without a valid start of the newest generation"
+        );
+        Ok(())
+    }
+
+    fn check_message(&mut self, to: ProcessKey, message: &AgentMessage) -> TestCaseResult {
+        match message {
+            AgentMessage::Refused { task, attempt, .. } => {
+                let refused = self.refused.entry(*task).or_insert(*attempt);
+                *refused = (*refused).max(*attempt);
+                let started = self.ran.get(task).map(|(attempt, _)| *attempt);
+                prop_assert!(started.is_none_or(|started| started > *attempt));
+            }
+            AgentMessage::Accepted { tasks, .. } => {
+                self.accepted.extend(tasks.iter().copied());
+            }
+            AgentMessage::Finished {
+                task,
+                attempt,
+                outcome,
+                ..
+            } => {
+                let expected = Some((*attempt, Ran::Finished(outcome.clone())));
+                prop_assert_eq!(self.ran.get(task).cloned(), expected);
+            }
+            AgentMessage::RevokeFailed { task, attempt, .. } => {
+                let expected = Some((*attempt, Ran::Running));
+                prop_assert_eq!(self.ran.get(task).cloned(), expected);
+            }
+            AgentMessage::HeartbeatAck(ack) => {
+                self.permits.insert(to, ack.permit);
+                let is_owner = self.fenced == Some((self.generation(to).0, to));
+                prop_assert_eq!(ack.shards.len(), usize::from(is_owner));
+            }
+            AgentMessage::Fenced { .. } => {}
+        }
+        Ok(())
+    }
+
+    fn check_fence(
+        &mut self,
+        from: ProcessKey,
+        generation: u64,
+        actions: &[AgentAction],
+    ) -> TestCaseResult {
+        let newest = self.fenced.map(|(generation, _)| generation);
+        let Some((answered, records)) = fence_answer(actions) else {
+            return Err(TestCaseError::fail("a fence is not answered"));
+        };
+        prop_assert_eq!(Some(answered), newest.max(Some(generation)));
+        if newest >= Some(generation) {
+            return Ok(());
+        }
+        self.fenced = Some((generation, from));
+        let told: HashMap<TaskKey, _> = records
+            .into_iter()
+            .flat_map(|job| job.tasks.into_iter().map(move |task| (job.meta.key, task)))
+            .map(|(job, task)| {
+                (
+                    TaskKey {
+                        job,
+                        index: task.index,
+                    },
+                    (task.attempt, task.state),
+                )
+            })
+            .collect();
+        for (key, (attempt, ran)) in &self.ran {
+            let state = match ran {
+                Ran::Running => TaskState::Running,
+                Ran::Finished(outcome) => TaskState::Finished(outcome.clone()),
+            };
+            prop_assert_eq!(told.get(key), Some(&(*attempt, state)));
+        }
+        for (key, attempt) in self
+            .accepted
+            .iter()
+            .filter(|(key, _)| !self.ran.contains_key(key))
+        {
+            let Some((told, TaskState::NotStarted)) = told.get(key) else {
+                return Err(TestCaseError::fail("a task held is not told"));
+            };
+            prop_assert!(told >= attempt);
+            self.refused.insert(*key, *told);
+        }
+        Ok(())
+    }
+
+    /// Checks that a draining agent comes to rest, whatever happened before.
+    fn check_end(&mut self) -> TestCaseResult {
+        self.step(Step::Drain)?;
+        while !self.calls.is_empty() {
+            self.end(0, 3)?;
+        }
+        let state = self.harness.agent.state();
+        prop_assert_eq!((state.queued, state.running, state.ready), (0, 0, false));
+        self.step(Step::Pass(5_000_000))?;
+        prop_assert!(self.harness.agent.is_idle());
+        Ok(())
+    }
+}
+
+fn key(job: u64, index: u16) -> TaskKey {
+    let job = start_message(SHARD, job, &[], 0).job.key;
+    TaskKey { job, index }
+}
+
+fn acknowledgement(task: TaskKey, settle: bool) -> OwnerMessage {
+    if settle {
+        OwnerMessage::Settled {
+            shard: SHARD,
+            jobs: vec![task.job],
+        }
+    } else {
+        OwnerMessage::Received {
+            shard: SHARD,
+            tasks: vec![task],
+        }
+    }
+}
+
+fn sent(action: &AgentAction) -> Option<&model::AgentEnvelope> {
+    match action {
+        AgentAction::Send(envelope) => Some(envelope),
+        _ => None,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    #[test]
+    fn promises_hold_in_any_sequence(steps in steps()) {
+        Run::new(AgentBuilder::new(AGENT)).check(steps)?;
+    }
+}
