Test the checkers on good and bad histories

Cause: a checker that finds nothing proves nothing until it is shown to find each way of breaking its promise. Conclusion: each checker fails where it has to.

--- /dev/null
+++ b/components/proof/tests/processes.rs
@@ -0,0 +1,168 @@
+//! Checkers of leaving targets, graceful stops and configuration on hand-made histories.
+
+mod common;
+
+use common::*;
+use model::{FailureKind, FailureReason, ProcessKey};
+use proof::check::*;
+use proof::event::{EventKind, LossReason};
+use proof::fault::FaultKind;
+use proof::history::History;
+use rstest::rstest;
+
+fn job() -> Job {
+    Job::new("consorcio", "lock-1")
+}
+
+fn start_after_leaving(wait_us: u64, again: bool) -> History {
+    let script = Script::new().submit(1, &job()).answer(1, may_have_run());
+    let left_us = script.history.end_us();
+    let mut script = script.at(left_us, EventKind::TargetLeaving(AGENT));
+    if again {
+        script = script.then(EventKind::TargetAnnounced(AGENT));
+    }
+    let mut history = script.history;
+    let start = Script::new().start(&job(), 0).history.events()[0]
+        .kind
+        .clone();
+    history.record(left_us + wait_us, start);
+    history.record(END_US, EventKind::Ended);
+    history
+}
+
+#[test]
+fn starts_within_the_bound_or_after_a_return_are_good() {
+    assert_good(&start_after_leaving(2_900_000, false));
+    assert_good(&start_after_leaving(3_100_000, true));
+}
+
+#[test]
+fn finds_new_work_at_a_leaving_target() {
+    let history = start_after_leaving(3_000_001, false);
+    assert_broken(&history, check_leaving_target, Promise::LeavingTarget);
+}
+
+fn stop() -> Script {
+    Script::new()
+        .submit(1, &job())
+        .then(EventKind::GracefulStop(ENTRY))
+}
+
+#[test]
+fn graceful_stop_after_the_answer_is_good() {
+    let stopped = EventKind::Stopped(ENTRY);
+    let script = stop()
+        .run(&job())
+        .answer(1, job().complete())
+        .then(stopped.clone());
+    assert_good(&script.end());
+    // A refusal for load has nothing to do with the stop.
+    assert_good(&stop().answer(1, not_run()).then(stopped).end());
+    let later = Job::new("consorcio", "lock-2");
+    let draining = failed(FailureKind::NotRun, FailureReason::Draining);
+    let script = stop()
+        .submit(2, &later)
+        .answer(2, draining)
+        .answer(1, not_run());
+    assert_good(&script.end());
+}
+
+#[rstest]
+#[case(stop().lose(1, LossReason::ClosedByEntry))]
+#[case(stop().answer(1, failed(FailureKind::NotRun, FailureReason::Draining)))]
+#[case(stop().answer(1, failed(FailureKind::MayHaveRun, FailureReason::AgentLost)))]
+#[case(stop().then(EventKind::Stopped(ENTRY)))]
+#[case(stop().then(EventKind::Stopped(ENTRY)).lose(1, LossReason::EntryDied))]
+fn finds_requests_cut_by_a_stop(#[case] script: Script) {
+    assert_broken(&script.end(), check_graceful_stop, Promise::GracefulStop);
+}
+
+#[test]
+fn finds_requests_of_other_entries_cut_by_a_stop() {
+    let taken_over = failed(FailureKind::MayHaveRun, FailureReason::TakenOver);
+    let script = |kind| {
+        Script::new()
+            .submit_to(OTHER_ENTRY, 1, &job())
+            .then(EventKind::GracefulStop(ENTRY))
+            .then(EventKind::FaultInjected { kind, firm: None })
+            .answer(1, taken_over.clone())
+            .end()
+    };
+    assert_broken(
+        &script(FaultKind::Duplicate),
+        check_graceful_stop,
+        Promise::GracefulStop,
+    );
+    assert_good(&script(FaultKind::Kill));
+}
+
+fn accept(revision: u64) -> EventKind {
+    EventKind::ConfigAccepted {
+        revision,
+        editor: 1,
+    }
+}
+
+fn in_force(process: ProcessKey, revision: u64) -> EventKind {
+    EventKind::ConfigInForce { process, revision }
+}
+
+fn two_processes() -> Script {
+    Script::new()
+        .then(EventKind::ProcessStarted(ENTRY))
+        .then(EventKind::ProcessStarted(AGENT))
+        .then(accept(1))
+        .then(in_force(ENTRY, 1))
+}
+
+#[test]
+fn configuration_in_force_in_time_is_good() {
+    assert_good(&two_processes().then(in_force(AGENT, 1)).end());
+    let superseded = two_processes().then(accept(2)).then(in_force(ENTRY, 2));
+    assert_good(&superseded.then(in_force(AGENT, 2)).end());
+    let late_joiner = two_processes().then(in_force(AGENT, 1));
+    let late_joiner = late_joiner.at(9_000_000, EventKind::ProcessStarted(OTHER_ENTRY));
+    assert_good(&late_joiner.at(12_900_000, in_force(OTHER_ENTRY, 1)).end());
+    assert_good(&two_processes().then(EventKind::Killed(AGENT)).end());
+}
+
+#[rstest]
+#[case(EventKind::PlatformDown, EventKind::PlatformUp)]
+#[case(EventKind::Paused(AGENT), EventKind::Resumed(AGENT))]
+#[case(EventKind::Unreachable(AGENT), EventKind::Reachable(AGENT))]
+fn configuration_is_due_after_a_window_out_of_reach(
+    #[case] from: EventKind,
+    #[case] to: EventKind,
+) {
+    let script = |in_force_us| {
+        let script = two_processes()
+            .then(from.clone())
+            .at(20_000_000, to.clone());
+        script.at(in_force_us, in_force(AGENT, 1)).end()
+    };
+    assert_good(&script(23_900_000));
+    assert_broken(
+        &script(24_100_000),
+        check_config_in_force,
+        Promise::Configuration,
+    );
+}
+
+#[test]
+fn finds_configuration_missing_late_reverted_or_made_up() {
+    let missing = two_processes().end();
+    let late = two_processes().at(4_100_000, in_force(AGENT, 1)).end();
+    let both = || two_processes().then(in_force(AGENT, 1)).then(accept(2));
+    let both = || both().then(in_force(AGENT, 2)).then(in_force(ENTRY, 2));
+    let reverted = both().then(in_force(AGENT, 1)).end();
+    let made_up = both().then(in_force(AGENT, 7)).end();
+    for history in [missing, late, reverted, made_up] {
+        assert_broken(&history, check_config_in_force, Promise::Configuration);
+    }
+}
+
+#[test]
+fn finds_two_edits_accepted_as_one_revision() {
+    let history = two_processes().then(accept(1)).end();
+    assert_broken(&history, check_config_register, Promise::Configuration);
+}
