Look up an entry's pauses once for all its copies

Cause: the check of owed answers searched the whole history for each copy. Ruled out: a table over all processes in the shared index; no other checker needs one.

--- a/components/proof/src/check/timeliness.rs
+++ b/components/proof/src/check/timeliness.rs
@@ -1,5 +1,9 @@
 //! Answers that are owed.
 
+use std::collections::BTreeMap;
+
+use model::ProcessKey;
+
 use crate::check::{Bounds, Promise, Violation};
 use crate::event::{EventKind, LossReason};
 use crate::history::{Event, History};
@@ -13,42 +17,75 @@
 #[must_use]
 pub fn check_answered(history: &History, bounds: &Bounds) -> Vec<Violation> {
     let index = Index::new(history);
-    let copies = index.copies.values();
-    copies
-        .filter_map(|copy| check_copy(history, bounds, copy))
-        .collect()
+    let mut entries = BTreeMap::new();
+    let mut violations = Vec::new();
+    for copy in index.copies.values() {
+        let key = copy.submission.entry;
+        let entry = entries
+            .entry(key)
+            .or_insert_with(|| EntryView::new(history, key));
+        violations.extend(entry.check(history.end_us(), bounds, copy));
+    }
+    violations
 }
 
-fn check_copy(history: &History, bounds: &Bounds, copy: &CopyView<'_>) -> Option<Violation> {
-    let entry = copy.submission.entry;
-    let since_us = copy.submitted.at_us;
-    let due_us = copy.submission.deadline_us.max(since_us) + bounds.answer_us;
-    let due_us = extend_due(since_us, due_us, &pauses(history, entry), bounds.answer_us);
-    let violation = |what: &str, event: Option<&Event>| {
-        let message = format!("copy {} {what}, due at {due_us} us", copy.submission.copy);
-        let events: Vec<_> = [Some(copy.submitted), event]
-            .into_iter()
-            .flatten()
-            .collect();
-        Some(Violation::new(Promise::Answered, message, &events))
-    };
-    if let Some((event, _)) = copy.answers.first() {
-        return (event.at_us > due_us).then(|| violation("answered late", Some(event)))?;
+/// What excuses an entry.
+struct EntryView<'a> {
+    pauses: Vec<(u64, u64)>,
+    killed: Option<&'a Event>,
+}
+
+impl<'a> EntryView<'a> {
+    fn new(history: &'a History, key: ProcessKey) -> Self {
+        let mut events = history.events().iter();
+        Self {
+            pauses: pauses(history, key),
+            killed: events.find(|event| event.kind == EventKind::Killed(key)),
+        }
     }
-    let killed = history.events().iter().find(|event| {
-        event.sequence > copy.submitted.sequence && event.kind == EventKind::Killed(entry)
-    });
-    if let Some((event, reason)) = copy.lost {
-        let excused = match reason {
+
+    fn check(&self, end_us: u64, bounds: &Bounds, copy: &CopyView<'_>) -> Option<Violation> {
+        let due_us = self.due_us(bounds, copy);
+        let violation = |what: &str, event: Option<&Event>| {
+            let message = format!("copy {} {what}, due at {due_us} us", copy.submission.copy);
+            let events: Vec<_> = [Some(copy.submitted), event]
+                .into_iter()
+                .flatten()
+                .collect();
+            Violation::new(Promise::Answered, message, &events)
+        };
+        if let Some((event, _)) = copy.answers.first() {
+            return (event.at_us > due_us).then(|| violation("answered late", Some(event)));
+        }
+        if let Some((event, reason)) = copy.lost {
+            let is_excused = self.excuses(copy, event, reason);
+            return (!is_excused).then(|| violation("dropped by a live entry", Some(event)));
+        }
+        let is_killed = self
+            .killed_after(copy)
+            .is_some_and(|event| event.at_us <= due_us);
+        (!is_killed && end_us > due_us).then(|| violation("never answered", None))
+    }
+
+    fn due_us(&self, bounds: &Bounds, copy: &CopyView<'_>) -> u64 {
+        let since_us = copy.submitted.at_us;
+        let due_us = copy.submission.deadline_us.max(since_us) + bounds.answer_us;
+        extend_due(since_us, due_us, &self.pauses, bounds.answer_us)
+    }
+
+    fn excuses(&self, copy: &CopyView<'_>, lost: &Event, reason: LossReason) -> bool {
+        match reason {
             LossReason::NetworkCut | LossReason::ClientGone => true,
             LossReason::NeverAccepted => copy.accepted.is_none(),
-            LossReason::EntryDied => killed.is_some_and(|killed| killed.at_us <= event.at_us),
+            LossReason::EntryDied => self
+                .killed_after(copy)
+                .is_some_and(|killed| killed.sequence < lost.sequence),
             LossReason::ClosedByEntry => false,
-        };
-        return (!excused).then(|| violation("dropped by a live entry", Some(event)))?;
+        }
     }
-    if killed.is_some_and(|event| event.at_us <= due_us) || history.end_us() <= due_us {
-        return None;
+
+    fn killed_after(&self, copy: &CopyView<'_>) -> Option<&'a Event> {
+        self.killed
+            .filter(|event| event.sequence > copy.submitted.sequence)
     }
-    violation("never answered", None)
 }
--- a/components/proof/tests/history.rs
+++ b/components/proof/tests/history.rs
@@ -102,3 +102,20 @@
     assert_eq!(rng.pick::<u8>(&[]), None);
     assert_eq!(rng.pick(&[3]), Some(&3));
 }
+
+#[test]
+fn long_histories_are_checked() {
+    let mut script = Script::new();
+    for number in 0..5_000 {
+        let job = Job::new("vembanad", &number.to_string());
+        script = script
+            .submit(number, &job)
+            .run(&job)
+            .answer(number, job.complete());
+    }
+    let bounds = Bounds {
+        answer_us: END_US,
+        ..Bounds::default()
+    };
+    assert_eq!(check_all(&script.history, &bounds), Vec::new());
+}
