--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -99,7 +99,6 @@
     }
 
     /// Returns a closure that gives the state as JSON, for dumps on a signal.
-    #[must_use]
     pub fn state(&self) -> impl Fn() -> serde_json::Value + use<> {
         let shared = Rc::clone(&self.shared);
         move || shared.state()
