--- a/components/platform/src/wire.rs
+++ b/components/platform/src/wire.rs
@@ -28,6 +28,14 @@
     pub revision: u64,
 }
 
+/// Envelope of messages in a stream.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Streamed<T: Default> {
+    /// The message.
+    pub result: T,
+}
+
 /// Body of a response that reports an error.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -38,6 +46,9 @@
     pub message: String,
 }
 
+/// Status code of gRPC for a malformed request.
+pub const CODE_INVALID_ARGUMENT: i32 = 3;
+
 /// Status code of gRPC for a thing that does not exist.
 pub const CODE_NOT_FOUND: i32 = 5;
 
--- a/components/platform/src/wire/watch.rs
+++ b/components/platform/src/wire/watch.rs
@@ -64,11 +64,3 @@
     /// Changes, in order.
     pub events: Vec<Event>,
 }
-
-/// Envelope of messages in a stream.
-#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
-pub struct Streamed<T: Default> {
-    /// The message.
-    pub result: T,
-}
--- a/components/standins/src/platform/api.rs
+++ b/components/standins/src/platform/api.rs
@@ -4,58 +4,15 @@
 use std::time::{Duration, Instant};
 
 use monoio::time::sleep;
-use platform::wire::{
-    CODE_NOT_FOUND, CODE_RESOURCE_EXHAUSTED, CODE_UNAVAILABLE, ErrorResponse, LeaseRequest,
-    LeaseResponse, RangeRequest, Streamed, TxnRequest, WatchRequest,
-};
+use platform::wire::{CODE_INVALID_ARGUMENT, CODE_RESOURCE_EXHAUSTED, CODE_UNAVAILABLE};
 use serde::de::DeserializeOwned;
 use web::{Method, Request, Response};
 
 use super::PlatformStandinBuilder;
-use super::faults::{FaultState, PlatformFaults};
-use super::limiter::{Admission, Limiter};
+use super::faults::PlatformFaults;
+use super::limiter::Admission;
+use super::state::{Call, State, error_response};
 use super::stats::PlatformStats;
-use super::store::{Change, Store, StoreError};
-use super::watchers::{Watchers, compacted};
-
-const CODE_INVALID_ARGUMENT: i32 = 3;
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Call {
-    Range,
-    Txn,
-    Grant,
-    KeepAlive,
-    Revoke,
-    Watch,
-}
-
-impl Call {
-    fn from_path(path: &str) -> Option<Self> {
-        match path {
-            "/v3/kv/range" => Some(Self::Range),
-            "/v3/kv/txn" => Some(Self::Txn),
-            "/v3/lease/grant" => Some(Self::Grant),
-            "/v3/lease/keepalive" => Some(Self::KeepAlive),
-            "/v3/lease/revoke" => Some(Self::Revoke),
-            "/v3/watch" => Some(Self::Watch),
-            _ => None,
-        }
-    }
-
-    fn writes(self) -> bool {
-        !matches!(self, Self::Range | Self::Watch)
-    }
-}
-
-struct State {
-    store: Store,
-    watchers: Watchers,
-    faults: FaultState,
-    stats: PlatformStats,
-    reads: Limiter,
-    writes: Limiter,
-}
 
 pub(super) struct Api {
     state: RefCell<State>,
@@ -64,16 +21,8 @@
 
 impl Api {
     pub(super) fn new(settings: &PlatformStandinBuilder) -> Self {
-        let state = State {
-            store: Store::new(),
-            watchers: Watchers::default(),
-            faults: FaultState::new(settings.seed),
-            stats: PlatformStats::default(),
-            reads: Limiter::new(settings.reads_per_s, settings.overload),
-            writes: Limiter::new(settings.writes_per_s, settings.overload),
-        };
         Self {
-            state: RefCell::new(state),
+            state: RefCell::new(State::new(settings)),
             started_at: Instant::now(),
         }
     }
@@ -195,120 +144,9 @@
     }
 }
 
-impl State {
-    fn admit(&mut self, call: Call) -> Admission {
-        let stats = &mut self.stats;
-        let counter = match call {
-            Call::Range => &mut stats.reads,
-            Call::Txn => &mut stats.writes,
-            Call::Grant | Call::Revoke => &mut stats.lease_changes,
-            Call::KeepAlive => &mut stats.keep_alives,
-            Call::Watch => &mut stats.watches_opened,
-        };
-        *counter += 1;
-        let limiter = if call.writes() {
-            &mut self.writes
-        } else {
-            &mut self.reads
-        };
-        let admission = limiter.admit(Instant::now());
-        if admission == Admission::Rejected {
-            self.stats.rejected += 1;
-        }
-        admission
-    }
-
-    fn notify(&mut self, change: Option<Change>) {
-        if let Some(change) = change {
-            self.watchers.notify(&change);
-        }
-    }
-
-    fn range(&self, request: &RangeRequest) -> Response {
-        Response::json(200, &self.store.range(request))
-    }
-
-    fn txn(&mut self, request: &TxnRequest) -> Response {
-        match self.store.txn(request) {
-            Ok((response, change)) => {
-                self.notify(change);
-                Response::json(200, &response)
-            }
-            Err(error) => store_error(error),
-        }
-    }
-
-    fn grant(&mut self, request: &LeaseRequest, now_ms: u64) -> Response {
-        match self.store.grant(request.id, request.ttl_s, now_ms) {
-            Some(id) => self.lease_response(id, request.ttl_s),
-            None => error_response(400, CODE_INVALID_ARGUMENT, "lease already exists"),
-        }
-    }
-
-    /// Answers like a stream of one message; an unknown lease has no time left.
-    fn keep_alive(&mut self, request: &LeaseRequest, now_ms: u64) -> Response {
-        let ttl_s = self.store.keep_alive(request.id, now_ms).unwrap_or(0);
-        let result = LeaseResponse {
-            header: self.store.header(),
-            id: request.id,
-            ttl_s,
-        };
-        Response::json(200, &Streamed { result })
-    }
-
-    fn revoke(&mut self, request: &LeaseRequest) -> Response {
-        match self.store.revoke(request.id) {
-            Ok(change) => {
-                self.notify(change);
-                self.lease_response(request.id, 0)
-            }
-            Err(error) => store_error(error),
-        }
-    }
-
-    fn watch(&mut self, request: WatchRequest) -> Response {
-        let create = request.create_request;
-        let header = self.store.header();
-        let from = match create.start_revision {
-            0 => header.revision + 1,
-            revision => revision,
-        };
-        let lines = match self.store.changes_since(from) {
-            Ok(missed) => self.watchers.add(create, header, &missed),
-            Err(oldest_revision) => compacted(header, oldest_revision),
-        };
-        Response::stream(lines)
-    }
-
-    fn lease_response(&self, id: u64, ttl_s: u64) -> Response {
-        let response = LeaseResponse {
-            header: self.store.header(),
-            id,
-            ttl_s,
-        };
-        Response::json(200, &response)
-    }
-}
-
 fn with_body<T: DeserializeOwned>(request: &Request, run: impl FnOnce(T) -> Response) -> Response {
     match request.parse() {
         Ok(body) => run(body),
         Err(error) => error_response(400, CODE_INVALID_ARGUMENT, &error.to_string()),
     }
 }
-
-fn store_error(error: StoreError) -> Response {
-    match error {
-        StoreError::LeaseNotFound => {
-            error_response(404, CODE_NOT_FOUND, "requested lease not found")
-        }
-        StoreError::ValueTooLarge => {
-            error_response(400, CODE_INVALID_ARGUMENT, "request is too large")
-        }
-    }
-}
-
-fn error_response(status: u16, code: i32, message: &str) -> Response {
-    let message = message.to_owned();
-    Response::json(status, &ErrorResponse { code, message })
-}
--- a/components/standins/src/platform/mod.rs
+++ b/components/standins/src/platform/mod.rs
@@ -3,6 +3,7 @@
 mod api;
 mod faults;
 mod limiter;
+mod state;
 mod stats;
 mod store;
 mod watchers;
