--- a/components/config/src/settings/entry.rs
+++ b/components/config/src/settings/entry.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use model::FirmKey;
 use serde::{Deserialize, Serialize};
 
 use super::load::{self, SettingsError};
@@ -125,6 +126,15 @@
         load::parse(file, text, KEYS, contradictions)
     }
 
+    /// Returns the keys of the firms served; empty means all.
+    #[must_use]
+    pub fn firm_keys(&self) -> Vec<FirmKey> {
+        self.firms
+            .iter()
+            .map(|name| FirmKey::from_name(name))
+            .collect()
+    }
+
     /// Returns the address for other processes to use, given the one that was bound.
     #[must_use]
     pub fn advertised_peer_address(&self, bound: SocketAddr) -> SocketAddr {
--- a/components/operators/tests/publish.rs
+++ b/components/operators/tests/publish.rs
@@ -296,6 +296,38 @@
     assert_eq!(by.editor, "editor of z");
 }
 
+#[test]
+fn a_write_in_doubt_behind_too_many_edits_is_told_as_unknown() {
+    for fate in [Fate::AnswerLost, Fate::RequestLost] {
+        let mut store = Store::default();
+        store.put(&with_weight("base", 1));
+        let mut operator = Operator::new(with_weight("x", 2), Expected::Latest);
+        operator.step(&mut store, Fate::Answered);
+        operator.step(&mut store, fate);
+        for weight in 10..30 {
+            let other = with_weight(&format!("other-{weight}"), weight);
+            Operator::new(other, Expected::Latest).run(&mut store, &[]);
+        }
+        let outcome = operator.run(&mut store, &[]);
+        assert!(matches!(outcome, Outcome::Unknown { .. }), "{outcome:?}");
+    }
+}
+
+#[test]
+fn an_older_value_read_back_proves_nothing() {
+    let old = with_weight("old", 1);
+    let base = with_weight("base", 2).following(3, Some(&old));
+    let stored = |revision, published: &Published| Stored {
+        revision,
+        value: published.encode().expect("small").into_bytes(),
+    };
+    let mut publish = Publish::new(with_weight("x", 3), Expected::Latest);
+    publish.handle(Event::Read(Some(stored(6, &base))));
+    publish.handle(Event::SwapUnknown(String::from("timeout")));
+    let action = publish.handle(Event::Read(Some(stored(3, &old))));
+    assert_eq!(action, Action::Read);
+}
+
 #[test]
 fn an_outage_before_the_write_leaves_nothing_written() {
     let mut store = Store::default();
