Refuse a publication that undoes another editor's last edit

Cause: a folder that lacks an edit published earlier set it back without a conflict, since compare-and-swap only notices simultaneous edits.

Ruled out: demanding a base revision for every publication, which nobody could give the first time.

Change: the published form records who last changed each key and a hash of the value before; publishing without a base compares them.

Conclusion: such a publication ends with the keys, editors and times, and needs the revision in force as its base.

--- a/components/config/src/diff.rs
+++ b/components/config/src/diff.rs
@@ -79,7 +79,8 @@
     })
 }
 
-fn flatten(configuration: &Configuration) -> BTreeMap<String, Value> {
+/// Returns every value by the path of its key, with tokens in the clear.
+pub(crate) fn flatten(configuration: &Configuration) -> BTreeMap<String, Value> {
     let mut values = BTreeMap::new();
     let value = serde_json::to_value(configuration).unwrap_or_default();
     flatten_into("", value, &mut values);
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -6,6 +6,7 @@
 mod diff;
 mod fault;
 mod folder;
+mod history;
 mod published;
 mod schema;
 mod settings;
@@ -21,6 +22,7 @@
 pub use folder::{
     FileStamp, Merged, Provenance, SourceFile, merge_files, merge_folder, read_folder, read_stable,
 };
+pub use history::{LastEdit, Undone};
 pub use published::{
     CONFIG_KEY, FORMAT_VERSION, MAX_ANCESTORS, MAX_VALUE_BYTES, Published, PublishedBuilder,
     PublishedError,
--- a/components/config/src/published.rs
+++ b/components/config/src/published.rs
@@ -1,11 +1,14 @@
 //! The operators' configuration as the platform holds it.
 
+use std::collections::BTreeMap;
+
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::Configuration;
 use crate::fault::Fault;
 use crate::folder::{Merged, Provenance, validate};
+use crate::history::LastEdit;
 
 /// Key of the configuration in the platform.
 pub const CONFIG_KEY: &str = "/shallotcross/config";
@@ -28,6 +31,8 @@
     pub publication_id: String,
     /// Ids of the publications before this one, the newest first.
     pub ancestors: Vec<String>,
+    /// Last change of each key that was changed since the first publication.
+    pub last_edits: BTreeMap<String, LastEdit>,
     /// Who published.
     pub editor: String,
     /// When it was published.
@@ -94,6 +99,7 @@
                 format_version: FORMAT_VERSION,
                 publication_id: String::new(),
                 ancestors: Vec::new(),
+                last_edits: BTreeMap::new(),
                 editor: String::new(),
                 published_unix_ms: 0,
                 base_revision: 0,
@@ -146,10 +152,12 @@
     pub fn following(mut self, revision: u64, base: Option<&Self>) -> Self {
         self.base_revision = revision;
         self.ancestors.clear();
+        self.last_edits.clear();
         if let Some(base) = base {
             self.ancestors.push(base.publication_id.clone());
             self.ancestors.extend(base.ancestors.iter().cloned());
             self.ancestors.truncate(MAX_ANCESTORS);
+            self.last_edits = self.last_edits_after(base);
         }
         self
     }
--- a/components/operators/src/outcome.rs
+++ b/components/operators/src/outcome.rs
@@ -1,6 +1,6 @@
 //! How an attempt to publish ended.
 
-use config::{Change, Fault, PublishedError};
+use config::{Change, Fault, PublishedError, Undone};
 use errors::ExitCode;
 
 use crate::conflict::{Conflict, Edit};
@@ -27,6 +27,13 @@
     },
     /// Another edit got in first; nothing was written.
     Conflict(Box<Conflict>),
+    /// It would undo edits of others that the folder lacks; nothing was written.
+    Undoes {
+        /// Revision in force.
+        revision: u64,
+        /// The edits.
+        edits: Vec<Undone>,
+    },
     /// The change is not allowed; nothing was written.
     Refused {
         /// Why.
@@ -57,7 +64,7 @@
             Self::Published { .. } | Self::Unchanged { .. } | Self::Superseded { .. } => {
                 ExitCode::Ok
             }
-            Self::Conflict(_) => ExitCode::Conflict,
+            Self::Conflict(_) | Self::Undoes { .. } => ExitCode::Conflict,
             Self::Refused { .. } | Self::Invalid { .. } => ExitCode::Invalid,
             Self::Unavailable { .. } | Self::Unknown { .. } => ExitCode::Unavailable,
         }
--- a/components/operators/src/publish.rs
+++ b/components/operators/src/publish.rs
@@ -96,6 +96,10 @@
             if !faults.is_empty() {
                 return self.finish(Outcome::Refused { faults });
             }
+            let edits = current.undone_by(&self.published);
+            if self.expected == Expected::Latest && !edits.is_empty() {
+                return self.finish(Outcome::Undoes { revision, edits });
+            }
         }
         if let Expected::Revision(expected) = self.expected
             && expected != revision
--- a/components/operators/src/render.rs
+++ b/components/operators/src/render.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use config::{Change, Configuration, Fault, Merged, Snapshot, changes};
+use config::{Change, Configuration, Fault, Merged, Snapshot, Undone, changes};
 use errors::ExitCode;
 
 use crate::conflict::{Conflict, Edit};
@@ -89,6 +89,7 @@
             format!("published, and replaced since by {}\n", edit_text(by))
         }
         Outcome::Conflict(conflict) => conflict_text(conflict),
+        Outcome::Undoes { revision, edits } => undoes_text(*revision, edits),
         Outcome::Refused { faults } => format!("not published\n{}", lines(faults)),
         Outcome::Invalid { error } => format!("not published\n{error}\n"),
         Outcome::Unavailable { message } => {
@@ -129,6 +130,20 @@
     text
 }
 
+fn undoes_text(revision: u64, edits: &[Undone]) -> String {
+    let mut text = String::from("not published: the folder lacks what others changed:\n");
+    for edit in edits {
+        let at = format_unix_ms(edit.published_unix_ms);
+        line(
+            &mut text,
+            &format!("  {}, changed by {} at {at}", edit.key, edit.editor),
+        );
+    }
+    let remedy = format!("take it into the folder, or undo it with `--base {revision}`");
+    line(&mut text, &remedy);
+    text
+}
+
 fn section(text: &mut String, title: &str, changes: Option<&[Change]>) {
     let Some(changes) = changes else {
         return;
--- a/components/operators/tests/publish.rs
+++ b/components/operators/tests/publish.rs
@@ -369,6 +369,35 @@
     }
 }
 
+#[test]
+fn a_folder_that_lacks_the_edit_of_another_is_not_published() {
+    let both = |a: u32, b: u32| format!("firms.a.weight = {a}\nfirms.b.weight = {b}");
+    let mut store = Store::default();
+    let mut run =
+        |published: Published, expected| Operator::new(published, expected).run(&mut store, &[]);
+    run(publication("base", &both(1, 1)), Expected::Latest);
+    run(publication("x", &both(2, 1)), Expected::Latest);
+
+    let outcome = run(publication("y", &both(1, 5)), Expected::Latest);
+    let Outcome::Undoes { revision: 6, edits } = outcome else {
+        panic!("{outcome:?}");
+    };
+    let found: Vec<(&str, &str)> = edits
+        .iter()
+        .map(|edit| (edit.key.as_str(), edit.editor.as_str()))
+        .collect();
+    assert_eq!(found, [("firms.a.weight", "editor of x")]);
+
+    let outcome = run(publication("y", &both(2, 5)), Expected::Latest);
+    assert!(matches!(outcome, Outcome::Published { .. }), "{outcome:?}");
+    let outcome = run(publication("z", &both(3, 5)), Expected::Latest);
+    assert!(matches!(outcome, Outcome::Published { .. }), "{outcome:?}");
+    let outcome = run(publication("z", &both(2, 5)), Expected::Latest);
+    assert!(matches!(outcome, Outcome::Published { .. }), "{outcome:?}");
+    let outcome = run(publication("w", &both(3, 5)), Expected::Revision(15));
+    assert!(matches!(outcome, Outcome::Published { .. }), "{outcome:?}");
+}
+
 #[test]
 fn the_number_of_shards_cannot_change() {
     let mut store = Store::default();
--- a/components/operators/tests/render.rs
+++ b/components/operators/tests/render.rs
@@ -1,6 +1,6 @@
 //! What the commands print.
 
-use config::{Published, Snapshot, SourceFile, merge_files};
+use config::{Published, Snapshot, SourceFile, Undone, merge_files};
 use errors::ExitCode;
 use operators::{Conflict, Edit, Outcome, render_check, render_diff, render_outcome, render_show};
 
@@ -95,7 +95,22 @@
         remaining_changes: Vec::new(),
     };
     let message = String::from("timeout");
+    let undone = Undone {
+        key: String::from("firms.a.weight"),
+        editor: String::from("ana"),
+        published_unix_ms: 0,
+    };
+    let undoes = Outcome::Undoes {
+        revision: 9,
+        edits: vec![undone],
+    };
     let cases = [
+        (
+            undoes,
+            ExitCode::Conflict,
+            "firms.a.weight, changed by ana at 1970-01-01T00:00:00Z\n\
+             take it into the folder, or undo it with `--base 9`",
+        ),
         (
             Outcome::Unchanged { revision: 3 },
             ExitCode::Ok,
