--- a/components/operators/tests/publish.rs
+++ b/components/operators/tests/publish.rs
@@ -296,6 +296,38 @@
     assert_eq!(by.editor, "editor of z");
 }
 
+#[test]
+fn a_write_in_doubt_behind_too_many_edits_is_told_as_unknown() {
+    for fate in [Fate::AnswerLost, Fate::RequestLost] {
+        let mut store = Store::default();
+        store.put(&with_weight("base", 1));
+        let mut operator = Operator::new(with_weight("x", 2), Expected::Latest);
+        operator.step(&mut store, Fate::Answered);
+        operator.step(&mut store, fate);
+        for weight in 10..30 {
+            let other = with_weight(&format!("other-{weight}"), weight);
+            Operator::new(other, Expected::Latest).run(&mut store, &[]);
+        }
+        let outcome = operator.run(&mut store, &[]);
+        assert!(matches!(outcome, Outcome::Unknown { .. }), "{outcome:?}");
+    }
+}
+
+#[test]
+fn an_older_value_read_back_proves_nothing() {
+    let old = with_weight("old", 1);
+    let base = with_weight("base", 2).following(3, Some(&old));
+    let stored = |revision, published: &Published| Stored {
+        revision,
+        value: published.encode().expect("small").into_bytes(),
+    };
+    let mut publish = Publish::new(with_weight("x", 3), Expected::Latest);
+    publish.handle(Event::Read(Some(stored(6, &base))));
+    publish.handle(Event::SwapUnknown(String::from("timeout")));
+    let action = publish.handle(Event::Read(Some(stored(3, &old))));
+    assert_eq!(action, Action::Read);
+}
+
 #[test]
 fn an_outage_before_the_write_leaves_nothing_written() {
     let mut store = Store::default();
@@ -337,6 +369,35 @@
     }
 }
 
+#[test]
+fn a_folder_that_lacks_the_edit_of_another_is_not_published() {
+    let both = |a: u32, b: u32| format!("firms.a.weight = {a}\nfirms.b.weight = {b}");
+    let mut store = Store::default();
+    let mut run =
+        |published: Published, expected| Operator::new(published, expected).run(&mut store, &[]);
+    run(publication("base", &both(1, 1)), Expected::Latest);
+    run(publication("x", &both(2, 1)), Expected::Latest);
+
+    let outcome = run(publication("y", &both(1, 5)), Expected::Latest);
+    let Outcome::Undoes { revision: 6, edits } = outcome else {
+        panic!("{outcome:?}");
+    };
+    let found: Vec<(&str, &str)> = edits
+        .iter()
+        .map(|edit| (edit.key.as_str(), edit.editor.as_str()))
+        .collect();
+    assert_eq!(found, [("firms.a.weight", "editor of x")]);
+
+    let outcome = run(publication("y", &both(2, 5)), Expected::Latest);
+    assert!(matches!(outcome, Outcome::Published { .. }), "{outcome:?}");
+    let outcome = run(publication("z", &both(3, 5)), Expected::Latest);
+    assert!(matches!(outcome, Outcome::Published { .. }), "{outcome:?}");
+    let outcome = run(publication("z", &both(2, 5)), Expected::Latest);
+    assert!(matches!(outcome, Outcome::Published { .. }), "{outcome:?}");
+    let outcome = run(publication("w", &both(3, 5)), Expected::Revision(15));
+    assert!(matches!(outcome, Outcome::Published { .. }), "{outcome:?}");
+}
+
 #[test]
 fn the_number_of_shards_cannot_change() {
     let mut store = Store::default();
