--- a/components/standins/src/platform/mod.rs
+++ b/components/standins/src/platform/mod.rs
@@ -25,6 +25,7 @@
 const EXPIRY_INTERVAL_MS: u64 = 20;
 const DEFAULT_WRITES_PER_S: u32 = 500;
 const DEFAULT_READS_PER_S: u32 = 2_000;
+const DEFAULT_MAX_HISTORY: usize = 10_000;
 
 /// Settings of a [`PlatformStandin`].
 #[derive(Debug, Clone)]
@@ -33,6 +34,7 @@
     writes_per_s: u32,
     reads_per_s: u32,
     overload: Overload,
+    max_history: usize,
     seed: u64,
 }
 
@@ -58,6 +60,13 @@
         self
     }
 
+    /// Sets the number of revisions kept for watches that start in the past.
+    #[must_use]
+    pub fn max_history(mut self, value: usize) -> Self {
+        self.max_history = value;
+        self
+    }
+
     /// Sets the seed of faults that strike with a probability.
     #[must_use]
     pub fn seed(mut self, value: u64) -> Self {
@@ -108,6 +117,7 @@
             writes_per_s: DEFAULT_WRITES_PER_S,
             reads_per_s: DEFAULT_READS_PER_S,
             overload: Overload::Reject,
+            max_history: DEFAULT_MAX_HISTORY,
             seed: 0,
         }
     }
--- a/components/standins/src/platform/state.rs
+++ b/components/standins/src/platform/state.rs
@@ -56,7 +56,7 @@
 impl State {
     pub(super) fn new(settings: &PlatformStandinBuilder) -> Self {
         Self {
-            store: Store::new(),
+            store: Store::new(settings.max_history),
             watchers: Watchers::default(),
             faults: FaultState::new(settings.seed),
             stats: PlatformStats::default(),
--- a/components/standins/src/platform/store.rs
+++ b/components/standins/src/platform/store.rs
@@ -9,9 +9,6 @@
     TxnResponse,
 };
 
-/// Revisions kept for watches that start in the past.
-const MAX_HISTORY: usize = 10_000;
-
 /// Largest value, in bytes.
 const MAX_VALUE_BYTES: usize = 1024 * 1024;
 
@@ -40,6 +37,7 @@
     leases: BTreeMap<u64, Lease>,
     next_lease: u64,
     history: VecDeque<Change>,
+    max_history: usize,
     compacted_revision: u64,
 }
 
@@ -53,13 +51,14 @@
 }
 
 impl Store {
-    pub(super) fn new() -> Self {
+    pub(super) fn new(max_history: usize) -> Self {
         Self {
             revision: 1,
             keys: BTreeMap::new(),
             leases: BTreeMap::new(),
             next_lease: 1,
             history: VecDeque::new(),
+            max_history,
             compacted_revision: 0,
         }
     }
@@ -263,7 +262,7 @@
         let revision = self.revision;
         let change = Change { revision, events };
         self.history.push_back(change.clone());
-        if self.history.len() > MAX_HISTORY
+        if self.history.len() > self.max_history
             && let Some(oldest) = self.history.pop_front()
         {
             self.compacted_revision = oldest.revision;
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -29,4 +29,5 @@
 pub use server::serve;
 pub use stop::Stop;
 
+pub use bytes::Bytes;
 pub use http::{HeaderMap, HeaderName, HeaderValue, Method};
