--- a/components/standins/src/platform/mod.rs
+++ b/components/standins/src/platform/mod.rs
@@ -15,7 +15,7 @@
 
 use monoio::net::TcpListener;
 use monoio::time::sleep;
-use web::{Notify, Request, ServerCounters, ServerLimits, Stop, serve};
+use web::{Notify, Request, ServerCounters, ServerLimits, Stop, bind, serve};
 
 use api::Api;
 pub use faults::PlatformFaults;
@@ -80,7 +80,7 @@
     ///
     /// Fails if the address cannot be bound.
     pub async fn start(self) -> io::Result<PlatformStandin> {
-        let listener = TcpListener::bind(self.listen)?;
+        let listener = bind(self.listen)?;
         let standin = PlatformStandin {
             address: listener.local_addr()?,
             api: Rc::new(Api::new(&self)),
--- a/components/web/src/connection.rs
+++ b/components/web/src/connection.rs
@@ -9,7 +9,7 @@
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::ChunkedBodyDecoder;
 
-const READ_BYTES: usize = 16 * 1024;
+const READ_BYTES: usize = 8 * 1024;
 
 /// Bytes of chunk framing allowed in the buffer beside the data.
 const CHUNK_FRAMING_BYTES: usize = 64;
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -26,7 +26,7 @@
 pub use line_stream::LineStream;
 pub use message::{Delivery, Request, Response};
 pub use notify::Notify;
-pub use server::serve;
+pub use server::{bind, serve};
 pub use stop::Stop;
 
 pub use bytes::Bytes;
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use futures::future::{Either, select};
-use monoio::net::{TcpListener, TcpStream};
+use http::Method;
+use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 use monoio::time::{sleep, timeout};
 
 use crate::connection::{Connection, ReadError};
@@ -41,6 +42,18 @@
     closed: Notify,
 }
 
+/// Binds an address that no other process listens on; port 0 picks a free one.
+///
+/// Unlike the default of `monoio`, it does not share the port with other listeners.
+///
+/// # Errors
+///
+/// Fails if the address is in use or not one of this host.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let options = ListenerOpts::new().reuse_port(false).reuse_addr(true);
+    TcpListener::bind_with_config(address, &options)
+}
+
 /// Serves requests until `stop` is set and the requests in progress have been answered.
 ///
 /// Malformed, oversized and slow requests get an error response with a JSON body and
@@ -158,6 +171,7 @@
                 }
             };
             increment(&self.counters.requests);
+            let head_only = read.request.method == Method::HEAD;
             let mut response = (self.handler)(read.request, peer).await;
             match std::mem::replace(&mut response.delivery, Delivery::Body) {
                 Delivery::Body => {}
@@ -166,6 +180,9 @@
                     return self.stream(connection.stream, &response, lines).await;
                 }
             }
+            if head_only {
+                response.body.clear();
+            }
             let keep_alive = read.keep_alive && !self.stop.is_stopped();
             if !self.respond(&mut connection, response, keep_alive).await {
                 return;
--- a/components/web/tests/server.rs
+++ b/components/web/tests/server.rs
@@ -1,15 +1,14 @@
 //! The server against garbage, oversized, slow and excessive input, and its graceful stop.
 
-use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use monoio::io::{AsyncReadRent, AsyncReadRentExt, AsyncWriteRent, AsyncWriteRentExt};
-use monoio::net::{TcpListener, TcpStream};
+use monoio::net::TcpStream;
 use web::{
-    Notify, Request, Response, ServerCounters, ServerLimits, ServerLimitsBuilder, Stop,
-    line_channel, serve,
+    Request, Response, ServerCounters, ServerLimits, ServerLimitsBuilder, Stop, bind, line_channel,
+    serve,
 };
 
 fn run(test: impl Future<Output = ()>) {
@@ -24,26 +23,19 @@
     address: SocketAddr,
     counters: Rc<ServerCounters>,
     stop: Stop,
-    ended: Rc<(Cell<bool>, Notify)>,
-}
-
-impl Served {
-    async fn ended(&self) {
-        let done = || self.ended.0.get().then_some(());
-        self.ended.1.wait_until(done).await;
-    }
+    ended: Stop,
 }
 
 fn start<F>(limits: ServerLimits, handler: impl Fn(Request) -> F + 'static) -> Served
 where
     F: Future<Output = Response> + 'static,
 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
     let served = Served {
         address: listener.local_addr().expect("an address"),
         counters: Rc::default(),
         stop: Stop::new(),
-        ended: Rc::default(),
+        ended: Stop::new(),
     };
     let (counters, stop) = (served.counters.clone(), served.stop.clone());
     let ended = served.ended.clone();
@@ -52,8 +44,7 @@
             handler(request)
         })
         .await;
-        ended.0.set(true);
-        ended.1.notify_all();
+        ended.stop();
     });
     served
 }
@@ -205,14 +196,13 @@
 #[test]
 fn a_stop_finishes_requests_in_progress_and_refuses_new_connections() {
     run(async {
-        let entered: Rc<(Cell<bool>, Notify)> = Rc::default();
-        let release: Stop = Stop::new();
+        let entered = Stop::new();
+        let release = Stop::new();
         let (inside, leave) = (entered.clone(), release.clone());
         let served = start(ServerLimits::default(), move |_| {
             let (inside, leave) = (inside.clone(), leave.clone());
             async move {
-                inside.0.set(true);
-                inside.1.notify_all();
+                inside.stop();
                 leave.stopped().await;
                 Response::text(200, "finished")
             }
@@ -220,23 +210,49 @@
         let mut idle = open(&served).await;
         let mut busy = open(&served).await;
         write(&mut busy, "GET / HTTP/1.1\r\n\r\n").await;
-        let has_entered = || entered.0.get().then_some(());
-        entered.1.wait_until(has_entered).await;
+        entered.stopped().await;
         served.stop.stop();
         assert_eq!(read_to_end(&mut idle).await, "");
-        assert!(!served.ended.0.get());
+        assert!(!served.ended.is_stopped());
         assert!(TcpStream::connect_addr(served.address).await.is_err());
         release.stop();
         assert!(read_to_end(&mut busy).await.contains("finished"));
         drop(busy);
-        served.ended().await;
+        served.ended.stopped().await;
+    });
+}
+
+#[test]
+fn a_client_that_does_not_read_is_cut_off() {
+    run(async {
+        let entered = Stop::new();
+        let inside = entered.clone();
+        let limits = ServerLimits::builder().write_timeout_ms(30);
+        let served = start(limits.build(), move |_| {
+            inside.stop();
+            async move { Response::text(200, "x".repeat(64 * 1024 * 1024)) }
+        });
+        let mut stream = open(&served).await;
+        write(&mut stream, "GET / HTTP/1.1\r\n\r\n").await;
+        entered.stopped().await;
+        served.stop.stop();
+        served.ended.stopped().await;
+        assert_eq!(served.counters.slow_readers.get(), 1);
+    });
+}
+
+#[test]
+fn a_port_is_not_shared() {
+    run(async {
+        let served = start_echo(ServerLimits::builder());
+        assert!(bind(served.address).is_err());
     });
 }
 
 #[test]
 fn a_stream_ends_when_the_client_leaves() {
     run(async {
-        let gone: Rc<(Cell<bool>, Notify)> = Rc::default();
+        let gone = Stop::new();
         let told = gone.clone();
         let served = start(ServerLimits::default(), move |_| {
             let told = told.clone();
@@ -244,8 +260,7 @@
             sender.send("one".into()).expect("room for a line");
             monoio::spawn(async move {
                 sender.closed().await;
-                told.0.set(true);
-                told.1.notify_all();
+                told.stop();
             });
             async move { Response::stream(receiver) }
         });
@@ -254,6 +269,6 @@
         let (result, _) = stream.read_exact(vec![0; 40]).await;
         result.expect("the beginning of the stream");
         stream.shutdown().await.expect("a shutdown");
-        gone.1.wait_until(|| gone.0.get().then_some(())).await;
+        gone.stopped().await;
     });
 }
