Test the links of the protocol package

A peer that answers with the reply to another kind of call made the client that tarpc generates panic, so links match the reply themselves and report a crossed answer.

--- a/components/protocol/examples/round_trip.rs
+++ b/components/protocol/examples/round_trip.rs
@@ -33,7 +33,9 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
     let address = listener.local_addr().expect("a listener has an address");
     let settings = ServerSettings::builder(AGENT).build();
-    monoio::spawn(serve_agent(listener, settings, answer));
+    monoio::spawn(serve_agent(listener, settings, |envelope| {
+        answer(&envelope)
+    }));
     let link = AgentLink::connect(&address.to_string(), ENTRY, Some(AGENT), deadline_us()).await?;
     call_in_turn(&link, &Rc::new(Cell::new(CALL_COUNT / 10))).await?;
 
@@ -61,7 +63,7 @@
     runtime::monotonic_us() + CALL_TIMEOUT_US
 }
 
-fn answer(envelope: OwnerEnvelope) -> AgentEnvelope {
+fn answer(envelope: &OwnerEnvelope) -> AgentEnvelope {
     AgentEnvelope {
         from: AGENT,
         to: envelope.from,
--- /dev/null
+++ b/components/protocol/src/connect.rs
@@ -0,0 +1,65 @@
+//! Opening of connections.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use model::ProcessKey;
+use monoio::net::TcpStream;
+
+use crate::codec::MAX_CALL_MS;
+use crate::error::{LinkError, LinkFault};
+use crate::hello::{self, Hello, Reply, Service, VERSION};
+
+pub(crate) fn time_left(deadline_us: u64) -> Option<Duration> {
+    let left_us = deadline_us.checked_sub(runtime::monotonic_us())?;
+    let left_us = left_us.min(MAX_CALL_MS * 1_000);
+    (left_us > 0).then(|| Duration::from_micros(left_us))
+}
+
+pub(crate) fn hello_for(service: Service, own: ProcessKey, expected: Option<ProcessKey>) -> Hello {
+    Hello {
+        version: VERSION,
+        service: service.number(),
+        from: own,
+        expected,
+    }
+}
+
+pub(crate) async fn open(
+    address: &str,
+    hello: Hello,
+    deadline_us: u64,
+) -> Result<(TcpStream, ProcessKey), LinkError> {
+    let Ok(address) = address.parse() else {
+        return Err(LinkError::NotSent(LinkFault::BadAddress));
+    };
+    let Some(time_left) = time_left(deadline_us) else {
+        return Err(LinkError::NotSent(LinkFault::DeadlinePassed));
+    };
+    match monoio::time::timeout(time_left, greet(address, hello)).await {
+        Ok(result) => result.map_err(LinkError::NotSent),
+        Err(_) => Err(LinkError::NotSent(LinkFault::DeadlinePassed)),
+    }
+}
+
+async fn greet(address: SocketAddr, hello: Hello) -> Result<(TcpStream, ProcessKey), LinkFault> {
+    let (stream, reply) = match exchange_hello(address, hello).await {
+        Ok(greeted) => greeted,
+        Err(error) => return Err(LinkFault::Connect(error.to_string())),
+    };
+    let reply = reply.ok_or(LinkFault::NotProtocol)?;
+    let key = reply.accepted().map_err(LinkFault::Refused)?;
+    Ok((stream, key))
+}
+
+async fn exchange_hello(
+    address: SocketAddr,
+    hello: Hello,
+) -> io::Result<(TcpStream, Option<Reply>)> {
+    let mut stream = TcpStream::connect_addr(address).await?;
+    stream.set_nodelay(true)?;
+    hello::write_hello(&mut stream, &hello).await?;
+    let reply = hello::read_reply(&mut stream).await?;
+    Ok((stream, reply))
+}
--- a/components/protocol/src/error.rs
+++ b/components/protocol/src/error.rs
@@ -45,6 +45,9 @@
     /// Too many calls are under way on the connection.
     #[display("peer is at its limit of calls")]
     Busy,
+    /// The peer answered with the reply to another kind of call.
+    #[display("peer answered another kind of call")]
+    CrossedAnswer,
     /// The connection broke.
     #[display("connection broke: {_0}")]
     Broken(#[error(not(source))] String),
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -2,6 +2,7 @@
 //! TCP with `bincode`; see `docs/PROTOCOL.md`.
 
 mod codec;
+mod connect;
 mod counters;
 mod error;
 mod handlers;
--- a/components/protocol/src/link.rs
+++ b/components/protocol/src/link.rs
@@ -1,38 +1,40 @@
 //! Connections to agents and entries.
 
-use std::future::Future;
-use std::io;
-use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use model::{AgentEnvelope, AgentInfo, JobKey, JobSpec, OwnerEnvelope, ProcessKey};
 use monoio::net::TcpStream;
 use runtime::Stop;
-use tarpc::client::{Config, NewClient, RpcError};
-use tarpc::context::{self, Context};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tarpc::RequestName;
+use tarpc::client::{Channel, Config, NewClient};
+use tarpc::context;
 
-use crate::codec::{MAX_CALL_MS, client_transport};
+use crate::codec::client_transport;
+use crate::connect::{hello_for, open, time_left};
 use crate::error::{LinkError, LinkFault};
-use crate::hello::{self, Hello, Reply, Service, VERSION};
+use crate::hello::Service;
 use crate::message::{
     AnnounceReply, CancelReply, EntryPing, EntryPong, HandOver, HandOverReply, StatusReply,
     SubmitReply,
 };
-use crate::service::{AgentServiceClient, EntryServiceClient};
+use crate::service::{
+    AgentServiceRequest, AgentServiceResponse, EntryServiceRequest, EntryServiceResponse,
+};
 
 const MAX_CALLS_IN_FLIGHT: usize = 65_536;
 const PENDING_CALL_BUFFER: usize = 1_024;
 
 /// A connection to an agent.
-pub type AgentLink = Link<AgentServiceClient>;
+pub type AgentLink = Link<AgentServiceRequest, AgentServiceResponse>;
 
 /// A connection to an entry.
-pub type EntryLink = Link<EntryServiceClient>;
+pub type EntryLink = Link<EntryServiceRequest, EntryServiceResponse>;
 
 /// A connection to another process; it closes when the last clone is dropped.
-#[derive(Clone)]
-pub struct Link<C> {
-    client: C,
+pub struct Link<Req, Resp> {
+    channel: Channel<Req, Resp>,
     peer: ProcessKey,
     closed: Stop,
 }
@@ -53,8 +55,7 @@
     ) -> Result<Self, LinkError> {
         let hello = hello_for(Service::Agent, own, expected);
         let (stream, peer) = open(address, hello, deadline_us).await?;
-        let client = AgentServiceClient::new(config(), client_transport(stream));
-        Ok(Self::start(client, peer))
+        Ok(Self::start(stream, peer))
     }
 
     /// Sends messages of an owner and returns the agent's immediate answers.
@@ -67,8 +68,10 @@
         envelope: OwnerEnvelope,
         deadline_us: u64,
     ) -> Result<AgentEnvelope, LinkError> {
-        let call = |context| self.client.exchange(context, envelope);
-        self.call(deadline_us, call).await
+        let request = AgentServiceRequest::Exchange { envelope };
+        match self.call(request, deadline_us).await? {
+            AgentServiceResponse::Exchange(reply) => Ok(reply),
+        }
     }
 }
 
@@ -88,8 +91,7 @@
     ) -> Result<Self, LinkError> {
         let hello = hello_for(Service::Entry, own, expected);
         let (stream, peer) = open(address, hello, deadline_us).await?;
-        let client = EntryServiceClient::new(config(), client_transport(stream));
-        Ok(Self::start(client, peer))
+        Ok(Self::start(stream, peer))
     }
 
     /// Announces an agent that knows the configuration up to a revision.
@@ -103,8 +105,14 @@
         known_config_revision: u64,
         deadline_us: u64,
     ) -> Result<AnnounceReply, LinkError> {
-        let call = |context| self.client.announce(context, agent, known_config_revision);
-        self.call(deadline_us, call).await
+        let request = EntryServiceRequest::Announce {
+            agent,
+            known_config_revision,
+        };
+        match self.call(request, deadline_us).await? {
+            EntryServiceResponse::Announce(reply) => Ok(reply),
+            _ => Err(crossed_answer()),
+        }
     }
 
     /// Sends messages of an agent and returns the entry's immediate answers.
@@ -117,8 +125,11 @@
         envelope: AgentEnvelope,
         deadline_us: u64,
     ) -> Result<OwnerEnvelope, LinkError> {
-        let call = |context| self.client.exchange(context, envelope);
-        self.call(deadline_us, call).await
+        let request = EntryServiceRequest::Exchange { envelope };
+        match self.call(request, deadline_us).await? {
+            EntryServiceResponse::Exchange(reply) => Ok(reply),
+            _ => Err(crossed_answer()),
+        }
     }
 
     /// Forwards a submission that has waited for `waited_ms` and waits for the job's answer.
@@ -132,8 +143,11 @@
         waited_ms: u64,
         deadline_us: u64,
     ) -> Result<SubmitReply, LinkError> {
-        let call = |context| self.client.submit(context, job, waited_ms);
-        self.call(deadline_us, call).await
+        let request = EntryServiceRequest::Submit { job, waited_ms };
+        match self.call(request, deadline_us).await? {
+            EntryServiceResponse::Submit(reply) => Ok(reply),
+            _ => Err(crossed_answer()),
+        }
     }
 
     /// Asks for the state of a job.
@@ -142,8 +156,11 @@
     ///
     /// Fails if there is no answer before the deadline or the connection ends.
     pub async fn status(&self, job: JobKey, deadline_us: u64) -> Result<StatusReply, LinkError> {
-        let call = |context| self.client.status(context, job);
-        self.call(deadline_us, call).await
+        let request = EntryServiceRequest::Status { job };
+        match self.call(request, deadline_us).await? {
+            EntryServiceResponse::Status(reply) => Ok(reply),
+            _ => Err(crossed_answer()),
+        }
     }
 
     /// Cancels a job.
@@ -152,8 +169,11 @@
     ///
     /// Fails if there is no answer before the deadline or the connection ends.
     pub async fn cancel(&self, job: JobKey, deadline_us: u64) -> Result<CancelReply, LinkError> {
-        let call = |context| self.client.cancel(context, job);
-        self.call(deadline_us, call).await
+        let request = EntryServiceRequest::Cancel { job };
+        match self.call(request, deadline_us).await? {
+            EntryServiceResponse::Cancel(reply) => Ok(reply),
+            _ => Err(crossed_answer()),
+        }
     }
 
     /// Exchanges what the two entries know of each other.
@@ -162,8 +182,11 @@
     ///
     /// Fails if there is no answer before the deadline or the connection ends.
     pub async fn ping(&self, ping: EntryPing, deadline_us: u64) -> Result<EntryPong, LinkError> {
-        let call = |context| self.client.ping(context, ping);
-        self.call(deadline_us, call).await
+        let request = EntryServiceRequest::Ping { ping };
+        match self.call(request, deadline_us).await? {
+            EntryServiceResponse::Ping(reply) => Ok(reply),
+            _ => Err(crossed_answer()),
+        }
     }
 
     /// Offers a shard to its next owner.
@@ -176,12 +199,15 @@
         hand_over: HandOver,
         deadline_us: u64,
     ) -> Result<HandOverReply, LinkError> {
-        let call = |context| self.client.hand_over(context, hand_over);
-        self.call(deadline_us, call).await
+        let request = EntryServiceRequest::HandOver { hand_over };
+        match self.call(request, deadline_us).await? {
+            EntryServiceResponse::HandOver(reply) => Ok(reply),
+            _ => Err(crossed_answer()),
+        }
     }
 }
 
-impl<C> Link<C> {
+impl<Req, Resp> Link<Req, Resp> {
     /// Returns the incarnation of the peer.
     #[must_use]
     pub fn peer(&self) -> ProcessKey {
@@ -198,12 +224,16 @@
     pub async fn closed(&self) {
         self.closed.stopped().await;
     }
+}
 
-    fn start<D, E>(client: NewClient<C, D>, peer: ProcessKey) -> Self
-    where
-        D: Future<Output = Result<(), E>> + 'static,
-    {
-        let NewClient { client, dispatch } = client;
+impl<Req, Resp> Link<Req, Resp>
+where
+    Req: RequestName + Serialize + 'static,
+    Resp: DeserializeOwned + 'static,
+{
+    fn start(stream: TcpStream, peer: ProcessKey) -> Self {
+        let transport = client_transport(stream);
+        let NewClient { client, dispatch } = tarpc::client::new(config(), transport);
         let closed = Stop::new();
         let ended = closed.clone();
         monoio::spawn(async move {
@@ -212,20 +242,13 @@
             ended.stop();
         });
         Self {
-            client,
+            channel: client,
             peer,
             closed,
         }
     }
 
-    async fn call<T, F>(
-        &self,
-        deadline_us: u64,
-        call: impl FnOnce(Context) -> F,
-    ) -> Result<T, LinkError>
-    where
-        F: Future<Output = Result<T, RpcError>>,
-    {
+    async fn call(&self, request: Req, deadline_us: u64) -> Result<Resp, LinkError> {
         if self.is_closed() {
             return Err(LinkError::NotSent(LinkFault::Closed));
         }
@@ -235,26 +258,25 @@
         let mut context = context::current();
         context.deadline = Instant::now() + time_left;
         // The timer of `tarpc` does not cover calls that wait to be written.
-        match monoio::time::timeout(time_left, call(context)).await {
+        match monoio::time::timeout(time_left, self.channel.call(context, request)).await {
             Ok(result) => result.map_err(LinkError::from_rpc),
             Err(_) => Err(LinkError::Unknown(LinkFault::DeadlinePassed)),
         }
     }
 }
 
-fn time_left(deadline_us: u64) -> Option<Duration> {
-    let left_us = deadline_us.checked_sub(runtime::monotonic_us())?;
-    let left_us = left_us.min(MAX_CALL_MS * 1_000);
-    (left_us > 0).then(|| Duration::from_micros(left_us))
+impl<Req, Resp> Clone for Link<Req, Resp> {
+    fn clone(&self) -> Self {
+        Self {
+            channel: self.channel.clone(),
+            peer: self.peer,
+            closed: self.closed.clone(),
+        }
+    }
 }
 
-fn hello_for(service: Service, own: ProcessKey, expected: Option<ProcessKey>) -> Hello {
-    Hello {
-        version: VERSION,
-        service: service.number(),
-        from: own,
-        expected,
-    }
+fn crossed_answer() -> LinkError {
+    LinkError::Unknown(LinkFault::CrossedAnswer)
 }
 
 fn config() -> Config {
@@ -263,41 +285,3 @@
     config.pending_request_buffer = PENDING_CALL_BUFFER;
     config
 }
-
-async fn open(
-    address: &str,
-    hello: Hello,
-    deadline_us: u64,
-) -> Result<(TcpStream, ProcessKey), LinkError> {
-    let Ok(address) = address.parse() else {
-        return Err(LinkError::NotSent(LinkFault::BadAddress));
-    };
-    let Some(time_left) = time_left(deadline_us) else {
-        return Err(LinkError::NotSent(LinkFault::DeadlinePassed));
-    };
-    match monoio::time::timeout(time_left, greet(address, hello)).await {
-        Ok(result) => result.map_err(LinkError::NotSent),
-        Err(_) => Err(LinkError::NotSent(LinkFault::DeadlinePassed)),
-    }
-}
-
-async fn greet(address: SocketAddr, hello: Hello) -> Result<(TcpStream, ProcessKey), LinkFault> {
-    let (stream, reply) = match exchange_hello(address, hello).await {
-        Ok(greeted) => greeted,
-        Err(error) => return Err(LinkFault::Connect(error.to_string())),
-    };
-    let reply = reply.ok_or(LinkFault::NotProtocol)?;
-    let key = reply.accepted().map_err(LinkFault::Refused)?;
-    Ok((stream, key))
-}
-
-async fn exchange_hello(
-    address: SocketAddr,
-    hello: Hello,
-) -> io::Result<(TcpStream, Option<Reply>)> {
-    let mut stream = TcpStream::connect_addr(address).await?;
-    stream.set_nodelay(true)?;
-    hello::write_hello(&mut stream, &hello).await?;
-    let reply = hello::read_reply(&mut stream).await?;
-    Ok((stream, reply))
-}
--- /dev/null
+++ b/components/protocol/tests/links.rs
@@ -0,0 +1,254 @@
+//! Tests of calls between processes.
+
+mod common;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use common::{CLIENT, SERVER, SHARD, deadline_us, entry_handlers, start_agent, start_entry};
+use futures::FutureExt;
+use futures::channel::oneshot;
+use futures::future::join_all;
+use model::{Answer, FirmKey, Generation, JobKey};
+use protocol::{
+    AgentLink, CancelReply, EntryHandlers, EntryLink, HandOver, LinkError, LinkFault,
+    MAX_FRAME_BYTES, StatusReply, SubmitReply,
+};
+
+async fn entry_link(server: &common::Server) -> EntryLink {
+    let address = server.address.to_string();
+    let link = EntryLink::connect(&address, CLIENT, Some(SERVER), deadline_us()).await;
+    link.unwrap()
+}
+
+fn complete(payload: &Bytes) -> SubmitReply {
+    SubmitReply::Answered(Answer::Complete(vec![payload.clone()]))
+}
+
+#[test]
+fn agent_answers_exchanges() {
+    runtime::run(async {
+        let server = start_agent(1);
+        let address = server.address.to_string();
+        let link = AgentLink::connect(&address, CLIENT, None, deadline_us())
+            .await
+            .unwrap();
+        let envelope = common::owner_envelope(SERVER);
+        let answer = link.exchange(envelope, deadline_us()).await;
+        assert_eq!(answer, Ok(common::agent_envelope(CLIENT)));
+        assert_eq!(link.peer(), SERVER);
+        assert_eq!(server.counters.open(), 1);
+    })
+    .unwrap();
+}
+
+#[test]
+fn entry_answers_every_call() {
+    runtime::run(async {
+        let server = start_entry(entry_handlers());
+        let link = entry_link(&server).await;
+        let key = JobKey::new(FirmKey(5), "job");
+
+        let reply = link
+            .announce(common::agent_info(), 1, deadline_us())
+            .await
+            .unwrap();
+        assert_eq!(reply.entries, [common::entry_info(CLIENT)]);
+        let reply = link
+            .exchange(common::agent_envelope(SERVER), deadline_us())
+            .await
+            .unwrap();
+        assert_eq!(reply, common::owner_envelope(SERVER));
+        let payload = Bytes::from_static(b"{}");
+        let reply = link
+            .submit(common::job(payload.clone()), 1, deadline_us())
+            .await
+            .unwrap();
+        assert_eq!(reply, complete(&payload));
+        let reply = link.status(key, deadline_us()).await.unwrap();
+        assert_eq!(reply, StatusReply::NotFound);
+        let reply = link.cancel(key, deadline_us()).await.unwrap();
+        assert_eq!(reply, CancelReply::Cancelling);
+        let reply = link.ping(common::ping(), deadline_us()).await.unwrap();
+        assert_eq!(reply.owned, common::ping().owned);
+        let hand_over = HandOver {
+            shard: SHARD,
+            generation: Generation(7),
+            bytes: Bytes::from_static(b"table"),
+        };
+        let reply = link.hand_over(hand_over, deadline_us()).await.unwrap();
+        assert!(reply.accepted);
+    })
+    .unwrap();
+}
+
+#[test]
+fn answers_in_another_order_reach_their_callers() {
+    runtime::run(async {
+        let waiting = Rc::new(RefCell::new(Vec::new()));
+        let held = Rc::clone(&waiting);
+        let server = start_entry(entry_handlers().submit(move |job, _| {
+            let (release, released) = oneshot::channel::<()>();
+            held.borrow_mut().push(release);
+            if held.borrow().len() == 64 {
+                held.take()
+                    .into_iter()
+                    .rev()
+                    .for_each(|release| release.send(()).unwrap());
+            }
+            async move {
+                released.await.unwrap();
+                complete(&job.tasks[0].payload)
+            }
+        }));
+        let link = entry_link(&server).await;
+        let calls = (0..64_u8).map(|index| {
+            let payload = Bytes::from(vec![index; 100]);
+            let reply = link.submit(common::job(payload.clone()), 0, deadline_us());
+            reply.map(move |reply| assert_eq!(reply, Ok(complete(&payload))))
+        });
+        join_all(calls).await;
+    })
+    .unwrap();
+}
+
+#[test]
+fn call_larger_than_a_frame_is_not_sent() {
+    runtime::run(async {
+        let server = start_entry(entry_handlers());
+        let link = entry_link(&server).await;
+        let job = common::job(Bytes::from(vec![0; MAX_FRAME_BYTES]));
+        let error = link.submit(job, 0, deadline_us()).await.unwrap_err();
+        assert!(
+            matches!(error, LinkError::NotSent(LinkFault::Unsendable(_))),
+            "{error}"
+        );
+        assert!(link.ping(common::ping(), deadline_us()).await.is_ok());
+    })
+    .unwrap();
+}
+
+#[test]
+fn large_call_within_a_frame_is_answered() {
+    runtime::run(async {
+        let server = start_entry(entry_handlers());
+        let link = entry_link(&server).await;
+        let payload = Bytes::from(vec![1; MAX_FRAME_BYTES - 1_024]);
+        let reply = link
+            .submit(common::job(payload.clone()), 0, deadline_us())
+            .await;
+        assert!(reply == Ok(complete(&payload)));
+    })
+    .unwrap();
+}
+
+#[test]
+fn call_after_its_deadline_is_not_sent() {
+    runtime::run(async {
+        let server = start_entry(entry_handlers());
+        let link = entry_link(&server).await;
+        let error = link.ping(common::ping(), 0).await;
+        assert_eq!(error, Err(LinkError::NotSent(LinkFault::DeadlinePassed)));
+        let address = server.address.to_string();
+        let error = EntryLink::connect(&address, CLIENT, None, 0).await.err();
+        assert_eq!(error, Some(LinkError::NotSent(LinkFault::DeadlinePassed)));
+    })
+    .unwrap();
+}
+
+#[test]
+fn outcome_is_unknown_when_the_deadline_passes() {
+    runtime::run(async {
+        let server = start_entry(entry_handlers().submit(|_, _| std::future::pending()));
+        let link = entry_link(&server).await;
+        let soon_us = runtime::monotonic_us() + 20_000;
+        let error = link.submit(common::job(Bytes::new()), 0, soon_us).await;
+        assert_eq!(error, Err(LinkError::Unknown(LinkFault::DeadlinePassed)));
+        assert!(!link.is_closed());
+    })
+    .unwrap();
+}
+
+#[test]
+fn handler_is_dropped_when_the_caller_gives_up() {
+    runtime::run(async {
+        let (started, has_started) = oneshot::channel::<()>();
+        let (running, dropped) = oneshot::channel::<()>();
+        let held = RefCell::new(Some((started, running)));
+        let server = start_entry(entry_handlers().submit(move |_, _| {
+            let (started, running) = held.take().unwrap();
+            started.send(()).unwrap();
+            async move {
+                let _running = running;
+                std::future::pending().await
+            }
+        }));
+        let link = entry_link(&server).await;
+        let call = Box::pin(link.submit(common::job(Bytes::new()), 0, deadline_us()));
+        futures::future::select(call, has_started).await;
+        assert!(dropped.await.is_err());
+    })
+    .unwrap();
+}
+
+#[test]
+fn stop_lets_calls_under_way_finish() {
+    runtime::run(async {
+        let (release, released) = oneshot::channel::<()>();
+        let (started, has_started) = oneshot::channel::<()>();
+        let held = RefCell::new(Some((started, released)));
+        let server = start_entry(entry_handlers().submit(move |job, _| {
+            let (started, released) = held.take().unwrap();
+            started.send(()).unwrap();
+            async move {
+                released.await.unwrap();
+                complete(&job.tasks[0].payload)
+            }
+        }));
+        let link = entry_link(&server).await;
+        let idle = entry_link(&server).await;
+        let payload = Bytes::from_static(b"1");
+        let caller = link.clone();
+        let job = common::job(payload.clone());
+        let call = monoio::spawn(async move { caller.submit(job, 0, deadline_us()).await });
+        has_started.await.unwrap();
+
+        server.stop.stop();
+        idle.closed().await;
+        assert!(!link.is_closed());
+        release.send(()).unwrap();
+        assert_eq!(call.await, Ok(complete(&payload)));
+        link.closed().await;
+        let error = link.ping(common::ping(), deadline_us()).await;
+        assert_eq!(error, Err(LinkError::NotSent(LinkFault::Closed)));
+        let address = server.address.to_string();
+        let refused = EntryLink::connect(&address, CLIENT, None, deadline_us()).await;
+        assert!(matches!(
+            refused.err(),
+            Some(LinkError::NotSent(LinkFault::Connect(_)))
+        ));
+    })
+    .unwrap();
+}
+
+#[test]
+fn dropped_link_closes_the_connection() {
+    runtime::run(async {
+        let server = start_entry(entry_handlers());
+        let dropped = entry_link(&server).await;
+        let link = entry_link(&server).await;
+        assert_eq!(server.counters.open(), 2);
+        drop(dropped);
+        while server.counters.open() > 1 {
+            link.ping(common::ping(), deadline_us()).await.unwrap();
+        }
+    })
+    .unwrap();
+}
+
+#[test]
+fn handlers_must_be_complete() {
+    let error = EntryHandlers::builder().build().err().unwrap();
+    assert_eq!(error.name, "announce");
+}
