Add the entry process

Cause: nothing connected the decisions of an entry with callers, agents, other entries and the platform. Change: the loop, the callers' port, forwarding, pings, the platform's watch.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use model::{
-    AgentEnvelope, AgentInfo, AgentMessage, Answer, EntryInfo, FailureKind, FailureReason,
+    AgentEnvelope, AgentInfo, AgentMessage, Answer, EntryInfo, FailureKind, FailureReason, Generation,
     HEARTBEAT_INTERVAL_MS, JobKey, OwnerMessage, ProcessKey, Rules, ShardBeat, ShardKey,
 };
 use rand::SeedableRng;
@@ -188,6 +188,13 @@
         })
     }
 
+    /// Returns the shards owned by this entry, with their generations.
+    pub fn owned(&self) -> impl Iterator<Item = (ShardKey, Generation)> {
+        self.shards
+            .values()
+            .map(|shard| (shard.key, shard.record.generation))
+    }
+
     /// Takes in an agent's announcement.
     pub fn agent_announced(&mut self, info: AgentInfo, now_us: u64) {
         self.agents.announce(info, now_us);
@@ -253,7 +260,10 @@
         };
         if let Some(view) = self.agents.get_mut(agent) {
             view.last_heard_us = now_us;
-            view.load = envelope.load;
+            // An envelope without messages says nothing of the load.
+            if !envelope.messages.is_empty() {
+                view.load = envelope.load;
+            }
         }
         self.bring_up_to_date(agent);
         for message in envelope.messages {
--- /dev/null
+++ b/components/entry/src/configuration.rs
@@ -0,0 +1,116 @@
+//! Puts the operators' configuration in force.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use config::{ApplyOutcome, Configuration, Published, Snapshot};
+use dispatch::{DispatchRules, FirmRules, GroupRules};
+use model::{FirmKey, GroupKey};
+use platform::Versioned;
+use runtime::unix_ms;
+
+use crate::process::Shared;
+
+impl Shared {
+    /// Takes in the configuration as read from the platform.
+    pub fn config_read(self: &Rc<Self>, versioned: &Versioned) {
+        let published = match Published::decode(&versioned.value) {
+            Ok(published) => published,
+            Err(error) => {
+                log::error!(
+                    "Configuration {} is not put in force: {error}.",
+                    versioned.mod_revision
+                );
+                return;
+            }
+        };
+        let outcome =
+            self.config
+                .borrow_mut()
+                .apply(versioned.mod_revision, published, unix_ms());
+        self.note_applied(outcome);
+    }
+
+    /// Takes in the configuration that another entry has in force.
+    pub fn config_offered(self: &Rc<Self>, bytes: &Bytes) {
+        let snapshot: Snapshot = match serde_json::from_slice(bytes) {
+            Ok(snapshot) => snapshot,
+            Err(error) => {
+                log::warn!("Another entry's configuration cannot be read: {error}.");
+                return;
+            }
+        };
+        let outcome = self.config.borrow_mut().apply_snapshot(snapshot);
+        self.note_applied(outcome);
+    }
+
+    fn note_applied(self: &Rc<Self>, outcome: ApplyOutcome) {
+        if outcome == ApplyOutcome::Stale {
+            return;
+        }
+        let config = self.config.borrow();
+        let Some(published) = config.published() else {
+            return;
+        };
+        let rules = dispatch_rules(config.revision(), &published.merged, &self.me.firms);
+        self.core.borrow_mut().apply_rules(rules);
+        log::info!("Configuration {} is in force.", config.revision());
+        drop(config);
+        self.wake();
+    }
+
+    /// Returns the configuration in force for another entry that has an older one.
+    pub fn config_for(&self, known_revision: u64) -> Option<protocol::ConfigDocument> {
+        let config = self.config.borrow();
+        let snapshot = config.snapshot()?;
+        if snapshot.revision <= known_revision {
+            return None;
+        }
+        let bytes = serde_json::to_vec(snapshot).ok()?;
+        Some(protocol::ConfigDocument {
+            revision: snapshot.revision,
+            bytes: Bytes::from(bytes),
+        })
+    }
+}
+
+/// Takes the rules for decisions from the configuration.
+fn dispatch_rules(
+    revision: u64,
+    configuration: &Configuration,
+    served: &[FirmKey],
+) -> DispatchRules {
+    let firms = configuration
+        .firms
+        .iter()
+        .map(|(name, firm)| FirmRules {
+            firm: FirmKey::from_name(name),
+            shard_count: firm.shards,
+            quota_tasks: firm.quota_tasks,
+            max_queue_tasks: firm.max_queue_tasks,
+            rate_tasks_per_s: firm.rate_tasks_per_s.map(f64::from),
+            burst_tasks: firm.burst().unwrap_or(0),
+        })
+        .filter(|rules| served.is_empty() || served.contains(&rules.firm))
+        .collect();
+    let groups = configuration
+        .groups
+        .iter()
+        .map(|(name, group)| GroupRules {
+            group: GroupKey::from_name(name),
+            firms: group
+                .firms
+                .iter()
+                .map(|firm| FirmKey::from_name(firm))
+                .collect(),
+            max_attempts: group.max_attempts,
+            max_eject_percent: u32::from(group.max_eject_percent),
+        })
+        .collect();
+    DispatchRules {
+        revision,
+        firms,
+        groups,
+        agent_rules: configuration.agent_rules(revision),
+    }
+}
--- /dev/null
+++ b/components/entry/src/http.rs
@@ -0,0 +1,287 @@
+//! The port for callers and operators.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use callers::{
+    Access, Route, SubmissionLimits, answer_response, cancelling_response, json_response,
+    not_found_response, parse_route, parse_submission, pending_response, route_error_response,
+    submission_error_response, unauthorized_response,
+};
+use config::Principal;
+use model::{FirmKey, JobKey};
+use monoio::net::TcpListener;
+use protocol::{CancelReply, StatusReply};
+use runtime::{monotonic_us, unix_ms};
+use web::{Delivery, Request, Response, ServerLimits, Stop};
+
+use crate::process::Shared;
+
+/// Whom a request comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Caller {
+    Nobody,
+    Firm(FirmKey),
+    Operator,
+}
+
+/// Counts a request while it is in progress.
+struct InProgress(Rc<Shared>);
+
+impl InProgress {
+    fn new(shared: &Rc<Shared>) -> Self {
+        shared.requests.set(shared.requests.get() + 1);
+        Self(Rc::clone(shared))
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.requests.set(self.0.requests.get() - 1);
+    }
+}
+
+/// Serves the port until it is stopped.
+pub async fn serve(shared: Rc<Shared>, listener: TcpListener, limits: ServerLimits, stop: Stop) {
+    let counters = Rc::clone(&shared.web);
+    let handler = move |request: Request, _| {
+        let shared = Rc::clone(&shared);
+        async move { shared.respond(request).await }
+    };
+    web::serve(listener, limits, counters, stop, handler).await;
+}
+
+impl Shared {
+    async fn respond(self: &Rc<Self>, request: Request) -> Response {
+        let route = match parse_route(&request.method, &request.path) {
+            Ok(route) => route,
+            Err(error) => return from_callers(route_error_response(error)),
+        };
+        let caller = self.caller(&request);
+        let allowed = match route.access() {
+            Access::Public => true,
+            Access::Firm => matches!(caller, Caller::Firm(_)),
+            Access::Operator => caller == Caller::Operator,
+        };
+        if !allowed {
+            return from_callers(unauthorized_response());
+        }
+        match caller {
+            Caller::Firm(firm) => self.respond_to_firm(firm, route, &request).await,
+            Caller::Nobody | Caller::Operator => self.respond_to_operator(&route),
+        }
+    }
+
+    fn caller(&self, request: &Request) -> Caller {
+        let Some(token) = request.header("authorization").and_then(bearer) else {
+            return Caller::Nobody;
+        };
+        let config = self.config.borrow();
+        let Some(published) = config.published() else {
+            return Caller::Nobody;
+        };
+        match published.merged.authenticate(token) {
+            Some(Principal::Operators) => Caller::Operator,
+            Some(Principal::Firm(firm) | Principal::Team { firm, .. }) => {
+                Caller::Firm(FirmKey::from_name(firm))
+            }
+            None => Caller::Nobody,
+        }
+    }
+
+    async fn respond_to_firm(
+        self: &Rc<Self>,
+        firm: FirmKey,
+        route: Route,
+        request: &Request,
+    ) -> Response {
+        match route {
+            Route::SubmitJob { id } => self.submit_job(firm, &id, &request.body).await,
+            Route::ShowJob { id } => self.show_job(JobKey::new(firm, &id)).await,
+            Route::CancelJob { id } => self.cancel_route(JobKey::new(firm, &id)).await,
+            Route::ListJobs => Response::json(200, &self.jobs(firm)),
+            Route::ShowState => Response::json(200, &self.state(Some(firm))),
+            route => self.respond_to_operator(&route),
+        }
+    }
+
+    fn respond_to_operator(self: &Rc<Self>, route: &Route) -> Response {
+        match route {
+            Route::Health => Response::text(200, "ok\n"),
+            Route::Ready => self.readiness(),
+            Route::Metrics => self.render_metrics(),
+            Route::AdminState => Response::json(200, &self.state(None)),
+            Route::AdminFirmJobs { firm } => {
+                Response::json(200, &self.jobs(FirmKey::from_name(firm)))
+            }
+            Route::AdminConfig => self.show_config(),
+            Route::AdminDrain => {
+                self.drain.stop();
+                Response::json(202, &serde_json::json!({ "state": "draining" }))
+            }
+            _ => from_callers(unauthorized_response()),
+        }
+    }
+
+    async fn submit_job(self: &Rc<Self>, firm: FirmKey, id: &str, body: &[u8]) -> Response {
+        let _in_progress = InProgress::new(self);
+        let limits = self.submission_limits(firm);
+        let spec = match parse_submission(firm, id, body, &limits) {
+            Ok(spec) => spec,
+            Err(error) => return from_callers(submission_error_response(&error)),
+        };
+        let meta = &spec.meta;
+        let max_deadline_ms = self.max_deadline_ms(firm);
+        if meta.deadline_unix_ms - meta.submitted_unix_ms > max_deadline_ms {
+            let text = format!("the deadline is more than {max_deadline_ms} ms away");
+            return Response::error(400, &text);
+        }
+        let started_us = monotonic_us();
+        let answer = self.submit(spec).await;
+        self.metrics
+            .answered(firm, &answer, monotonic_us() - started_us);
+        from_callers(answer_response(&answer))
+    }
+
+    fn submission_limits(&self, firm: FirmKey) -> SubmissionLimits {
+        let config = self.config.borrow();
+        let mut limits = SubmissionLimits {
+            body_bytes: self.settings.limits.max_body_bytes as usize,
+            task_count: self.settings.limits.max_tasks_per_job,
+            ..SubmissionLimits::default()
+        };
+        if let Some(published) = config.published() {
+            let merged = &published.merged;
+            limits.payload_bytes = merged.limits.max_payload_bytes as usize;
+            limits.task_count = limits.task_count.min(merged.limits.max_tasks_per_job);
+            if let Some((_, rules)) = merged.firm(firm) {
+                limits.task_count = limits.task_count.min(rules.max_tasks_per_job);
+            }
+        }
+        limits
+    }
+
+    fn max_deadline_ms(&self, firm: FirmKey) -> u64 {
+        let config = self.config.borrow();
+        let Some(published) = config.published() else {
+            return 0;
+        };
+        let merged = &published.merged;
+        let of_firm = merged.firm(firm).map(|(_, rules)| rules.max_deadline_ms);
+        of_firm
+            .unwrap_or(merged.limits.max_deadline_ms)
+            .min(merged.limits.max_deadline_ms)
+    }
+
+    async fn show_job(self: &Rc<Self>, key: JobKey) -> Response {
+        match self.status(key).await {
+            Some(StatusReply::Answered(answer)) => from_callers(answer_response(&answer)),
+            Some(StatusReply::Pending(progress)) => from_callers(pending_response(
+                progress.task_count,
+                progress.finished_count,
+            )),
+            Some(StatusReply::NotFound) => from_callers(not_found_response()),
+            Some(StatusReply::NotOwner { .. }) | None => no_owner_response(),
+        }
+    }
+
+    async fn cancel_route(self: &Rc<Self>, key: JobKey) -> Response {
+        match self.cancel(key).await {
+            Some(CancelReply::Answered(answer)) => from_callers(answer_response(&answer)),
+            Some(CancelReply::Cancelling) => from_callers(cancelling_response()),
+            Some(CancelReply::NotFound) => from_callers(not_found_response()),
+            Some(CancelReply::NotOwner { .. }) | None => no_owner_response(),
+        }
+    }
+
+    fn jobs(&self, firm: FirmKey) -> serde_json::Value {
+        let state = self.core.borrow().state(monotonic_us(), Some(firm));
+        let jobs: Vec<_> = state
+            .shards
+            .into_iter()
+            .flat_map(|shard| shard.jobs)
+            .collect();
+        serde_json::json!({ "jobs": jobs })
+    }
+
+    fn readiness(&self) -> Response {
+        if self.draining.get() {
+            return Response::error(503, "draining");
+        }
+        if self.config.borrow().revision() == 0 {
+            return Response::error(503, "no configuration");
+        }
+        Response::text(200, "ready\n")
+    }
+
+    fn render_metrics(&self) -> Response {
+        match self.metrics.render(self) {
+            Ok(text) => Response::text(200, text),
+            Err(error) => Response::error(500, &error.to_string()),
+        }
+    }
+
+    fn show_config(&self) -> Response {
+        let config = self.config.borrow();
+        let values = config.published().map(|published| published.merged.values());
+        Response::json(
+            200,
+            &serde_json::json!({
+                "revision": config.revision(),
+                "age_ms": config.age_ms(unix_ms()),
+                "values": values,
+            }),
+        )
+    }
+
+    /// Returns the state of the process, of one firm only if one is given.
+    pub fn state(&self, firm: Option<FirmKey>) -> serde_json::Value {
+        let decisions = self.core.borrow().state(monotonic_us(), firm);
+        let config = self.config.borrow();
+        if firm.is_some() {
+            return serde_json::json!({
+                "config_revision": config.revision(),
+                "decisions": decisions,
+            });
+        }
+        let links: serde_json::Map<String, serde_json::Value> = self
+            .links
+            .iter()
+            .map(|(name, count)| (name.to_owned(), count.into()))
+            .collect();
+        serde_json::json!({
+            "entry": self.me.key.to_string(),
+            "address": self.me.address,
+            "failure_domain": self.me.failure_domain,
+            "region": self.settings.region,
+            "draining": self.draining.get(),
+            "requests": self.requests.get(),
+            "config_revision": config.revision(),
+            "config_age_ms": config.age_ms(unix_ms()),
+            "platform_reachable": self.platform_is_reachable(),
+            "platform_calls": self.platform.counters().calls(),
+            "links": links,
+            "decisions": decisions,
+        })
+    }
+}
+
+fn bearer(header: &str) -> Option<&str> {
+    let (scheme, token) = header.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| token.trim())
+}
+
+fn no_owner_response() -> Response {
+    Response::error(503, "the job's owner cannot be reached; ask again")
+        .with_header(web::HeaderName::from_static("retry-after"), web::HeaderValue::from_static("1"))
+}
+
+fn from_callers(response: http::Response<Bytes>) -> Response {
+    let (parts, body) = response.into_parts();
+    Response {
+        status: parts.status.as_u16(),
+        headers: parts.headers,
+        body,
+        delivery: Delivery::Body,
+    }
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,1 +1,14 @@
-//! Placeholder.
+//! The process that takes requests: connects the decisions of an entry with callers, agents,
+//! other entries, the platform and operators.
+
+mod agents;
+mod configuration;
+mod drive;
+mod http;
+mod metrics;
+mod peers;
+mod platform_sync;
+mod process;
+mod submissions;
+
+pub use process::EntryProcess;
--- /dev/null
+++ b/components/entry/src/peers.rs
@@ -0,0 +1,230 @@
+//! Other entries: their calls to this one, and pings.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dispatch::{Route, Table};
+use model::{EntryInfo, Generation, ProcessKey, ShardKey};
+use protocol::{
+    CancelReply, EntryHandlers, EntryPing, EntryPong, HandOver, HandOverReply, LinkError,
+    LinkFault, MissingHandler, OwnedShard, OwnerHint, StatusReply, SubmitReply,
+};
+use runtime::{monotonic_us, unix_ms};
+
+use crate::process::Shared;
+
+/// Interval of pings, in milliseconds.
+const PING_MS: u64 = 250;
+
+/// Time that an entry has to answer a ping, in microseconds.
+const PONG_US: u64 = 500_000;
+
+/// Time that the next owner has to accept a table, in microseconds.
+const OFFER_US: u64 = 2_000_000;
+
+/// Age of the last answer up to which the platform counts as reachable, in microseconds.
+const PLATFORM_FRESH_US: u64 = 10_000_000;
+
+/// Builds the handlers of the calls from agents and other entries.
+pub fn handlers(shared: &Rc<Shared>) -> Result<EntryHandlers, MissingHandler> {
+    let announce = Rc::clone(shared);
+    let exchange = Rc::clone(shared);
+    let submit = Rc::clone(shared);
+    let status = Rc::clone(shared);
+    let cancel = Rc::clone(shared);
+    let ping = Rc::clone(shared);
+    let hand_over = Rc::clone(shared);
+    EntryHandlers::builder()
+        .announce(move |agent, revision| announce.announce(agent, revision))
+        .exchange(move |envelope| exchange.exchange(envelope))
+        .submit(move |job, _waited_ms| {
+            let shared = Rc::clone(&submit);
+            async move {
+                match shared.submit_here(job).await {
+                    Some(answer) => SubmitReply::Answered(answer),
+                    None => SubmitReply::NotOwner { owner: None },
+                }
+            }
+        })
+        .status(move |job| {
+            let shared = Rc::clone(&status);
+            async move { shared.status_here(job) }
+        })
+        .cancel(move |job| {
+            let shared = Rc::clone(&cancel);
+            async move { shared.cancel_here(job) }
+        })
+        .ping(move |message| ping.pinged(message))
+        .hand_over(move |offer| {
+            let shared = Rc::clone(&hand_over);
+            async move { shared.take_table(&offer) }
+        })
+        .build()
+}
+
+/// Pings every other entry; never returns.
+pub async fn ping_all(shared: Rc<Shared>) {
+    loop {
+        let peers: Vec<EntryInfo> = shared.known_entries.borrow().values().cloned().collect();
+        for peer in &peers {
+            let expected = Some(peer.key);
+            monoio::spawn(ping(Rc::clone(&shared), peer.address.clone(), expected));
+        }
+        for seed in &shared.settings.seed_peers {
+            let address = seed.to_string();
+            let known = peers.iter().any(|peer| peer.address == address);
+            if !known && address != shared.me.address {
+                monoio::spawn(ping(Rc::clone(&shared), address, None));
+            }
+        }
+        monoio::time::sleep(Duration::from_millis(PING_MS)).await;
+    }
+}
+
+async fn ping(shared: Rc<Shared>, address: String, expected: Option<ProcessKey>) {
+    match try_ping(&shared, &address, expected).await {
+        Ok(pong) => shared.ponged(pong),
+        Err(LinkError::NotSent(LinkFault::Connect(_) | LinkFault::Refused(_))) => {
+            if let Some(process) = expected {
+                shared.core.borrow_mut().peer_refused(process);
+            }
+        }
+        Err(error) => {
+            log::debug!("Entry {address} did not answer: {error}.");
+            shared.entries.remove(&address);
+        }
+    }
+}
+
+async fn try_ping(
+    shared: &Rc<Shared>,
+    address: &str,
+    expected: Option<ProcessKey>,
+) -> Result<EntryPong, LinkError> {
+    let link = shared.entries.link(address, expected).await?;
+    let message = EntryPing {
+        from: shared.me.clone(),
+        now_unix_ms: unix_ms(),
+        config_revision: shared.config.borrow().revision(),
+        owned: shared.owned(),
+        draining: shared.draining.get(),
+    };
+    link.ping(message, monotonic_us() + PONG_US).await
+}
+
+impl Shared {
+    fn owned(&self) -> Vec<OwnedShard> {
+        self.core
+            .borrow()
+            .owned()
+            .map(|(shard, generation)| OwnedShard { shard, generation })
+            .collect()
+    }
+
+    fn pinged(self: &Rc<Self>, message: EntryPing) -> EntryPong {
+        self.peer_heard(message.from, message.draining);
+        EntryPong {
+            from: self.me.clone(),
+            now_unix_ms: unix_ms(),
+            config: self.config_for(message.config_revision),
+            owned: self.owned(),
+            platform_reachable: self.platform_is_reachable(),
+            draining: self.draining.get(),
+        }
+    }
+
+    fn ponged(self: &Rc<Self>, pong: EntryPong) {
+        let skew_ms = pong.now_unix_ms.abs_diff(unix_ms());
+        if skew_ms > model::CLOCK_SKEW_MS {
+            log::warn!("The clock of entry {} differs by {skew_ms} ms.", pong.from.key);
+        }
+        if let Some(document) = &pong.config {
+            self.config_offered(&document.bytes);
+        }
+        self.peer_heard(pong.from, pong.draining);
+    }
+
+    fn peer_heard(&self, info: EntryInfo, draining: bool) {
+        self.entry_known(info.clone());
+        self.core
+            .borrow_mut()
+            .peer_heard(info, draining, monotonic_us());
+    }
+
+    /// Tells whether the platform answered lately.
+    pub fn platform_is_reachable(&self) -> bool {
+        let reached_us = self.platform_reached_us.get();
+        reached_us > 0 && monotonic_us() < reached_us + PLATFORM_FRESH_US
+    }
+
+    /// Offers a shard's table to its next owner.
+    pub async fn offer(
+        self: Rc<Self>,
+        shard: ShardKey,
+        to: ProcessKey,
+        address: String,
+        table: Box<Table>,
+    ) {
+        let accepted = match self.try_offer(shard, to, &address, &table).await {
+            Ok(reply) => reply.accepted,
+            Err(error) => {
+                log::warn!("Shard {shard}: entry {address} did not take the table: {error}.");
+                false
+            }
+        };
+        log::info!("Shard {shard} is offered to {to}: accepted {accepted}.");
+        self.core
+            .borrow_mut()
+            .handed_over(shard, accepted, monotonic_us());
+        self.wake();
+    }
+
+    async fn try_offer(
+        &self,
+        shard: ShardKey,
+        to: ProcessKey,
+        address: &str,
+        table: &Table,
+    ) -> Result<HandOverReply, LinkError> {
+        let bytes = serde_json::to_vec(table)
+            .map_err(|error| LinkError::NotSent(LinkFault::Unsendable(error.to_string())))?;
+        let link = self.entries.link(address, Some(to)).await?;
+        let offer = HandOver {
+            shard,
+            generation: Generation(0),
+            bytes: bytes.into(),
+        };
+        link.hand_over(offer, monotonic_us() + OFFER_US).await
+    }
+
+    fn take_table(&self, offer: &HandOver) -> HandOverReply {
+        let accepted = match serde_json::from_slice::<Table>(&offer.bytes) {
+            Ok(table) => self.core.borrow_mut().take_table(offer.shard, table),
+            Err(error) => {
+                log::warn!("Shard {}: the table cannot be read: {error}.", offer.shard);
+                false
+            }
+        };
+        HandOverReply { accepted }
+    }
+
+    /// Returns the owner of a job's shard for a hint, if it is another entry.
+    pub fn owner_hint(&self, key: model::JobKey) -> Option<OwnerHint> {
+        match self.core.borrow().route(key) {
+            Route::Other { owner, address } => Some(OwnerHint { owner, address }),
+            Route::Own(_) | Route::Unknown => None,
+        }
+    }
+
+    fn status_here(&self, key: model::JobKey) -> StatusReply {
+        self.job_status(key).unwrap_or_else(|| StatusReply::NotOwner {
+            owner: self.owner_hint(key),
+        })
+    }
+
+    fn cancel_here(self: &Rc<Self>, key: model::JobKey) -> CancelReply {
+        self.cancel_job(key).unwrap_or_else(|| CancelReply::NotOwner {
+            owner: self.owner_hint(key),
+        })
+    }
+}
--- /dev/null
+++ b/components/entry/src/process.rs
@@ -0,0 +1,236 @@
+//! The process: its ports, its loop, and its planned stop.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use config::{Current, EntrySettings};
+use dispatch::{Dispatcher, Policy, WaiterKey};
+use errors::{Error, ExitCode};
+use futures::channel::oneshot;
+use model::{Answer, EntryInfo, ProcessKey};
+use monoio::net::TcpListener;
+use platform::Platform;
+use protocol::{AgentPool, EntryPool, LinkCounters, ServerSettings, serve_entry};
+use runtime::{Stop, monotonic_us};
+use web::{Notify, ServerCounters, ServerLimits};
+
+use crate::metrics::EntryMetrics;
+
+/// Time that the platform has to answer a call, in milliseconds.
+///
+/// Far above the few milliseconds it takes when well; a slow platform is not a lost one.
+const PLATFORM_TIMEOUT_MS: u64 = 2_000;
+
+/// Time between the end of readiness and the end of accepting, in milliseconds.
+///
+/// Lets the balancer notice.
+const UNREADY_MS: u64 = 1_000;
+
+/// Interval at which a planned stop is looked after, in milliseconds.
+const DRAIN_LOOK_MS: u64 = 20;
+
+/// What a waiting copy of a request is told.
+pub enum WaiterReply {
+    /// The final answer.
+    Answered(Answer),
+    /// The shard is owned elsewhere.
+    Moved,
+}
+
+/// What the tasks of the process share.
+pub struct Shared {
+    pub settings: EntrySettings,
+    pub me: EntryInfo,
+    pub core: RefCell<Dispatcher>,
+    pub config: RefCell<Current>,
+    pub waiters: RefCell<HashMap<WaiterKey, oneshot::Sender<WaiterReply>>>,
+    pub next_waiter: Cell<u64>,
+    pub work: Notify,
+    pub work_due: Cell<bool>,
+    pub agents: AgentPool,
+    pub entries: EntryPool,
+    pub platform: Platform,
+    pub platform_reached_us: Cell<u64>,
+    pub known_entries: RefCell<BTreeMap<ProcessKey, EntryInfo>>,
+    pub draining: Cell<bool>,
+    pub drain: Stop,
+    pub requests: Cell<u64>,
+    pub metrics: EntryMetrics,
+    pub links: LinkCounters,
+    pub web: Rc<ServerCounters>,
+}
+
+/// An entry whose ports are open.
+pub struct EntryProcess {
+    shared: Rc<Shared>,
+    callers: TcpListener,
+    peers: TcpListener,
+    listen_address: SocketAddr,
+    peer_address: SocketAddr,
+}
+
+impl EntryProcess {
+    /// Opens the ports.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a port cannot be opened or a metric cannot be registered.
+    pub fn bind(settings: EntrySettings) -> Result<Self, Error> {
+        let (callers, listen_address) = open("listen_address", settings.listen_address)?;
+        let (peers, peer_address) = open("peer_address", settings.peer_address)?;
+        let key = runtime::draw_process_key();
+        let me = EntryInfo {
+            key,
+            address: settings.advertised_peer_address(peer_address).to_string(),
+            failure_domain: settings.failure_domain.clone(),
+            firms: settings.firm_keys(),
+        };
+        let metrics = EntryMetrics::new()
+            .map_err(|error| Error::new(ExitCode::Failure, error.to_string()))?;
+        let shared = Shared {
+            core: RefCell::new(Dispatcher::new(me.clone(), Policy::default(), key.0)),
+            me,
+            config: RefCell::default(),
+            waiters: RefCell::default(),
+            next_waiter: Cell::new(0),
+            work: Notify::default(),
+            work_due: Cell::new(true),
+            agents: AgentPool::new(key),
+            entries: EntryPool::new(key),
+            platform: Platform::new(settings.platform_addresses.clone(), PLATFORM_TIMEOUT_MS),
+            platform_reached_us: Cell::new(0),
+            known_entries: RefCell::default(),
+            draining: Cell::new(false),
+            drain: Stop::new(),
+            requests: Cell::new(0),
+            metrics,
+            links: LinkCounters::default(),
+            web: Rc::default(),
+            settings,
+        };
+        Ok(Self {
+            shared: Rc::new(shared),
+            callers,
+            peers,
+            listen_address,
+            peer_address,
+        })
+    }
+
+    /// Returns the address for callers.
+    #[must_use]
+    pub fn listen_address(&self) -> SocketAddr {
+        self.listen_address
+    }
+
+    /// Returns the address for other processes of the system.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Returns a closure that gives the state as JSON, for dumps on a signal.
+    pub fn state(&self) -> impl Fn() -> serde_json::Value + use<> {
+        let shared = Rc::clone(&self.shared);
+        move || shared.state(None)
+    }
+
+    /// Runs until `drain` is stopped and the work in progress is done.
+    pub async fn run(self, drain: Stop) {
+        let shared = self.shared;
+        let stop = Stop::new();
+        let web_stop = web::Stop::new();
+        let settings = ServerSettings::builder(shared.me.key)
+            .counters(shared.links.clone())
+            .stop(stop.clone())
+            .build();
+        let Ok(handlers) = crate::peers::handlers(&shared) else {
+            log::error!("A handler is missing.");
+            return;
+        };
+        monoio::spawn(serve_entry(self.peers, settings, handlers));
+        let callers = monoio::spawn(crate::http::serve(
+            Rc::clone(&shared),
+            self.callers,
+            caller_limits(&shared.settings),
+            web_stop.clone(),
+        ));
+        monoio::spawn(Rc::clone(&shared).drive());
+        monoio::spawn(crate::platform_sync::watch(Rc::clone(&shared)));
+        monoio::spawn(crate::platform_sync::register(Rc::clone(&shared)));
+        monoio::spawn(crate::peers::ping_all(Rc::clone(&shared)));
+        log::info!(
+            "Entry {} serves callers on {} and processes on {}.",
+            shared.me.key,
+            self.listen_address,
+            shared.me.address
+        );
+        futures::future::select(
+            std::pin::pin!(drain.stopped()),
+            std::pin::pin!(shared.drain.stopped()),
+        )
+        .await;
+        shared.stop_gracefully(&web_stop, callers).await;
+        stop.stop();
+        log::info!("Entry {} has stopped.", shared.me.key);
+    }
+}
+
+fn caller_limits(settings: &EntrySettings) -> ServerLimits {
+    let limits = &settings.limits;
+    ServerLimits::builder()
+        .max_body_bytes(limits.max_body_bytes as usize)
+        .max_header_bytes(limits.max_header_bytes as usize)
+        .max_connections(limits.max_connections as usize)
+        .idle_timeout_ms(limits.idle_timeout_ms)
+        .read_timeout_ms(limits.header_timeout_ms + limits.body_timeout_ms)
+        .build()
+}
+
+fn open(key: &str, address: SocketAddr) -> Result<(TcpListener, SocketAddr), Error> {
+    let opened = web::bind(address).and_then(|listener| {
+        let address = listener.local_addr()?;
+        Ok((listener, address))
+    });
+    opened.map_err(|error| {
+        let message = format!("cannot listen on {address}: {error}");
+        Error::new(ExitCode::Unavailable, message)
+            .at(key)
+            .with_remedy("free the port or name another one")
+    })
+}
+
+impl Shared {
+    /// Hands the shards over and ends once no request is in progress.
+    async fn stop_gracefully(
+        self: &Rc<Self>,
+        web_stop: &web::Stop,
+        callers: monoio::task::JoinHandle<()>,
+    ) {
+        log::info!("Entry {} drains.", self.me.key);
+        let until_us = monotonic_us() + self.settings.drain_timeout_ms * 1_000;
+        self.draining.set(true);
+        self.core.borrow_mut().drain();
+        self.wake();
+        monoio::time::sleep(Duration::from_millis(UNREADY_MS)).await;
+        web_stop.stop();
+        while !self.is_drained() && monotonic_us() < until_us {
+            monoio::time::sleep(Duration::from_millis(DRAIN_LOOK_MS)).await;
+        }
+        if !self.is_drained() {
+            log::warn!("Entry {} stops with work in progress.", self.me.key);
+            let mut actions = Vec::new();
+            self.core.borrow_mut().abandon(&mut actions);
+            self.perform(actions);
+        }
+        let left_us = until_us.saturating_sub(monotonic_us()).max(1_000_000);
+        let _ = monoio::time::timeout(Duration::from_micros(left_us), callers).await;
+    }
+
+    fn is_drained(&self) -> bool {
+        self.requests.get() == 0 && self.core.borrow().is_idle()
+    }
+}
--- /dev/null
+++ b/components/entry/src/submissions.rs
@@ -0,0 +1,207 @@
+//! Copies of requests on their way to the owner and back.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dispatch::{JobState, Route, Submission, WaiterKey};
+use futures::channel::oneshot;
+use model::{Answer, FailureKind, FailureReason, JobKey, JobSpec, ProcessKey};
+use protocol::{CancelReply, JobProgress, StatusReply, SubmitReply};
+use runtime::{monotonic_us, unix_ms};
+
+use crate::process::{Shared, WaiterReply};
+
+/// Pause before a copy is routed anew, in milliseconds.
+///
+/// A change of owners takes a compare-and-swap and a watch, tens of milliseconds.
+const REROUTE_MS: u64 = 25;
+
+/// Time after a job's deadline within which its owner tells the outcome, in microseconds.
+const OUTCOME_GRACE_US: u64 = 500_000;
+
+/// Time that the owner has to answer a question about a job, in microseconds.
+const QUESTION_US: u64 = 2_000_000;
+
+/// Tries to reach a job's owner with a question.
+const QUESTION_TRIES: u32 = 20;
+
+/// Takes a copy off its job when the copy is given up.
+struct Waiting {
+    shared: Rc<Shared>,
+    key: JobKey,
+    waiter: WaiterKey,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let left = self.shared.waiters.borrow_mut().remove(&self.waiter);
+        if left.is_some() {
+            let mut core = self.shared.core.borrow_mut();
+            core.forget_waiter(self.key, self.waiter);
+        }
+    }
+}
+
+impl Shared {
+    /// Brings a copy to the job's owner, wherever that is, and returns the final answer.
+    pub async fn submit(self: &Rc<Self>, spec: JobSpec) -> Answer {
+        let left_ms = spec.meta.deadline_unix_ms.saturating_sub(unix_ms());
+        let give_up_us = monotonic_us() + left_ms * 1_000 + OUTCOME_GRACE_US;
+        loop {
+            let answer = self.submit_once(&spec, give_up_us).await;
+            if let Some(answer) = answer {
+                return answer;
+            }
+            if monotonic_us() >= give_up_us {
+                return no_owner();
+            }
+            monoio::time::sleep(Duration::from_millis(REROUTE_MS)).await;
+        }
+    }
+
+    async fn submit_once(self: &Rc<Self>, spec: &JobSpec, give_up_us: u64) -> Option<Answer> {
+        let route = self.core.borrow().route(spec.meta.key);
+        match route {
+            Route::Own(_) => {
+                let left_us = give_up_us.saturating_sub(monotonic_us());
+                let here = self.submit_here(spec.clone());
+                monoio::time::timeout(Duration::from_micros(left_us), here)
+                    .await
+                    .ok()
+                    .flatten()
+            }
+            Route::Other { owner, address } => {
+                self.forward(spec.clone(), owner, &address, give_up_us).await
+            }
+            Route::Unknown => None,
+        }
+    }
+
+    /// Decides about a copy here; returns nothing if the shard is owned elsewhere.
+    pub async fn submit_here(self: &Rc<Self>, spec: JobSpec) -> Option<Answer> {
+        let key = spec.meta.key;
+        let waiter = WaiterKey(self.next_waiter.get());
+        self.next_waiter.set(waiter.0 + 1);
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.borrow_mut().insert(waiter, sender);
+        let _waiting = Waiting {
+            shared: Rc::clone(self),
+            key,
+            waiter,
+        };
+        let mut actions = Vec::new();
+        self.core.borrow_mut().submit(
+            Submission { spec, waiter },
+            monotonic_us(),
+            unix_ms(),
+            &mut actions,
+        );
+        self.perform(actions);
+        self.wake();
+        match receiver.await {
+            Ok(WaiterReply::Answered(answer)) => Some(answer),
+            Ok(WaiterReply::Moved) | Err(_) => None,
+        }
+    }
+
+    async fn forward(
+        &self,
+        spec: JobSpec,
+        owner: ProcessKey,
+        address: &str,
+        give_up_us: u64,
+    ) -> Option<Answer> {
+        let link = self.entries.link(address, Some(owner)).await.ok()?;
+        match link.submit(spec, 0, give_up_us).await {
+            Ok(SubmitReply::Answered(answer)) => Some(answer),
+            Ok(SubmitReply::NotOwner { .. }) => None,
+            Err(error) => {
+                log::debug!("Entry {address} did not answer a submission: {error}.");
+                None
+            }
+        }
+    }
+
+    /// Asks the job's owner for its state.
+    pub async fn status(self: &Rc<Self>, key: JobKey) -> Option<StatusReply> {
+        for _ in 0..QUESTION_TRIES {
+            if let Some(reply) = self.job_status(key) {
+                return Some(reply);
+            }
+            if let Some(link) = self.owner_link(key).await {
+                let reply = link.status(key, monotonic_us() + QUESTION_US).await;
+                match reply {
+                    Ok(StatusReply::NotOwner { .. }) | Err(_) => {}
+                    Ok(reply) => return Some(reply),
+                }
+            }
+            monoio::time::sleep(Duration::from_millis(REROUTE_MS)).await;
+        }
+        None
+    }
+
+    /// Asks the job's owner to cancel it.
+    pub async fn cancel(self: &Rc<Self>, key: JobKey) -> Option<CancelReply> {
+        for _ in 0..QUESTION_TRIES {
+            if let Some(reply) = self.cancel_job(key) {
+                return Some(reply);
+            }
+            if let Some(link) = self.owner_link(key).await {
+                let reply = link.cancel(key, monotonic_us() + QUESTION_US).await;
+                match reply {
+                    Ok(CancelReply::NotOwner { .. }) | Err(_) => {}
+                    Ok(reply) => return Some(reply),
+                }
+            }
+            monoio::time::sleep(Duration::from_millis(REROUTE_MS)).await;
+        }
+        None
+    }
+
+    async fn owner_link(&self, key: JobKey) -> Option<protocol::EntryLink> {
+        let hint = self.owner_hint(key)?;
+        self.entries.link(&hint.address, Some(hint.owner)).await.ok()
+    }
+
+    /// Returns a job's state if its shard is owned here.
+    pub fn job_status(&self, key: JobKey) -> Option<StatusReply> {
+        let core = self.core.borrow();
+        let Route::Own(shard) = core.route(key) else {
+            return None;
+        };
+        Some(match core.job_state(shard, key) {
+            JobState::InProgress(finished_count, task_count) => StatusReply::Pending(JobProgress {
+                task_count,
+                placed_count: 0,
+                finished_count,
+            }),
+            JobState::Answered(answer) => StatusReply::Answered(answer),
+            JobState::Unknown => StatusReply::NotFound,
+        })
+    }
+
+    /// Cancels a job if its shard is owned here.
+    pub fn cancel_job(self: &Rc<Self>, key: JobKey) -> Option<CancelReply> {
+        let Route::Own(_) = self.core.borrow().route(key) else {
+            return None;
+        };
+        let mut actions = Vec::new();
+        let answer = self
+            .core
+            .borrow_mut()
+            .cancel(key, monotonic_us(), unix_ms(), &mut actions);
+        self.perform(actions);
+        self.wake();
+        Some(answer.map_or(CancelReply::NotFound, CancelReply::Answered))
+    }
+}
+
+fn no_owner() -> Answer {
+    // Another copy may have reached an owner that cannot be asked.
+    Answer::refused(
+        FailureKind::MayHaveRun,
+        FailureReason::NoOwner,
+        "no owner of the job could be reached before the deadline",
+        1_000,
+    )
+}
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -121,6 +121,8 @@
     pub config_revision: u64,
     /// The shards that the sender owns.
     pub owned: Vec<OwnedShard>,
+    /// Whether the sender is stopping and takes no shard.
+    pub draining: bool,
 }
 
 /// Answers an [`EntryPing`].
@@ -136,6 +138,8 @@
     pub owned: Vec<OwnedShard>,
     /// Whether the receiver reaches the platform.
     pub platform_reachable: bool,
+    /// Whether the receiver is stopping and takes no shard.
+    pub draining: bool,
 }
 
 /// Hands a shard to its next owner at a planned stop.
