Close the gaps that mutants of the checkers showed

Cause: a trial took guards out of the checkers one at a time, and some of these mutants passed the tests. Ruled out: keeping the lower bound of a window in extend_due; the deadline already lies a whole bound after its cause, so it decided nothing. Change: tests for starts of an unknown submission, refusals by a stopping entry, requests not in progress, registers built from a history, swaps that never return, and conflicts under an older submission; extend_due simplified.

--- a/components/proof/src/check/configuration.rs
+++ b/components/proof/src/check/configuration.rs
@@ -83,7 +83,7 @@
     ) -> Option<Violation> {
         let since_us = accepted.at_us.max(self.started.at_us);
         let due_us = since_us + bounds.config_us;
-        let due_us = extend_due(since_us, due_us, &self.blocked, bounds.config_us);
+        let due_us = extend_due(due_us, &self.blocked, bounds.config_us);
         if self.ended_us <= due_us || history.end_us() <= due_us {
             return None;
         }
--- a/components/proof/src/check/timeliness.rs
+++ b/components/proof/src/check/timeliness.rs
@@ -70,7 +70,7 @@
     fn due_us(&self, bounds: &Bounds, copy: &CopyView<'_>) -> u64 {
         let since_us = copy.submitted.at_us;
         let due_us = copy.submission.deadline_us.max(since_us) + bounds.answer_us;
-        extend_due(since_us, due_us, &self.pauses, bounds.answer_us)
+        extend_due(due_us, &self.pauses, bounds.answer_us)
     }
 
     fn excuses(&self, copy: &CopyView<'_>, lost: &Event, reason: LossReason) -> bool {
--- a/components/proof/src/index.rs
+++ b/components/proof/src/index.rs
@@ -152,13 +152,14 @@
     )
 }
 
-/// Moves `due_us` to `grace_us` after the end of every window that overlaps with
-/// `since_us..due_us`.
-pub fn extend_due(since_us: u64, due_us: u64, windows: &[(u64, u64)], grace_us: u64) -> u64 {
+/// Moves `due_us` to at least `grace_us` after the end of every window that begins before it.
+///
+/// `due_us` lies `grace_us` or more after the cause, so windows before the cause move nothing.
+pub fn extend_due(due_us: u64, windows: &[(u64, u64)], grace_us: u64) -> u64 {
     let mut windows = windows.to_vec();
     windows.sort_unstable();
     windows.iter().fold(due_us, |due_us, &(from_us, to_us)| {
-        if from_us < due_us && to_us > since_us {
+        if from_us < due_us {
             due_us.max(to_us.saturating_add(grace_us))
         } else {
             due_us
--- a/components/proof/tests/answers.rs
+++ b/components/proof/tests/answers.rs
@@ -126,6 +126,22 @@
     assert_good(&refused);
 }
 
+#[test]
+fn conflict_under_an_older_submission_leaves_the_job_free_to_run() {
+    let lock = job().not_repeatable().submitted(3_000);
+    let conflict = failed(FailureKind::MayHaveRun, FailureReason::Conflict);
+    let script = Script::new()
+        .submit(1, &job().body(2, "other"))
+        .answer(1, conflict);
+    assert_good(
+        &script
+            .submit(2, &lock)
+            .run(&lock)
+            .answer(2, lock.complete())
+            .end(),
+    );
+}
+
 #[test]
 fn finds_partial_answers() {
     let short = Answer::Complete(vec![job().result(0)]);
@@ -317,6 +333,27 @@
     assert_broken(&ran, check_true_refusal, Promise::TrueRefusal);
 }
 
+#[test]
+fn start_of_unknown_submission_counts_unless_a_newer_one_was_sent_before() {
+    let newer = job().submitted(3_000);
+    let refused = || {
+        Script::new()
+            .submit(1, &job())
+            .submit(2, &job())
+            .answer(1, not_run())
+    };
+    let after = refused()
+        .submit(3, &newer)
+        .start_under(None, AGENT, &job(), 0)
+        .end();
+    assert!(check_true_refusal(&after, &Bounds::default()).is_empty());
+    let before = refused()
+        .start_under(None, AGENT, &job(), 0)
+        .submit(3, &newer)
+        .end();
+    assert_broken(&before, check_true_refusal, Promise::TrueRefusal);
+}
+
 #[test]
 fn finds_conflict_refused_as_not_run_that_ran() {
     let other = job().body(2, "other");
--- a/components/proof/tests/common/mod.rs
+++ b/components/proof/tests/common/mod.rs
@@ -138,16 +138,26 @@
         self.submit_to(ENTRY, number, job)
     }
 
-    pub fn start_at(self, agent: ProcessKey, job: &Job, index: u16) -> Self {
+    pub fn start_under(
+        self,
+        submitted_unix_ms: Option<u64>,
+        agent: ProcessKey,
+        job: &Job,
+        index: u16,
+    ) -> Self {
         self.then(EventKind::TaskStarted(TaskStarted {
             task: job.task(index),
             attempt: Attempt(0),
             agent,
             payload_digest: job.payload_digest(index),
-            submitted_unix_ms: Some(job.spec.meta.submitted_unix_ms),
+            submitted_unix_ms,
         }))
     }
 
+    pub fn start_at(self, agent: ProcessKey, job: &Job, index: u16) -> Self {
+        self.start_under(Some(job.spec.meta.submitted_unix_ms), agent, job, index)
+    }
+
     pub fn start(self, job: &Job, index: u16) -> Self {
         self.start_at(AGENT, job, index)
     }
--- a/components/proof/tests/processes.rs
+++ b/components/proof/tests/processes.rs
@@ -5,7 +5,7 @@
 use common::*;
 use model::{FailureKind, FailureReason, ProcessKey};
 use proof::check::*;
-use proof::event::{EventKind, LossReason};
+use proof::event::{EventKind, LossReason, SwapOutcome};
 use proof::fault::FaultKind;
 use proof::history::History;
 use rstest::rstest;
@@ -96,6 +96,34 @@
     assert_good(&script(FaultKind::Kill));
 }
 
+#[test]
+fn finds_refusal_of_an_accepted_request_by_its_stopping_entry_beside_other_faults() {
+    let draining = failed(FailureKind::NotRun, FailureReason::Draining);
+    let kill = EventKind::FaultInjected {
+        kind: FaultKind::Kill,
+        firm: None,
+    };
+    let history = stop().then(kill).answer(1, draining).end();
+    assert_broken(&history, check_graceful_stop, Promise::GracefulStop);
+}
+
+#[test]
+fn stop_owes_nothing_to_requests_not_in_progress() {
+    let script = Script::new().submit(1, &job());
+    let submitted = script.history.events()[0].kind.clone();
+    let not_accepted = || {
+        Script::new()
+            .then(submitted.clone())
+            .then(EventKind::GracefulStop(ENTRY))
+    };
+    let script = not_accepted().lose(1, LossReason::NeverAccepted);
+    assert_good(&script.then(EventKind::Stopped(ENTRY)).end());
+    let draining = failed(FailureKind::NotRun, FailureReason::Draining);
+    assert_good(&not_accepted().answer(1, draining).end());
+    let script = Script::new().submit(1, &job()).answer(1, may_have_run());
+    assert_good(&script.then(EventKind::GracefulStop(ENTRY)).end());
+}
+
 fn accept(revision: u64) -> EventKind {
     EventKind::ConfigAccepted {
         revision,
@@ -148,6 +176,116 @@
     );
 }
 
+#[test]
+fn windows_out_of_reach_excuse_only_what_they_overlap() {
+    let start = Script::new()
+        .then(EventKind::PlatformDown)
+        .at(2_000_000, EventKind::PlatformUp);
+    let start = start
+        .then(EventKind::ProcessStarted(AGENT))
+        .at(3_000_000, accept(1));
+    let late = start.at(7_100_000, EventKind::PlatformDown);
+    let late = late
+        .at(20_000_000, EventKind::PlatformUp)
+        .then(in_force(AGENT, 1))
+        .end();
+    assert_broken(&late, check_config_in_force, Promise::Configuration);
+}
+
+#[test]
+fn window_before_the_acceptance_moves_nothing() {
+    let script = |in_force_us| {
+        let start = Script::new().then(EventKind::ProcessStarted(AGENT));
+        let start = start
+            .then(EventKind::PlatformDown)
+            .at(2_000_000, EventKind::PlatformUp);
+        start
+            .at(2_500_000, accept(1))
+            .at(in_force_us, in_force(AGENT, 1))
+            .end()
+    };
+    assert_good(&script(6_400_000));
+    assert_broken(
+        &script(6_600_000),
+        check_config_in_force,
+        Promise::Configuration,
+    );
+}
+
+fn swap_called(operation: u64, expected_revision: u64) -> EventKind {
+    let value_digest = 10 + operation;
+    EventKind::SwapCalled {
+        operation,
+        operator: 1,
+        expected_revision,
+        value_digest,
+    }
+}
+
+fn swap_returned(operation: u64, outcome: SwapOutcome) -> EventKind {
+    EventKind::SwapReturned { operation, outcome }
+}
+
+fn read(script: Script, operation: u64, revision: u64, value_digest: u64) -> Script {
+    script
+        .then(EventKind::ReadCalled {
+            operation,
+            operator: 2,
+        })
+        .then(EventKind::ReadReturned {
+            operation,
+            revision,
+            value_digest,
+        })
+}
+
+fn race(second: SwapOutcome) -> Script {
+    Script::new()
+        .then(swap_called(1, 0))
+        .then(swap_called(2, 0))
+        .then(swap_returned(2, second))
+        .then(swap_returned(1, SwapOutcome::Accepted { revision: 3 }))
+        .then(accept(3))
+}
+
+#[test]
+fn race_of_operators_with_one_winner_is_good() {
+    assert_good(&read(race(SwapOutcome::Conflict), 3, 3, 11).end());
+}
+
+#[test]
+fn revision_of_a_swap_without_a_known_outcome_may_be_in_force() {
+    let script = race(SwapOutcome::Conflict).then(swap_called(4, 3));
+    let in_force = |script: Script| script.then(in_force(ENTRY, 5)).end();
+    assert_good(&in_force(script));
+    assert_good(
+        &read(
+            race(SwapOutcome::Conflict).then(swap_called(4, 3)),
+            5,
+            5,
+            14,
+        )
+        .end(),
+    );
+    let script = race(SwapOutcome::Conflict);
+    assert_broken(
+        &in_force(script),
+        check_config_in_force,
+        Promise::Configuration,
+    );
+}
+
+#[test]
+fn finds_lost_edits_and_stale_reads() {
+    let lost_edit = race(SwapOutcome::Accepted { revision: 2 }).end();
+    let stale = read(race(SwapOutcome::Conflict), 3, 0, 0).end();
+    let alone = Script::new().then(swap_called(1, 0));
+    let false_conflict = alone.then(swap_returned(1, SwapOutcome::Conflict)).end();
+    for history in [lost_edit, stale, false_conflict] {
+        assert_broken(&history, check_config_register, Promise::Configuration);
+    }
+}
+
 #[test]
 fn finds_configuration_missing_late_reverted_or_made_up() {
     let missing = two_processes().end();
