Add the callers package

Callers speak HTTP and JSON; parsing and serialising them is kept free of I/O so that it can be tested on its own. Payloads and results pass through byte for byte. A result that is no JSON is given as base64, and its position is listed beside the results instead of inside them, because any marker inside could be a genuine result. A refusal before a job exists makes no claim about tasks, since an earlier copy may have run.

--- /dev/null
+++ b/components/callers/tests/interface.rs
@@ -0,0 +1,243 @@
+//! Tests of routes, tokens and responses.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use callers::{
+    Access, NameError, Route, RouteError, SubmissionError, Token, TokenError, TokenTable,
+    answer_response, bearer_token, parse_route, route_error_response, submission_error_response,
+};
+use http::header::{ALLOW, RETRY_AFTER};
+use http::{Method, Response, StatusCode};
+use model::{Answer, FailureKind, FailureReason};
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+fn body(response: &Response<Bytes>) -> Value {
+    serde_json::from_slice(response.body()).unwrap()
+}
+
+fn token(secret: &str) -> Token {
+    Token::new(secret.as_bytes()).unwrap()
+}
+
+#[test]
+fn every_route_is_parsed() {
+    let id = "a:1".to_owned();
+    let firm = "north".to_owned();
+    let cases = [
+        (
+            Method::PUT,
+            "/v1/jobs/a:1",
+            Route::SubmitJob { id: id.clone() },
+            Access::Firm,
+        ),
+        (
+            Method::GET,
+            "/v1/jobs/a%3A1?x=/y",
+            Route::ShowJob { id: id.clone() },
+            Access::Firm,
+        ),
+        (
+            Method::DELETE,
+            "/v1/jobs/a:1",
+            Route::CancelJob { id },
+            Access::Firm,
+        ),
+        (Method::GET, "/v1/jobs", Route::ListJobs, Access::Firm),
+        (Method::GET, "/v1/state", Route::ShowState, Access::Firm),
+        (Method::GET, "/healthz", Route::Health, Access::Public),
+        (Method::GET, "/readyz", Route::Ready, Access::Public),
+        (Method::GET, "/metrics", Route::Metrics, Access::Operator),
+        (
+            Method::GET,
+            "/admin/v1/state",
+            Route::AdminState,
+            Access::Operator,
+        ),
+        (
+            Method::GET,
+            "/admin/v1/firms/north/jobs",
+            Route::AdminFirmJobs { firm },
+            Access::Operator,
+        ),
+        (
+            Method::POST,
+            "/admin/v1/drain",
+            Route::AdminDrain,
+            Access::Operator,
+        ),
+        (
+            Method::GET,
+            "/admin/v1/config",
+            Route::AdminConfig,
+            Access::Operator,
+        ),
+    ];
+    for (method, path, route, access) in cases {
+        assert_eq!(parse_route(&method, path), Ok(route.clone()), "{path}");
+        assert_eq!(route.access(), access, "{path}");
+        let other = parse_route(&Method::PATCH, path);
+        assert!(
+            matches!(other, Err(RouteError::MethodNotAllowed { .. })),
+            "{path}"
+        );
+    }
+}
+
+#[test]
+fn other_paths_are_refused() {
+    for path in [
+        "",
+        "/",
+        "v1/jobs",
+        "/v1/jobs/a/b",
+        "/v1",
+        "/healthz/",
+        "/admin/v1/firms/a/b",
+    ] {
+        assert_eq!(
+            parse_route(&Method::GET, path),
+            Err(RouteError::NotFound),
+            "{path}"
+        );
+    }
+    let long = format!("/v1/jobs/{}", "a".repeat(65));
+    let cases = [
+        ("/v1/jobs/", NameError::Empty),
+        ("/v1/jobs/%2e%2E", NameError::DotSegment),
+        ("/v1/jobs/a%2Fb", NameError::BadCharacter),
+        ("/v1/jobs/a%4", NameError::BadCharacter),
+        ("/v1/jobs/%+1", NameError::BadCharacter),
+        ("/v1/jobs/%C3%A9", NameError::BadCharacter),
+        (&long, NameError::TooLong),
+    ];
+    for (path, cause) in cases {
+        let error = parse_route(&Method::PUT, path);
+        assert_eq!(error, Err(RouteError::BadName(cause)), "{path}");
+    }
+}
+
+#[test]
+fn route_errors_name_the_allowed_methods() {
+    let error = parse_route(&Method::POST, "/v1/jobs/a").unwrap_err();
+    let response = route_error_response(error);
+    assert_eq!(response.status(), StatusCode::METHOD_NOT_ALLOWED);
+    assert_eq!(response.headers()[ALLOW], "PUT, GET, DELETE");
+}
+
+#[test]
+fn failures_have_their_status() {
+    use FailureKind::{CannotRun, MayHaveRun, NotRun, RanAndFailed};
+    let cases = [
+        (NotRun, FailureReason::Overloaded, 503),
+        (NotRun, FailureReason::OverQuota, 429),
+        (NotRun, FailureReason::DeadlinePassed, 504),
+        (NotRun, FailureReason::Cancelled, 409),
+        (NotRun, FailureReason::ClockAhead, 400),
+        (MayHaveRun, FailureReason::AgentLost, 502),
+        (MayHaveRun, FailureReason::TooOld, 410),
+        (MayHaveRun, FailureReason::ResultDropped, 410),
+        (CannotRun, FailureReason::NoTarget, 422),
+        (CannotRun, FailureReason::Conflict, 409),
+        (RanAndFailed, FailureReason::TaskFailed, 500),
+    ];
+    for (kind, reason, status) in cases {
+        let response = answer_response(&Answer::failed(kind, reason, "why"));
+        assert_eq!(response.status().as_u16(), status, "{kind} {reason}");
+        let expected = json!({"state": "failed", "kind": kind, "reason": reason, "detail": "why"});
+        assert_eq!(body(&response), expected);
+        assert!(!response.headers().contains_key(RETRY_AFTER));
+    }
+}
+
+#[test]
+fn refusals_tell_when_to_come_back() {
+    for (retry_after_ms, header) in [(0, "0"), (1, "1"), (1_000, "1"), (1_001, "2")] {
+        let (kind, reason) = (FailureKind::NotRun, FailureReason::Overloaded);
+        let response = answer_response(&Answer::refused(kind, reason, "", retry_after_ms));
+        assert_eq!(response.headers()[RETRY_AFTER], header);
+        assert_eq!(body(&response)["retry_after_ms"], retry_after_ms);
+        assert_eq!(body(&response)["kind"], "not_run");
+    }
+}
+
+#[test]
+fn refused_submissions_claim_nothing_about_tasks() {
+    let response = submission_error_response(&SubmissionError::NoTask);
+    assert_eq!(response.status(), StatusCode::BAD_REQUEST);
+    assert_eq!(body(&response)["state"], "refused");
+    assert_eq!(body(&response).get("kind"), None);
+    let limit_bytes = 1;
+    let response = submission_error_response(&SubmissionError::BodyTooLarge { limit_bytes });
+    assert_eq!(response.status(), StatusCode::PAYLOAD_TOO_LARGE);
+}
+
+#[test]
+fn tokens_find_their_callers() {
+    let entries = vec![(token("north-1"), "north"), (token("south-1"), "south")];
+    let table = TokenTable::new(entries).unwrap();
+    let find = |header: &[u8]| bearer_token(header).and_then(|token| table.find(&token).copied());
+    assert_eq!(find(b"Bearer north-1"), Some("north"));
+    assert_eq!(find(b"bearer  south-1 "), Some("south"));
+    for header in [
+        "north-1",
+        "Basic north-1",
+        "Bearer",
+        "Bearer ",
+        "Bearer north-",
+        "Bearer x",
+    ] {
+        assert_eq!(find(header.as_bytes()), None, "{header}");
+    }
+}
+
+#[test]
+fn tokens_are_checked_and_hidden() {
+    assert_eq!(format!("{:?}", token("secret")), "Token(..)");
+    assert_eq!(Token::new(b"").err(), Some(TokenError::Empty));
+    assert_eq!(Token::new(&[b'a'; 129]).err(), Some(TokenError::TooLong));
+    assert_eq!(Token::new(b"a b").err(), Some(TokenError::BadCharacter));
+    let twice = TokenTable::new(vec![(token("same"), 1), (token("same"), 2)]);
+    assert_eq!(twice.err(), Some(TokenError::Duplicate));
+    let table = TokenTable::new(vec![(token("secret"), 1)]).unwrap();
+    assert!(!format!("{table:?}").contains("secret"));
+}
+
+proptest! {
+    #[test]
+    fn results_survive_the_wire(results: Vec<Vec<u8>>, numbers: Vec<i64>) {
+        let json = numbers.iter().map(|number| number.to_string().into_bytes());
+        let results: Vec<Vec<u8>> = results.into_iter().chain(json).collect();
+        let answer = Answer::Complete(results.iter().cloned().map(Bytes::from).collect());
+        let response = answer_response(&answer);
+        prop_assert_eq!(response.status(), StatusCode::OK);
+        let body = body(&response);
+        let embedded = body["results"].as_array().unwrap();
+        prop_assert_eq!(embedded.len(), results.len());
+        let empty = Vec::new();
+        let encoded = body.get("base64").and_then(Value::as_array).unwrap_or(&empty);
+        for (index, result) in results.iter().enumerate() {
+            if encoded.contains(&json!(index)) {
+                let text = embedded[index].as_str().unwrap();
+                prop_assert_eq!(&STANDARD.decode(text).unwrap(), result);
+            } else {
+                let value: Value = serde_json::from_slice(result).unwrap();
+                prop_assert_eq!(&embedded[index], &value);
+            }
+        }
+    }
+
+    #[test]
+    fn any_path_and_header_is_judged(path: String, header: Vec<u8>) {
+        let _ = parse_route(&Method::GET, &path);
+        let _ = parse_route(&Method::PUT, &format!("/v1/jobs/{path}"));
+        let _ = bearer_token(&header);
+    }
+
+    #[test]
+    fn ids_survive_the_path(id in "[A-Za-z0-9_:-][A-Za-z0-9._:-]{0,63}") {
+        let route = parse_route(&Method::PUT, &format!("/v1/jobs/{id}"));
+        prop_assert_eq!(route, Ok(Route::SubmitJob { id }));
+    }
+}
