--- a/components/protocol/src/pool.rs
+++ b/components/protocol/src/pool.rs
@@ -7,6 +7,9 @@
 
 use crate::error::LinkError;
 use crate::link::{AgentLink, EntryLink, Link};
+use crate::service::{
+    AgentServiceRequest, AgentServiceResponse, EntryServiceRequest, EntryServiceResponse,
+};
 
 /// Time for which a connection may take to open, in microseconds.
 ///
@@ -14,18 +17,18 @@
 const CONNECT_US: u64 = 500_000;
 
 /// Connections to agents.
-pub type AgentPool = Pool<crate::service::AgentServiceClient>;
+pub type AgentPool = Pool<AgentServiceRequest, AgentServiceResponse>;
 
 /// Connections to entries.
-pub type EntryPool = Pool<crate::service::EntryServiceClient>;
+pub type EntryPool = Pool<EntryServiceRequest, EntryServiceResponse>;
 
 /// Open connections of one kind, made on first use and again after they close.
-pub struct Pool<C> {
+pub struct Pool<Req, Resp> {
     own: ProcessKey,
-    links: RefCell<HashMap<String, Link<C>>>,
+    links: RefCell<HashMap<String, Link<Req, Resp>>>,
 }
 
-impl<C: Clone> Pool<C> {
+impl<Req, Resp> Pool<Req, Resp> {
     /// Builds a pool without connections for the process `own`.
     #[must_use]
     pub fn new(own: ProcessKey) -> Self {
@@ -52,14 +55,14 @@
         self.links.borrow().is_empty()
     }
 
-    fn open_link(&self, address: &str, expected: Option<ProcessKey>) -> Option<Link<C>> {
+    fn open_link(&self, address: &str, expected: Option<ProcessKey>) -> Option<Link<Req, Resp>> {
         let links = self.links.borrow();
         let link = links.get(address)?;
         let fits = expected.is_none_or(|key| key == link.peer());
         (!link.is_closed() && fits).then(|| link.clone())
     }
 
-    fn keep(&self, address: &str, link: &Link<C>) {
+    fn keep(&self, address: &str, link: &Link<Req, Resp>) {
         self.links
             .borrow_mut()
             .insert(address.to_owned(), link.clone());
