Keep resending a refusal after a later attempt was ruled out

A pending refusal was identified by the newest tombstone. A start of a later attempt that was refused raised the tombstone, so the pending refusal matched no scheduled resend and was never sent again. Records of unacknowledged outcomes were also dropped after a second retention period, although the owner could then be told that the task never started.

Clearing the pending refusal was ruled out: the later refusal may go to a stale owner. The pending refusal now carries its own attempt, and an unacknowledged outcome keeps its record until it is received or a fence hands it over.

--- a/components/execution/src/delivery.rs
+++ b/components/execution/src/delivery.rs
@@ -105,7 +105,7 @@
         let task = self.table.task(at)?;
         let message = match &task.state {
             State::Idle {
-                unacknowledged: Some(reason),
+                unacknowledged: Some((_, reason)),
             } => refused(shard, key, task.tombstoned?, *reason),
             State::Finished(_) => finished(shard, key, task)?,
             _ => return None,
@@ -128,7 +128,7 @@
         };
         let (shard, key, is_settled) = (job.shard, job.task_key(at.index), job.settled);
         let newest = self.table.update(at, |task| {
-            let unacknowledged = (!is_settled).then_some(reason);
+            let unacknowledged = (!is_settled).then_some((attempt, reason));
             task.state = State::Idle { unacknowledged };
             task.raise_tombstone(attempt)
         });
@@ -138,7 +138,7 @@
         self.counters.firm(shard.firm).count_refusal(reason);
         self.outbox.push(owner, refused(shard, key, newest, reason));
         if !is_settled {
-            self.resends.schedule(self.now_us, at, newest);
+            self.resends.schedule(self.now_us, at, attempt);
         }
     }
 
--- a/components/execution/src/table.rs
+++ b/components/execution/src/table.rs
@@ -59,10 +59,10 @@
             .any(|task| matches!(task.state, State::Queued(_) | State::Running(_)))
     }
 
-    fn has_undelivered_outcome(&self) -> bool {
-        self.tasks.iter().any(|task| {
-            matches!(&task.state, State::Finished(done) if done.delivery != Delivery::Received)
-        })
+    fn has_outcome(&self, delivery: Delivery) -> bool {
+        self.tasks
+            .iter()
+            .any(|task| matches!(&task.state, State::Finished(done) if done.delivery == delivery))
     }
 }
 
@@ -154,8 +154,8 @@
 
     /// Removes jobs whose retention is over and returns where they were.
     ///
-    /// A job with queued or running tasks stays, and one with an outcome that no owner has
-    /// acknowledged stays for a second retention period.
+    /// A job with queued or running tasks or an unacknowledged outcome stays. One whose
+    /// outcome a new owner was told in answer to its fence stays for a second period.
     pub fn remove_expired(&mut self, now_unix_ms: u64) -> Vec<(JobRef, ShardKey)> {
         let mut removed = Vec::new();
         while let Some(&Reverse((due_unix_ms, at))) = self.expiries.peek() {
@@ -194,9 +194,9 @@
     if job.expires_unix_ms > now_unix_ms {
         return Some(job.expires_unix_ms);
     }
-    if job.is_live() {
+    if job.is_live() || job.has_outcome(Delivery::Unacknowledged) {
         return Some(now_unix_ms + RETENTION_MS);
     }
     let last_unix_ms = job.expires_unix_ms.saturating_add(RETENTION_MS);
-    (job.has_undelivered_outcome() && last_unix_ms > now_unix_ms).then_some(last_unix_ms)
+    (job.has_outcome(Delivery::Fenced) && last_unix_ms > now_unix_ms).then_some(last_unix_ms)
 }
--- a/components/execution/src/task.rs
+++ b/components/execution/src/task.rs
@@ -17,7 +17,7 @@
 pub(crate) enum State {
     /// Neither held nor started; holds a refusal that the owner has not acknowledged.
     Idle {
-        unacknowledged: Option<RefusalReason>,
+        unacknowledged: Option<(Attempt, RefusalReason)>,
     },
     Queued(QueuedTask),
     Running(RunningTask),
@@ -80,9 +80,7 @@
     /// Returns the attempt whose outcome or refusal the owner has not acknowledged.
     pub fn unacknowledged(&self) -> Option<Attempt> {
         match &self.state {
-            State::Idle {
-                unacknowledged: Some(_),
-            } => self.tombstoned,
+            State::Idle { unacknowledged } => unacknowledged.map(|(attempt, _)| attempt),
             State::Finished(task) if task.delivery == Delivery::Unacknowledged => {
                 Some(task.attempt)
             }
--- a/components/execution/tests/execution/harness.rs
+++ b/components/execution/tests/execution/harness.rs
@@ -3,9 +3,10 @@
 use bytes::Bytes;
 use execution::{Agent, AgentAction, AgentBuilder, CallKey, CallOutcome};
 use model::{
-    AgentMessage, Attempt, Fence, FirmKey, Generation, GroupKey, Heartbeat, JobDigest, JobKey,
-    JobMeta, JobRecord, KindKey, Load, OwnerEnvelope, OwnerMessage, Permit, ProcessKey,
-    RefusalReason, ShardBeat, ShardKey, Start, TargetInfo, TaskKey, TaskStart, TaskState,
+    AgentEnvelope, AgentMessage, Attempt, Fence, FirmKey, Generation, GroupKey, Heartbeat,
+    JobDigest, JobKey, JobMeta, JobRecord, KindKey, Load, OwnerEnvelope, OwnerMessage, Permit,
+    ProcessKey, RefusalReason, ShardBeat, ShardKey, Start, TargetInfo, TaskKey, TaskStart,
+    TaskState,
 };
 
 pub const AGENT: ProcessKey = ProcessKey(1);
@@ -131,7 +132,7 @@
 pub fn envelope(from: ProcessKey, messages: Vec<OwnerMessage>) -> OwnerEnvelope {
     OwnerEnvelope {
         from,
-        from_address: "10.0.0.1:7000".to_owned(),
+        from_address: String::new(),
         to: AGENT,
         messages,
     }
@@ -206,82 +207,82 @@
     }
 }
 
+fn pick<T>(actions: &[AgentAction], choose: impl Fn(&AgentAction) -> Option<T>) -> Vec<T> {
+    actions.iter().filter_map(choose).collect()
+}
+
+fn pick_messages<T>(actions: &[AgentAction], choose: impl Fn(AgentMessage) -> Option<T>) -> Vec<T> {
+    messages(actions).into_iter().filter_map(choose).collect()
+}
+
+fn number(task: TaskKey) -> u64 {
+    task.job.digest.0 as u64
+}
+
 pub fn calls(actions: &[AgentAction]) -> Vec<CallKey> {
-    actions
-        .iter()
-        .filter_map(|action| match action {
-            AgentAction::Invoke { call, .. } => Some(*call),
-            _ => None,
-        })
-        .collect()
+    pick(actions, |action| match action {
+        AgentAction::Invoke { call, .. } => Some(*call),
+        _ => None,
+    })
 }
 
 /// Returns the jobs that were invoked, in order.
 pub fn invoked(actions: &[AgentAction]) -> Vec<(FirmKey, u64)> {
-    actions
-        .iter()
-        .filter_map(|action| match action {
-            AgentAction::Invoke { task, .. } => Some((task.job.firm, task.job.digest.0 as u64)),
-            _ => None,
-        })
-        .collect()
+    pick(actions, |action| match action {
+        AgentAction::Invoke { task, .. } => Some((task.job.firm, number(*task))),
+        _ => None,
+    })
+}
+
+pub fn envelopes(actions: &[AgentAction]) -> Vec<AgentEnvelope> {
+    pick(actions, |action| match action {
+        AgentAction::Send(envelope) => Some(envelope.clone()),
+        _ => None,
+    })
 }
 
 pub fn messages(actions: &[AgentAction]) -> Vec<AgentMessage> {
-    actions
-        .iter()
-        .filter_map(|action| match action {
-            AgentAction::Send(envelope) => Some(envelope.messages.clone()),
-            _ => None,
-        })
-        .flatten()
+    envelopes(actions)
+        .into_iter()
+        .flat_map(|envelope| envelope.messages)
         .collect()
 }
 
 pub fn load(actions: &[AgentAction]) -> Load {
-    let load = actions.iter().find_map(|action| match action {
-        AgentAction::Send(envelope) => Some(envelope.load),
-        _ => None,
-    });
-    load.expect("an envelope is sent")
+    envelopes(actions)[0].load
 }
 
 /// Returns job, attempt and reason of each refusal.
 pub fn refusals(actions: &[AgentAction]) -> Vec<(u64, u32, RefusalReason)> {
-    messages(actions)
-        .into_iter()
-        .filter_map(|message| match message {
-            AgentMessage::Refused {
-                task,
-                attempt,
-                reason,
-                ..
-            } => Some((task.job.digest.0 as u64, attempt.0, reason)),
-            _ => None,
-        })
-        .collect()
+    pick_messages(actions, |message| match message {
+        AgentMessage::Refused {
+            task,
+            attempt,
+            reason,
+            ..
+        } => Some((number(task), attempt.0, reason)),
+        _ => None,
+    })
 }
 
 pub fn accepted(actions: &[AgentAction]) -> Vec<u32> {
-    messages(actions)
+    let tasks = pick_messages(actions, |message| match message {
+        AgentMessage::Accepted { tasks, .. } => Some(tasks),
+        _ => None,
+    });
+    tasks
         .into_iter()
-        .flat_map(|message| match message {
-            AgentMessage::Accepted { tasks, .. } => tasks,
-            _ => Vec::new(),
-        })
+        .flatten()
         .map(|(_, attempt)| attempt.0)
         .collect()
 }
 
 /// Returns the jobs with finished tasks, in order.
 pub fn finished(actions: &[AgentAction]) -> Vec<u64> {
-    messages(actions)
-        .into_iter()
-        .filter_map(|message| match message {
-            AgentMessage::Finished { task, .. } => Some(task.job.digest.0 as u64),
-            _ => None,
-        })
-        .collect()
+    pick_messages(actions, |message| match message {
+        AgentMessage::Finished { task, .. } => Some(number(task)),
+        _ => None,
+    })
 }
 
 /// Returns generation and records of an answer to a fence, after checking its parts.
--- a/components/execution/tests/execution/memory.rs
+++ b/components/execution/tests/execution/memory.rs
@@ -65,6 +65,10 @@
     assert_eq!(harness.agent.state().records, 2);
     harness.now_unix_ms += RETENTION_MS;
     harness.tick_after(0);
+    assert_eq!(harness.agent.state().records, 2);
+    harness.send(OTHER, fence(SHARD, 2));
+    harness.now_unix_ms += RETENTION_MS;
+    harness.tick_after(0);
     assert_eq!(harness.agent.state().records, 1);
     assert_eq!(harness.agent.state().unacknowledged, 0);
 }
--- a/components/execution/tests/execution/ownership.rs
+++ b/components/execution/tests/execution/ownership.rs
@@ -139,6 +139,17 @@
     assert!(harness.tick_after(1_000_000).is_empty());
 }
 
+#[test]
+fn refusal_is_sent_again_with_the_newest_attempt_ruled_out() {
+    let mut harness = Harness::with_slots(1);
+    harness.run(1, not_started());
+    let mut start = harness.make_start(1, 3);
+    start.permit.expires_us = 0;
+    harness.send(OWNER, OwnerMessage::Start(start));
+    let actions = harness.tick_after(500_000);
+    assert_eq!(refusals(&actions), [(1, 3, RefusalReason::TargetRefused)]);
+}
+
 #[test]
 fn outcome_after_a_fence_goes_to_the_new_owner() {
     let mut harness = Harness::with_slots(1);
--- a/components/execution/tests/execution/sequences.rs
+++ b/components/execution/tests/execution/sequences.rs
@@ -11,8 +11,8 @@
 use proptest::test_runner::TestCaseResult;
 
 use crate::harness::{
-    AGENT, Harness, OTHER, OWNER, SHARD, envelope, fence, fence_answer, not_started, result,
-    start_message,
+    AGENT, Harness, OTHER, OWNER, SHARD, envelope, envelopes, fence, fence_answer, not_started,
+    result, start_message,
 };
 
 const SLOTS: u16 = 2;
@@ -332,7 +332,7 @@
             }
         }
         prop_assert!(self.calls.len() <= usize::from(SLOTS));
-        for envelope in actions.iter().filter_map(sent) {
+        for envelope in envelopes(actions) {
             for message in &envelope.messages {
                 self.check_message(envelope.to, message)?;
             }
@@ -474,13 +474,6 @@
     }
 }
 
-fn sent(action: &AgentAction) -> Option<&model::AgentEnvelope> {
-    match action {
-        AgentAction::Send(envelope) => Some(envelope),
-        _ => None,
-    }
-}
-
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(2_000))]
 
--- a/components/execution/tests/execution/starts.rs
+++ b/components/execution/tests/execution/starts.rs
@@ -8,8 +8,9 @@
 use rstest::rstest;
 
 use crate::harness::{
-    AGENT, Harness, OTHER, OWNER, accepted, calls, envelope, fence, finished, invoked, messages,
-    not_started, refusals, result, revoke, start_message, task,
+    AGENT, FIRM, Harness, OTHER, OTHER_SHARD, OWNER, SHARD, START_UNIX_MS, accepted, calls,
+    envelope, fence, finished, invoked, messages, not_started, received, refusals, result, revoke,
+    start_message, task,
 };
 
 fn expire(start: &mut Start) {
@@ -63,7 +64,7 @@
     assert_eq!(refusals(&actions), [(1, 1, RefusalReason::StaleGeneration)]);
     let actions = harness.send(OWNER, OwnerMessage::Start(running));
     assert!(actions.is_empty());
-    assert_eq!(harness.agent.state().firms[&crate::harness::FIRM].stale, 2);
+    assert_eq!(harness.agent.state().firms[&FIRM].stale, 2);
 }
 
 #[test]
@@ -87,7 +88,7 @@
 fn envelope_for_another_incarnation_is_only_counted() {
     let mut harness = Harness::with_slots(1);
     let start = OwnerMessage::Start(harness.make_start(1, 1));
-    let mut envelope = envelope(OWNER, vec![start, fence(crate::harness::SHARD, 2)]);
+    let mut envelope = envelope(OWNER, vec![start, fence(SHARD, 2)]);
     envelope.to = ProcessKey(99);
     assert!(harness.deliver(envelope).is_empty());
     assert_eq!(
@@ -115,9 +116,9 @@
     );
     assert_eq!(finished(&harness.done(call, result(1))), [1]);
     assert!(!harness.agent.is_idle());
-    harness.send(OWNER, crate::harness::received(&[1]));
+    harness.send(OWNER, received(&[1]));
     assert!(!harness.agent.is_idle());
-    harness.send(OWNER, crate::harness::received(&[2]));
+    harness.send(OWNER, received(&[2]));
     assert!(harness.agent.is_idle());
 }
 
@@ -174,10 +175,7 @@
     harness.done(call, result(1));
     let actions = harness.start(1, again);
     assert_eq!((finished(&actions), calls(&actions)), (vec![1], vec![]));
-    assert_eq!(
-        harness.agent.state().firms[&crate::harness::FIRM].duplicates,
-        2
-    );
+    assert_eq!(harness.agent.state().firms[&FIRM].duplicates, 2);
 }
 
 #[test]
@@ -277,11 +275,11 @@
 fn start_beyond_retention_is_refused_even_after_the_clock_is_set_back() {
     let mut harness = Harness::with_slots(1);
     harness.run(1, result(1));
-    harness.send(OWNER, crate::harness::received(&[1]));
+    harness.send(OWNER, received(&[1]));
     harness.now_unix_ms += RETENTION_MS + 500;
     harness.tick_after(1);
     assert_eq!(harness.agent.state().records, 0);
-    for now_unix_ms in [harness.now_unix_ms, crate::harness::START_UNIX_MS] {
+    for now_unix_ms in [harness.now_unix_ms, START_UNIX_MS] {
         harness.now_unix_ms = now_unix_ms;
         let actions = harness.start(1, 1);
         assert_eq!(refusals(&actions), [(1, 1, RefusalReason::DeadlinePassed)]);
@@ -292,7 +290,7 @@
 #[test]
 fn job_of_another_shard_is_ignored() {
     let mut harness = Harness::with_slots(2);
-    let mut start = start_message(crate::harness::OTHER_SHARD, 1, &[(0, 1)], harness.now_us);
+    let mut start = start_message(OTHER_SHARD, 1, &[(0, 1)], harness.now_us);
     start.job.key = task(1).job;
     assert!(harness.send(OWNER, OwnerMessage::Start(start)).is_empty());
 }
