Close the agent's window while results or records are full

An agent with full memory refused starts but went on granting a window, so owners would have sent tasks only to be refused. A start message without tasks also left a job record that no limit counted.

Reporting not ready was ruled out, since the target is alive. The window is now zero until there is room, and empty starts are counted and dropped. The random sequences also check the sum of the windows and the number of running tasks.

--- a/components/execution/src/counters.rs
+++ b/components/execution/src/counters.rs
@@ -21,7 +21,7 @@
     pub conflicting: u64,
     /// Starts that were dropped because no record could be kept of a refusal.
     pub unrecorded: u64,
-    /// Messages whose job does not belong to the shard they name.
+    /// Starts without tasks, and messages whose job does not belong to the shard they name.
     pub misplaced: u64,
     /// Outcomes of calls that are not under way.
     pub late_outcomes: u64,
--- a/components/execution/src/load.rs
+++ b/components/execution/src/load.rs
@@ -56,7 +56,8 @@
 
     pub(crate) fn load(&self, to: ProcessKey) -> Load {
         let ready = self.is_ready();
-        let window = match (ready, self.target.is_failing()) {
+        let is_full = self.are_results_full() || self.are_records_full();
+        let window = match (ready && !is_full, self.target.is_failing()) {
             (false, _) => 0,
             (true, true) => 1,
             (true, false) => self.owners.window(to),
--- a/components/execution/src/records.rs
+++ b/components/execution/src/records.rs
@@ -69,6 +69,14 @@
         self.table.records() < max_records + max_records / REFUSAL_RESERVE_DIVISOR
     }
 
+    pub(crate) fn are_records_full(&self) -> bool {
+        self.table.records() >= self.settings.max_records
+    }
+
+    pub(crate) fn are_results_full(&self) -> bool {
+        self.table.result_bytes() >= self.settings.max_result_bytes
+    }
+
     fn forget_job(&mut self, key: ShardKey, job: JobRef) {
         let Some(shard) = self.shards.get_mut(&key) else {
             return;
--- a/components/execution/src/start.rs
+++ b/components/execution/src/start.rs
@@ -37,64 +37,58 @@
 
 impl Agent {
     pub(crate) fn start(&mut self, from: ProcessKey, start: Start) {
+        let Some(context) = self.prepare(from, &start) else {
+            return;
+        };
+        let mut tasks = Vec::new();
+        for task in start.tasks {
+            tasks.extend(self.start_task(&context, task));
+        }
+        if !tasks.is_empty() {
+            let shard = context.shard;
+            self.outbox
+                .push(from, AgentMessage::Accepted { shard, tasks });
+        }
+    }
+
+    /// Decides what the tasks of a message have in common; nothing if they get no decision.
+    fn prepare(&mut self, from: ProcessKey, start: &Start) -> Option<Context> {
         let shard = start.shard;
-        let authority = self.start_authority(&start, from);
-        match authority {
-            Authority::Conflicting => {
-                self.counters.firm(shard.firm).conflicting += 1;
-                return;
-            }
-            Authority::Stale => self.counters.firm(shard.firm).stale += 1,
-            Authority::Owner | Authority::Unfenced => {}
+        let authority = self.start_authority(start, from);
+        let is_placed = self.is_placed(start);
+        let counters = self.counters.firm(shard.firm);
+        if authority == Authority::Conflicting {
+            counters.conflicting += 1;
+            return None;
         }
-        if !self.is_placed(&start) {
-            self.counters.firm(shard.firm).misplaced += 1;
-            return;
+        if !is_placed {
+            counters.misplaced += 1;
+            return None;
         }
-        if self.is_too_old(&start) && self.table.find(start.job.key).is_none() {
-            self.refuse_unrecorded(from, &start);
-            return;
+        counters.stale += u64::from(authority == Authority::Stale);
+        if self.is_too_old(start) && self.table.find(start.job.key).is_none() {
+            self.refuse_unrecorded(from, start);
+            return None;
         }
-        let refusal = self.job_refusal(authority, &start);
-        let deadline_us = self.now_us.saturating_add(start.remaining_us);
-        let key = start.job.key;
-        let Some(job) = self.record_job(&start) else {
+        let refusal = self.job_refusal(authority, start);
+        let Some(job) = self.record_job(start) else {
             self.counters.firm(shard.firm).unrecorded += 1;
-            return;
+            return None;
         };
-        let context = Context {
+        Some(Context {
             from,
             shard,
-            key,
+            key: start.job.key,
             job,
             authority,
-            deadline_us,
+            deadline_us: self.now_us.saturating_add(start.remaining_us),
             refusal,
-        };
-        let mut accepted = Vec::new();
-        for task in start.tasks {
-            if let Some(attempt) = self.start_task(&context, task.index, task) {
-                accepted.push(attempt);
-            }
-        }
-        if !accepted.is_empty() {
-            self.outbox.push(
-                from,
-                AgentMessage::Accepted {
-                    shard,
-                    tasks: accepted,
-                },
-            );
-        }
+        })
     }
 
     /// Decides on one task; returns the attempt that is held.
-    fn start_task(
-        &mut self,
-        context: &Context,
-        index: u16,
-        start: TaskStart,
-    ) -> Option<(TaskKey, Attempt)> {
+    fn start_task(&mut self, context: &Context, start: TaskStart) -> Option<(TaskKey, Attempt)> {
+        let index = start.index;
         let at = TaskRef {
             job: context.job,
             index,
@@ -235,8 +229,8 @@
             return context.refusal;
         }
         let is_full = self.queue.len() >= self.settings.max_queue_tasks
-            || self.table.result_bytes() >= self.settings.max_result_bytes
-            || (known.is_none() && self.table.records() >= self.settings.max_records);
+            || self.are_results_full()
+            || (known.is_none() && self.are_records_full());
         is_full.then_some(RefusalReason::QueueFull)
     }
 
@@ -283,10 +277,13 @@
         record_expiry_unix_ms(start) <= self.now_unix_ms
     }
 
-    /// Returns whether job, firm and shard agree with each other and with the record.
+    /// Returns whether there are tasks, and job, firm and shard agree with each other and
+    /// with the record.
     fn is_placed(&self, start: &Start) -> bool {
         let key = start.job.key;
         let known = self.table.find(key).and_then(|at| self.table.job(at));
-        key.firm == start.shard.firm && known.is_none_or(|job| job.shard == start.shard)
+        key.firm == start.shard.firm
+            && !start.tasks.is_empty()
+            && known.is_none_or(|job| job.shard == start.shard)
     }
 }
--- a/components/execution/tests/execution/harness.rs
+++ b/components/execution/tests/execution/harness.rs
@@ -54,12 +54,7 @@
     }
 
     pub fn announce(&mut self, slots: u16) -> Vec<AgentAction> {
-        let info = TargetInfo {
-            group: GROUP,
-            firms: vec![FIRM, OTHER_FIRM],
-            slots,
-            connections: 64,
-        };
+        let info = target(slots, 64);
         let mut actions = Vec::new();
         self.agent
             .target_announced(self.now_us, info, u64::MAX, &mut actions);
@@ -129,6 +124,15 @@
     }
 }
 
+pub fn target(slots: u16, connections: u16) -> TargetInfo {
+    TargetInfo {
+        group: GROUP,
+        firms: vec![FIRM, OTHER_FIRM],
+        slots,
+        connections,
+    }
+}
+
 pub fn envelope(from: ProcessKey, messages: Vec<OwnerMessage>) -> OwnerEnvelope {
     OwnerEnvelope {
         from,
--- a/components/execution/tests/execution/memory.rs
+++ b/components/execution/tests/execution/memory.rs
@@ -5,7 +5,7 @@
 
 use crate::harness::{
     AGENT, FIRM, Harness, OTHER, OTHER_FIRM, OTHER_SHARD, OWNER, SHARD, calls, fence, fenced_tasks,
-    received, refusals, result, start_message, task,
+    load, received, refusals, result, start_message, task,
 };
 
 fn settled(job: u64) -> OwnerMessage {
@@ -28,10 +28,9 @@
     harness.run(4, result(100));
     assert_eq!(harness.agent.state().result_bytes, 200);
     harness.run(5, result(100));
-    assert_eq!(
-        refusals(&harness.start(6, 1)),
-        [(6, 1, RefusalReason::QueueFull)]
-    );
+    let actions = harness.start(6, 1);
+    assert_eq!(refusals(&actions), [(6, 1, RefusalReason::QueueFull)]);
+    assert_eq!(load(&actions).window, 0);
     let states = fenced_tasks(&harness.send(OTHER, fence(SHARD, 2)));
     let is_kept = |state: &TaskState| matches!(state, TaskState::Finished(TaskOutcome::Done(_)));
     let kept: Vec<_> = states
--- a/components/execution/tests/execution/scheduling.rs
+++ b/components/execution/tests/execution/scheduling.rs
@@ -3,12 +3,12 @@
 use std::collections::VecDeque;
 
 use execution::AgentBuilder;
-use model::{FirmShare, OwnerMessage, RefusalReason, Rules, TargetInfo};
+use model::{FirmShare, OwnerMessage, RefusalReason, Rules};
 use rstest::rstest;
 
 use crate::harness::{
-    AGENT, FIRM, GROUP, Harness, OTHER, OTHER_FIRM, OTHER_SHARD, OWNER, SHARD, calls, fence,
-    invoked, load, not_started, refusals, result, start_message,
+    AGENT, FIRM, Harness, OTHER, OTHER_FIRM, OTHER_SHARD, OWNER, SHARD, calls, fence, invoked,
+    load, not_started, refusals, result, start_message, target,
 };
 
 fn share(harness: &mut Harness, revision: u64, weight: u32) {
@@ -88,12 +88,7 @@
 #[case::connections(8, 3, 3)]
 fn running_tasks_are_bounded(#[case] slots: u16, #[case] connections: u16, #[case] limit: usize) {
     let mut harness = Harness::with_slots(1);
-    let info = TargetInfo {
-        group: GROUP,
-        firms: vec![FIRM],
-        slots,
-        connections,
-    };
+    let info = target(slots, connections);
     harness
         .agent
         .target_announced(0, info, u64::MAX, &mut Vec::new());
@@ -106,12 +101,7 @@
     let mut harness = Harness::with_slots(1);
     let call = calls(&harness.start(1, 1))[0];
     harness.start(2, 1);
-    let info = TargetInfo {
-        group: GROUP,
-        firms: vec![FIRM],
-        slots: 1,
-        connections: 1,
-    };
+    let info = target(1, 1);
     let expires_us = harness.now_us + 5_000;
     harness
         .agent
--- a/components/execution/tests/execution/sequences.rs
+++ b/components/execution/tests/execution/sequences.rs
@@ -16,6 +16,7 @@
 };
 
 const SLOTS: u16 = 2;
+const LOOKAHEAD: u16 = 3;
 
 /// A task as one of the owners sees it.
 #[derive(Debug, Clone, Copy)]
@@ -108,7 +109,7 @@
 
 impl Run {
     pub fn new(builder: AgentBuilder) -> Self {
-        let mut harness = Harness::new(builder);
+        let mut harness = Harness::new(builder.lookahead_tasks(LOOKAHEAD));
         harness.announce(SLOTS);
         Self {
             harness,
@@ -312,6 +313,14 @@
             }
         }
         prop_assert!(self.calls.len() <= usize::from(SLOTS));
+        let state = self.harness.agent.state();
+        prop_assert_eq!(state.running, self.calls.len());
+        let windows: usize = state
+            .owners
+            .iter()
+            .map(|owner| usize::from(owner.window))
+            .sum();
+        prop_assert!(windows <= usize::from(SLOTS + LOOKAHEAD) + state.owners.len());
         for envelope in envelopes(actions) {
             for message in &envelope.messages {
                 self.check_message(envelope.to, message)?;
