--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 
 use model::{
-    AgentEnvelope, AgentInfo, AgentMessage, Answer, EntryInfo, FailureKind, FailureReason, Generation,
-    HEARTBEAT_INTERVAL_MS, JobKey, OwnerMessage, ProcessKey, Rules, ShardBeat, ShardKey,
+    AgentEnvelope, AgentInfo, AgentMessage, Answer, EntryInfo, FailureKind, FailureReason,
+    Generation, HEARTBEAT_INTERVAL_MS, JobKey, OwnerMessage, ProcessKey, Rules, ShardBeat,
+    ShardKey,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
--- a/components/dispatch/src/outcomes.rs
+++ b/components/dispatch/src/outcomes.rs
@@ -112,6 +112,7 @@
         reason: RefusalReason,
     ) {
         cx.counters.tasks_refused += 1;
+        self.acknowledge_outcome(cx, from, key);
         if self.resolve_orphan(cx, from, key, attempt) {
             return;
         }
@@ -123,6 +124,8 @@
         if task.attempt > attempt {
             return;
         }
+        // The agent may have ruled out more attempts than this owner has made.
+        task.attempt = attempt;
         task.phase = TaskPhase::Waiting;
         task.avoid = Some(agent);
         let given_up = task.attempts_made >= max_attempts(cx, job.meta.group)
@@ -199,7 +202,7 @@
         self.take_outcome(cx, slot, key, agent, outcome);
     }
 
-    fn acknowledge_outcome(&self, cx: &mut Cx<'_>, from: ProcessKey, key: TaskKey) {
+    pub fn acknowledge_outcome(&self, cx: &mut Cx<'_>, from: ProcessKey, key: TaskKey) {
         let Some(agent) = cx.agents.find(from) else {
             return;
         };
--- a/components/dispatch/src/recovery.rs
+++ b/components/dispatch/src/recovery.rs
@@ -56,6 +56,7 @@
         if was_fenced || !new_part {
             return;
         }
+        self.acknowledge_records(cx, from, &jobs);
         if now_fenced {
             cx.agents.hasten_beat(agent, cx.now_us);
         }
@@ -67,6 +68,19 @@
         }
     }
 
+    /// Acknowledges the outcomes in a member's answer, so that they need not be kept.
+    fn acknowledge_records(&self, cx: &mut Cx<'_>, from: ProcessKey, jobs: &[JobRecord]) {
+        for record in jobs {
+            for task in &record.tasks {
+                if matches!(task.state, TaskState::Finished(_)) {
+                    let job = record.meta.key;
+                    let index = task.index;
+                    self.acknowledge_outcome(cx, from, TaskKey { job, index });
+                }
+            }
+        }
+    }
+
     fn merge(&mut self, cx: &mut Cx<'_>, agent: AgentKey, record: JobRecord) {
         let Some(slot) = self.slot_for(cx, &record) else {
             return;
--- a/components/entry/src/agents.rs
+++ b/components/entry/src/agents.rs
@@ -35,12 +35,9 @@
 
     fn take_in(self: &Rc<Self>, envelope: AgentEnvelope) {
         let mut actions = Vec::new();
-        self.core.borrow_mut().agent_envelope(
-            envelope,
-            monotonic_us(),
-            unix_ms(),
-            &mut actions,
-        );
+        self.core
+            .borrow_mut()
+            .agent_envelope(envelope, monotonic_us(), unix_ms(), &mut actions);
         self.perform(actions);
         self.wake();
     }
--- a/components/entry/src/configuration.rs
+++ b/components/entry/src/configuration.rs
@@ -24,10 +24,10 @@
                 return;
             }
         };
-        let outcome =
-            self.config
-                .borrow_mut()
-                .apply(versioned.mod_revision, published, unix_ms());
+        let outcome = self
+            .config
+            .borrow_mut()
+            .apply(versioned.mod_revision, published, unix_ms());
         self.note_applied(outcome);
     }
 
--- a/components/entry/src/drive.rs
+++ b/components/entry/src/drive.rs
@@ -29,16 +29,12 @@
         loop {
             let mut actions = Vec::new();
             let now_us = monotonic_us();
-            self.core
-                .borrow_mut()
-                .poll(now_us, unix_ms(), &mut actions);
+            self.core.borrow_mut().poll(now_us, unix_ms(), &mut actions);
             self.perform(actions);
             let wake_us = self.core.borrow().next_wake_us(now_us);
             let left_us = wake_us.saturating_sub(now_us);
             let pause = Duration::from_micros(left_us.clamp(500, MAX_PAUSE_MS * 1_000));
-            let due = self
-                .work
-                .wait_until(|| self.work_due.take().then_some(()));
+            let due = self.work.wait_until(|| self.work_due.take().then_some(()));
             let _ = monoio::time::timeout(pause, due).await;
         }
     }
@@ -87,7 +83,12 @@
         let outcome = match serde_json::to_vec(&record) {
             Ok(value) => {
                 self.platform
-                    .compare_and_swap(&shard_path(shard), expected_revision, Bytes::from(value), None)
+                    .compare_and_swap(
+                        &shard_path(shard),
+                        expected_revision,
+                        Bytes::from(value),
+                        None,
+                    )
                     .await
             }
             Err(error) => Err(PlatformError::NotApplied(error.to_string())),
--- a/components/entry/src/http.rs
+++ b/components/entry/src/http.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use callers::{
-    Access, Route, SubmissionLimits, answer_response, cancelling_response, json_response,
-    not_found_response, parse_route, parse_submission, pending_response, route_error_response,
+    Access, Route, SubmissionLimits, answer_response, cancelling_response, not_found_response,
+    parse_route, parse_submission, pending_response, route_error_response,
     submission_error_response, unauthorized_response,
 };
 use config::Principal;
@@ -223,7 +223,9 @@
 
     fn show_config(&self) -> Response {
         let config = self.config.borrow();
-        let values = config.published().map(|published| published.merged.values());
+        let values = config
+            .published()
+            .map(|published| published.merged.values());
         Response::json(
             200,
             &serde_json::json!({
@@ -272,8 +274,10 @@
 }
 
 fn no_owner_response() -> Response {
-    Response::error(503, "the job's owner cannot be reached; ask again")
-        .with_header(web::HeaderName::from_static("retry-after"), web::HeaderValue::from_static("1"))
+    Response::error(503, "the job's owner cannot be reached; ask again").with_header(
+        web::HeaderName::from_static("retry-after"),
+        web::HeaderValue::from_static("1"),
+    )
 }
 
 fn from_callers(response: http::Response<Bytes>) -> Response {
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -136,7 +136,10 @@
     fn ponged(self: &Rc<Self>, pong: EntryPong) {
         let skew_ms = pong.now_unix_ms.abs_diff(unix_ms());
         if skew_ms > model::CLOCK_SKEW_MS {
-            log::warn!("The clock of entry {} differs by {skew_ms} ms.", pong.from.key);
+            log::warn!(
+                "The clock of entry {} differs by {skew_ms} ms.",
+                pong.from.key
+            );
         }
         if let Some(document) = &pong.config {
             self.config_offered(&document.bytes);
@@ -217,14 +220,16 @@
     }
 
     fn status_here(&self, key: model::JobKey) -> StatusReply {
-        self.job_status(key).unwrap_or_else(|| StatusReply::NotOwner {
-            owner: self.owner_hint(key),
-        })
+        self.job_status(key)
+            .unwrap_or_else(|| StatusReply::NotOwner {
+                owner: self.owner_hint(key),
+            })
     }
 
     fn cancel_here(self: &Rc<Self>, key: model::JobKey) -> CancelReply {
-        self.cancel_job(key).unwrap_or_else(|| CancelReply::NotOwner {
-            owner: self.owner_hint(key),
-        })
+        self.cancel_job(key)
+            .unwrap_or_else(|| CancelReply::NotOwner {
+                owner: self.owner_hint(key),
+            })
     }
 }
--- a/components/entry/src/platform_sync.rs
+++ b/components/entry/src/platform_sync.rs
@@ -7,7 +7,8 @@
 use config::CONFIG_KEY;
 use model::EntryInfo;
 use platform::{Entry, PlatformError, Swap, Versioned, Watch, WatchEvent};
-use rand::Rng;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 use crate::drive::SHARD_PREFIX;
 use crate::process::Shared;
@@ -38,10 +39,15 @@
 }
 
 async fn pause() {
-    let extra_ms = rand::rng().random_range(0..RETRY_MS);
+    let extra_ms = random_ms(RETRY_MS);
     monoio::time::sleep(Duration::from_millis(RETRY_MS + extra_ms)).await;
 }
 
+/// Draws a time below `below_ms`, in milliseconds.
+fn random_ms(below_ms: u64) -> u64 {
+    SmallRng::from_os_rng().random_range(0..below_ms)
+}
+
 async fn follow(shared: &Rc<Shared>) -> Result<(), PlatformError> {
     let listing = shared.platform.list(ROOT_PREFIX).await?;
     shared.platform_reached();
@@ -146,8 +152,7 @@
         .map_err(|error| PlatformError::NotApplied(error.to_string()))?;
     put(shared, &key, Bytes::from(value), lease).await?;
     loop {
-        let extra_ms = rand::rng().random_range(0..LEASE_MS / 12);
-        let wait_ms = LEASE_MS / 3 + extra_ms;
+        let wait_ms = LEASE_MS / 3 + random_ms(LEASE_MS / 12);
         monoio::time::sleep(Duration::from_millis(wait_ms)).await;
         shared.platform.keep_alive(lease).await?;
         shared.platform_reached();
--- a/components/entry/src/submissions.rs
+++ b/components/entry/src/submissions.rs
@@ -71,7 +71,8 @@
                     .flatten()
             }
             Route::Other { owner, address } => {
-                self.forward(spec.clone(), owner, &address, give_up_us).await
+                self.forward(spec.clone(), owner, &address, give_up_us)
+                    .await
             }
             Route::Unknown => None,
         }
@@ -160,7 +161,10 @@
 
     async fn owner_link(&self, key: JobKey) -> Option<protocol::EntryLink> {
         let hint = self.owner_hint(key)?;
-        self.entries.link(&hint.address, Some(hint.owner)).await.ok()
+        self.entries
+            .link(&hint.address, Some(hint.owner))
+            .await
+            .ok()
     }
 
     /// Returns a job's state if its shard is owned here.
