--- a/components/protocol/tests/common/mod.rs
+++ b/components/protocol/tests/common/mod.rs
@@ -96,6 +96,7 @@
             config: None,
             owned: ping.owned,
             platform_reachable: true,
+            draining: false,
         })
         .hand_over(|hand_over| async move {
             HandOverReply {
@@ -150,6 +151,7 @@
             shard: SHARD,
             generation: Generation(2),
         }],
+        draining: false,
     }
 }
 
