--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -124,7 +124,12 @@
             web_stop.clone(),
         ));
         monoio::spawn(crate::announcements::run(Rc::clone(&shared)));
-        log::info!("Agent {} serves on {}.", shared.key, shared.peer_address);
+        log::info!(
+            "Agent {} serves entries on {} and listens for targets on {}.",
+            shared.key,
+            shared.peer_address,
+            self.announce_address
+        );
         shared.clone().turn(&drain).await;
         stop.stop();
         web_stop.stop();
