Add the commands of operators and callers, and the agent's program

Cause: both programs were empty, so nothing could be checked, published, submitted or run. Change: each command is a module with its own options; the library part of the root package lets both programs share it. A submission keeps its submission time over broken connections and gets a newer one only after a refusal that says not run. Tokens come from a file or the environment. Ruled out: tokens as arguments, which other users of the host can read.

--- a/src/bin/shallotcross-agent.rs
+++ b/src/bin/shallotcross-agent.rs
@@ -1,2 +1,9 @@
-//! Agent program.
-fn main() {}
+//! Runs the process beside a target.
+
+use std::process::ExitCode;
+
+use shallotcross::{AGENT, run_program};
+
+fn main() -> ExitCode {
+    run_program(&AGENT)
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,44 @@
+//! The commands, one module each.
+
+mod admin;
+mod agent;
+mod cancel;
+mod check;
+mod drain;
+mod dump;
+mod job;
+mod publish;
+mod show;
+mod status;
+mod submit;
+
+use errors::{ExitCode, Result};
+
+use crate::cli::{Command, Program, run_command};
+
+/// Runs an entry, and the commands of operators and callers.
+pub const SHALLOTCROSS: Program = Program {
+    name: "shallotcross",
+    run: run_shallotcross,
+};
+
+/// Runs the process beside a target.
+pub const AGENT: Program = Program {
+    name: agent::NAME,
+    run: agent::run,
+};
+
+const COMMANDS: &[&Command] = &[
+    &check::COMMAND,
+    &publish::COMMAND,
+    &show::COMMAND,
+    &submit::COMMAND,
+    &status::COMMAND,
+    &cancel::COMMAND,
+    &dump::COMMAND,
+    &drain::COMMAND,
+];
+
+fn run_shallotcross(args: &[String]) -> Result<ExitCode> {
+    run_command(SHALLOTCROSS.name, COMMANDS, args)
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,13 @@
+//! Commands of the programs `shallotcross` and `shallotcross-agent`.
+
+mod answer;
+mod cli;
+mod cmd;
+mod entry_client;
+mod process;
+mod publication;
+mod resubmission;
+mod submission;
+
+pub use cli::{Program, run_program};
+pub use cmd::{AGENT, SHALLOTCROSS};
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,9 @@
-//! Entry program.
-fn main() {}
+//! Runs an entry, and the commands of operators and callers.
+
+use std::process::ExitCode;
+
+use shallotcross::{SHALLOTCROSS, run_program};
+
+fn main() -> ExitCode {
+    run_program(&SHALLOTCROSS)
+}
--- /dev/null
+++ b/src/publication.rs
@@ -0,0 +1,101 @@
+//! Publishes a configuration to the platform.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use config::{CONFIG_KEY, Merged, Published};
+use errors::{Error, ExitCode, Result};
+use operators::{Action, Event, Expected, Outcome, Publish, Stored};
+use platform::{Platform, PlatformError, Swap, Versioned};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Longest time for one call, in milliseconds.
+pub(crate) const CALL_TIMEOUT_MS: u64 = 3_000;
+
+/// Pause after a failed call, in milliseconds.
+const RETRY_PAUSE_MS: u64 = 250;
+
+/// Publishes a merged folder and returns how that ended.
+pub(crate) async fn publish(
+    platform: &Platform,
+    merged: Merged,
+    editor: &str,
+    expected: Expected,
+) -> Outcome {
+    let published = Published::builder(merged)
+        .publication_id(random_id())
+        .editor(editor)
+        .published_unix_ms(runtime::unix_ms())
+        .build();
+    let mut publish = Publish::new(published, expected);
+    let mut action = publish.start();
+    loop {
+        let event = match action {
+            Action::Finish(outcome) => return outcome,
+            Action::Read => read(platform).await,
+            Action::CompareAndSwap {
+                expected_revision,
+                value,
+            } => swap(platform, expected_revision, value).await,
+        };
+        if matches!(event, Event::ReadFailed(_) | Event::SwapUnknown(_)) {
+            monoio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+        }
+        action = publish.handle(event);
+    }
+}
+
+/// Reads the configuration in force with its revision.
+///
+/// # Errors
+///
+/// Fails if the platform does not answer or holds no configuration that can be read.
+pub(crate) async fn read_published(platform: &Platform) -> Result<(u64, Published)> {
+    let read = platform.get(CONFIG_KEY).await.map_err(unavailable)?;
+    let stored = read.ok_or_else(|| {
+        Error::new(ExitCode::Failure, "no configuration is published")
+            .with_remedy("publish the operators' folder with `shallotcross publish`")
+    })?;
+    let invalid = |error: config::PublishedError| Error::new(ExitCode::Invalid, error.to_string());
+    let published = Published::decode(&stored.value).map_err(invalid)?;
+    Ok((stored.mod_revision, published))
+}
+
+/// Draws an id that no other has.
+pub(crate) fn random_id() -> String {
+    let number: u128 = StdRng::from_os_rng().random();
+    format!("{number:032x}")
+}
+
+async fn read(platform: &Platform) -> Event {
+    match platform.get(CONFIG_KEY).await {
+        Ok(read) => Event::Read(read.as_ref().map(stored)),
+        Err(error) => Event::ReadFailed(error.to_string()),
+    }
+}
+
+async fn swap(platform: &Platform, expected_revision: u64, value: String) -> Event {
+    let swapped = platform
+        .compare_and_swap(CONFIG_KEY, expected_revision, Bytes::from(value), None)
+        .await;
+    match swapped {
+        Ok(Swap::Done { revision }) => Event::Swapped(revision),
+        Ok(Swap::Conflict { .. }) => Event::SwapRefused,
+        Err(error) => Event::SwapUnknown(error.to_string()),
+    }
+}
+
+fn stored(versioned: &Versioned) -> Stored {
+    Stored {
+        revision: versioned.mod_revision,
+        value: versioned.value.to_vec(),
+    }
+}
+
+#[expect(clippy::needless_pass_by_value, reason = "for use with map_err")]
+fn unavailable(error: PlatformError) -> Error {
+    let message = format!("the platform cannot be read: {error}");
+    Error::new(ExitCode::Unavailable, message)
+        .with_remedy("check the address and the platform, and try again")
+}
