--- a/components/runtime/src/logging.rs
+++ b/components/runtime/src/logging.rs
@@ -68,6 +68,8 @@
             .format(move |out, message, record| {
                 out.finish(format_args!("{}", format_line(format, message, record)));
             });
+    // It logs every call at level info.
+    dispatch = dispatch.level_for("tarpc", options.level.min(LevelFilter::Warn));
     for (part, level) in options.part_levels {
         dispatch = dispatch.level_for(part, level);
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -243,6 +243,7 @@
             .arg("publish")
             .arg(&folder)
             .args(["--platform", &self.platform_address.to_string()])
+            .args(["--editor", "test"])
             .output()
             .expect("publish runs");
         assert!(
