End the calls of a peer that is gone

tarpc's server goes on with the calls of a closed connection until their deadlines, and its client keeps a connection that takes no more bytes. The server's transport now reports its end as an error, a link that is dropped ends its connection at once, and keep-alive finds hosts that are gone. An answer larger than a frame fails its own call only, instead of the connection.

--- a/components/protocol/src/codec.rs
+++ b/components/protocol/src/codec.rs
@@ -13,7 +13,7 @@
 use serde::de::DeserializeOwned;
 use tarpc::serde_transport::{self, Transport};
 use tarpc::tokio_serde::{Deserializer, Serializer};
-use tarpc::{ClientMessage, Response};
+use tarpc::{ClientMessage, Response, ServerError};
 use tokio_util::codec::LengthDelimitedCodec;
 
 /// Largest frame that is sent or accepted, in bytes.
@@ -22,6 +22,9 @@
 /// Longest time until the deadline of a call, in milliseconds.
 pub const MAX_CALL_MS: u64 = 3_600_000;
 
+/// Detail of the error that stands for an answer larger than a frame.
+pub(crate) const ANSWER_TOO_LARGE: &str = "answer is larger than a frame";
+
 const STREAM_BUFFER_BYTES: usize = 16 * 1024;
 
 // Position of `Request` among the variants of `tarpc::ClientMessage`.
@@ -125,7 +128,16 @@
     type Error = io::Error;
 
     fn serialize(self: Pin<&mut Self>, response: &Response<Resp>) -> io::Result<Bytes> {
-        encode(response)
+        let frame = encode(response)?;
+        if frame.len() <= MAX_FRAME_BYTES {
+            return Ok(frame);
+        }
+        // An error from here would end the connection with all its calls.
+        let detail = ANSWER_TOO_LARGE.to_owned();
+        encode(&Response::<Resp> {
+            request_id: response.request_id,
+            message: Err(ServerError::new(io::ErrorKind::InvalidData, detail)),
+        })
     }
 }
 
--- a/components/protocol/src/connect.rs
+++ b/components/protocol/src/connect.rs
@@ -11,6 +11,21 @@
 use crate::error::{LinkError, LinkFault};
 use crate::hello::{self, Hello, Reply, Service, VERSION};
 
+// A silent peer is given up after 5 s + 3 * 2 s.
+const KEEPALIVE_IDLE_MS: u64 = 5_000;
+const KEEPALIVE_INTERVAL_MS: u64 = 2_000;
+const KEEPALIVE_RETRIES: u32 = 3;
+
+/// Sends small frames at once, and finds out when the peer's host is gone.
+pub(crate) fn set_options(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    stream.set_tcp_keepalive(
+        Some(Duration::from_millis(KEEPALIVE_IDLE_MS)),
+        Some(Duration::from_millis(KEEPALIVE_INTERVAL_MS)),
+        Some(KEEPALIVE_RETRIES),
+    )
+}
+
 pub(crate) fn time_left(deadline_us: u64) -> Option<Duration> {
     let left_us = deadline_us.checked_sub(runtime::monotonic_us())?;
     let left_us = left_us.min(MAX_CALL_MS * 1_000);
@@ -58,7 +73,7 @@
     hello: Hello,
 ) -> io::Result<(TcpStream, Option<Reply>)> {
     let mut stream = TcpStream::connect_addr(address).await?;
-    stream.set_nodelay(true)?;
+    set_options(&stream)?;
     hello::write_hello(&mut stream, &hello).await?;
     let reply = hello::read_reply(&mut stream).await?;
     Ok((stream, reply))
--- /dev/null
+++ b/components/protocol/src/entry_link.rs
@@ -0,0 +1,152 @@
+//! Calls of an entry.
+
+use model::{AgentEnvelope, AgentInfo, JobKey, JobSpec, OwnerEnvelope, ProcessKey};
+
+use crate::connect::{hello_for, open};
+use crate::error::{LinkError, LinkFault};
+use crate::hello::Service;
+use crate::link::Link;
+use crate::message::{
+    AnnounceReply, CancelReply, EntryPing, EntryPong, HandOver, HandOverReply, StatusReply,
+    SubmitReply,
+};
+use crate::service::{EntryServiceRequest, EntryServiceResponse};
+
+/// A connection to an entry.
+pub type EntryLink = Link<EntryServiceRequest, EntryServiceResponse>;
+
+impl EntryLink {
+    /// Connects to the entry at `address`, an `ip:port`, which must be the incarnation
+    /// `expected` if one is given.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entry cannot be reached before `deadline_us` on the monotonic clock,
+    /// or refuses the connection.
+    pub async fn connect(
+        address: &str,
+        own: ProcessKey,
+        expected: Option<ProcessKey>,
+        deadline_us: u64,
+    ) -> Result<Self, LinkError> {
+        let hello = hello_for(Service::Entry, own, expected);
+        let (stream, peer) = open(address, hello, deadline_us).await?;
+        Ok(Self::start(stream, peer))
+    }
+
+    /// Announces an agent that knows the configuration up to a revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer before the deadline or the connection ends.
+    pub async fn announce(
+        &self,
+        agent: AgentInfo,
+        known_config_revision: u64,
+        deadline_us: u64,
+    ) -> Result<AnnounceReply, LinkError> {
+        let request = EntryServiceRequest::Announce {
+            agent,
+            known_config_revision,
+        };
+        match self.call(request, deadline_us).await? {
+            EntryServiceResponse::Announce(reply) => Ok(reply),
+            _ => Err(crossed_answer()),
+        }
+    }
+
+    /// Sends messages of an agent and returns the entry's immediate answers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer before the deadline or the connection ends.
+    pub async fn exchange(
+        &self,
+        envelope: AgentEnvelope,
+        deadline_us: u64,
+    ) -> Result<OwnerEnvelope, LinkError> {
+        let request = EntryServiceRequest::Exchange { envelope };
+        match self.call(request, deadline_us).await? {
+            EntryServiceResponse::Exchange(reply) => Ok(reply),
+            _ => Err(crossed_answer()),
+        }
+    }
+
+    /// Forwards a submission that has waited for `waited_ms` and waits for the job's answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer before the deadline or the connection ends.
+    pub async fn submit(
+        &self,
+        job: JobSpec,
+        waited_ms: u64,
+        deadline_us: u64,
+    ) -> Result<SubmitReply, LinkError> {
+        let request = EntryServiceRequest::Submit { job, waited_ms };
+        match self.call(request, deadline_us).await? {
+            EntryServiceResponse::Submit(reply) => Ok(reply),
+            _ => Err(crossed_answer()),
+        }
+    }
+
+    /// Asks for the state of a job.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer before the deadline or the connection ends.
+    pub async fn status(&self, job: JobKey, deadline_us: u64) -> Result<StatusReply, LinkError> {
+        let request = EntryServiceRequest::Status { job };
+        match self.call(request, deadline_us).await? {
+            EntryServiceResponse::Status(reply) => Ok(reply),
+            _ => Err(crossed_answer()),
+        }
+    }
+
+    /// Cancels a job.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer before the deadline or the connection ends.
+    pub async fn cancel(&self, job: JobKey, deadline_us: u64) -> Result<CancelReply, LinkError> {
+        let request = EntryServiceRequest::Cancel { job };
+        match self.call(request, deadline_us).await? {
+            EntryServiceResponse::Cancel(reply) => Ok(reply),
+            _ => Err(crossed_answer()),
+        }
+    }
+
+    /// Exchanges what the two entries know of each other.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer before the deadline or the connection ends.
+    pub async fn ping(&self, ping: EntryPing, deadline_us: u64) -> Result<EntryPong, LinkError> {
+        let request = EntryServiceRequest::Ping { ping };
+        match self.call(request, deadline_us).await? {
+            EntryServiceResponse::Ping(reply) => Ok(reply),
+            _ => Err(crossed_answer()),
+        }
+    }
+
+    /// Offers a shard to its next owner.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer before the deadline or the connection ends.
+    pub async fn hand_over(
+        &self,
+        hand_over: HandOver,
+        deadline_us: u64,
+    ) -> Result<HandOverReply, LinkError> {
+        let request = EntryServiceRequest::HandOver { hand_over };
+        match self.call(request, deadline_us).await? {
+            EntryServiceResponse::HandOver(reply) => Ok(reply),
+            _ => Err(crossed_answer()),
+        }
+    }
+}
+
+fn crossed_answer() -> LinkError {
+    LinkError::Unknown(LinkFault::CrossedAnswer)
+}
--- a/components/protocol/src/error.rs
+++ b/components/protocol/src/error.rs
@@ -1,10 +1,9 @@
 //! Failures of calls.
 
-use std::io;
-
 use derive_more::{Display, Error};
 use tarpc::client::RpcError;
 
+use crate::codec::ANSWER_TOO_LARGE;
 use crate::hello::Refusal;
 
 /// Why a call has no result, and whether the peer may have acted on it.
@@ -42,9 +41,9 @@
     /// The call cannot be encoded or is larger than a frame.
     #[display("call cannot be encoded: {_0}")]
     Unsendable(#[error(not(source))] String),
-    /// Too many calls are under way on the connection.
-    #[display("peer is at its limit of calls")]
-    Busy,
+    /// The peer's answer is larger than a frame.
+    #[display("answer is larger than a frame")]
+    AnswerTooLarge,
     /// The peer answered with the reply to another kind of call.
     #[display("peer answered another kind of call")]
     CrossedAnswer,
@@ -66,8 +65,10 @@
             RpcError::Send(cause) => Self::NotSent(LinkFault::Unsendable(cause.to_string())),
             RpcError::Channel(cause) => Self::Unknown(LinkFault::Broken(cause.to_string())),
             RpcError::DeadlineExceeded => Self::Unknown(LinkFault::DeadlinePassed),
-            RpcError::Server(refusal) if refusal.kind == io::ErrorKind::WouldBlock => {
-                Self::NotSent(LinkFault::Busy)
+            // The kind of the error does not survive `bincode`: `tarpc` writes it as a signed
+            // number and reads it as an unsigned one.
+            RpcError::Server(refusal) if refusal.detail == ANSWER_TOO_LARGE => {
+                Self::Unknown(LinkFault::AnswerTooLarge)
             }
             RpcError::Server(cause) => Self::Unknown(LinkFault::Broken(cause.to_string())),
         }
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -1,9 +1,12 @@
 //! Protocol between the system's own processes: `tarpc` services over length-delimited
 //! TCP with `bincode`; see `docs/PROTOCOL.md`.
 
+mod agent_link;
 mod codec;
 mod connect;
 mod counters;
+mod end_of_stream;
+mod entry_link;
 mod error;
 mod handlers;
 mod hello;
@@ -11,18 +14,19 @@
 mod message;
 mod server;
 mod service;
+mod settings;
 
+pub use agent_link::AgentLink;
 pub use codec::{MAX_CALL_MS, MAX_FRAME_BYTES};
 pub use counters::{LinkCounters, LinkEvent};
+pub use entry_link::EntryLink;
 pub use error::{LinkError, LinkFault};
 pub use handlers::{EntryHandlers, EntryHandlersBuilder, MissingHandler};
 pub use hello::{HELLO_BYTES, HELLO_TIMEOUT_MS, Hello, MAGIC, Refusal, Service, VERSION};
-pub use link::{AgentLink, EntryLink, Link};
+pub use link::Link;
 pub use message::{
     AnnounceReply, CancelReply, ConfigDocument, EntryPing, EntryPong, HandOver, HandOverReply,
     JobProgress, OwnedShard, OwnerHint, ShardOwner, StatusReply, SubmitReply,
 };
-pub use server::{
-    DEFAULT_CONNECTION_LIMIT, MAX_CALLS_PER_CONNECTION, ServerSettings, ServerSettingsBuilder,
-    serve_agent, serve_entry,
-};
+pub use server::{MAX_CALLS_PER_CONNECTION, serve_agent, serve_entry};
+pub use settings::{DEFAULT_CONNECTION_LIMIT, ServerSettings, ServerSettingsBuilder};
--- a/components/protocol/src/server.rs
+++ b/components/protocol/src/server.rs
@@ -8,22 +8,22 @@
 use std::time::Duration;
 
 use futures::{FutureExt, SinkExt, Stream};
-use model::{AgentEnvelope, OwnerEnvelope, ProcessKey};
+use model::{AgentEnvelope, OwnerEnvelope};
 use monoio::net::{TcpListener, TcpStream};
 use runtime::Stop;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tarpc::RequestName;
 use tarpc::server::{BaseChannel, Channel, Config, Requests, Serve};
+use tarpc::{ChannelError, RequestName};
 
 use crate::codec::server_transport;
+use crate::connect;
 use crate::counters::{LinkCounters, LinkEvent, OpenConnection};
+use crate::end_of_stream::EndOfStream;
 use crate::handlers::{AgentHandlers, EntryHandlers};
 use crate::hello::{self, HELLO_TIMEOUT_MS, Hello, Reply, ReplyCode, Service, VERSION};
 use crate::service::{AgentService, EntryService};
-
-/// Connections that a server accepts unless told otherwise.
-pub const DEFAULT_CONNECTION_LIMIT: usize = 4_096;
+use crate::settings::ServerSettings;
 
 /// Calls that one connection may have under way.
 pub const MAX_CALLS_PER_CONNECTION: usize = 65_536;
@@ -33,65 +33,6 @@
 const PENDING_RESPONSE_BUFFER: usize = 1_024;
 const ACCEPT_RETRY_MS: u64 = 100;
 
-/// Settings of a server.
-#[derive(Debug, Clone)]
-pub struct ServerSettings {
-    own: ProcessKey,
-    connection_limit: usize,
-    counters: LinkCounters,
-    stop: Stop,
-}
-
-impl ServerSettings {
-    /// Returns a builder for the settings of the process `own`.
-    #[must_use]
-    pub fn builder(own: ProcessKey) -> ServerSettingsBuilder {
-        ServerSettingsBuilder {
-            settings: Self {
-                own,
-                connection_limit: DEFAULT_CONNECTION_LIMIT,
-                counters: LinkCounters::default(),
-                stop: Stop::new(),
-            },
-        }
-    }
-}
-
-/// Builds [`ServerSettings`].
-#[derive(Debug, Clone)]
-pub struct ServerSettingsBuilder {
-    settings: ServerSettings,
-}
-
-impl ServerSettingsBuilder {
-    /// Sets the number of connections that are accepted at the same time.
-    #[must_use]
-    pub fn connection_limit(mut self, connection_limit: usize) -> Self {
-        self.settings.connection_limit = connection_limit;
-        self
-    }
-
-    /// Sets the counters of connections.
-    #[must_use]
-    pub fn counters(mut self, counters: LinkCounters) -> Self {
-        self.settings.counters = counters;
-        self
-    }
-
-    /// Sets the switch that stops the server.
-    #[must_use]
-    pub fn stop(mut self, stop: Stop) -> Self {
-        self.settings.stop = stop;
-        self
-    }
-
-    /// Returns the settings.
-    #[must_use]
-    pub fn build(self) -> ServerSettings {
-        self.settings
-    }
-}
-
 /// Serves an agent's port until the server is stopped.
 ///
 /// After the stop no connection is accepted, and an open connection closes as soon as no
@@ -211,7 +152,7 @@
         &self,
         stream: &mut TcpStream,
     ) -> io::Result<Result<OpenConnection, LinkEvent>> {
-        stream.set_nodelay(true)?;
+        connect::set_options(stream)?;
         let Some(hello) = hello::read_hello(stream).await? else {
             return Ok(Err(LinkEvent::Garbage));
         };
@@ -261,19 +202,26 @@
     let config = Config {
         pending_response_buffer: PENDING_RESPONSE_BUFFER,
     };
-    let transport = server_transport::<S::Req, S::Resp>(stream);
+    let transport = EndOfStream::new(server_transport::<S::Req, S::Resp>(stream));
     let channel = BaseChannel::new(config, transport);
     let channel = channel.max_concurrent_requests(MAX_CALLS_PER_CONNECTION);
     let mut requests = Box::pin(channel.requests());
     while let Some(request) = next_request(requests.as_mut(), stop).await {
-        let request = request.map_err(io::Error::other)?;
-        monoio::spawn(request.execute(serve.clone()));
+        match request {
+            Ok(request) => monoio::spawn(request.execute(serve.clone())),
+            Err(error) if is_end(&error) => return Ok(()),
+            Err(error) => return Err(io::Error::other(error)),
+        };
     }
     let mut requests = requests.as_mut();
     let result = requests.channel_pin_mut().close().await;
     result.map_err(io::Error::other)
 }
 
+fn is_end(error: &ChannelError<io::Error>) -> bool {
+    matches!(error, ChannelError::Read(cause) if cause.kind() == io::ErrorKind::UnexpectedEof)
+}
+
 async fn next_request<C: Channel>(
     mut requests: Pin<&mut Requests<C>>,
     stop: &Stop,
--- /dev/null
+++ b/components/protocol/src/settings.rs
@@ -0,0 +1,68 @@
+//! Settings of a server.
+
+use model::ProcessKey;
+use runtime::Stop;
+
+use crate::counters::LinkCounters;
+
+/// Connections that a server accepts unless told otherwise.
+pub const DEFAULT_CONNECTION_LIMIT: usize = 4_096;
+
+/// Settings of a server.
+#[derive(Debug, Clone)]
+pub struct ServerSettings {
+    pub(crate) own: ProcessKey,
+    pub(crate) connection_limit: usize,
+    pub(crate) counters: LinkCounters,
+    pub(crate) stop: Stop,
+}
+
+impl ServerSettings {
+    /// Returns a builder for the settings of the process `own`.
+    #[must_use]
+    pub fn builder(own: ProcessKey) -> ServerSettingsBuilder {
+        ServerSettingsBuilder {
+            settings: Self {
+                own,
+                connection_limit: DEFAULT_CONNECTION_LIMIT,
+                counters: LinkCounters::default(),
+                stop: Stop::new(),
+            },
+        }
+    }
+}
+
+/// Builds [`ServerSettings`].
+#[derive(Debug, Clone)]
+pub struct ServerSettingsBuilder {
+    settings: ServerSettings,
+}
+
+impl ServerSettingsBuilder {
+    /// Sets the number of connections that are accepted at the same time.
+    #[must_use]
+    pub fn connection_limit(mut self, connection_limit: usize) -> Self {
+        self.settings.connection_limit = connection_limit;
+        self
+    }
+
+    /// Sets the counters of connections.
+    #[must_use]
+    pub fn counters(mut self, counters: LinkCounters) -> Self {
+        self.settings.counters = counters;
+        self
+    }
+
+    /// Sets the switch that stops the server.
+    #[must_use]
+    pub fn stop(mut self, stop: Stop) -> Self {
+        self.settings.stop = stop;
+        self
+    }
+
+    /// Returns the settings.
+    #[must_use]
+    pub fn build(self) -> ServerSettings {
+        self.settings
+    }
+}
--- a/components/protocol/tests/links.rs
+++ b/components/protocol/tests/links.rs
@@ -129,6 +129,23 @@
     .unwrap();
 }
 
+#[test]
+fn answer_larger_than_a_frame_is_reported() {
+    runtime::run(async {
+        let server = start_entry(
+            entry_handlers()
+                .submit(|_, _| async { complete(&Bytes::from(vec![0; MAX_FRAME_BYTES])) }),
+        );
+        let link = entry_link(&server).await;
+        let error = link
+            .submit(common::job(Bytes::new()), 0, deadline_us())
+            .await;
+        assert_eq!(error, Err(LinkError::Unknown(LinkFault::AnswerTooLarge)));
+        assert!(link.ping(common::ping(), deadline_us()).await.is_ok());
+    })
+    .unwrap();
+}
+
 #[test]
 fn large_call_within_a_frame_is_answered() {
     runtime::run(async {
@@ -172,6 +189,15 @@
 
 #[test]
 fn handler_is_dropped_when_the_caller_gives_up() {
+    check_that_the_handler_is_dropped(|link| link);
+}
+
+#[test]
+fn handler_is_dropped_when_the_connection_ends() {
+    check_that_the_handler_is_dropped(drop);
+}
+
+fn check_that_the_handler_is_dropped<T>(give_up: impl FnOnce(EntryLink) -> T) {
     runtime::run(async {
         let (started, has_started) = oneshot::channel::<()>();
         let (running, dropped) = oneshot::channel::<()>();
@@ -186,7 +212,8 @@
         }));
         let link = entry_link(&server).await;
         let call = Box::pin(link.submit(common::job(Bytes::new()), 0, deadline_us()));
-        futures::future::select(call, has_started).await;
+        drop(futures::future::select(call, has_started).await);
+        let _kept = give_up(link);
         assert!(dropped.await.is_err());
     })
     .unwrap();
