--- a/components/protocol/src/server.rs
+++ b/components/protocol/src/server.rs
@@ -30,6 +30,7 @@
 
 // Connections above the limit that are still told that they are refused.
 const REFUSALS_IN_PROGRESS: usize = 64;
+const LOG_TARGET: &str = "protocol";
 const PENDING_RESPONSE_BUFFER: usize = 1_024;
 const ACCEPT_RETRY_MS: u64 = 100;
 
@@ -99,7 +100,7 @@
 
     async fn pause_after(&self, error: &io::Error) {
         self.settings.counters.count(LinkEvent::AcceptFailed);
-        log::warn!("Connection cannot be accepted: {error}.");
+        log::warn!(target: LOG_TARGET, "Connection cannot be accepted: {error}.");
         monoio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
     }
 
@@ -114,11 +115,16 @@
             self.settings.counters.count(LinkEvent::RefusedLimit);
             return;
         }
-        monoio::spawn(Rc::clone(self).run_connection(stream, serve));
+        let greeting = self.greeting.enter();
+        monoio::spawn(Rc::clone(self).run_connection(stream, serve, greeting));
     }
 
-    async fn run_connection<S>(self: Rc<Self>, mut stream: TcpStream, serve: S)
-    where
+    async fn run_connection<S>(
+        self: Rc<Self>,
+        mut stream: TcpStream,
+        serve: S,
+        greeting: OpenConnection,
+    ) where
         S: Serve + Clone + 'static,
         S::Req: RequestName + DeserializeOwned + 'static,
         S::Resp: Serialize + 'static,
@@ -127,20 +133,20 @@
             Ok(open) => open,
             Err(event) => return self.report_refusal(event),
         };
+        drop(greeting);
         self.settings.counters.count(LinkEvent::Accepted);
         if let Err(error) = serve_calls(stream, serve, &self.settings.stop).await {
             self.settings.counters.count(LinkEvent::Broken);
-            log::warn!("Connection broke: {error}.");
+            log::warn!(target: LOG_TARGET, "Connection broke: {error}.");
         }
     }
 
     fn report_refusal(&self, event: LinkEvent) {
         self.settings.counters.count(event);
-        log::info!("Connection refused: {}.", <&str>::from(event));
+        log::info!(target: LOG_TARGET, "Connection refused: {}.", <&str>::from(event));
     }
 
     async fn greet(&self, stream: &mut TcpStream) -> Result<OpenConnection, LinkEvent> {
-        let _greeting = self.greeting.enter();
         let hello_timeout = Duration::from_millis(HELLO_TIMEOUT_MS);
         match monoio::time::timeout(hello_timeout, self.exchange_hello(stream)).await {
             Ok(Ok(greeted)) => greeted,
@@ -173,6 +179,7 @@
     fn judge(&self, hello: &Hello) -> Result<OpenConnection, (ReplyCode, LinkEvent)> {
         if hello.version != VERSION {
             log::warn!(
+                target: LOG_TARGET,
                 "Peer {} speaks version {}, this process version {VERSION}.",
                 hello.from,
                 hello.version
--- a/components/runtime/src/dump.rs
+++ b/components/runtime/src/dump.rs
@@ -72,7 +72,7 @@
     loop {
         signals.dump_requested().await;
         if let Err(error) = write_dump(part, &state()) {
-            log::warn!("Dump failed: {error}.");
+            log::warn!(target: "runtime", "Dump failed: {error}.");
         }
     }
 }
