--- a/components/protocol/src/pool.rs
+++ b/components/protocol/src/pool.rs
@@ -5,8 +5,10 @@
 
 use model::ProcessKey;
 
+use crate::agent_link::AgentLink;
+use crate::entry_link::EntryLink;
 use crate::error::LinkError;
-use crate::link::{AgentLink, EntryLink, Link};
+use crate::link::Link;
 use crate::service::{
     AgentServiceRequest, AgentServiceResponse, EntryServiceRequest, EntryServiceResponse,
 };
--- a/components/protocol/src/server.rs
+++ b/components/protocol/src/server.rs
@@ -8,90 +8,32 @@
 use std::time::Duration;
 
 use futures::{FutureExt, SinkExt, Stream};
-use model::{AgentEnvelope, OwnerEnvelope, ProcessKey};
+use model::{AgentEnvelope, OwnerEnvelope};
 use monoio::net::{TcpListener, TcpStream};
 use runtime::Stop;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tarpc::RequestName;
 use tarpc::server::{BaseChannel, Channel, Config, Requests, Serve};
+use tarpc::{ChannelError, RequestName};
 
 use crate::codec::server_transport;
+use crate::connect;
 use crate::counters::{LinkCounters, LinkEvent, OpenConnection};
+use crate::end_of_stream::EndOfStream;
 use crate::handlers::{AgentHandlers, EntryHandlers};
 use crate::hello::{self, HELLO_TIMEOUT_MS, Hello, Reply, ReplyCode, Service, VERSION};
 use crate::service::{AgentService, EntryService};
-
-/// Connections that a server accepts unless told otherwise.
-pub const DEFAULT_CONNECTION_LIMIT: usize = 4_096;
+use crate::settings::ServerSettings;
 
 /// Calls that one connection may have under way.
 pub const MAX_CALLS_PER_CONNECTION: usize = 65_536;
 
 // Connections above the limit that are still told that they are refused.
 const REFUSALS_IN_PROGRESS: usize = 64;
+const LOG_TARGET: &str = "protocol";
 const PENDING_RESPONSE_BUFFER: usize = 1_024;
 const ACCEPT_RETRY_MS: u64 = 100;
 
-/// Settings of a server.
-#[derive(Debug, Clone)]
-pub struct ServerSettings {
-    own: ProcessKey,
-    connection_limit: usize,
-    counters: LinkCounters,
-    stop: Stop,
-}
-
-impl ServerSettings {
-    /// Returns a builder for the settings of the process `own`.
-    #[must_use]
-    pub fn builder(own: ProcessKey) -> ServerSettingsBuilder {
-        ServerSettingsBuilder {
-            settings: Self {
-                own,
-                connection_limit: DEFAULT_CONNECTION_LIMIT,
-                counters: LinkCounters::default(),
-                stop: Stop::new(),
-            },
-        }
-    }
-}
-
-/// Builds [`ServerSettings`].
-#[derive(Debug, Clone)]
-pub struct ServerSettingsBuilder {
-    settings: ServerSettings,
-}
-
-impl ServerSettingsBuilder {
-    /// Sets the number of connections that are accepted at the same time.
-    #[must_use]
-    pub fn connection_limit(mut self, connection_limit: usize) -> Self {
-        self.settings.connection_limit = connection_limit;
-        self
-    }
-
-    /// Sets the counters of connections.
-    #[must_use]
-    pub fn counters(mut self, counters: LinkCounters) -> Self {
-        self.settings.counters = counters;
-        self
-    }
-
-    /// Sets the switch that stops the server.
-    #[must_use]
-    pub fn stop(mut self, stop: Stop) -> Self {
-        self.settings.stop = stop;
-        self
-    }
-
-    /// Returns the settings.
-    #[must_use]
-    pub fn build(self) -> ServerSettings {
-        self.settings
-    }
-}
-
 /// Serves an agent's port until the server is stopped.
 ///
 /// After the stop no connection is accepted, and an open connection closes as soon as no
@@ -158,7 +100,7 @@
 
     async fn pause_after(&self, error: &io::Error) {
         self.settings.counters.count(LinkEvent::AcceptFailed);
-        log::warn!("Connection cannot be accepted: {error}.");
+        log::warn!(target: LOG_TARGET, "Connection cannot be accepted: {error}.");
         monoio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
     }
 
@@ -173,11 +115,16 @@
             self.settings.counters.count(LinkEvent::RefusedLimit);
             return;
         }
-        monoio::spawn(Rc::clone(self).run_connection(stream, serve));
+        let greeting = self.greeting.enter();
+        monoio::spawn(Rc::clone(self).run_connection(stream, serve, greeting));
     }
 
-    async fn run_connection<S>(self: Rc<Self>, mut stream: TcpStream, serve: S)
-    where
+    async fn run_connection<S>(
+        self: Rc<Self>,
+        mut stream: TcpStream,
+        serve: S,
+        greeting: OpenConnection,
+    ) where
         S: Serve + Clone + 'static,
         S::Req: RequestName + DeserializeOwned + 'static,
         S::Resp: Serialize + 'static,
@@ -186,20 +133,20 @@
             Ok(open) => open,
             Err(event) => return self.report_refusal(event),
         };
+        drop(greeting);
         self.settings.counters.count(LinkEvent::Accepted);
         if let Err(error) = serve_calls(stream, serve, &self.settings.stop).await {
             self.settings.counters.count(LinkEvent::Broken);
-            log::warn!("Connection broke: {error}.");
+            log::warn!(target: LOG_TARGET, "Connection broke: {error}.");
         }
     }
 
     fn report_refusal(&self, event: LinkEvent) {
         self.settings.counters.count(event);
-        log::info!("Connection refused: {}.", <&str>::from(event));
+        log::info!(target: LOG_TARGET, "Connection refused: {}.", <&str>::from(event));
     }
 
     async fn greet(&self, stream: &mut TcpStream) -> Result<OpenConnection, LinkEvent> {
-        let _greeting = self.greeting.enter();
         let hello_timeout = Duration::from_millis(HELLO_TIMEOUT_MS);
         match monoio::time::timeout(hello_timeout, self.exchange_hello(stream)).await {
             Ok(Ok(greeted)) => greeted,
@@ -211,7 +158,7 @@
         &self,
         stream: &mut TcpStream,
     ) -> io::Result<Result<OpenConnection, LinkEvent>> {
-        stream.set_nodelay(true)?;
+        connect::set_options(stream)?;
         let Some(hello) = hello::read_hello(stream).await? else {
             return Ok(Err(LinkEvent::Garbage));
         };
@@ -232,6 +179,7 @@
     fn judge(&self, hello: &Hello) -> Result<OpenConnection, (ReplyCode, LinkEvent)> {
         if hello.version != VERSION {
             log::warn!(
+                target: LOG_TARGET,
                 "Peer {} speaks version {}, this process version {VERSION}.",
                 hello.from,
                 hello.version
@@ -261,19 +209,26 @@
     let config = Config {
         pending_response_buffer: PENDING_RESPONSE_BUFFER,
     };
-    let transport = server_transport::<S::Req, S::Resp>(stream);
+    let transport = EndOfStream::new(server_transport::<S::Req, S::Resp>(stream));
     let channel = BaseChannel::new(config, transport);
     let channel = channel.max_concurrent_requests(MAX_CALLS_PER_CONNECTION);
     let mut requests = Box::pin(channel.requests());
     while let Some(request) = next_request(requests.as_mut(), stop).await {
-        let request = request.map_err(io::Error::other)?;
-        monoio::spawn(request.execute(serve.clone()));
+        match request {
+            Ok(request) => monoio::spawn(request.execute(serve.clone())),
+            Err(error) if is_end(&error) => return Ok(()),
+            Err(error) => return Err(io::Error::other(error)),
+        };
     }
     let mut requests = requests.as_mut();
     let result = requests.channel_pin_mut().close().await;
     result.map_err(io::Error::other)
 }
 
+fn is_end(error: &ChannelError<io::Error>) -> bool {
+    matches!(error, ChannelError::Read(cause) if cause.kind() == io::ErrorKind::UnexpectedEof)
+}
+
 async fn next_request<C: Channel>(
     mut requests: Pin<&mut Requests<C>>,
     stop: &Stop,
