--- a/components/web/tests/client.rs
+++ b/components/web/tests/client.rs
@@ -152,6 +152,26 @@
     });
 }
 
+#[test]
+fn a_request_that_breaks_off_on_a_used_connection_is_not_repeated() {
+    run(async {
+        let steps = vec![
+            Step::Answer(ok("a")),
+            Step::Close,
+            Step::Answer(ok("again")),
+        ];
+        let scripted = Scripted::start(steps);
+        let client = Client::new(scripted.address, 1);
+        client.call(&get(), LONG).await.expect("an answer");
+        let mut large = Request::new(Method::POST, "/x");
+        large.body = vec![0; 64 * 1024 * 1024].into();
+        let error = client.call(&large, LONG).await.expect_err("no answer");
+        assert!(matches!(error, CallError::Unknown(_)), "{error}");
+        assert_eq!(client.counters().reuses.get(), 1);
+        assert_eq!(scripted.requests.get(), 2);
+    });
+}
+
 #[test]
 fn a_timeout_after_the_request_is_unknown() {
     run(async {
