Take a refused connection as the end of an agent

Cause: an agent that had ended was given up only after 10 s of silence, and its jobs waited for as long. Ruled out: a shorter silence; a paused or cut-off agent would lose its tasks. Change: a host that refuses connections, or answers as another incarnation, shows that the process has ended; its tasks are given up after 1 s. A refusal for the limit of connections or the version does not count. The test of a stopped server now names the exact fault instead of the general one.

--- a/components/dispatch/src/agents.rs
+++ b/components/dispatch/src/agents.rs
@@ -15,6 +15,11 @@
 /// Longer than a garbage-collected target or a short cut keeps an agent from answering.
 pub const AGENT_GONE_US: u64 = 10_000_000;
 
+/// Silence after which an agent is given up whose host refuses connections, in microseconds.
+///
+/// The process has ended; the second leaves time for what it had sent to arrive.
+const REFUSED_GONE_US: u64 = 1_000_000;
+
 /// Silence after which an agent gets no new tasks, in microseconds.
 ///
 /// Three heartbeats: one lost answer does not take an agent out of service.
@@ -32,6 +37,8 @@
     pub last_heard_us: u64,
     /// Whether a newer incarnation answers at the same address.
     pub replaced: bool,
+    /// Whether the agent's host has refused a connection since the agent was last heard.
+    refused: bool,
     pub permit: Option<Permit>,
     /// Time on this entry's clock after which the permit is not used any more.
     pub permit_until_us: u64,
@@ -56,6 +63,7 @@
             info,
             last_heard_us: now_us,
             replaced: false,
+            refused: false,
             permit: None,
             permit_until_us: 0,
             load: Load::default(),
@@ -91,7 +99,18 @@
     }
 
     pub fn is_gone(&self, now_us: u64) -> bool {
-        self.replaced || now_us > self.last_heard_us + AGENT_GONE_US
+        let limit_us = if self.refused {
+            REFUSED_GONE_US
+        } else {
+            AGENT_GONE_US
+        };
+        self.replaced || now_us > self.last_heard_us + limit_us
+    }
+
+    /// Notes that the agent was heard.
+    pub fn heard(&mut self, now_us: u64) {
+        self.last_heard_us = now_us;
+        self.refused = false;
     }
 
     /// Tells whether the agent can take another task now.
@@ -154,7 +173,7 @@
         self.mark_replaced(&info);
         if let Some(key) = self.find(info.key) {
             let view = &mut self.arena[key];
-            view.last_heard_us = now_us;
+            view.heard(now_us);
             view.info = info;
             return key;
         }
@@ -188,6 +207,13 @@
         key
     }
 
+    /// Notes that the agent's host refused a connection.
+    pub fn mark_refused(&mut self, process: ProcessKey) {
+        if let Some(key) = self.find(process) {
+            self.arena[key].refused = true;
+        }
+    }
+
     fn mark_replaced(&mut self, info: &AgentInfo) {
         let Some(&earlier) = self.by_address.get(&info.address) else {
             return;
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -201,6 +201,11 @@
         self.agents.announce(info, now_us);
     }
 
+    /// Notes that an agent's host refused a connection: the process has ended.
+    pub fn agent_refused(&mut self, process: ProcessKey) {
+        self.agents.mark_refused(process);
+    }
+
     /// Decides about one copy of a submission; copies for shards owned elsewhere are moved.
     pub fn submit(
         &mut self,
@@ -260,7 +265,7 @@
             return;
         };
         if let Some(view) = self.agents.get_mut(agent) {
-            view.last_heard_us = now_us;
+            view.heard(now_us);
             // An envelope without messages says nothing of the load.
             if !envelope.messages.is_empty() {
                 view.load = envelope.load;
--- a/components/entry/src/agents.rs
+++ b/components/entry/src/agents.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use dispatch::Action;
-use model::{AgentEnvelope, AgentInfo, OwnerEnvelope};
-use protocol::{AnnounceReply, ShardOwner};
+use model::{AgentEnvelope, AgentInfo, OwnerEnvelope, ProcessKey};
+use protocol::{AnnounceReply, LinkError, LinkFault, Refusal, ShardOwner};
 use runtime::{monotonic_us, unix_ms};
 
 use crate::process::Shared;
@@ -21,6 +21,7 @@
             Ok(link) => link,
             Err(error) => {
                 log::debug!("Agent {address} cannot be reached: {error}.");
+                self.note_refusal(envelope.to, &error);
                 return;
             }
         };
@@ -33,6 +34,17 @@
         }
     }
 
+    fn note_refusal(&self, agent: ProcessKey, error: &LinkError) {
+        let ended = LinkFault::NobodyListens;
+        let replaced = |fault: &LinkFault| matches!(fault, LinkFault::Refused(Refusal::Key { .. }));
+        let LinkError::NotSent(fault) = error else {
+            return;
+        };
+        if *fault == ended || replaced(fault) {
+            self.core.borrow_mut().agent_refused(agent);
+        }
+    }
+
     fn take_in(self: &Rc<Self>, envelope: AgentEnvelope) {
         let mut actions = Vec::new();
         self.core
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -7,7 +7,7 @@
 use model::{EntryInfo, Generation, ProcessKey, ShardKey};
 use protocol::{
     CancelReply, EntryHandlers, EntryPing, EntryPong, HandOver, HandOverReply, LinkError,
-    LinkFault, MissingHandler, OwnedShard, OwnerHint, StatusReply, SubmitReply,
+    LinkFault, MissingHandler, OwnedShard, OwnerHint, Refusal, StatusReply, SubmitReply,
 };
 use runtime::{monotonic_us, unix_ms};
 
@@ -84,7 +84,9 @@
 async fn ping(shared: Rc<Shared>, address: String, expected: Option<ProcessKey>) {
     match try_ping(&shared, &address, expected).await {
         Ok(pong) => shared.ponged(pong),
-        Err(LinkError::NotSent(LinkFault::Connect(_) | LinkFault::Refused(_))) => {
+        Err(LinkError::NotSent(
+            LinkFault::NobodyListens | LinkFault::Refused(Refusal::Key { .. }),
+        )) => {
             if let Some(process) = expected {
                 shared.core.borrow_mut().peer_refused(process);
             }
--- a/components/protocol/src/connect.rs
+++ b/components/protocol/src/connect.rs
@@ -61,6 +61,9 @@
 async fn greet(address: SocketAddr, hello: Hello) -> Result<(TcpStream, ProcessKey), LinkFault> {
     let (stream, reply) = match exchange_hello(address, hello).await {
         Ok(greeted) => greeted,
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            return Err(LinkFault::NobodyListens);
+        }
         Err(error) => return Err(LinkFault::Connect(error.to_string())),
     };
     let reply = reply.ok_or(LinkFault::NotProtocol)?;
--- a/components/protocol/src/error.rs
+++ b/components/protocol/src/error.rs
@@ -23,6 +23,9 @@
     /// The address is not of the form `ip:port`.
     #[display("address is not ip:port")]
     BadAddress,
+    /// Nobody listens at the address; the process has ended.
+    #[display("nobody listens")]
+    NobodyListens,
     /// The connection could not be made.
     #[display("cannot connect: {_0}")]
     Connect(#[error(not(source))] String),
--- a/components/protocol/tests/links.rs
+++ b/components/protocol/tests/links.rs
@@ -251,10 +251,8 @@
         assert_eq!(error, Err(LinkError::NotSent(LinkFault::Closed)));
         let address = server.address.to_string();
         let refused = EntryLink::connect(&address, CLIENT, None, deadline_us()).await;
-        assert!(matches!(
-            refused.err(),
-            Some(LinkError::NotSent(LinkFault::Connect(_)))
-        ));
+        let expected = LinkError::NotSent(LinkFault::NobodyListens);
+        assert_eq!(refused.err(), Some(expected));
     })
     .unwrap();
 }
