Add the HTTP server and client

Cause: every peer of the system but its own processes is reached over HTTP/1.1, and the promises need a client that tells a request that never left from one whose outcome is unknown.

Ruled out: monoio-http's own server and client codecs, since they bound neither the head nor the body and hold chunks of a stream back until a buffer is full; only its decoders and its encoder are used, behind a bounded buffer. Probing an idle connection through the runtime, since the runtime may not have seen the peer's close yet; a second handle asks the kernel with a non-blocking peek. Bodies that end with the connection, since a lost end would go unnoticed.

Change: a server with limits, counters, streams and a graceful stop, and a client with a bounded pool that never repeats a request once a byte of it has been written.

Conclusion: the client's errors can be mapped to "not started" and "may have run" without guessing. A client that disconnects while a handler runs is noticed only when the response is written.

--- /dev/null
+++ b/components/web/src/client.rs
@@ -0,0 +1,206 @@
+//! Client of one address with pooled connections.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::HeaderValue;
+use monoio::time::timeout;
+use monoio_http::common::body::HttpBody;
+
+use crate::call::{CallError, CallFault};
+use crate::connection::{BodyLength, body_length};
+use crate::counters::increment;
+use crate::exchange::{
+    encode_request, read_fault, read_response, read_response_head, write_request,
+};
+use crate::line_stream::LineStream;
+use crate::message::{Request, Response};
+use crate::pool::{Permit, Pool, PooledConnection, connect};
+
+/// Largest body of a response unless set otherwise, in bytes.
+const DEFAULT_MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// What a client has done; shared by its clones.
+#[derive(Debug, Default)]
+pub struct ClientCounters {
+    /// Connections opened.
+    pub connects: Cell<u64>,
+    /// Calls that used an open connection again.
+    pub reuses: Cell<u64>,
+    /// Calls that failed before any byte was sent.
+    pub not_sent: Cell<u64>,
+    /// Calls that failed after bytes may have been sent.
+    pub unknown: Cell<u64>,
+}
+
+/// Calls one address; clones share the connections.
+///
+/// A call is never repeated once a byte of the request has been written.
+#[derive(Clone)]
+pub struct Client {
+    address: SocketAddr,
+    host: HeaderValue,
+    max_connections: usize,
+    max_body_bytes: usize,
+    pool: Rc<Pool>,
+    counters: Rc<ClientCounters>,
+}
+
+impl Client {
+    /// Creates a client that uses at most `max_connections` at the same time.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `max_connections` is zero.
+    #[must_use]
+    pub fn new(address: SocketAddr, max_connections: usize) -> Self {
+        assert!(max_connections > 0, "a client needs a connection");
+        let host = HeaderValue::from_str(&address.to_string());
+        Self {
+            address,
+            host: host.expect("an address is visible ASCII"),
+            max_connections,
+            max_body_bytes: DEFAULT_MAX_BODY_BYTES,
+            pool: Rc::default(),
+            counters: Rc::default(),
+        }
+    }
+
+    /// Sets the largest body of a response, in bytes.
+    #[must_use]
+    pub fn with_max_body_bytes(mut self, max_body_bytes: usize) -> Self {
+        self.max_body_bytes = max_body_bytes;
+        self
+    }
+
+    /// Returns the address that is called.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the counters.
+    #[must_use]
+    pub fn counters(&self) -> &ClientCounters {
+        &self.counters
+    }
+
+    /// Sends a request and waits for the whole response, at most for `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`CallError::NotSent`] if no byte of the request left, also after a
+    /// timeout, and with [`CallError::Unknown`] if any byte may have left.
+    pub async fn call(&self, request: &Request, limit: Duration) -> Result<Response, CallError> {
+        let written_bytes = Cell::new(0);
+        let exchange = self.exchange(request, &written_bytes);
+        let result = timeout(limit, exchange).await;
+        self.classify(result.unwrap_or(Err(CallFault::TimedOut)), &written_bytes)
+    }
+
+    /// Sends a request whose response is a stream of lines.
+    ///
+    /// `limit` bounds the time until the head of the response has arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::call`] does, and with [`CallFault::Status`] if the status is not 200.
+    pub async fn stream(
+        &self,
+        request: &Request,
+        limit: Duration,
+    ) -> Result<LineStream, CallError> {
+        let written_bytes = Cell::new(0);
+        let open = self.open_stream(request, &written_bytes);
+        let result = timeout(limit, open).await;
+        self.classify(result.unwrap_or(Err(CallFault::TimedOut)), &written_bytes)
+    }
+
+    fn classify<T>(
+        &self,
+        result: Result<T, CallFault>,
+        written_bytes: &Cell<u64>,
+    ) -> Result<T, CallError> {
+        result.map_err(|fault| {
+            if written_bytes.get() == 0 {
+                increment(&self.counters.not_sent);
+                CallError::NotSent(fault)
+            } else {
+                increment(&self.counters.unknown);
+                CallError::Unknown(fault)
+            }
+        })
+    }
+
+    async fn exchange(
+        &self,
+        request: &Request,
+        written_bytes: &Cell<u64>,
+    ) -> Result<Response, CallFault> {
+        let encode = || encode_request(request, &self.host);
+        let (mut pooled, _permit, write_fault) = self.send(encode, written_bytes).await?;
+        let read = read_response(&mut pooled.connection, &request.method, self.max_body_bytes);
+        let (response, reusable) = match (read.await, &write_fault) {
+            (Ok(read), _) => read,
+            (Err(_), Some(write_fault)) => return Err(write_fault.clone()),
+            (Err(read_fault), None) => return Err(read_fault),
+        };
+        if reusable && write_fault.is_none() {
+            self.pool.put_back(pooled);
+        }
+        Ok(response)
+    }
+
+    async fn open_stream(
+        &self,
+        request: &Request,
+        written_bytes: &Cell<u64>,
+    ) -> Result<LineStream, CallFault> {
+        let encode = || encode_request(request, &self.host);
+        let (mut pooled, permit, write_fault) = self.send(encode, written_bytes).await?;
+        if let Some(fault) = write_fault {
+            return Err(fault);
+        }
+        let head = read_response_head(&mut pooled.connection).await?;
+        if head.status != http::StatusCode::OK {
+            return Err(CallFault::Status(head.status.as_u16()));
+        }
+        match body_length(&head.headers).map_err(|error| read_fault(&error))? {
+            BodyLength::Chunked => Ok(LineStream::new(pooled, permit)),
+            _ => Err(CallFault::InvalidResponse("not a stream".to_owned())),
+        }
+    }
+
+    /// Writes the request on an open connection, or on a fresh one.
+    ///
+    /// Returns the fault beside the connection if the write broke off midway: the peer
+    /// may have refused the request early and its response may still be there to read.
+    async fn send(
+        &self,
+        encode: impl Fn() -> Result<http::Request<HttpBody>, CallFault>,
+        written_bytes: &Cell<u64>,
+    ) -> Result<(PooledConnection, Permit, Option<CallFault>), CallFault> {
+        let encoded = encode()?;
+        let permit = self.pool.acquire(self.max_connections).await;
+        if let Some(mut pooled) = self.pool.take_idle() {
+            increment(&self.counters.reuses);
+            let stream = &mut pooled.connection.stream;
+            let result = write_request(stream, encoded, written_bytes).await;
+            // A connection that took no byte of the request has carried nothing.
+            if result.is_ok() || written_bytes.get() > 0 {
+                return Ok((pooled, permit, result.err()));
+            }
+        }
+        let encoded = encode()?;
+        let connected = connect(self.address).await;
+        let mut pooled = connected.map_err(|error| CallFault::Connect(error.to_string()))?;
+        increment(&self.counters.connects);
+        let stream = &mut pooled.connection.stream;
+        match write_request(stream, encoded, written_bytes).await {
+            Err(fault) if written_bytes.get() == 0 => Err(fault),
+            result => Ok((pooled, permit, result.err())),
+        }
+    }
+}
--- /dev/null
+++ b/components/web/src/counters.rs
@@ -0,0 +1,35 @@
+//! Counters of a server.
+
+use std::cell::Cell;
+
+/// What a server has seen; shared by the tasks of one thread.
+#[derive(Debug, Default)]
+pub struct ServerCounters {
+    /// Connections open now.
+    pub connections_open: Cell<u64>,
+    /// Connections accepted.
+    pub connections_accepted: Cell<u64>,
+    /// Connections refused because too many were open.
+    pub connections_refused: Cell<u64>,
+    /// Errors of accepting a connection.
+    pub accept_errors: Cell<u64>,
+    /// Requests handed to the handler.
+    pub requests: Cell<u64>,
+    /// Requests that were not valid HTTP.
+    pub malformed: Cell<u64>,
+    /// Requests with too large a head or body.
+    pub oversized: Cell<u64>,
+    /// Requests that did not arrive in time.
+    pub timed_out: Cell<u64>,
+    /// Connections closed for having no request.
+    pub idle_closed: Cell<u64>,
+    /// Connections that broke while a request or response was under way.
+    pub broken: Cell<u64>,
+    /// Responses that the client did not read in time.
+    pub slow_readers: Cell<u64>,
+}
+
+/// Adds one to a counter.
+pub(crate) fn increment(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -1,1 +1,33 @@
-//! Placeholder.
+//! HTTP/1.1 server and client on `monoio`, with the codecs of `monoio-http`.
+//!
+//! Both run on one thread inside an existing `monoio` runtime with timers.
+
+mod call;
+mod client;
+mod connection;
+mod counters;
+mod exchange;
+mod limits;
+mod line_channel;
+mod line_stream;
+mod message;
+mod notify;
+mod pool;
+mod request_reader;
+mod respond;
+mod server;
+mod stop;
+
+pub use call::{CallError, CallFault};
+pub use client::{Client, ClientCounters};
+pub use counters::ServerCounters;
+pub use limits::{ServerLimits, ServerLimitsBuilder};
+pub use line_channel::{LineReceiver, LineSender, SendLineError, line_channel};
+pub use line_stream::LineStream;
+pub use message::{Delivery, Request, Response};
+pub use notify::Notify;
+pub use server::{bind, serve};
+pub use stop::Stop;
+
+pub use bytes::Bytes;
+pub use http::{HeaderMap, HeaderName, HeaderValue, Method};
--- /dev/null
+++ b/components/web/src/limits.rs
@@ -0,0 +1,96 @@
+//! Limits of a server against slow, oversized and excessive input.
+
+/// Limits of one server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerLimits {
+    /// Largest accepted body of a request, in bytes.
+    pub max_body_bytes: usize,
+    /// Largest accepted head of a request, in bytes.
+    pub max_header_bytes: usize,
+    /// Connections open at the same time.
+    pub max_connections: usize,
+    /// How long a connection may stay without a request, in milliseconds.
+    pub idle_timeout_ms: u64,
+    /// How long a request may take to arrive, in milliseconds.
+    pub read_timeout_ms: u64,
+    /// How long the client may take to read a response or one line of a stream, in milliseconds.
+    pub write_timeout_ms: u64,
+}
+
+/// Largest value for `max_header_bytes`; the codec handles no longer header names.
+const MAX_HEADER_BYTES: usize = 64 * 1024 - 1;
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 4 * 1024 * 1024,
+            max_header_bytes: 16 * 1024,
+            max_connections: 4_096,
+            idle_timeout_ms: 60_000,
+            read_timeout_ms: 10_000,
+            write_timeout_ms: 10_000,
+        }
+    }
+}
+
+impl ServerLimits {
+    /// Starts from the default limits.
+    #[must_use]
+    pub fn builder() -> ServerLimitsBuilder {
+        ServerLimitsBuilder(Self::default())
+    }
+}
+
+/// Builds [`ServerLimits`].
+#[derive(Debug, Clone)]
+pub struct ServerLimitsBuilder(ServerLimits);
+
+impl ServerLimitsBuilder {
+    /// Sets the largest body, in bytes.
+    #[must_use]
+    pub fn max_body_bytes(mut self, value: usize) -> Self {
+        self.0.max_body_bytes = value;
+        self
+    }
+
+    /// Sets the largest head, in bytes; at most 64 KiB less one byte.
+    #[must_use]
+    pub fn max_header_bytes(mut self, value: usize) -> Self {
+        self.0.max_header_bytes = value.min(MAX_HEADER_BYTES);
+        self
+    }
+
+    /// Sets the number of connections.
+    #[must_use]
+    pub fn max_connections(mut self, value: usize) -> Self {
+        self.0.max_connections = value;
+        self
+    }
+
+    /// Sets the idle timeout, in milliseconds.
+    #[must_use]
+    pub fn idle_timeout_ms(mut self, value: u64) -> Self {
+        self.0.idle_timeout_ms = value;
+        self
+    }
+
+    /// Sets the timeout for reading a request, in milliseconds.
+    #[must_use]
+    pub fn read_timeout_ms(mut self, value: u64) -> Self {
+        self.0.read_timeout_ms = value;
+        self
+    }
+
+    /// Sets the timeout for writing a response, in milliseconds.
+    #[must_use]
+    pub fn write_timeout_ms(mut self, value: u64) -> Self {
+        self.0.write_timeout_ms = value;
+        self
+    }
+
+    /// Returns the limits.
+    #[must_use]
+    pub fn build(self) -> ServerLimits {
+        self.0
+    }
+}
--- /dev/null
+++ b/components/web/src/request_reader.rs
@@ -0,0 +1,85 @@
+//! Reads requests from a connection.
+
+use http::header::{CONNECTION, EXPECT};
+use http::{HeaderMap, Version};
+use monoio::io::AsyncWriteRentExt;
+use monoio_http::common::request::RequestHead;
+use monoio_http::h1::codec::decoder::RequestHeadDecoder;
+
+use crate::connection::{BodyLength, Connection, ReadError, body_length};
+use crate::limits::ServerLimits;
+use crate::message::Request;
+
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// A request and whether its connection may carry another.
+pub(crate) struct ReadRequest {
+    pub(crate) request: Request,
+    pub(crate) keep_alive: bool,
+}
+
+/// Reads one request whose first byte is in the buffer.
+pub(crate) async fn read_request(
+    connection: &mut Connection,
+    limits: &ServerLimits,
+) -> Result<ReadRequest, ReadError> {
+    check_first_byte(connection.buffered())?;
+    let head = connection
+        .read_head(&mut RequestHeadDecoder, limits.max_header_bytes)
+        .await?;
+    let length = body_length(&head.headers)?;
+    if matches!(length, BodyLength::Fixed(bytes) if bytes > limits.max_body_bytes) {
+        return Err(ReadError::TooLarge);
+    }
+    if expects_continue(&head.headers) {
+        send_continue(connection).await?;
+    }
+    let body = connection.read_body(length, limits.max_body_bytes).await?;
+    Ok(assemble(head, body))
+}
+
+/// Refuses other protocols at once, which may never send the end of a head.
+fn check_first_byte(buffered: &[u8]) -> Result<(), ReadError> {
+    match buffered.first() {
+        Some(first) if !first.is_ascii_alphabetic() && !first.is_ascii_whitespace() => {
+            Err(ReadError::Malformed("no HTTP method".to_owned()))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn expects_continue(headers: &HeaderMap) -> bool {
+    let expect = headers.get(EXPECT).map(|value| value.as_bytes());
+    expect.is_some_and(|value| value.eq_ignore_ascii_case(b"100-continue"))
+}
+
+async fn send_continue(connection: &mut Connection) -> Result<(), ReadError> {
+    let (result, _) = connection.stream.write_all(CONTINUE).await;
+    result
+        .map(|_| ())
+        .map_err(|error| ReadError::Broken(error.to_string()))
+}
+
+fn assemble(head: RequestHead, body: bytes::Bytes) -> ReadRequest {
+    let keep_alive = head.version == Version::HTTP_11 && !asks_to_close(&head.headers);
+    let request = Request {
+        method: head.method,
+        path: head.uri.path().to_owned(),
+        query: head.uri.query().map(str::to_owned),
+        headers: head.headers,
+        body,
+    };
+    ReadRequest {
+        request,
+        keep_alive,
+    }
+}
+
+/// Tells whether the peer closes the connection after this message.
+pub(crate) fn asks_to_close(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(CONNECTION);
+    values.iter().any(|value| {
+        let mut options = value.as_bytes().split(|byte| *byte == b',');
+        options.any(|option| option.trim_ascii().eq_ignore_ascii_case(b"close"))
+    })
+}
