Add the platform client, the targets' protocol and stand-ins for both

Cause: owners need compare-and-swap, leases and watches whose lost answers show as such; agents need targets to announce themselves and a call that tells "not started" from "may have run"; tests and the demo need both peers with faults.

Ruled out: counting a server error of a write as "not applied", since the service may still apply a proposal that it timed out on; trying a write at a second address; repeating an invocation in any case; job ids as plain header values, since the client chooses them freely.

Change: a client of the etcd v3 JSON API, the messages of which the stand-in shares; the announcement and the invocation, described in docs/TARGETS.md; a stand-in for the platform with revisions, leases, replayed watches, rates and faults, and one for a target with slots, faults and a record of starts; both also as examples.

Conclusion: a lost answer, an outage and a refusal each arrive at the caller as what they are.

--- /dev/null
+++ b/components/standins/src/target/announcer.rs
@@ -0,0 +1,58 @@
+//! Announcements to the agent, repeated as heartbeat.
+
+use std::time::Duration;
+
+use std::net::SocketAddr;
+
+use monoio::time::timeout;
+use targets::{ANNOUNCE_PATH, Announcement, Departure};
+use web::{Client, Method, Request, Stop};
+
+/// Heartbeats within the time that an announcement counts.
+const BEATS_PER_TTL: u64 = 3;
+
+pub(super) struct Announcer {
+    client: Client,
+    announcement: Announcement,
+}
+
+impl Announcer {
+    pub(super) fn new(agent: SocketAddr, announcement: Announcement) -> Self {
+        Self {
+            client: Client::new(agent, 1),
+            announcement,
+        }
+    }
+
+    /// Announces until `stop` is set.
+    pub(super) async fn run(&self, stop: &Stop) {
+        while !stop.is_stopped() {
+            let request = Request::post_json(ANNOUNCE_PATH, &self.announcement);
+            self.send(&request).await;
+            let _ = timeout(self.interval(), stop.stopped()).await;
+        }
+    }
+
+    /// Tells the agent that the target leaves.
+    pub(super) async fn leave(&self) {
+        let name = self.announcement.name.clone();
+        let mut request = Request::post_json(ANNOUNCE_PATH, &Departure { name });
+        request.method = Method::DELETE;
+        self.send(&request).await;
+    }
+
+    fn interval(&self) -> Duration {
+        Duration::from_millis(self.announcement.ttl_ms / BEATS_PER_TTL)
+    }
+
+    async fn send(&self, request: &Request) {
+        match self.client.call(request, self.interval()).await {
+            Ok(response) if response.status < 300 => {}
+            Ok(response) => {
+                let text = String::from_utf8_lossy(&response.body);
+                log::warn!("target: agent refused the announcement: {text}.");
+            }
+            Err(error) => log::info!("target: announcement failed: {error}."),
+        }
+    }
+}
--- a/components/targets/src/lib.rs
+++ b/components/targets/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder.
+//! The protocol between agents and targets, over HTTP/1.1; see `docs/TARGETS.md`.
+//!
+//! A target announces itself to the agent beside it with `POST /v1/announce` and repeats
+//! this as its heartbeat. The agent sends it tasks with `POST /v1/tasks`.
+
+mod announcement;
+mod header_text;
+mod invocation;
+mod invoker;
+
+pub use announcement::{
+    ANNOUNCE_PATH, AnnounceError, Announcement, Departure, parse_announcement, parse_departure,
+};
+pub use invocation::{
+    Invocation, InvocationError, NOT_STARTED_HEADER, TASKS_PATH, TaskId, not_started_response,
+    parse_task_id,
+};
+pub use invoker::{InvokeOutcome, Invoker};
--- /dev/null
+++ b/components/targets/tests/targets.rs
@@ -0,0 +1,204 @@
+//! Announcements and invocations.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use model::Attempt;
+use proptest::prelude::*;
+use serde_json::{Value, json};
+use standins::{TargetFaultMode, TargetFaults, TargetStandin};
+use targets::{
+    ANNOUNCE_PATH, AnnounceError, Announcement, Invocation, InvokeOutcome, Invoker,
+    parse_announcement, parse_departure, parse_task_id,
+};
+use web::{Method, Request};
+
+fn run(test: impl Future<Output = ()>) {
+    monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime")
+        .block_on(test);
+}
+
+fn announcement() -> Value {
+    json!({
+        "name": "planner-3", "address": "127.0.0.1:9000", "group": "planner",
+        "firms": ["vembanad"], "slots": 8, "connections": 64, "ttl_ms": 3000
+    })
+}
+
+fn parse(value: &Value) -> Result<Announcement, AnnounceError> {
+    parse_announcement(&Request::post_json(ANNOUNCE_PATH, value))
+}
+
+#[test]
+fn a_valid_announcement_is_accepted() {
+    let parsed = parse(&announcement()).expect("a valid announcement");
+    assert_eq!((parsed.slots, parsed.ttl_ms), (8, 3_000));
+    assert_eq!(parsed.target_info().firms.len(), 1);
+}
+
+#[test]
+fn announcements_out_of_range_are_refused() {
+    let wrong = [
+        ("name", json!("")),
+        ("group", json!("g".repeat(129))),
+        ("address", json!("127.0.0.1:0")),
+        ("address", json!("not an address")),
+        ("firms", json!([])),
+        ("firms", json!(["a", "a"])),
+        ("slots", json!(0)),
+        ("slots", json!(1025)),
+        ("connections", json!(0)),
+        ("ttl_ms", json!(99)),
+        ("ttl_ms", json!(60_001)),
+        ("unknown", json!(1)),
+    ];
+    for (field, value) in wrong {
+        let mut announced = announcement();
+        announced[field] = value;
+        let error = parse(&announced).expect_err(field);
+        assert_eq!(error.response().status, 400);
+    }
+}
+
+#[test]
+fn paths_and_methods_are_told_apart() {
+    let elsewhere = Request::post_json("/v1/other", &announcement());
+    let error = parse_announcement(&elsewhere).expect_err("another path");
+    assert_eq!(error.response().status, 404);
+    let mut departure = Request::post_json(ANNOUNCE_PATH, &json!({ "name": "planner-3" }));
+    assert_eq!(
+        parse_departure(&departure)
+            .expect_err("another method")
+            .response()
+            .status,
+        405
+    );
+    departure.method = Method::DELETE;
+    assert_eq!(
+        parse_departure(&departure).expect("a departure").name,
+        "planner-3"
+    );
+}
+
+proptest! {
+    #[test]
+    fn any_announcement_body_is_a_value(body: Vec<u8>) {
+        let mut request = Request::new(Method::POST, ANNOUNCE_PATH);
+        request.body = Bytes::from(body);
+        prop_assert!(parse_announcement(&request).is_err());
+    }
+
+    #[test]
+    fn any_job_id_survives_the_headers(firm: String, job_id: String, index: u16) {
+        let invocation = Invocation { firm: firm.clone(), job_id: job_id.clone(), ..task(index) };
+        let id = parse_task_id(&invocation.request()).expect("all headers");
+        prop_assert_eq!((id.firm, id.job_id, id.index), (firm, job_id, index));
+    }
+}
+
+fn task(index: u16) -> Invocation {
+    Invocation {
+        firm: "vembanad".to_owned(),
+        job_id: "plan-17".to_owned(),
+        index,
+        attempt: Attempt(1),
+        payload: Bytes::from_static(b"{}"),
+        timeout: Duration::from_secs(20),
+    }
+}
+
+async fn start(slots: u16) -> (TargetStandin, Invoker) {
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let standin = TargetStandin::builder(listen).slots(slots).start().await;
+    let standin = standin.expect("a free port");
+    let invoker = Invoker::new(standin.address(), 8);
+    (standin, invoker)
+}
+
+fn faults(mode: TargetFaultMode) -> TargetFaults {
+    TargetFaults {
+        mode,
+        next: Some(1),
+        ..TargetFaults::default()
+    }
+}
+
+#[test]
+fn each_response_has_its_outcome() {
+    run(async {
+        let (standin, invoker) = start(8).await;
+        let done = invoker.invoke(&task(0)).await;
+        assert_eq!(done, InvokeOutcome::Done(Bytes::from_static(b"{}")));
+        standin.set_faults(faults(TargetFaultMode::FailFast));
+        assert!(matches!(
+            invoker.invoke(&task(1)).await,
+            InvokeOutcome::Failed(_)
+        ));
+        standin.set_faults(faults(TargetFaultMode::Refuse));
+        assert!(matches!(
+            invoker.invoke(&task(2)).await,
+            InvokeOutcome::NotStarted(_)
+        ));
+        standin.set_faults(faults(TargetFaultMode::Cut));
+        assert!(matches!(
+            invoker.invoke(&task(3)).await,
+            InvokeOutcome::Unknown(_)
+        ));
+        standin.stop().await;
+        assert!(matches!(
+            invoker.invoke(&task(4)).await,
+            InvokeOutcome::NotStarted(_)
+        ));
+        let started = standin.starts().starts;
+        let indices: Vec<_> = started.iter().map(|start| start.index).collect();
+        assert_eq!(indices, [0, 1, 3]);
+        assert_eq!(standin.starts().doubled, []);
+    });
+}
+
+#[test]
+fn a_task_beyond_the_slots_is_not_started() {
+    run(async {
+        let (standin, invoker) = start(1).await;
+        standin.set_faults(faults(TargetFaultMode::Hang));
+        let occupant = invoker.clone();
+        let first = monoio::spawn(async move { occupant.invoke(&task(0)).await });
+        standin.wait_for_starts(1).await;
+        let second = invoker.invoke(&task(1)).await;
+        assert!(matches!(second, InvokeOutcome::NotStarted(_)), "{second:?}");
+        standin.set_faults(TargetFaults::default());
+        assert!(matches!(first.await, InvokeOutcome::Unknown(_)));
+        assert_eq!(standin.starts().starts.len(), 1);
+    });
+}
+
+#[test]
+fn a_task_that_outlasts_its_timeout_is_unknown_and_never_sent_again() {
+    run(async {
+        let (standin, invoker) = start(1).await;
+        standin.set_faults(faults(TargetFaultMode::Hang));
+        let timeout = Duration::from_secs(1);
+        let outcome = invoker.invoke(&Invocation { timeout, ..task(0) }).await;
+        assert!(matches!(outcome, InvokeOutcome::Unknown(_)), "{outcome:?}");
+        assert_eq!(standin.starts().starts.len(), 1);
+    });
+}
+
+#[test]
+fn a_closed_idle_connection_does_not_make_an_outcome_unknown() {
+    run(async {
+        let (standin, invoker) = start(1).await;
+        invoker.invoke(&task(0)).await;
+        standin.stop().await;
+        let outcome = invoker.invoke(&task(1)).await;
+        assert!(
+            matches!(outcome, InvokeOutcome::NotStarted(_)),
+            "{outcome:?}"
+        );
+    });
+}
