Give teams job ids, quotas and shares of their own

Cause: a team's token stood for its firm, so quotas of teams had no effect. Ruled out: queues by team inside a firm's shard; ids, refusals and dumps of two teams would share one table. Change: a team is a tenant with its own shards, quota and share of targets; agents learn the teams of their target's firms from announcements.

--- a/components/agent/src/announcements.rs
+++ b/components/agent/src/announcements.rs
@@ -43,6 +43,12 @@
         .directory
         .borrow_mut()
         .answered(address, &reply, monotonic_us());
+    // An entry that is behind does not know the present teams.
+    let is_current = reply.config_revision >= revision;
+    if is_current && shared.calls.borrow_mut().set_teams(reply.teams) {
+        shared.refresh_target();
+        shared.directory.borrow_mut().hasten();
+    }
     if let Some(rules) = reply.rules {
         shared.configure(reply.entry.key, rules);
     }
--- a/components/agent/src/local.rs
+++ b/components/agent/src/local.rs
@@ -34,20 +34,15 @@
 
     fn target_announces(self: &Rc<Self>, request: &Request) -> Result<Response, AnnounceError> {
         let announcement = parse_announcement(request)?;
-        let now_us = monotonic_us();
-        let expires_us = now_us + announcement.ttl_ms * 1_000;
-        let info = announcement.target_info();
+        let expires_us = monotonic_us() + announcement.ttl_ms * 1_000;
         let before = self.calls.borrow().target_info();
-        let changed = before.as_ref() != Some(&info);
+        let name = announcement.name.clone();
+        self.calls.borrow_mut().announced(announcement, expires_us);
+        let changed = before != self.calls.borrow().target_info();
         if changed {
-            log::info!("Target {} announced itself.", announcement.name);
+            log::info!("Target {name} announced itself.");
         }
-        self.calls.borrow_mut().announced(announcement);
-        let mut actions = Vec::new();
-        self.core
-            .borrow_mut()
-            .target_announced(now_us, info, expires_us, &mut actions);
-        self.perform(actions);
+        self.refresh_target();
         if changed {
             self.directory.borrow_mut().hasten();
         }
--- a/components/agent/src/tasks.rs
+++ b/components/agent/src/tasks.rs
@@ -7,6 +7,7 @@
 use execution::{AgentAction, CallKey, CallOutcome};
 use futures::future::{AbortHandle, abortable};
 use model::{AgentEnvelope, FirmKey, OwnerEnvelope, TargetInfo};
+use protocol::TeamInfo;
 use runtime::{monotonic_us, unix_ms};
 use targets::{Announcement, Invocation, InvokeOutcome, Invoker};
 
@@ -21,28 +22,32 @@
 #[derive(Default)]
 pub struct Calls {
     target: Option<Target>,
+    teams: Vec<TeamInfo>,
     aborts: HashMap<CallKey, AbortHandle>,
 }
 
 struct Target {
     announcement: Announcement,
+    expires_us: u64,
     invoker: Invoker,
 }
 
 impl Calls {
     /// Takes in an announcement; connections are kept while the address is the same.
-    pub fn announced(&mut self, announcement: Announcement) {
+    pub fn announced(&mut self, announcement: Announcement, expires_us: u64) {
         if let Some(target) = &mut self.target
             && target.announcement.address == announcement.address
             && target.announcement.connections == announcement.connections
         {
             target.announcement = announcement;
+            target.expires_us = expires_us;
             return;
         }
         let connections = usize::from(announcement.connections);
         let invoker = Invoker::new(announcement.address, connections);
         self.target = Some(Target {
             announcement,
+            expires_us,
             invoker,
         });
     }
@@ -52,6 +57,11 @@
         self.target = None;
     }
 
+    /// Returns when the announcement ends, on the monotonic clock.
+    pub fn expires_us(&self) -> Option<u64> {
+        self.target.as_ref().map(|target| target.expires_us)
+    }
+
     /// Returns the name of the target.
     pub fn target_name(&self) -> Option<&str> {
         self.target
@@ -59,19 +69,30 @@
             .map(|target| target.announcement.name.as_str())
     }
 
-    /// Returns what the target announced.
+    /// Takes in the teams of the firms that the target serves; returns whether they changed.
+    pub fn set_teams(&mut self, teams: Vec<TeamInfo>) -> bool {
+        let changed = self.teams != teams;
+        self.teams = teams;
+        changed
+    }
+
+    /// Returns what the target announced, with the teams of its firms.
     pub fn target_info(&self) -> Option<TargetInfo> {
-        self.target
-            .as_ref()
-            .map(|target| target.announcement.target_info())
+        let target = self.target.as_ref()?;
+        let mut info = target.announcement.target_info();
+        let teams = self.teams.iter();
+        let served = teams.filter(|team| info.firms.contains(&team.firm));
+        let served: Vec<FirmKey> = served.map(|team| team.team).collect();
+        info.firms.extend(served);
+        Some(info)
     }
 
     fn call(&self, firm: FirmKey) -> Option<(Invoker, String)> {
         let target = self.target.as_ref()?;
-        let name = target
-            .announcement
-            .firms
-            .iter()
+        let firms = target.announcement.firms.iter();
+        let teams = self.teams.iter().map(|team| &team.name);
+        let name = firms
+            .chain(teams)
             .find(|name| FirmKey::from_name(name) == firm)?;
         Some((target.invoker.clone(), name.clone()))
     }
@@ -133,6 +154,20 @@
         });
     }
 
+    /// Tells the decisions what the target and its firms' teams are.
+    pub fn refresh_target(self: &Rc<Self>) {
+        let info = self.calls.borrow().target_info();
+        let expires_us = self.calls.borrow().expires_us();
+        let (Some(info), Some(expires_us)) = (info, expires_us) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        self.core
+            .borrow_mut()
+            .target_announced(monotonic_us(), info, expires_us, &mut actions);
+        self.perform(actions);
+    }
+
     async fn finish(self: Rc<Self>, call: CallKey, outcome: CallOutcome) {
         self.calls.borrow_mut().aborts.remove(&call);
         let mut actions = Vec::new();
--- a/components/config/src/configuration.rs
+++ b/components/config/src/configuration.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use derive_more::Display;
-use model::{FirmKey, FirmShare, Rules};
+use model::{FirmKey, Rules};
 use serde::{Deserialize, Serialize};
 use strum::{EnumIter, EnumString, IntoStaticStr, VariantNames};
 
@@ -221,13 +221,9 @@
     /// Returns the rules that agents apply, stamped with the revision of this configuration.
     #[must_use]
     pub fn agent_rules(&self, revision: u64) -> Rules {
-        let share = |(name, firm): (&String, &Firm)| FirmShare {
-            firm: FirmKey::from_name(name),
-            weight: firm.weight,
-        };
         Rules {
             revision,
-            shares: self.firms.iter().map(share).collect(),
+            shares: self.tenants().map(|tenant| tenant.share()).collect(),
         }
     }
 
--- a/components/config/src/folder/contradictions.rs
+++ b/components/config/src/folder/contradictions.rs
@@ -81,7 +81,11 @@
             self.rate(&path, firm);
             self.teams(&path, firm);
         }
-        self.collisions("firms", configuration.firms.keys(), FirmKey::from_name);
+        let tenants: Vec<String> = configuration
+            .tenants()
+            .map(|tenant| tenant.name())
+            .collect();
+        self.collisions("firms", tenants.iter(), FirmKey::from_name);
     }
 
     fn deadlines(&mut self, path: &str, firm: &Firm) {
@@ -209,7 +213,8 @@
         for name in names {
             if let Some(other) = seen.insert(key_of(name), name) {
                 let message = format!("has the same internal key as `{other}`");
-                let fault = self.error(&format!("{table}.{name}"), message);
+                let key = name.replace('/', ".teams.");
+                let fault = self.error(&format!("{table}.{key}"), message);
                 self.add(fault.with_remedy("choose another name"), &[]);
             }
         }
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -11,6 +11,7 @@
 mod schema;
 mod settings;
 mod suggest;
+mod tenant;
 mod token;
 
 pub use configuration::{
@@ -31,4 +32,5 @@
     AgentLimits, AgentSettings, EntryLimits, EntrySettings, LogFormat, LogLevel, LogSettings,
     SettingsError,
 };
+pub use tenant::Tenant;
 pub use token::Token;
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use model::{
-    AgentEnvelope, AgentInfo, AgentMessage, Answer, EntryInfo, FailureKind, FailureReason,
+    AgentEnvelope, AgentInfo, AgentMessage, Answer, EntryInfo, FailureKind, FailureReason, FirmKey,
     Generation, HEARTBEAT_INTERVAL_MS, JobKey, OwnerMessage, ProcessKey, Rules, ShardBeat,
     ShardKey,
 };
@@ -155,6 +155,11 @@
         true
     }
 
+    /// Sets the firms that this entry serves; empty means all.
+    pub fn serve_firms(&mut self, firms: Vec<FirmKey>) {
+        self.me.firms = firms;
+    }
+
     /// Returns the shard that holds a job.
     #[must_use]
     pub fn shard_of(&self, key: JobKey) -> ShardKey {
--- a/components/entry/src/agents.rs
+++ b/components/entry/src/agents.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use dispatch::Action;
-use model::{AgentEnvelope, AgentInfo, OwnerEnvelope, ProcessKey};
-use protocol::{AnnounceReply, LinkError, LinkFault, Refusal, ShardOwner};
+use model::{AgentEnvelope, AgentInfo, FirmKey, OwnerEnvelope, ProcessKey};
+use protocol::{AnnounceReply, LinkError, LinkFault, Refusal, ShardOwner, TeamInfo};
 use runtime::{monotonic_us, unix_ms};
 
 use crate::process::Shared;
@@ -102,7 +102,8 @@
             })
             .collect();
         let rules = core.agent_rules();
-        let newer = rules.revision > known_config_revision;
+        let config_revision = rules.revision;
+        let newer = config_revision > known_config_revision;
         let rules = newer.then(|| rules.clone());
         let mut entries: Vec<_> = self.known_entries.borrow().values().cloned().collect();
         entries.push(self.me.clone());
@@ -112,7 +113,26 @@
             entry: self.me.clone(),
             entries,
             owners,
+            config_revision,
             rules,
+            teams: self.teams_of(&firms),
         }
     }
+
+    fn teams_of(&self, firms: &[FirmKey]) -> Vec<TeamInfo> {
+        let config = self.config.borrow();
+        let Some(published) = config.published() else {
+            return Vec::new();
+        };
+        published
+            .merged
+            .tenants()
+            .filter(|tenant| tenant.team.is_some() && firms.contains(&tenant.firm_key()))
+            .map(|tenant| TeamInfo {
+                firm: tenant.firm_key(),
+                team: tenant.key(),
+                name: tenant.name(),
+            })
+            .collect()
+    }
 }
--- a/components/entry/src/configuration.rs
+++ b/components/entry/src/configuration.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use config::{ApplyOutcome, Configuration, Published, Snapshot};
+use config::{ApplyOutcome, Configuration, Published, Snapshot, Tenant};
 use dispatch::{DispatchRules, FirmRules, GroupRules};
 use model::{FirmKey, GroupKey};
 use platform::Versioned;
@@ -53,7 +53,11 @@
             return;
         };
         let rules = dispatch_rules(config.revision(), &published.merged, &self.me.firms);
-        self.core.borrow_mut().apply_rules(rules);
+        let served = served_tenants(&published.merged, &self.me.firms);
+        let mut core = self.core.borrow_mut();
+        core.apply_rules(rules);
+        core.serve_firms(served);
+        drop(core);
         log::info!("Configuration {} is in force.", config.revision());
         drop(config);
         self.wake();
@@ -74,6 +78,27 @@
     }
 }
 
+fn firm_rules(tenant: &Tenant<'_>) -> FirmRules {
+    let firm = tenant.firm;
+    FirmRules {
+        firm: tenant.key(),
+        shard_count: firm.shards,
+        quota_tasks: tenant.quota_tasks(),
+        max_queue_tasks: firm.max_queue_tasks,
+        rate_tasks_per_s: firm.rate_tasks_per_s.map(f64::from),
+        burst_tasks: firm.burst().unwrap_or(0),
+    }
+}
+
+/// Lists the keys of the firms served and of their teams; empty means all.
+fn served_tenants(configuration: &Configuration, firms: &[FirmKey]) -> Vec<FirmKey> {
+    configuration
+        .tenants()
+        .filter(|tenant| firms.contains(&tenant.firm_key()))
+        .map(|tenant| tenant.key())
+        .collect()
+}
+
 /// Takes the rules for decisions from the configuration.
 fn dispatch_rules(
     revision: u64,
@@ -81,27 +106,19 @@
     served: &[FirmKey],
 ) -> DispatchRules {
     let firms = configuration
-        .firms
-        .iter()
-        .map(|(name, firm)| FirmRules {
-            firm: FirmKey::from_name(name),
-            shard_count: firm.shards,
-            quota_tasks: firm.quota_tasks,
-            max_queue_tasks: firm.max_queue_tasks,
-            rate_tasks_per_s: firm.rate_tasks_per_s.map(f64::from),
-            burst_tasks: firm.burst().unwrap_or(0),
-        })
-        .filter(|rules| served.is_empty() || served.contains(&rules.firm))
+        .tenants()
+        .filter(|tenant| served.is_empty() || served.contains(&tenant.firm_key()))
+        .map(|tenant| firm_rules(&tenant))
         .collect();
     let groups = configuration
         .groups
         .iter()
         .map(|(name, group)| GroupRules {
             group: GroupKey::from_name(name),
-            firms: group
-                .firms
-                .iter()
-                .map(|firm| FirmKey::from_name(firm))
+            firms: configuration
+                .tenants()
+                .filter(|tenant| group.firms.iter().any(|firm| firm == tenant.firm_name))
+                .map(|tenant| tenant.key())
                 .collect(),
             max_attempts: group.max_attempts,
             max_eject_percent: u32::from(group.max_eject_percent),
--- a/components/entry/src/http.rs
+++ b/components/entry/src/http.rs
@@ -8,7 +8,6 @@
     parse_route, parse_submission, pending_response, route_error_response,
     submission_error_response, unauthorized_response,
 };
-use config::Principal;
 use model::{FirmKey, JobKey};
 use monoio::net::TcpListener;
 use protocol::{CancelReply, StatusReply};
@@ -81,10 +80,9 @@
             return Caller::Nobody;
         };
         match published.merged.authenticate(token) {
-            Some(Principal::Operators) => Caller::Operator,
-            Some(Principal::Firm(firm) | Principal::Team { firm, .. }) => {
-                Caller::Firm(FirmKey::from_name(firm))
-            }
+            Some(principal) => principal
+                .tenant_key()
+                .map_or(Caller::Operator, Caller::Firm),
             None => Caller::Nobody,
         }
     }
@@ -154,8 +152,8 @@
             let merged = &published.merged;
             limits.payload_bytes = merged.limits.max_payload_bytes as usize;
             limits.task_count = limits.task_count.min(merged.limits.max_tasks_per_job);
-            if let Some((_, rules)) = merged.firm(firm) {
-                limits.task_count = limits.task_count.min(rules.max_tasks_per_job);
+            if let Some(tenant) = merged.tenant(firm) {
+                limits.task_count = limits.task_count.min(tenant.firm.max_tasks_per_job);
             }
         }
         limits
@@ -167,7 +165,8 @@
             return 0;
         };
         let merged = &published.merged;
-        let of_firm = merged.firm(firm).map(|(_, rules)| rules.max_deadline_ms);
+        let tenant = merged.tenant(firm);
+        let of_firm = tenant.map(|tenant| tenant.firm.max_deadline_ms);
         of_firm
             .unwrap_or(merged.limits.max_deadline_ms)
             .min(merged.limits.max_deadline_ms)
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -105,7 +105,7 @@
 ) -> Result<EntryPong, LinkError> {
     let link = shared.entries.link(address, expected).await?;
     let message = EntryPing {
-        from: shared.me.clone(),
+        from: shared.core.borrow().info().clone(),
         now_unix_ms: unix_ms(),
         config_revision: shared.config.borrow().revision(),
         owned: shared.owned(),
@@ -126,7 +126,7 @@
     fn pinged(self: &Rc<Self>, message: EntryPing) -> EntryPong {
         self.peer_heard(message.from, message.draining);
         EntryPong {
-            from: self.me.clone(),
+            from: self.core.borrow().info().clone(),
             now_unix_ms: unix_ms(),
             config: self.config_for(message.config_revision),
             owned: self.owned(),
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -27,7 +27,7 @@
 pub use link::Link;
 pub use message::{
     AnnounceReply, CancelReply, ConfigDocument, EntryPing, EntryPong, HandOver, HandOverReply,
-    JobProgress, OwnedShard, OwnerHint, ShardOwner, StatusReply, SubmitReply,
+    JobProgress, OwnedShard, OwnerHint, ShardOwner, StatusReply, SubmitReply, TeamInfo,
 };
 pub use pool::{AgentPool, EntryPool, Pool};
 pub use server::{MAX_CALLS_PER_CONNECTION, serve_agent, serve_entry};
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between entries, and from agents to entries, besides the envelopes of `model`.
 
 use bytes::Bytes;
-use model::{Answer, EntryInfo, Generation, ProcessKey, Rules, ShardKey};
+use model::{Answer, EntryInfo, FirmKey, Generation, ProcessKey, Rules, ShardKey};
 use serde::{Deserialize, Serialize};
 
 /// Names the owner of a shard.
@@ -42,6 +42,17 @@
     pub bytes: Bytes,
 }
 
+/// A team of a firm, as agents need to know it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamInfo {
+    /// The firm that the team belongs to.
+    pub firm: FirmKey,
+    /// Key of the team's jobs and shards.
+    pub team: FirmKey,
+    /// Name towards targets, `FIRM/TEAM`.
+    pub name: String,
+}
+
 /// Answers the announcement of an agent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnnounceReply {
@@ -51,8 +62,12 @@
     pub entries: Vec<EntryInfo>,
     /// Owners of the shards that involve the agent, as far as known.
     pub owners: Vec<ShardOwner>,
+    /// Revision of the configuration in force at the entry.
+    pub config_revision: u64,
     /// The rules, if newer than those the agent knows.
     pub rules: Option<Rules>,
+    /// Teams of the firms that the agent's target serves.
+    pub teams: Vec<TeamInfo>,
 }
 
 /// Answers a forwarded submission.
--- a/components/protocol/tests/common/mod.rs
+++ b/components/protocol/tests/common/mod.rs
@@ -81,7 +81,9 @@
             entry: entry_info(SERVER),
             entries: vec![entry_info(agent.key)],
             owners: Vec::new(),
+            config_revision: 0,
             rules: None,
+            teams: Vec::new(),
         })
         .exchange(|envelope| owner_envelope(envelope.from))
         .submit(|job, _| async move {
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -145,3 +145,38 @@
     });
     run.expect("the runtime starts");
 }
+
+#[test]
+fn teams_have_ids_and_quotas_of_their_own() {
+    let team = Firm {
+        token: "vembanad-bridge-0001",
+        ..VEMBANAD
+    };
+    let run = runtime::run(async {
+        let system = start().await;
+        system.publish(
+            "20-teams.toml",
+            "[firms.vembanad.teams.bridge]\ntokens = [\"vembanad-bridge-0001\"]\nquota_tasks = 1\n",
+        );
+        let key = model::FirmKey::from_name("vembanad/bridge");
+        system.wait_until_key_served(key, 2).await;
+        check_job(&system, 0, team, "plan-1").await;
+        check_job(&system, 1, VEMBANAD, "plan-1").await;
+        let (starts, doubled) = system.starts(VEMBANAD).await;
+        assert_eq!(starts.len(), 12);
+        assert_eq!(doubled, Vec::<Value>::new());
+        let firms: Vec<&str> = starts
+            .iter()
+            .map(|start| start["firm"].as_str().expect("each start has a firm"))
+            .collect();
+        assert_eq!(firms.iter().filter(|firm| **firm == "vembanad").count(), 6);
+        assert_eq!(
+            firms
+                .iter()
+                .filter(|firm| **firm == "vembanad/bridge")
+                .count(),
+            6
+        );
+    });
+    run.expect("the runtime starts");
+}
