Add the load command

Cause: the placement and admission rules had never been run side by side.

Change: a discrete-event run of the dispatcher and the agents, unchanged, between fakes of clients, targets and the platform; 21 scenarios on both deployments; five other placements run with the same seeds. The first version of least_expected is kept under its own name.

--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -33,7 +33,9 @@
             .is_some_and(|view| view.has_room(now_us) && !view.health.is_ejected(now_us))
     };
     match policy.placement {
-        Placement::LeastExpected => least_expected(policy, agents, candidates, request, now_us),
+        Placement::LeastExpected | Placement::LeastExpectedV1 => {
+            least_expected(policy, agents, candidates, request, now_us)
+        }
         Placement::LeastConnections => candidates
             .iter()
             .copied()
--- a/components/dispatch/src/rules.rs
+++ b/components/dispatch/src/rules.rs
@@ -77,6 +77,9 @@
     /// The agent that is expected to finish the task first.
     #[default]
     LeastExpected,
+    /// The first version of [`Self::LeastExpected`], kept for comparison.
+    #[strum(serialize = "least_expected_v1")]
+    LeastExpectedV1,
 }
 
 /// Order in which waiting jobs are served.
--- /dev/null
+++ b/components/load/src/fake_host.rs
@@ -0,0 +1,123 @@
+//! A host with an agent and a fake target.
+
+use std::collections::BTreeMap;
+
+use execution::{Agent, AgentBuilder, CallKey, CallOutcome};
+use model::{AgentInfo, FirmKey, GroupKey, ProcessKey, TargetInfo};
+use rustc_hash::FxHashSet;
+
+use crate::deployment::{CONNECTIONS, SLOTS};
+
+/// Time after which a failing target reports a failure, in microseconds.
+const FAIL_US: u64 = 1_000;
+
+/// Time of a call between the agent and its target, there and back, in microseconds.
+const CALL_US: u64 = 100;
+
+/// An agent and the target beside it.
+#[derive(Debug)]
+pub struct FakeHost {
+    /// The agent.
+    pub agent: Agent,
+    /// Counts the incarnations of the agent.
+    pub incarnation: u64,
+    /// Address of the agent.
+    pub address: String,
+    /// Whether the host is there.
+    pub alive: bool,
+    /// Whether the agent is stopping.
+    pub draining: bool,
+    /// Whether the target fails everything.
+    pub failing: bool,
+    /// Run time relative to a target of slowness one.
+    pub slowness: f64,
+    /// Time of the next timer event.
+    pub wake_us: u64,
+    /// Calls that end early.
+    pub aborted: FxHashSet<CallKey>,
+    /// Counts of agents that were replaced.
+    pub past: BTreeMap<&'static str, u64>,
+    position: usize,
+}
+
+impl FakeHost {
+    /// Builds the host at a position of the deployment.
+    #[must_use]
+    pub fn new(position: usize, slowness: f64) -> Self {
+        Self {
+            agent: AgentBuilder::new(agent_key(position, 0)).build(),
+            incarnation: 0,
+            address: format!("10.0.0.{position}:7000"),
+            alive: true,
+            draining: false,
+            failing: false,
+            slowness,
+            wake_us: u64::MAX,
+            aborted: FxHashSet::default(),
+            past: BTreeMap::new(),
+            position,
+        }
+    }
+
+    /// Replaces the agent by a new incarnation.
+    pub fn restart(&mut self) {
+        self.note_past();
+        self.incarnation += 1;
+        self.agent = AgentBuilder::new(agent_key(self.position, self.incarnation)).build();
+        self.draining = false;
+        self.wake_us = u64::MAX;
+        self.aborted.clear();
+    }
+
+    /// Returns what the target announces.
+    #[must_use]
+    pub fn target_info(group: GroupKey, firms: &[FirmKey]) -> TargetInfo {
+        TargetInfo {
+            group,
+            firms: firms.to_vec(),
+            slots: SLOTS,
+            connections: CONNECTIONS,
+        }
+    }
+
+    /// Returns what the agent announces.
+    #[must_use]
+    pub fn info(&self, domain: usize, target: TargetInfo) -> AgentInfo {
+        AgentInfo {
+            key: self.agent.key(),
+            address: self.address.clone(),
+            failure_domain: format!("domain-{domain}"),
+            target: Some(target),
+            draining: self.draining,
+        }
+    }
+
+    /// Returns how long a task runs and how it ends.
+    #[must_use]
+    pub fn run(&self, work_us: u64, straggles: bool) -> (u64, CallOutcome) {
+        if self.failing {
+            let outcome = CallOutcome::Failed("the target is out of order".to_owned());
+            return (FAIL_US, outcome);
+        }
+        let factor = if straggles { 10.0 } else { 1.0 };
+        let run_us = CALL_US + (work_us as f64 * self.slowness * factor) as u64;
+        (
+            run_us,
+            CallOutcome::Done(bytes::Bytes::from_static(b"done")),
+        )
+    }
+
+    /// Adds the counts of the present agent to those of the earlier ones.
+    pub fn note_past(&mut self) {
+        for counters in self.agent.state().firms.values() {
+            let refused: u64 = counters.refused.values().sum();
+            *self.past.entry("duplicate").or_default() += counters.duplicates;
+            *self.past.entry("resent_by_agent").or_default() += counters.resent;
+            *self.past.entry("refused_by_agent").or_default() += refused;
+        }
+    }
+}
+
+fn agent_key(position: usize, incarnation: u64) -> ProcessKey {
+    ProcessKey(1_000 + position as u64 + 100_000 * incarnation)
+}
--- /dev/null
+++ b/components/load/src/main.rs
@@ -0,0 +1,135 @@
+//! The command line of the load and experiment command.
+
+use std::process::ExitCode;
+
+use getopts::{Matches, Options};
+use load::contender::Contender;
+use load::deployment::Deployment;
+use load::experiment::{self, RunResult};
+use load::report::{self, Summary};
+use load::scenarios::ScenarioName;
+use strum::IntoEnumIterator;
+
+const USAGE: &str = "usage: load compare [options]
+       load list";
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let options = options();
+    let matches = match options.parse(&args) {
+        Ok(matches) => matches,
+        Err(error) => return fail(&error.to_string(), &options),
+    };
+    let outcome = match matches.free.first().map(String::as_str) {
+        Some("compare") => compare(&matches),
+        Some("list") => {
+            list();
+            Ok(())
+        }
+        _ => Err("no such command".to_owned()),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error, &options),
+    }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("", "scenario", "names, separated by commas", "NAMES");
+    options.optopt("", "deployment", "names, separated by commas", "NAMES");
+    options.optopt("", "policy", "names, separated by commas", "NAMES");
+    options.optopt("", "seeds", "number of seeds", "COUNT");
+    options.optopt("", "threads", "runs at the same time", "COUNT");
+    options.optflag("", "json", "print each run as a line of JSON");
+    options.optopt("", "svg", "write plots", "DIR");
+    options
+}
+
+fn fail(error: &str, options: &Options) -> ExitCode {
+    eprintln!("load: {error}\n{}", options.usage(USAGE));
+    ExitCode::FAILURE
+}
+
+fn list() {
+    for name in ScenarioName::iter() {
+        println!("{name}");
+    }
+}
+
+/// Parses a list of names; all of them if the option is missing.
+fn names<T>(matches: &Matches, option: &str) -> Result<Vec<T>, String>
+where
+    T: IntoEnumIterator + std::str::FromStr,
+{
+    let Some(text) = matches.opt_str(option) else {
+        return Ok(T::iter().collect());
+    };
+    text.split(',')
+        .map(|name| name.parse().map_err(|_| format!("unknown {option} {name}")))
+        .collect()
+}
+
+fn number(matches: &Matches, option: &str, default: u64) -> Result<u64, String> {
+    matches.opt_str(option).map_or(Ok(default), |text| {
+        text.parse()
+            .map_err(|_| format!("--{option} takes a number"))
+    })
+}
+
+fn compare(matches: &Matches) -> Result<(), String> {
+    let scenarios: Vec<ScenarioName> = names(matches, "scenario")?;
+    let deployments: Vec<Deployment> = names(matches, "deployment")?;
+    let contenders: Vec<Contender> = names(matches, "policy")?;
+    let seeds = number(matches, "seeds", 3)?;
+    let threads = number(matches, "threads", 4)?.max(1) as usize;
+    let mut cells = Vec::new();
+    for &name in &scenarios {
+        for &deployment in &deployments {
+            for &contender in &contenders {
+                cells.push((name, deployment, contender));
+            }
+        }
+    }
+    let results = run_cells(&cells, seeds, threads);
+    if matches.opt_present("json") {
+        for run in results.iter().flatten() {
+            println!("{}", report::json_line(run));
+        }
+        return Ok(());
+    }
+    let summaries: Vec<Summary> = results.iter().map(|runs| Summary::of(runs)).collect();
+    print!("{}", report::table(&summaries));
+    Ok(())
+}
+
+type Cell = (ScenarioName, Deployment, Contender);
+
+/// Runs every cell with every seed, several at the same time.
+fn run_cells(cells: &[Cell], seeds: u64, threads: usize) -> Vec<Vec<RunResult>> {
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    let results = std::sync::Mutex::new(vec![Vec::new(); cells.len()]);
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                loop {
+                    let at = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                    let Some(&cell) = cells.get(at) else {
+                        return;
+                    };
+                    let runs = run_cell(cell, seeds);
+                    results.lock().expect("no run panics")[at] = runs;
+                }
+            });
+        }
+    });
+    results.into_inner().expect("no run panics")
+}
+
+fn run_cell((name, deployment, contender): Cell, seeds: u64) -> Vec<RunResult> {
+    let scenario = name.scenario(deployment);
+    let policy = contender.policy();
+    (1..=seeds)
+        .map(|seed| experiment::run(&scenario, contender.into(), &policy, seed))
+        .collect()
+}
--- /dev/null
+++ b/components/load/src/report.rs
@@ -0,0 +1,153 @@
+//! Tables and JSON lines of results.
+
+use std::fmt::Write;
+
+use serde::Serialize;
+
+use crate::experiment::RunResult;
+
+/// Mean and spread of a figure over seeds.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Spread {
+    /// Mean.
+    pub mean: f64,
+    /// Least.
+    pub min: f64,
+    /// Greatest.
+    pub max: f64,
+}
+
+impl Spread {
+    /// Summarises values; none give zeros.
+    #[must_use]
+    pub fn of(values: &[f64]) -> Self {
+        if values.is_empty() {
+            return Self {
+                mean: 0.0,
+                min: 0.0,
+                max: 0.0,
+            };
+        }
+        Self {
+            mean: values.iter().sum::<f64>() / values.len() as f64,
+            min: values.iter().copied().fold(f64::INFINITY, f64::min),
+            max: values.iter().copied().fold(f64::NEG_INFINITY, f64::max),
+        }
+    }
+}
+
+/// Results of one policy in one scenario over all seeds.
+#[derive(Debug, Clone, Serialize)]
+pub struct Summary {
+    /// Name of the scenario.
+    pub scenario: String,
+    /// Name of the deployment.
+    pub deployment: String,
+    /// Name of the policy.
+    pub contender: String,
+    /// Number of seeds.
+    pub seeds: usize,
+    /// Median response time over ideal.
+    pub ratio_p50: Spread,
+    /// 99th percentile of the response time over ideal.
+    pub ratio_p99: Spread,
+    /// Greatest response time over ideal.
+    pub ratio_max: Spread,
+    /// Work of jobs complete in time, of the capacity.
+    pub goodput: Spread,
+    /// Jobs refused, in percent.
+    pub refused_percent: Spread,
+    /// Jobs whose deadline passed, in percent.
+    pub late_percent: Spread,
+    /// Jobs failed for another reason, in percent.
+    pub failed_percent: Spread,
+    /// Median come-back time of refusals, in milliseconds.
+    pub retry_after_ms: Spread,
+    /// Envelopes over the least possible.
+    pub messages_over_least: Spread,
+    /// Wasted messages for each task.
+    pub waste_per_task: Spread,
+    /// Jobs lost, tasks doubled and jobs falsely refused, over all seeds.
+    pub broken: u64,
+}
+
+impl Summary {
+    /// Summarises the runs of one policy in one scenario.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there are no runs.
+    #[must_use]
+    pub fn of(runs: &[RunResult]) -> Self {
+        let spread = |value: &dyn Fn(&RunResult) -> f64| {
+            Spread::of(&runs.iter().map(value).collect::<Vec<_>>())
+        };
+        let percent =
+            |count: u64, run: &RunResult| 100.0 * count as f64 / run.submitted.max(1) as f64;
+        let first = runs.first().expect("a summary has runs");
+        Self {
+            scenario: first.scenario.clone(),
+            deployment: first.deployment.clone(),
+            contender: first.contender.clone(),
+            seeds: runs.len(),
+            ratio_p50: spread(&|run| run.ratio_p50),
+            ratio_p99: spread(&|run| run.ratio_p99),
+            ratio_max: spread(&|run| run.ratio_max),
+            goodput: spread(&|run| run.goodput),
+            refused_percent: spread(&|run| percent(run.refused, run)),
+            late_percent: spread(&|run| percent(run.late, run)),
+            failed_percent: spread(&|run| percent(run.failed, run)),
+            retry_after_ms: spread(&|run| run.retry_after_p50_ms as f64),
+            messages_over_least: spread(&|run| run.messages_over_least),
+            waste_per_task: spread(&|run| run.waste_per_task),
+            broken: runs
+                .iter()
+                .map(|run| run.lost + run.doubled + run.falsely_refused)
+                .sum(),
+        }
+    }
+}
+
+/// Renders summaries as a table in Markdown; each figure is a mean with its range over seeds.
+#[must_use]
+pub fn table(summaries: &[Summary]) -> String {
+    let mut text = String::from(
+        "| scenario | deployment | policy | p50 | p99 | max | goodput | refused % | back ms \
+         | late % | failed % | messages | waste/task | broken |\n\
+         |---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
+    );
+    for summary in summaries {
+        let _ = writeln!(
+            text,
+            "| {} | {} | {} | {} | {} | {} | {} | {} | {:.0} | {} | {} | {} | {} | {} |",
+            summary.scenario,
+            summary.deployment,
+            summary.contender,
+            cell(summary.ratio_p50),
+            cell(summary.ratio_p99),
+            cell(summary.ratio_max),
+            cell(summary.goodput),
+            cell(summary.refused_percent),
+            summary.retry_after_ms.mean,
+            cell(summary.late_percent),
+            cell(summary.failed_percent),
+            cell(summary.messages_over_least),
+            cell(summary.waste_per_task),
+            summary.broken,
+        );
+    }
+    text
+}
+
+fn cell(spread: Spread) -> String {
+    if spread.max - spread.min < 0.005 {
+        return format!("{:.2}", spread.mean);
+    }
+    format!("{:.2} ({:.2}-{:.2})", spread.mean, spread.min, spread.max)
+}
+
+/// Renders a result as one line of JSON.
+#[must_use]
+pub fn json_line(result: &impl Serialize) -> String {
+    serde_json::to_string(result).unwrap_or_default()
+}
--- /dev/null
+++ b/components/load/src/scenarios.rs
@@ -0,0 +1,132 @@
+//! The scenarios of the comparison.
+
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+use crate::deployment::{Deployment, HOSTS, RACK_HOSTS};
+use crate::scenario::{Fault, FirmLoad, Scenario, ScenarioBuilder};
+
+const SECOND_US: u64 = 1_000_000;
+
+/// Slowness of back ends bought over years.
+const UNEVEN: [f64; HOSTS] = [0.5, 0.6, 0.75, 0.9, 1.0, 1.0, 1.2, 1.5, 2.0, 2.5, 3.0];
+
+/// Names a scenario.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum ScenarioName {
+    /// Half of the capacity.
+    Load50,
+    /// Four fifths of the capacity.
+    Load80,
+    /// Nearly all of the capacity.
+    Load95,
+    /// Twice the capacity.
+    Load200,
+    /// Five times the capacity.
+    Load500,
+    /// Ten times the capacity.
+    Load1000,
+    /// Targets of very different speeds.
+    Uneven,
+    /// Targets of very different speeds, near their capacity.
+    UnevenLoad95,
+    /// Declared run times up to ten times off.
+    WrongSizes,
+    /// Some tasks take ten times as long.
+    Stragglers,
+    /// One host fails everything at once.
+    FailingHost,
+    /// A short burst above the capacity.
+    Burst,
+    /// Half of the jobs are cancelled at once, twice.
+    CancelWave,
+    /// All hosts of a rack are lost.
+    RackLost,
+    /// Hosts are replaced one after another.
+    RollingReplacement,
+    /// A steady firm alone at shared targets.
+    SteadyAlone,
+    /// A steady firm beside one that floods the shared targets.
+    Flood,
+    /// As the flood, with two entries.
+    FloodTwoEntries,
+    /// Load from the first moment, with nothing learned.
+    ColdStart,
+    /// The platform is away while hosts are replaced.
+    PlatformOutage,
+    /// Three entries share the targets.
+    ThreeEntries,
+}
+
+impl ScenarioName {
+    /// Returns the scenario for a deployment.
+    #[must_use]
+    pub fn scenario(self, deployment: Deployment) -> Scenario {
+        let builder = ScenarioBuilder::new(self.into(), deployment);
+        match self {
+            Self::Load50 => builder.offered(0.5),
+            Self::Load80 => builder.offered(0.8),
+            Self::Load95 => builder.offered(0.95),
+            Self::Load200 => builder.offered(2.0),
+            Self::Load500 => builder.offered(5.0),
+            Self::Load1000 => builder.offered(10.0),
+            Self::Uneven => builder.offered(0.6).slowness(&UNEVEN),
+            Self::UnevenLoad95 => builder.offered(0.95).slowness(&UNEVEN),
+            Self::WrongSizes => builder.offered(0.8).declared_error(10.0),
+            Self::Stragglers => builder.offered(0.6).straggle(0.02),
+            Self::FailingHost => builder
+                .offered(0.6)
+                .fault(10 * SECOND_US, Fault::FailAll { host: 2 })
+                .fault(22 * SECOND_US, Fault::Recover { host: 2 }),
+            Self::Burst => builder
+                .offered(0.5)
+                .burst(10 * SECOND_US, 13 * SECOND_US, 3.0),
+            Self::CancelWave => builder
+                .offered(0.9)
+                .fault(10 * SECOND_US, Fault::CancelWave { percent: 50 })
+                .fault(20 * SECOND_US, Fault::CancelWave { percent: 50 }),
+            Self::RackLost => rack_lost(builder.offered(0.5)),
+            Self::RollingReplacement => rolling(builder.offered(0.6), 6 * SECOND_US),
+            Self::SteadyAlone => builder.offered(0.3),
+            Self::Flood => builder.offered(0.3).firm(flooding()),
+            Self::FloodTwoEntries => builder.offered(0.3).firm(flooding()).entries(2),
+            Self::ColdStart => builder
+                .offered(0.8)
+                .declared_error(10.0)
+                .slowness(&UNEVEN)
+                .duration_us(10 * SECOND_US, 0),
+            Self::PlatformOutage => rolling(
+                builder
+                    .offered(0.5)
+                    .fault(8 * SECOND_US, Fault::PlatformDown),
+                9 * SECOND_US,
+            )
+            .fault(24 * SECOND_US, Fault::PlatformUp),
+            Self::ThreeEntries => builder.offered(0.8).entries(3),
+        }
+        .build()
+    }
+}
+
+fn flooding() -> FirmLoad {
+    FirmLoad {
+        name: "flooding",
+        offered: 0.0,
+        weight: 1,
+        burst: Some((2 * SECOND_US, u64::MAX, 4.0)),
+    }
+}
+
+fn rack_lost(builder: ScenarioBuilder) -> ScenarioBuilder {
+    (0..RACK_HOSTS).fold(builder, |builder, host| {
+        builder.fault(12 * SECOND_US, Fault::Kill { host })
+    })
+}
+
+/// Replaces five hosts, one every three seconds.
+fn rolling(builder: ScenarioBuilder, from_us: u64) -> ScenarioBuilder {
+    (0..5).fold(builder, |builder, host| {
+        let at_us = from_us + host as u64 * 3 * SECOND_US;
+        builder.fault(at_us, Fault::Replace { host })
+    })
+}
--- /dev/null
+++ b/components/load/src/tally.rs
@@ -0,0 +1,87 @@
+//! Counts of messages.
+
+use model::{AgentEnvelope, AgentMessage, OwnerEnvelope, OwnerMessage};
+use serde::Serialize;
+
+/// Messages between owners and agents.
+#[derive(Debug, Default, Clone, PartialEq, Serialize)]
+pub struct Tally {
+    /// Envelopes from owners to agents.
+    pub to_agents: u64,
+    /// Envelopes from agents to owners.
+    pub to_owners: u64,
+    /// Envelopes that carry heartbeats or their answers and nothing else.
+    pub heartbeat_only: u64,
+    /// Envelopes that carry acknowledgements and nothing else.
+    pub acknowledgement_only: u64,
+    /// Start messages.
+    pub starts: u64,
+    /// Tasks in start messages.
+    pub started_tasks: u64,
+    /// Tasks that were taken back.
+    pub revoked_tasks: u64,
+    /// Tasks that could not be taken back.
+    pub revoke_failed: u64,
+    /// Bytes of envelopes from owners to agents.
+    pub to_agents_bytes: u64,
+    /// Bytes of envelopes from agents to owners.
+    pub to_owners_bytes: u64,
+}
+
+impl Tally {
+    /// Counts an envelope to an agent.
+    pub fn owner_envelope(&mut self, envelope: &OwnerEnvelope) {
+        self.to_agents += 1;
+        self.to_agents_bytes += bincode::serialized_size(envelope).unwrap_or(0);
+        let mut heartbeats = 0;
+        let mut acknowledgements = 0;
+        for message in &envelope.messages {
+            match message {
+                OwnerMessage::Heartbeat(_) => heartbeats += 1,
+                OwnerMessage::Received { .. } | OwnerMessage::Settled { .. } => {
+                    acknowledgements += 1;
+                }
+                OwnerMessage::Start(start) => {
+                    self.starts += 1;
+                    self.started_tasks += start.tasks.len() as u64;
+                }
+                OwnerMessage::Revoke { tasks, .. } => self.revoked_tasks += tasks.len() as u64,
+                OwnerMessage::Fence(_) | OwnerMessage::Configure(_) => {}
+            }
+        }
+        self.count_plain(envelope.messages.len(), heartbeats, acknowledgements);
+    }
+
+    /// Counts an envelope to an owner.
+    pub fn agent_envelope(&mut self, envelope: &AgentEnvelope) {
+        self.to_owners += 1;
+        self.to_owners_bytes += bincode::serialized_size(envelope).unwrap_or(0);
+        let mut heartbeats = 0;
+        let mut acknowledgements = 0;
+        for message in &envelope.messages {
+            match message {
+                AgentMessage::HeartbeatAck(_) => heartbeats += 1,
+                AgentMessage::Accepted { .. } => acknowledgements += 1,
+                AgentMessage::RevokeFailed { .. } => self.revoke_failed += 1,
+                AgentMessage::Fenced { .. }
+                | AgentMessage::Refused { .. }
+                | AgentMessage::Finished { .. } => {}
+            }
+        }
+        self.count_plain(envelope.messages.len(), heartbeats, acknowledgements);
+    }
+
+    fn count_plain(&mut self, messages: usize, heartbeats: usize, acknowledgements: usize) {
+        if heartbeats == messages {
+            self.heartbeat_only += 1;
+        } else if acknowledgements == messages {
+            self.acknowledgement_only += 1;
+        }
+    }
+
+    /// Returns all envelopes.
+    #[must_use]
+    pub fn envelopes(&self) -> u64 {
+        self.to_agents + self.to_owners
+    }
+}
