--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -306,7 +306,10 @@
     /// Does everything that is due and sends what is queued.
     pub fn poll(&mut self, now_us: u64, now_unix_ms: u64, actions: &mut Vec<Action>) {
         self.poll_ownership(now_us, now_unix_ms, actions);
-        for shard in self.shards.values_mut() {
+        for key in crate::fairness::placing_order(&self.shards, &self.rules) {
+            let Some(shard) = self.shards.get_mut(&key) else {
+                continue;
+            };
             let mut cx = cx!(self, now_us, now_unix_ms, actions);
             shard.poll(&mut cx);
         }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod claims;
 mod counters;
 mod dispatcher;
+mod fairness;
 mod handover;
 mod health;
 mod job;
--- a/components/load/src/experiment/entries.rs
+++ b/components/load/src/experiment/entries.rs
@@ -83,7 +83,7 @@
 }
 
 impl Experiment {
-    pub(super) fn to_entry(&mut self, entry: usize, envelope: AgentEnvelope) {
+    pub(super) fn receive_agent_envelope(&mut self, entry: usize, envelope: AgentEnvelope) {
         let (now_us, now_unix_ms) = (self.now_us, self.unix_ms());
         let mut actions = Vec::new();
         let dispatcher = &mut self.entries[entry].dispatcher;
--- a/components/load/src/experiment/hosts.rs
+++ b/components/load/src/experiment/hosts.rs
@@ -19,7 +19,7 @@
 const ABORT_US: u64 = 100;
 
 impl Experiment {
-    pub(super) fn to_agent(&mut self, host: usize, envelope: OwnerEnvelope) {
+    pub(super) fn receive_owner_envelope(&mut self, host: usize, envelope: OwnerEnvelope) {
         if !self.hosts[host].alive {
             return;
         }
