Keep waiting tasks at the owner unless several finish within a round trip

Cause: the window lets an owner send four tasks more than an agent has slots. A task that waits at an agent stays there while slots become free elsewhere; short jobs waited behind long tasks.

Ruled out: longer queues for full use of the slots; goodput is the same with none.

Change: the default placement sends no more tasks than slots, plus those that finish within a round trip.

--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -108,6 +108,11 @@
         let run_us = request.expected_us * view.slowness;
         rate_per_us += f64::from(view.slots()) / run_us.max(1.0);
         fastest_us = fastest_us.min(run_us);
+        if policy.placement == Placement::LeastExpected
+            && view.outstanding >= view.slots() + lookahead_tasks(view, run_us)
+        {
+            continue;
+        }
         if !view.has_room(now_us) || (view.health.on_trial && view.outstanding > 0) {
             continue;
         }
@@ -130,3 +135,15 @@
 
 /// Part of the slow agent's time that waiting must save; estimates are rough.
 const HOLD_BACK_FACTOR: f64 = 0.5;
+
+/// Time from the end of a task until the next one can have come from the owner, in
+/// microseconds.
+const ROUND_TRIP_US: f64 = 3_000.0;
+
+/// Returns how many tasks may wait at the agent so that no slot idles for a round trip.
+///
+/// A task that waits at one agent cannot move to a slot that becomes free elsewhere, so
+/// there is none unless several tasks finish within a round trip.
+fn lookahead_tasks(view: &AgentView, run_us: f64) -> u32 {
+    (f64::from(view.slots()) * ROUND_TRIP_US / run_us.max(1.0)) as u32
+}
