Count only work that is served first when a deadline is judged

Cause: admission divided the whole backlog by the service rate, though short jobs are served before long ones.

Change: work of waiting jobs of a lower rank counts, the rest does not.

Later arrivals that pass a job have to be counted.

--- a/components/dispatch/src/admission.rs
+++ b/components/dispatch/src/admission.rs
@@ -1,9 +1,11 @@
 //! Admission: groups, limits, and whether the deadline can be met.
 
-use model::{Answer, FailureKind, FailureReason, JobSpec};
+use model::{Answer, FailureKind, FailureReason, GroupKey, JobSpec};
 use rand::Rng;
 
 use crate::agents::{AgentKey, Agents};
+use crate::job::Job;
+use crate::queue::Standing;
 use crate::shard::{Cx, Shard};
 
 /// Come-back time when no target is there, in milliseconds.
@@ -130,9 +132,14 @@
         work_us += expected_us;
         longest_us = longest_us.max(expected_us);
     }
-    let queued_us = shard.queues.get(&group).map_or(0, |queue| queue.work_us) as f64;
-    let finish_us = (queued_us + work_us) / rate + longest_us;
     let left_us = spec.meta.deadline_unix_ms.saturating_sub(cx.now_unix_ms) as f64 * 1e3;
+    let standing = Standing {
+        admitted_us: cx.now_us,
+        deadline_us: cx.now_us + left_us as u64,
+        work_us: work_us as u64,
+    };
+    let ahead_us = work_before(shard, cx, group, standing);
+    let finish_us = (ahead_us + work_us) / rate + longest_us;
     if finish_us <= left_us {
         return Ok(());
     }
@@ -146,3 +153,21 @@
         retry_after_ms,
     ))
 }
+
+/// Returns the work of waiting tasks that are placed before those of a new job, in
+/// microseconds.
+fn work_before(shard: &Shard, cx: &Cx<'_>, group: GroupKey, standing: Standing) -> f64 {
+    let Some(queue) = shard.queues.get(&group) else {
+        return 0.0;
+    };
+    queue
+        .before(standing.rank(cx.policy.order))
+        .filter_map(|slot| shard.jobs.get(slot))
+        .map(waiting_work_us)
+        .sum()
+}
+
+fn waiting_work_us(job: &Job) -> f64 {
+    let waiting = job.waiting.len() as f64 / job.tasks.len().max(1) as f64;
+    job.work_us as f64 * waiting
+}
--- a/components/dispatch/src/queue.rs
+++ b/components/dispatch/src/queue.rs
@@ -18,7 +18,7 @@
     /// Puts a job in, or moves it to its present rank.
     pub fn insert(&mut self, slot: JobSlot, job: &mut Job, order: Order) {
         self.remove(job);
-        let rank = rank(job, order);
+        let rank = Standing::of(job).rank(order);
         job.queue_rank = Some(rank);
         self.jobs.insert((rank, job.arrival), slot);
     }
@@ -34,6 +34,11 @@
         self.jobs.values().next().copied()
     }
 
+    /// Lists the jobs that are served before one of the given rank that comes last.
+    pub fn before(&self, rank: u64) -> impl Iterator<Item = JobSlot> {
+        self.jobs.range(..=(rank, u64::MAX)).map(|(_, slot)| *slot)
+    }
+
     /// Counts tasks that begin to wait.
     pub fn count_in(&mut self, tasks: u32, work_us: u64) {
         self.waiting_tasks += tasks;
@@ -50,11 +55,30 @@
     }
 }
 
-fn rank(job: &Job, order: Order) -> u64 {
-    match order {
-        Order::Fifo => 0,
-        Order::EarliestDeadline => job.deadline_us,
-        // Waiting counts against the work that is left, so a large job is not passed for ever.
-        Order::ShortestRemaining => job.admitted_us + 2 * job.work_us,
+/// What decides about a job's rank.
+#[derive(Debug, Clone, Copy)]
+pub struct Standing {
+    pub admitted_us: u64,
+    pub deadline_us: u64,
+    pub work_us: u64,
+}
+
+impl Standing {
+    fn of(job: &Job) -> Self {
+        Self {
+            admitted_us: job.admitted_us,
+            deadline_us: job.deadline_us,
+            work_us: job.work_us,
+        }
+    }
+
+    /// Returns the rank; jobs with lower ranks are served first.
+    pub fn rank(self, order: Order) -> u64 {
+        match order {
+            Order::Fifo => 0,
+            Order::EarliestDeadline => self.deadline_us,
+            // Waiting counts against the work, so a large job is not passed for ever.
+            Order::ShortestRemaining => self.admitted_us + 2 * self.work_us,
+        }
     }
 }
