--- a/components/dispatch/src/admission.rs
+++ b/components/dispatch/src/admission.rs
@@ -6,11 +6,15 @@
 use crate::agents::{AgentKey, Agents};
 use crate::job::Job;
 use crate::queue::Standing;
+use crate::rules::Order;
 use crate::shard::{Cx, Shard};
 
 /// Come-back time when no target is there, in milliseconds.
 const NO_TARGET_RETRY_MS: u64 = 1_000;
 
+/// Largest part of the capacity that later arrivals are expected to take.
+const MAX_PASSING: f64 = 0.9;
+
 /// Bounds of a come-back time computed from the backlog, in milliseconds.
 const RETRY_RANGE_MS: (u64, u64) = (50, 10_000);
 
@@ -139,7 +143,8 @@
         work_us: work_us as u64,
     };
     let ahead_us = work_before(shard, cx, group, standing);
-    let finish_us = (ahead_us + work_us) / rate + longest_us;
+    let passing = passing_rate(shard, cx, group, standing).min(MAX_PASSING * rate);
+    let finish_us = (ahead_us + work_us) / (rate - passing) + longest_us;
     if finish_us <= left_us {
         return Ok(());
     }
@@ -167,6 +172,17 @@
         .sum()
 }
 
+/// Returns the work of later arrivals that pass a new job, in microseconds a microsecond.
+fn passing_rate(shard: &Shard, cx: &Cx<'_>, group: GroupKey, standing: Standing) -> f64 {
+    if cx.policy.order != Order::ShortestRemaining {
+        return 0.0;
+    }
+    let queue = shard.queues.get(&group);
+    queue.map_or(0.0, |queue| {
+        queue.arrivals.rate_below(standing.work_us, cx.now_us)
+    })
+}
+
 fn waiting_work_us(job: &Job) -> f64 {
     let waiting = job.waiting.len() as f64 / job.tasks.len().max(1) as f64;
     job.work_us as f64 * waiting
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 mod action;
 mod admission;
 mod agents;
+mod arrivals;
 mod authority;
 mod claims;
 mod counters;
--- a/components/dispatch/src/queue.rs
+++ b/components/dispatch/src/queue.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::arrivals::Arrivals;
 use crate::job::{Job, JobSlot};
 use crate::rules::Order;
 
@@ -12,12 +13,16 @@
     pub waiting_tasks: u32,
     /// Estimated work of the waiting tasks, in microseconds.
     pub work_us: u64,
+    pub arrivals: Arrivals,
 }
 
 impl Queue {
     /// Puts a job in, or moves it to its present rank.
     pub fn insert(&mut self, slot: JobSlot, job: &mut Job, order: Order) {
         self.remove(job);
+        if job.is_untouched() && job.waiting.len() == job.tasks.len() {
+            self.arrivals.note(job.work_us, job.admitted_us);
+        }
         let rank = Standing::of(job).rank(order);
         job.queue_rank = Some(rank);
         self.jobs.insert((rank, job.arrival), slot);
