--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -7,10 +7,12 @@
 mod action;
 mod admission;
 mod agents;
+mod arrivals;
 mod authority;
 mod claims;
 mod counters;
 mod dispatcher;
+mod fairness;
 mod handover;
 mod health;
 mod job;
