Measure the whole path with real processes

The package bench starts the programs on loopback and measures added latency, throughput and the cost of idle processes. The link codec counts frames and bytes in both directions; dumps and metrics show them as traffic.

--- a/components/agent/src/local.rs
+++ b/components/agent/src/local.rs
@@ -1,5 +1,6 @@
 //! The port on the host itself: the target's announcements, health, metrics and the state.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use monoio::net::TcpListener;
@@ -89,17 +90,15 @@
 
     /// Returns the state of the process.
     pub fn state(&self) -> serde_json::Value {
-        let links: serde_json::Map<String, serde_json::Value> = self
-            .links
-            .iter()
-            .map(|(name, count)| (name.to_owned(), count.into()))
-            .collect();
+        let links: BTreeMap<_, _> = self.links.iter().collect();
+        let traffic: BTreeMap<_, _> = self.traffic.iter().collect();
         serde_json::json!({
             "agent": self.key.to_string(),
             "address": self.peer_address,
             "failure_domain": self.settings.failure_domain,
             "draining": self.draining.get(),
             "links": links,
+            "traffic": traffic,
             "decisions": self.core.borrow().state(),
         })
     }
--- a/components/agent/src/metrics.rs
+++ b/components/agent/src/metrics.rs
@@ -16,6 +16,7 @@
     ready: IntGauge,
     events: IntCounterVec,
     links: IntCounterVec,
+    traffic: IntCounterVec,
 }
 
 impl AgentMetrics {
@@ -56,6 +57,11 @@
                 "Events on connections of entries.",
                 &["event"],
             )?,
+            traffic: metrics.counter_vec(
+                "shallotcross_agent_traffic_total",
+                "Frames and bytes on connections with other processes.",
+                &["count"],
+            )?,
             metrics,
         })
     }
@@ -82,6 +88,9 @@
         for (event, count) in shared.links.iter() {
             raise(&self.links, event, count);
         }
+        for (name, count) in shared.traffic.iter() {
+            raise(&self.traffic, name, count);
+        }
         self.metrics.encode()
     }
 
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -9,7 +9,7 @@
 use execution::{Agent, AgentAction, AgentBuilder};
 use model::{AgentEnvelope, AgentInfo, OwnerEnvelope, ProcessKey};
 use monoio::net::TcpListener;
-use protocol::{EntryPool, LinkCounters, ServerSettings, serve_agent};
+use protocol::{EntryPool, LinkCounters, ServerSettings, Traffic, serve_agent};
 use runtime::{Stop, monotonic_us, unix_ms};
 use web::{ServerCounters, ServerLimits};
 
@@ -35,6 +35,7 @@
     pub draining: Cell<bool>,
     pub metrics: AgentMetrics,
     pub links: LinkCounters,
+    pub traffic: Traffic,
     pub web: Rc<ServerCounters>,
 }
 
@@ -63,17 +64,19 @@
             .max_result_bytes(settings.limits.max_held_bytes as usize)
             .build();
         let seeds = settings.entries.iter().map(ToString::to_string);
+        let traffic = Traffic::default();
         let shared = Shared {
             key,
             peer_address: settings.advertised_peer_address(peer_address).to_string(),
             core: RefCell::new(core),
             calls: RefCell::default(),
             directory: RefCell::new(Directory::new(seeds)),
-            entries: EntryPool::new(key),
+            entries: EntryPool::new(key).with_traffic(traffic.clone()),
             draining: Cell::new(false),
             metrics: AgentMetrics::new()
                 .map_err(|error| Error::new(ExitCode::Failure, error.to_string()))?,
             links: LinkCounters::default(),
+            traffic,
             web: Rc::default(),
             settings,
         };
@@ -110,6 +113,7 @@
         let stop = Stop::new();
         let settings = ServerSettings::builder(shared.key)
             .counters(shared.links.clone())
+            .traffic(shared.traffic.clone())
             .stop(stop.clone())
             .build();
         let owner = Rc::clone(&shared);
--- /dev/null
+++ b/components/bench/src/usage.rs
@@ -0,0 +1,81 @@
+//! Processor time, memory and wake-ups of processes, from `/proc`.
+
+use std::fs;
+
+use crate::Outcome;
+
+/// Unit of the times in `/proc/self/stat`, in microseconds.
+const TICK_US: u64 = 10_000;
+
+/// Position of the user time after the name of the program; the system time follows.
+const USER_TICKS_FIELD: usize = 11;
+
+/// What a process has used so far.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Usage {
+    /// Processor time of all threads, in microseconds.
+    pub cpu_us: u64,
+    /// Resident memory, in bytes.
+    pub resident_bytes: u64,
+    /// Voluntary context switches of the main thread.
+    pub waits: u64,
+}
+
+impl Usage {
+    /// Reads the usage of a process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has ended or `/proc` has another form.
+    pub fn read(process: u32) -> Outcome<Self> {
+        let status = fs::read_to_string(format!("/proc/{process}/status"))?;
+        Ok(Self {
+            cpu_us: cpu_us(process)?,
+            resident_bytes: field(&status, "VmRSS:")? * 1024,
+            waits: field(&status, "voluntary_ctxt_switches:")?,
+        })
+    }
+
+    /// Reads the usage of this process, with that of threads that have ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `/proc` has another form.
+    pub fn read_own() -> Outcome<Self> {
+        let stat = fs::read_to_string("/proc/self/stat")?;
+        // The name of the program, in parentheses, may hold spaces.
+        let (_, fields) = stat.rsplit_once(')').ok_or("no name in /proc/self/stat")?;
+        let ticks: Vec<u64> = fields
+            .split_whitespace()
+            .skip(USER_TICKS_FIELD)
+            .take(2)
+            .map(str::parse)
+            .collect::<Result<_, _>>()?;
+        Ok(Self {
+            cpu_us: ticks.iter().sum::<u64>() * TICK_US,
+            ..Self::read(std::process::id())?
+        })
+    }
+
+    /// Returns the processor time since an earlier reading, in microseconds.
+    pub fn cpu_us_since(&self, earlier: &Self) -> u64 {
+        self.cpu_us.saturating_sub(earlier.cpu_us)
+    }
+}
+
+/// Sums the processor time of the threads; `schedstat` counts it in nanoseconds.
+fn cpu_us(process: u32) -> Outcome<u64> {
+    let mut total_ns = 0;
+    for task in fs::read_dir(format!("/proc/{process}/task"))? {
+        let text = fs::read_to_string(task?.path().join("schedstat"))?;
+        let first = text.split(' ').next().unwrap_or_default();
+        total_ns += first.parse::<u64>()?;
+    }
+    Ok(total_ns / 1_000)
+}
+
+fn field(status: &str, name: &str) -> Outcome<u64> {
+    let line = status.lines().find_map(|line| line.strip_prefix(name));
+    let word = line.and_then(|line| line.split_whitespace().next());
+    Ok(word.ok_or_else(|| format!("no {name} in /proc"))?.parse()?)
+}
--- a/components/entry/src/http.rs
+++ b/components/entry/src/http.rs
@@ -1,5 +1,6 @@
 //! The port for callers and operators.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -246,11 +247,8 @@
                 "decisions": decisions,
             });
         }
-        let links: serde_json::Map<String, serde_json::Value> = self
-            .links
-            .iter()
-            .map(|(name, count)| (name.to_owned(), count.into()))
-            .collect();
+        let links: BTreeMap<_, _> = self.links.iter().collect();
+        let traffic: BTreeMap<_, _> = self.traffic.iter().collect();
         serde_json::json!({
             "entry": self.me.key.to_string(),
             "address": self.me.address,
@@ -263,6 +261,7 @@
             "platform_reachable": self.platform_is_reachable(),
             "platform_calls": self.platform.counters().calls(),
             "links": links,
+            "traffic": traffic,
             "decisions": decisions,
         })
     }
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -18,6 +18,7 @@
     response_s: HistogramVec,
     events: IntCounterVec,
     links: IntCounterVec,
+    traffic: IntCounterVec,
     shard_tasks: IntGaugeVec,
     shard_jobs: IntGaugeVec,
     authority_ms: IntGaugeVec,
@@ -59,6 +60,11 @@
                 "Events on connections of other processes.",
                 &["event"],
             )?,
+            traffic: metrics.counter_vec(
+                "shallotcross_entry_traffic_total",
+                "Frames and bytes on connections with other processes.",
+                &["count"],
+            )?,
             shard_tasks: metrics.gauge_vec(
                 "shallotcross_entry_shard_tasks",
                 "Tasks of a shard by state.",
@@ -136,6 +142,9 @@
         for (event, count) in shared.links.iter() {
             raise(&self.links, event, count);
         }
+        for (name, count) in shared.traffic.iter() {
+            raise(&self.traffic, name, count);
+        }
         self.metrics.encode()
     }
 
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -13,7 +13,7 @@
 use model::{Answer, EntryInfo, ProcessKey};
 use monoio::net::TcpListener;
 use platform::Platform;
-use protocol::{AgentPool, EntryPool, LinkCounters, ServerSettings, serve_entry};
+use protocol::{AgentPool, EntryPool, LinkCounters, ServerSettings, Traffic, serve_entry};
 use runtime::{Stop, monotonic_us};
 use web::{Notify, ServerCounters, ServerLimits};
 
@@ -60,6 +60,7 @@
     pub requests: Cell<u64>,
     pub metrics: EntryMetrics,
     pub links: LinkCounters,
+    pub traffic: Traffic,
     pub web: Rc<ServerCounters>,
 }
 
@@ -90,6 +91,7 @@
         };
         let metrics = EntryMetrics::new()
             .map_err(|error| Error::new(ExitCode::Failure, error.to_string()))?;
+        let traffic = Traffic::default();
         let shared = Shared {
             core: RefCell::new(Dispatcher::new(me.clone(), Policy::default(), key.0)),
             me,
@@ -98,8 +100,8 @@
             next_waiter: Cell::new(0),
             work: Notify::default(),
             work_due: Cell::new(true),
-            agents: AgentPool::new(key),
-            entries: EntryPool::new(key),
+            agents: AgentPool::new(key).with_traffic(traffic.clone()),
+            entries: EntryPool::new(key).with_traffic(traffic.clone()),
             platform: Platform::new(settings.platform_addresses.clone(), PLATFORM_TIMEOUT_MS),
             platform_reached_us: Cell::new(0),
             known_entries: RefCell::default(),
@@ -108,6 +110,7 @@
             requests: Cell::new(0),
             metrics,
             links: LinkCounters::default(),
+            traffic,
             web: Rc::default(),
             settings,
         };
@@ -145,6 +148,7 @@
         let web_stop = web::Stop::new();
         let settings = ServerSettings::builder(shared.me.key)
             .counters(shared.links.clone())
+            .traffic(shared.traffic.clone())
             .stop(stop.clone())
             .build();
         let Ok(handlers) = crate::peers::handlers(&shared) else {
--- a/components/protocol/src/agent_link.rs
+++ b/components/protocol/src/agent_link.rs
@@ -7,6 +7,7 @@
 use crate::hello::Service;
 use crate::link::Link;
 use crate::service::{AgentServiceRequest, AgentServiceResponse};
+use crate::traffic::Traffic;
 
 /// A connection to an agent.
 pub type AgentLink = Link<AgentServiceRequest, AgentServiceResponse>;
@@ -24,10 +25,20 @@
         own: ProcessKey,
         expected: Option<ProcessKey>,
         deadline_us: u64,
+    ) -> Result<Self, LinkError> {
+        Self::connect_counted(address, own, expected, deadline_us, Traffic::default()).await
+    }
+
+    pub(crate) async fn connect_counted(
+        address: &str,
+        own: ProcessKey,
+        expected: Option<ProcessKey>,
+        deadline_us: u64,
+        traffic: Traffic,
     ) -> Result<Self, LinkError> {
         let hello = hello_for(Service::Agent, own, expected);
         let (stream, peer) = open(address, hello, deadline_us).await?;
-        Ok(Self::start(stream, peer))
+        Ok(Self::start(stream, peer, traffic))
     }
 
     /// Sends messages of an owner and returns the agent's immediate answers.
--- a/components/protocol/src/codec.rs
+++ b/components/protocol/src/codec.rs
@@ -16,6 +16,8 @@
 use tarpc::{ClientMessage, Response, ServerError};
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::traffic::Traffic;
+
 /// Largest frame that is sent or accepted, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
@@ -37,30 +39,48 @@
     Transport<TcpStreamCompat, Response<Resp>, ClientMessage<Req>, ResponseCodec<Req, Resp>>;
 
 /// Codec of the receiver of calls.
-pub(crate) struct RequestCodec<Req, Resp>(PhantomData<(Req, Resp)>);
+pub(crate) struct RequestCodec<Req, Resp> {
+    traffic: Traffic,
+    calls: PhantomData<(Req, Resp)>,
+}
 
 /// Codec of the sender of calls.
-pub(crate) struct ResponseCodec<Req, Resp>(PhantomData<(Req, Resp)>);
+pub(crate) struct ResponseCodec<Req, Resp> {
+    traffic: Traffic,
+    calls: PhantomData<(Req, Resp)>,
+}
 
-pub(crate) fn server_transport<Req, Resp>(stream: TcpStream) -> ServerTransport<Req, Resp>
+pub(crate) fn server_transport<Req, Resp>(
+    stream: TcpStream,
+    traffic: Traffic,
+) -> ServerTransport<Req, Resp>
 where
     Req: DeserializeOwned,
     Resp: Serialize,
 {
     serde_transport::new(
         framing().new_framed(compat(stream)),
-        RequestCodec(PhantomData),
+        RequestCodec {
+            traffic,
+            calls: PhantomData,
+        },
     )
 }
 
-pub(crate) fn client_transport<Req, Resp>(stream: TcpStream) -> ClientTransport<Req, Resp>
+pub(crate) fn client_transport<Req, Resp>(
+    stream: TcpStream,
+    traffic: Traffic,
+) -> ClientTransport<Req, Resp>
 where
     Req: Serialize,
     Resp: DeserializeOwned,
 {
     serde_transport::new(
         framing().new_framed(compat(stream)),
-        ResponseCodec(PhantomData),
+        ResponseCodec {
+            traffic,
+            calls: PhantomData,
+        },
     )
 }
 
@@ -116,6 +136,7 @@
     type Error = io::Error;
 
     fn deserialize(self: Pin<&mut Self>, frame: &BytesMut) -> io::Result<ClientMessage<Req>> {
+        self.traffic.received(frame.len());
         check_time_left(frame)?;
         decode(frame)
     }
@@ -128,16 +149,17 @@
     type Error = io::Error;
 
     fn serialize(self: Pin<&mut Self>, response: &Response<Resp>) -> io::Result<Bytes> {
-        let frame = encode(response)?;
-        if frame.len() <= MAX_FRAME_BYTES {
-            return Ok(frame);
+        let mut frame = encode(response)?;
+        if frame.len() > MAX_FRAME_BYTES {
+            // An error from here would end the connection with all its calls.
+            let detail = ANSWER_TOO_LARGE.to_owned();
+            frame = encode(&Response::<Resp> {
+                request_id: response.request_id,
+                message: Err(ServerError::new(io::ErrorKind::InvalidData, detail)),
+            })?;
         }
-        // An error from here would end the connection with all its calls.
-        let detail = ANSWER_TOO_LARGE.to_owned();
-        encode(&Response::<Resp> {
-            request_id: response.request_id,
-            message: Err(ServerError::new(io::ErrorKind::InvalidData, detail)),
-        })
+        self.traffic.sent(frame.len());
+        Ok(frame)
     }
 }
 
@@ -148,6 +170,7 @@
     type Error = io::Error;
 
     fn deserialize(self: Pin<&mut Self>, frame: &BytesMut) -> io::Result<Response<Resp>> {
+        self.traffic.received(frame.len());
         decode(frame)
     }
 }
@@ -159,6 +182,8 @@
     type Error = io::Error;
 
     fn serialize(self: Pin<&mut Self>, message: &ClientMessage<Req>) -> io::Result<Bytes> {
-        encode(message)
+        let frame = encode(message)?;
+        self.traffic.sent(frame.len());
+        Ok(frame)
     }
 }
--- a/components/protocol/src/entry_link.rs
+++ b/components/protocol/src/entry_link.rs
@@ -11,6 +11,7 @@
     SubmitReply,
 };
 use crate::service::{EntryServiceRequest, EntryServiceResponse};
+use crate::traffic::Traffic;
 
 /// A connection to an entry.
 pub type EntryLink = Link<EntryServiceRequest, EntryServiceResponse>;
@@ -28,10 +29,20 @@
         own: ProcessKey,
         expected: Option<ProcessKey>,
         deadline_us: u64,
+    ) -> Result<Self, LinkError> {
+        Self::connect_counted(address, own, expected, deadline_us, Traffic::default()).await
+    }
+
+    pub(crate) async fn connect_counted(
+        address: &str,
+        own: ProcessKey,
+        expected: Option<ProcessKey>,
+        deadline_us: u64,
+        traffic: Traffic,
     ) -> Result<Self, LinkError> {
         let hello = hello_for(Service::Entry, own, expected);
         let (stream, peer) = open(address, hello, deadline_us).await?;
-        Ok(Self::start(stream, peer))
+        Ok(Self::start(stream, peer, traffic))
     }
 
     /// Announces an agent that knows the configuration up to a revision.
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -16,6 +16,7 @@
 mod server;
 mod service;
 mod settings;
+mod traffic;
 
 pub use agent_link::AgentLink;
 pub use codec::{MAX_CALL_MS, MAX_FRAME_BYTES};
@@ -32,3 +33,4 @@
 pub use pool::{AgentPool, EntryPool, Pool};
 pub use server::{MAX_CALLS_PER_CONNECTION, serve_agent, serve_entry};
 pub use settings::{DEFAULT_CONNECTION_LIMIT, ServerSettings, ServerSettingsBuilder};
+pub use traffic::Traffic;
--- a/components/protocol/src/link.rs
+++ b/components/protocol/src/link.rs
@@ -16,6 +16,7 @@
 use crate::codec::client_transport;
 use crate::connect::time_left;
 use crate::error::{LinkError, LinkFault};
+use crate::traffic::Traffic;
 
 const MAX_CALLS_IN_FLIGHT: usize = 65_536;
 const PENDING_CALL_BUFFER: usize = 1_024;
@@ -62,8 +63,8 @@
     Req: RequestName + Serialize + 'static,
     Resp: DeserializeOwned + 'static,
 {
-    pub(crate) fn start(stream: TcpStream, peer: ProcessKey) -> Self {
-        let transport = client_transport(stream);
+    pub(crate) fn start(stream: TcpStream, peer: ProcessKey, traffic: Traffic) -> Self {
+        let transport = client_transport(stream, traffic);
         let NewClient { client, dispatch } = tarpc::client::new(config(), transport);
         let closed = Stop::new();
         let ended = closed.clone();
--- a/components/protocol/src/pool.rs
+++ b/components/protocol/src/pool.rs
@@ -12,6 +12,7 @@
 use crate::service::{
     AgentServiceRequest, AgentServiceResponse, EntryServiceRequest, EntryServiceResponse,
 };
+use crate::traffic::Traffic;
 
 /// Time for which a connection may take to open, in microseconds.
 ///
@@ -27,6 +28,7 @@
 /// Open connections of one kind, made on first use and again after they close.
 pub struct Pool<Req, Resp> {
     own: ProcessKey,
+    traffic: Traffic,
     links: RefCell<HashMap<String, Link<Req, Resp>>>,
 }
 
@@ -36,10 +38,18 @@
     pub fn new(own: ProcessKey) -> Self {
         Self {
             own,
+            traffic: Traffic::default(),
             links: RefCell::default(),
         }
     }
 
+    /// Counts what goes over the connections to come.
+    #[must_use]
+    pub fn with_traffic(mut self, traffic: Traffic) -> Self {
+        self.traffic = traffic;
+        self
+    }
+
     /// Closes the connection to an address.
     pub fn remove(&self, address: &str) {
         self.links.borrow_mut().remove(address);
@@ -86,7 +96,14 @@
             return Ok(link);
         }
         let deadline_us = runtime::monotonic_us() + CONNECT_US;
-        let link = AgentLink::connect(address, self.own, expected, deadline_us).await?;
+        let link = AgentLink::connect_counted(
+            address,
+            self.own,
+            expected,
+            deadline_us,
+            self.traffic.clone(),
+        )
+        .await?;
         self.keep(address, &link);
         Ok(link)
     }
@@ -107,7 +124,14 @@
             return Ok(link);
         }
         let deadline_us = runtime::monotonic_us() + CONNECT_US;
-        let link = EntryLink::connect(address, self.own, expected, deadline_us).await?;
+        let link = EntryLink::connect_counted(
+            address,
+            self.own,
+            expected,
+            deadline_us,
+            self.traffic.clone(),
+        )
+        .await?;
         self.keep(address, &link);
         Ok(link)
     }
--- a/components/protocol/src/server.rs
+++ b/components/protocol/src/server.rs
@@ -135,7 +135,7 @@
         };
         drop(greeting);
         self.settings.counters.count(LinkEvent::Accepted);
-        if let Err(error) = serve_calls(stream, serve, &self.settings.stop).await {
+        if let Err(error) = serve_calls(stream, serve, &self.settings).await {
             self.settings.counters.count(LinkEvent::Broken);
             log::warn!(target: LOG_TARGET, "Connection broke: {error}.");
         }
@@ -200,7 +200,7 @@
 }
 
 /// Serves the calls of one connection until it ends, or is idle after the stop.
-async fn serve_calls<S>(stream: TcpStream, serve: S, stop: &Stop) -> io::Result<()>
+async fn serve_calls<S>(stream: TcpStream, serve: S, settings: &ServerSettings) -> io::Result<()>
 where
     S: Serve + Clone + 'static,
     S::Req: RequestName + DeserializeOwned + 'static,
@@ -209,11 +209,14 @@
     let config = Config {
         pending_response_buffer: PENDING_RESPONSE_BUFFER,
     };
-    let transport = EndOfStream::new(server_transport::<S::Req, S::Resp>(stream));
+    let transport = EndOfStream::new(server_transport::<S::Req, S::Resp>(
+        stream,
+        settings.traffic.clone(),
+    ));
     let channel = BaseChannel::new(config, transport);
     let channel = channel.max_concurrent_requests(MAX_CALLS_PER_CONNECTION);
     let mut requests = Box::pin(channel.requests());
-    while let Some(request) = next_request(requests.as_mut(), stop).await {
+    while let Some(request) = next_request(requests.as_mut(), &settings.stop).await {
         match request {
             Ok(request) => monoio::spawn(request.execute(serve.clone())),
             Err(error) if is_end(&error) => return Ok(()),
--- a/components/protocol/src/settings.rs
+++ b/components/protocol/src/settings.rs
@@ -4,6 +4,7 @@
 use runtime::Stop;
 
 use crate::counters::LinkCounters;
+use crate::traffic::Traffic;
 
 /// Connections that a server accepts unless told otherwise.
 pub const DEFAULT_CONNECTION_LIMIT: usize = 4_096;
@@ -14,6 +15,7 @@
     pub(crate) own: ProcessKey,
     pub(crate) connection_limit: usize,
     pub(crate) counters: LinkCounters,
+    pub(crate) traffic: Traffic,
     pub(crate) stop: Stop,
 }
 
@@ -26,6 +28,7 @@
                 own,
                 connection_limit: DEFAULT_CONNECTION_LIMIT,
                 counters: LinkCounters::default(),
+                traffic: Traffic::default(),
                 stop: Stop::new(),
             },
         }
@@ -53,6 +56,13 @@
         self
     }
 
+    /// Sets the counts of what goes over the connections.
+    #[must_use]
+    pub fn traffic(mut self, traffic: Traffic) -> Self {
+        self.settings.traffic = traffic;
+        self
+    }
+
     /// Sets the switch that stops the server.
     #[must_use]
     pub fn stop(mut self, stop: Stop) -> Self {
