--- /dev/null
+++ b/tests/cli_support/mod.rs
@@ -0,0 +1,135 @@
+//! Runs the programs, and stand-ins of what they call.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub mod entry;
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+
+use tempfile::TempDir;
+
+/// Path of the main program.
+pub const SHALLOTCROSS: &str = env!("CARGO_BIN_EXE_shallotcross");
+
+/// Path of the agent's program.
+pub const AGENT: &str = env!("CARGO_BIN_EXE_shallotcross-agent");
+
+/// What a program printed, and its exit status.
+#[derive(Debug)]
+pub struct Ran {
+    pub code: i32,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+impl From<Output> for Ran {
+    fn from(output: Output) -> Self {
+        Self {
+            code: output.status.code().expect("the program was not killed"),
+            stdout: String::from_utf8(output.stdout).expect("text"),
+            stderr: String::from_utf8(output.stderr).expect("text"),
+        }
+    }
+}
+
+impl Ran {
+    /// Checks the exit status and shows everything if it is another one.
+    #[track_caller]
+    pub fn expect_code(self, code: i32) -> Self {
+        assert_eq!(self.code, code, "{self:?}");
+        self
+    }
+
+    /// Checks that standard error contains a text.
+    #[track_caller]
+    pub fn expect_stderr(self, text: &str) -> Self {
+        assert!(self.stderr.contains(text), "{text:?} is not in {self:?}");
+        self
+    }
+
+    /// Checks that standard output contains a text.
+    #[track_caller]
+    pub fn expect_stdout(self, text: &str) -> Self {
+        assert!(self.stdout.contains(text), "{text:?} is not in {self:?}");
+        self
+    }
+}
+
+/// Prepares a program with a clean environment.
+pub fn command(program: &str, args: &[&str]) -> Command {
+    let mut command = Command::new(program);
+    command
+        .args(args)
+        .env_remove("SHALLOTCROSS_TOKEN")
+        .env("USER", "ana")
+        .stdin(Stdio::null());
+    command
+}
+
+/// Runs the main program to its end.
+pub fn run(args: &[&str]) -> Ran {
+    let output = command(SHALLOTCROSS, args).output();
+    output.expect("the program starts").into()
+}
+
+/// Runs the main program with a token in its environment.
+pub fn run_with_token(token: &str, args: &[&str]) -> Ran {
+    let mut command = command(SHALLOTCROSS, args);
+    let output = command.env("SHALLOTCROSS_TOKEN", token).output();
+    output.expect("the program starts").into()
+}
+
+/// Writes files into a new folder.
+pub fn folder(files: &[(&str, &str)]) -> TempDir {
+    let dir = TempDir::new().expect("a temporary folder");
+    for (name, text) in files {
+        fs::write(dir.path().join(name), text).expect("the file is written");
+    }
+    dir
+}
+
+/// Returns a path as text.
+pub fn text(path: &Path) -> &str {
+    path.to_str().expect("the path is text")
+}
+
+/// The stand-in of the platform as a process; killed at the end of the test.
+pub struct PlatformProcess {
+    child: Child,
+    pub address: SocketAddr,
+}
+
+impl PlatformProcess {
+    pub fn start() -> Self {
+        let mut child = Command::new(example("platform"))
+            .args(["--listen", "127.0.0.1:0"])
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the example `platform` starts");
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let mut line = String::new();
+        let read = BufReader::new(stdout).read_line(&mut line);
+        read.expect("the stand-in prints its address");
+        let address = line.trim().strip_prefix("listening on ");
+        let address = address.expect("an address").parse().expect("an address");
+        Self { child, address }
+    }
+}
+
+impl Drop for PlatformProcess {
+    fn drop(&mut self) {
+        self.child.kill().expect("the stand-in can be killed");
+        self.child.wait().expect("the stand-in ends");
+    }
+}
+
+fn example(name: &str) -> PathBuf {
+    let programs = Path::new(SHALLOTCROSS).parent().expect("a folder");
+    let path = programs.join("examples").join(name);
+    assert!(path.exists(), "run `cargo build --examples` first");
+    path
+}
