Run an entry from the command line

Cause: the entry's process is there and had no command. Change: serve loads the settings and runs the process like the agent's.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 mod dump;
 mod job;
 mod publish;
+mod serve;
 mod show;
 mod status;
 mod submit;
@@ -29,6 +30,7 @@
 };
 
 const COMMANDS: &[&Command] = &[
+    &serve::COMMAND,
     &check::COMMAND,
     &publish::COMMAND,
     &show::COMMAND,
