Give up the tasks of an agent that departs between two reviews

An agent that was replaced by a new incarnation was marked as departed by a compare-and-swap that took a few milliseconds, and the review looked at active members only. Its tasks were never given up and their jobs waited for their deadline. Besides, an agent first known from a shard's record was not listed by address, so that a new incarnation at the same address did not replace it.

Ruled out: lost announcements of the new incarnation; jobs that came later were placed there.

Change: a member is reviewed while tasks are outstanding there, and an announcement lists the agent by address in every case.

--- a/components/dispatch/src/agents.rs
+++ b/components/dispatch/src/agents.rs
@@ -153,6 +153,8 @@
     pub fn announce(&mut self, info: AgentInfo, now_us: u64) -> AgentKey {
         self.mark_replaced(&info);
         if let Some(key) = self.find(info.key) {
+            // A member known from a shard's record alone has no entry by address yet.
+            self.by_address.insert(info.address.clone(), info.key);
             let view = &mut self.arena[key];
             view.last_heard_us = now_us;
             view.info = info;
--- a/components/dispatch/src/ownership.rs
+++ b/components/dispatch/src/ownership.rs
@@ -274,10 +274,7 @@
             let gone: Vec<AgentKey> = shard
                 .members
                 .iter()
-                .filter(|member| {
-                    member_is_gone(&self.agents, member, now_us)
-                        && member.state == MemberState::Active
-                })
+                .filter(|member| holds_tasks_in_vain(&self.agents, member, now_us))
                 .map(|member| member.agent)
                 .collect();
             let mut cx = cx!(self, now_us, now_unix_ms, actions);
@@ -382,6 +379,17 @@
         .is_none_or(|agent| agent.is_gone(now_us))
 }
 
+/// Tells whether a member is gone and its tasks have not been given up.
+///
+/// The roster may show the member as departed before the next review.
+fn holds_tasks_in_vain(agents: &crate::agents::Agents, member: &MemberView, now_us: u64) -> bool {
+    let outstanding = agents
+        .get(member.agent)
+        .is_some_and(|agent| agent.outstanding > 0);
+    let unresolved = member.state == MemberState::Active || outstanding;
+    unresolved && member_is_gone(agents, member, now_us)
+}
+
 impl Shard {
     fn plan_roster(&mut self, agents: &crate::agents::Agents, now_us: u64) {
         if self.swap.is_some() || self.phase != Phase::Serving || now_us < self.next_swap_us {
