Announce at once what changed while an announcement was under way

Cause: a change (target announced, target left, drain) made announcements due at once, but the reply to an announcement sent before the change postponed the next one by 2 to 5 s. An owner saw an agent without a target for that time and gave it no work.

Ruled out: the shard's roster and fences; the owner's state showed the agent without a target and silent for 5 s.

Change: the directory counts changes, and a reply postpones the next announcement only if nothing changed since it was sent. The ports are bound without sharing, so that a second agent cannot take a part of the connections of the first; the log names the bound address.

--- a/components/agent/src/announcements.rs
+++ b/components/agent/src/announcements.rs
@@ -37,12 +37,13 @@
 async fn try_announce(shared: &Rc<Shared>, address: &str) -> Result<(), LinkError> {
     let link = shared.entries.link(address, None).await?;
     let revision = shared.core.borrow().state().config_revision;
+    let changes = shared.directory.borrow().changes();
     let deadline_us = monotonic_us() + ANSWER_US;
     let reply = link.announce(shared.info(), revision, deadline_us).await?;
     shared
         .directory
         .borrow_mut()
-        .answered(address, &reply, monotonic_us());
+        .answered(address, &reply, changes, monotonic_us());
     if let Some(rules) = reply.rules {
         shared.configure(reply.entry.key, rules);
     }
--- a/components/agent/src/directory.rs
+++ b/components/agent/src/directory.rs
@@ -32,6 +32,8 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<String, Known>,
+    /// Number of changes to what the agent announces.
+    changes: u64,
 }
 
 impl Directory {
@@ -46,7 +48,10 @@
                 (address, known)
             })
             .collect();
-        Self { entries }
+        Self {
+            entries,
+            changes: 0,
+        }
     }
 
     /// Returns the address of an entry by its incarnation.
@@ -70,8 +75,14 @@
         self.entries.insert(address.to_owned(), known);
     }
 
-    /// Makes announcements to all entries due at once.
+    /// Returns the number of changes so far, for [`Self::answered`].
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Makes announcements to all entries due at once, because what is announced has changed.
     pub fn hasten(&mut self) {
+        self.changes += 1;
         for known in self.entries.values_mut() {
             known.due_us = 0;
         }
@@ -89,8 +100,8 @@
         due
     }
 
-    /// Takes in an entry's reply.
-    pub fn answered(&mut self, address: &str, reply: &AnnounceReply, now_us: u64) {
+    /// Takes in an entry's reply to what was announced after `changes` changes.
+    pub fn answered(&mut self, address: &str, reply: &AnnounceReply, changes: u64, now_us: u64) {
         for entry in &reply.entries {
             self.learn(entry);
         }
@@ -99,8 +110,13 @@
             known.is_owner = reply.owners.iter().any(owns);
         }
         self.note(reply.entry.key, address);
+        let is_outdated = changes != self.changes;
         if let Some(known) = self.entries.get_mut(address) {
             known.failures = 0;
+            if is_outdated {
+                known.due_us = now_us;
+                return;
+            }
             known.due_us = now_us
                 + if known.is_owner {
                     OWNER_INTERVAL_US
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -127,7 +127,7 @@
         log::info!(
             "Agent {} serves entries on {} and listens for targets on {}.",
             shared.key,
-            shared.peer_address,
+            self.peer_address,
             self.announce_address
         );
         shared.clone().turn(&drain).await;
@@ -148,7 +148,7 @@
     key: &str,
     address: std::net::SocketAddr,
 ) -> Result<(TcpListener, std::net::SocketAddr), Error> {
-    let listener = TcpListener::bind(address);
+    let listener = web::bind(address);
     let opened = listener.and_then(|listener| {
         let address = listener.local_addr()?;
         Ok((listener, address))
