Route a forwarded copy anew when its shard changes owners

Cause: a copy forwarded to an owner that is stopped or cut off waited on an open connection until its deadline, also after another entry had taken the shard over.

Ruled out: a killed owner; its connections end and the copies are routed anew.

Change: the wait for the owner's answer ends when the shard's record names another owner. The owner knows copies by their id, so that nothing is decided twice. The log names the bound address.

--- a/components/entry/src/drive.rs
+++ b/components/entry/src/drive.rs
@@ -116,6 +116,7 @@
             .borrow_mut()
             .swap_done(shard, &outcome, monotonic_us(), unix_ms(), &mut actions);
         self.perform(actions);
+        self.routes.notify_all();
         self.wake();
     }
 
@@ -148,6 +149,7 @@
             &mut actions,
         );
         self.perform(actions);
+        self.routes.notify_all();
         self.wake();
     }
 
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -50,6 +50,8 @@
     pub next_waiter: Cell<u64>,
     pub work: Notify,
     pub work_due: Cell<bool>,
+    /// Wakes forwarded copies when a shard's record changes.
+    pub routes: Notify,
     pub agents: AgentPool,
     pub entries: EntryPool,
     pub platform: Platform,
@@ -98,6 +100,7 @@
             next_waiter: Cell::new(0),
             work: Notify::default(),
             work_due: Cell::new(true),
+            routes: Notify::default(),
             agents: AgentPool::new(key),
             entries: EntryPool::new(key),
             platform: Platform::new(settings.platform_addresses.clone(), PLATFORM_TIMEOUT_MS),
@@ -166,7 +169,7 @@
             "Entry {} serves callers on {} and processes on {}.",
             shared.me.key,
             self.listen_address,
-            shared.me.address
+            self.peer_address
         );
         futures::future::select(
             std::pin::pin!(drain.stopped()),
--- a/components/entry/src/submissions.rs
+++ b/components/entry/src/submissions.rs
@@ -1,10 +1,12 @@
 //! Copies of requests on their way to the owner and back.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use dispatch::{JobState, Route, Submission, WaiterKey};
 use futures::channel::oneshot;
+use futures::future::{Either, select};
 use model::{Answer, FailureKind, FailureReason, JobKey, JobSpec, ProcessKey};
 use protocol::{CancelReply, JobProgress, StatusReply, SubmitReply};
 use runtime::{monotonic_us, unix_ms};
@@ -112,17 +114,32 @@
         address: &str,
         give_up_us: u64,
     ) -> Option<Answer> {
+        let key = spec.meta.key;
         let link = self.entries.link(address, Some(owner)).await.ok()?;
-        match link.submit(spec, 0, give_up_us).await {
-            Ok(SubmitReply::Answered(answer)) => Some(answer),
-            Ok(SubmitReply::NotOwner { .. }) => None,
-            Err(error) => {
+        let answered = pin!(link.submit(spec, 0, give_up_us));
+        let moved = pin!(self.owner_replaced(key, owner));
+        match select(answered, moved).await {
+            Either::Left((Ok(SubmitReply::Answered(answer)), _)) => Some(answer),
+            Either::Left((Ok(SubmitReply::NotOwner { .. }), _)) => None,
+            Either::Left((Err(error), _)) => {
                 log::debug!("Entry {address} did not answer a submission: {error}.");
                 None
             }
+            // An owner that is stopped or cut off keeps the connection and never answers.
+            Either::Right(_) => None,
         }
     }
 
+    /// Waits until a job is to be decided by another entry than `owner`.
+    async fn owner_replaced(&self, key: JobKey, owner: ProcessKey) {
+        let replaced = || {
+            let route = self.core.borrow().route(key);
+            let same = matches!(route, Route::Other { owner: known, .. } if known == owner);
+            (!same).then_some(())
+        };
+        self.routes.wait_until(replaced).await;
+    }
+
     /// Asks the job's owner for its state.
     pub async fn status(self: &Rc<Self>, key: JobKey) -> Option<StatusReply> {
         for _ in 0..QUESTION_TRIES {
