--- a/components/standins/src/platform/api.rs
+++ b/components/standins/src/platform/api.rs
@@ -68,6 +68,10 @@
             (&Method::GET, "/standin/stats") => Response::json(200, &self.stats()),
             (&Method::GET, "/standin/faults") => Response::json(200, &self.faults()),
             (&Method::POST, "/standin/faults") => self.post_faults(&request),
+            (&Method::POST, "/standin/lapse-leases") => {
+                self.state.borrow_mut().store.lapse_leases();
+                Response::empty(204)
+            }
             (&Method::POST, path) => match Call::from_path(path) {
                 Some(call) => self.handle_call(call, &request).await,
                 None => Response::error(404, "no such path"),
--- a/components/standins/src/platform/store.rs
+++ b/components/standins/src/platform/store.rs
@@ -159,6 +159,13 @@
         expired.map(|(id, _)| *id).collect()
     }
 
+    /// Lets every lease expire now.
+    pub(super) fn lapse_leases(&mut self) {
+        for lease in self.leases.values_mut() {
+            lease.expires_at_ms = 0;
+        }
+    }
+
     fn unused_lease(&mut self) -> u64 {
         while self.leases.contains_key(&self.next_lease) {
             self.next_lease += 1;
--- a/components/standins/src/target/mod.rs
+++ b/components/standins/src/target/mod.rs
@@ -113,6 +113,7 @@
 
     fn spawn_server(&self, listener: TcpListener, connections: u16) {
         let tasks = self.tasks.clone();
+        let announcing = self.announcing.clone();
         let stop = self.serving.clone();
         let progress = self.progress.clone();
         let limits = ServerLimits::builder()
@@ -120,7 +121,8 @@
             .build();
         let handler = move |request: Request, _| {
             let tasks = tasks.clone();
-            async move { handle(&tasks, request).await }
+            let announcing = announcing.clone();
+            async move { handle(&tasks, &announcing, request).await }
         };
         monoio::spawn(async move {
             let counters = Rc::new(ServerCounters::default());
@@ -146,12 +148,16 @@
     }
 }
 
-async fn handle(tasks: &Tasks, request: Request) -> Response {
+async fn handle(tasks: &Tasks, announcing: &Stop, request: Request) -> Response {
     match (&request.method, request.path.as_str()) {
         (&Method::POST, TASKS_PATH) => tasks.run(&request).await,
         (&Method::GET, "/standin/starts") => Response::json(200, &tasks.starts()),
         (&Method::GET, "/standin/faults") => Response::json(200, &tasks.faults()),
         (&Method::POST, "/standin/faults") => post_faults(tasks, &request),
+        (&Method::POST, "/standin/leave") => {
+            announcing.stop();
+            Response::empty(204)
+        }
         _ => Response::error(404, "no such path"),
     }
 }
--- /dev/null
+++ b/tests/support/jobs.rs
@@ -0,0 +1,50 @@
+//! Jobs and their submission.
+
+use std::net::SocketAddr;
+
+use runtime::unix_ms;
+use serde_json::{Value, json};
+use web::{Method, Request, Response};
+
+use super::{Firm, call, with_token};
+
+/// A job's body with tasks of the given run times in milliseconds.
+pub fn job(firm: Firm, run_ms: &[u64], deadline_in_ms: u64) -> Value {
+    named_job(firm, "", run_ms, deadline_in_ms)
+}
+
+/// A job's body whose payloads, and so its results, carry a name.
+pub fn named_job(firm: Firm, name: &str, run_ms: &[u64], deadline_in_ms: u64) -> Value {
+    let now_unix_ms = unix_ms();
+    let tasks: Vec<Value> = run_ms
+        .iter()
+        .enumerate()
+        .map(|(index, run_ms)| {
+            json!({
+                "kind": "check",
+                "declared_ms": run_ms,
+                "payload": { "run_ms": run_ms, "index": index, "job": name },
+            })
+        })
+        .collect();
+    json!({
+        "group": firm.group,
+        "submitted_unix_ms": now_unix_ms,
+        "deadline_unix_ms": now_unix_ms + deadline_in_ms,
+        "tasks": tasks,
+    })
+}
+
+/// Submits a job and returns status and body; nothing if the connection broke.
+pub async fn submit(
+    entry: SocketAddr,
+    firm: Firm,
+    id: &str,
+    job: &Value,
+) -> Option<(u16, Value, Response)> {
+    let mut request = Request::post_json(format!("/v1/jobs/{id}"), job);
+    request.method = Method::PUT;
+    let response = call(entry, &with_token(request, firm.token)).await?;
+    let body = response.parse().unwrap_or(Value::Null);
+    Some((response.status, body, response))
+}
--- /dev/null
+++ b/tests/support/system.rs
@@ -0,0 +1,456 @@
+//! The whole system as processes on loopback.
+
+use std::fs;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use platform::Platform;
+use serde_json::Value;
+use tempfile::TempDir;
+use web::{Method, Request};
+
+use super::process::{Process, address_after, example};
+use super::relay::Relay;
+use super::{CONSORCIO, Firm, OPERATORS_TOKEN, VEMBANAD, call, get_state, wait_until};
+
+/// An entry with its addresses.
+pub struct Entry {
+    pub process: Process,
+    pub callers: SocketAddr,
+    /// Address that other processes use.
+    pub peers: SocketAddr,
+    pub relay: Option<Relay>,
+    /// Whether the process is stopped by a signal and answers nothing.
+    pub paused: bool,
+}
+
+/// An agent with the target beside it.
+pub struct Host {
+    pub agent: Process,
+    pub announce: SocketAddr,
+    /// Address that the agent listens on for entries.
+    pub bound_peers: SocketAddr,
+    pub relay: Option<Relay>,
+    pub target: Process,
+    pub target_name: String,
+    pub target_address: SocketAddr,
+    pub firm: Firm,
+}
+
+/// The whole system as processes on loopback.
+pub struct System {
+    pub folder: TempDir,
+    pub platform: Process,
+    pub platform_address: SocketAddr,
+    pub entries: Vec<Entry>,
+    pub hosts: Vec<Host>,
+    ip: IpAddr,
+    started: usize,
+}
+
+impl System {
+    /// Starts a platform with a published configuration, and nothing else.
+    pub fn new() -> Self {
+        let folder = TempDir::new().expect("a folder can be made");
+        let mut platform = Process::spawn(
+            Command::new(example("platform")).args(["--listen", "127.0.0.1:0"]),
+            true,
+        );
+        let line = platform.wait_for_line("listening on ");
+        let system = Self {
+            platform_address: address_after(&line, "listening on "),
+            folder,
+            platform,
+            entries: Vec::new(),
+            hosts: Vec::new(),
+            ip: next_ip(),
+            started: 0,
+        };
+        system.publish("10-base.toml", &base_configuration());
+        system
+    }
+
+    /// Starts the system with entries and hosts of both firms.
+    pub fn start(entries: usize, hosts_per_firm: usize) -> Self {
+        let mut system = Self::new();
+        for _ in 0..entries {
+            system.add_entry();
+        }
+        for _ in 0..hosts_per_firm {
+            system.add_host(VEMBANAD);
+            system.add_host(CONSORCIO);
+        }
+        system
+    }
+
+    /// Starts the system and waits until both firms are served.
+    pub async fn start_serving(entries: usize, hosts_per_firm: usize) -> Self {
+        let system = Self::start(entries, hosts_per_firm);
+        for firm in [VEMBANAD, CONSORCIO] {
+            system.wait_until_served(firm, hosts_per_firm).await;
+        }
+        system
+    }
+
+    /// Writes a file of the operators' folder and publishes the folder.
+    pub fn publish(&self, file: &str, text: &str) {
+        let output = self.try_publish(file, text);
+        assert!(
+            output.status.success(),
+            "publish failed: {}",
+            String::from_utf8_lossy(&output.stderr)
+        );
+    }
+
+    /// Writes a file of the operators' folder and runs the command that publishes the folder.
+    pub fn try_publish(&self, file: &str, text: &str) -> Output {
+        let folder = self.folder.path().join("config");
+        fs::create_dir_all(&folder).expect("the folder can be made");
+        fs::write(folder.join(file), text).expect("the file can be written");
+        Command::new(env!("CARGO_BIN_EXE_shallotcross"))
+            .arg("publish")
+            .arg(&folder)
+            .args(["--platform", &self.platform_address.to_string()])
+            .args(["--editor", "test"])
+            .output()
+            .expect("publish runs")
+    }
+
+    /// Returns the revision of the published configuration.
+    pub async fn config_revision(&self) -> u64 {
+        let platform = Platform::new(vec![self.platform_address], 2_000);
+        let read = platform.get(config::CONFIG_KEY).await;
+        let stored = read.expect("the platform answers");
+        stored.expect("a configuration is published").mod_revision
+    }
+
+    /// Switches the faults of the platform's stand-in.
+    pub async fn set_platform_faults(&self, faults: &Value) {
+        let request = Request::post_json("/standin/faults", faults);
+        let response = call(self.platform_address, &request).await;
+        assert_eq!(response.expect("the stand-in answers").status, 200);
+    }
+
+    /// Lets every lease expire, at once or as soon as the platform's stand-in is reachable.
+    pub async fn lapse_leases(&self) {
+        let request = Request::new(Method::POST, "/standin/lapse-leases");
+        let response = call(self.platform_address, &request).await;
+        assert_eq!(response.expect("the stand-in answers").status, 204);
+    }
+
+    /// Returns the counts of the platform's stand-in.
+    pub async fn platform_stats(&self) -> Value {
+        let request = Request::new(Method::GET, "/standin/stats");
+        let response = call(self.platform_address, &request).await;
+        let response = response.expect("the stand-in answers");
+        response.parse().expect("JSON")
+    }
+
+    fn settings_file(&mut self, text: &str) -> PathBuf {
+        self.started += 1;
+        let name = format!("settings-{}.toml", self.started);
+        let path = self.folder.path().join(name);
+        fs::write(&path, text).expect("the file can be written");
+        path
+    }
+
+    /// Starts an entry and returns its position.
+    pub fn add_entry(&mut self) -> usize {
+        let entry = self.spawn_entry();
+        self.entries.push(entry);
+        self.entries.len() - 1
+    }
+
+    /// Starts an entry that others reach through a relay, and returns its position.
+    pub fn add_entry_behind_relay(&mut self) -> usize {
+        let entry = self.spawn_entry_with(Some(Relay::start()), "");
+        self.entries.push(entry);
+        self.entries.len() - 1
+    }
+
+    /// Starts an entry that is not listed.
+    pub fn spawn_entry(&mut self) -> Entry {
+        self.spawn_entry_with(None, "")
+    }
+
+    /// Starts an entry with more settings, maybe behind a relay.
+    pub fn spawn_entry_with(&mut self, relay: Option<Relay>, more: &str) -> Entry {
+        let seeds = quoted(self.entries.iter().map(|entry| entry.peers));
+        let settings = format!(
+            "listen_address = \"{ip}:0\"\npeer_address = \"{ip}:0\"\n{advertised}\
+             failure_domain = \"domain-{}\"\nregion = \"test\"\n\
+             platform_addresses = [\"{}\"]\nseed_peers = [{seeds}]\n\
+             drain_timeout_ms = 20000\n{more}",
+            self.started,
+            self.platform_address,
+            advertised = advertised(relay.as_ref()),
+            ip = self.ip,
+        );
+        let path = self.settings_file(&settings);
+        let mut process = Process::spawn(
+            Command::new(env!("CARGO_BIN_EXE_shallotcross"))
+                .args(["serve", "--settings"])
+                .arg(path),
+            false,
+        );
+        let line = process.wait_for_line("serves callers on ");
+        let bound = address_after(&line, "processes on ");
+        if let Some(relay) = &relay {
+            relay.lead_to(bound);
+        }
+        Entry {
+            callers: address_after(&line, "serves callers on "),
+            peers: relay.as_ref().map_or(bound, |relay| relay.address),
+            process,
+            relay,
+            paused: false,
+        }
+    }
+
+    /// Starts an agent with a target and returns its position.
+    pub fn add_host(&mut self, firm: Firm) -> usize {
+        let host = self.spawn_host(firm, None);
+        self.hosts.push(host);
+        self.hosts.len() - 1
+    }
+
+    /// Starts an agent that entries reach through a relay, and returns its position.
+    pub fn add_host_behind_relay(&mut self, firm: Firm) -> usize {
+        let host = self.spawn_host(firm, Some(Relay::start()));
+        self.hosts.push(host);
+        self.hosts.len() - 1
+    }
+
+    /// Starts a new incarnation of an agent at the addresses of the earlier one.
+    pub fn restart_agent(&mut self, position: usize) {
+        let host = &self.hosts[position];
+        let (announce, peers) = (host.announce, host.bound_peers);
+        let advertised = advertised(host.relay.as_ref());
+        let (agent, ..) = self.spawn_agent(announce, peers, &advertised);
+        self.hosts[position].agent = agent;
+    }
+
+    fn spawn_agent(
+        &mut self,
+        announce: SocketAddr,
+        peers: SocketAddr,
+        advertised: &str,
+    ) -> (Process, SocketAddr, SocketAddr) {
+        let live = self.entries.iter().map(|entry| entry.peers);
+        let settings = format!(
+            "announce_address = \"{announce}\"\npeer_address = \"{peers}\"\n{advertised}\
+             failure_domain = \"domain-{}\"\nentries = [{}]\ndrain_timeout_ms = 20000\n",
+            self.started,
+            quoted(live)
+        );
+        let path = self.settings_file(&settings);
+        let mut agent = Process::spawn(
+            Command::new(env!("CARGO_BIN_EXE_shallotcross-agent"))
+                .arg("--settings")
+                .arg(path),
+            false,
+        );
+        let line = agent.wait_for_line("listens for targets on ");
+        let announce = address_after(&line, "listens for targets on ");
+        let peers = address_after(&line, "serves entries on ");
+        (agent, announce, peers)
+    }
+
+    fn spawn_host(&mut self, firm: Firm, relay: Option<Relay>) -> Host {
+        let any = SocketAddr::new(self.ip, 0);
+        let (agent, announce, bound_peers) =
+            self.spawn_agent(any, any, &advertised(relay.as_ref()));
+        if let Some(relay) = &relay {
+            relay.lead_to(bound_peers);
+        }
+        let target_name = format!("target-{}", self.started);
+        let mut target = spawn_target(firm, &target_name, announce);
+        let line = target.wait_for_line("listening on ");
+        Host {
+            agent,
+            announce,
+            bound_peers,
+            relay,
+            target_address: address_after(&line, "listening on "),
+            target,
+            target_name,
+            firm,
+        }
+    }
+
+    /// Waits until an entry serves a firm with the given number of agents.
+    pub async fn wait_until_served(&self, firm: Firm, agents: usize) {
+        wait_until("a shard serves with its agents", async || {
+            for entry in self.entries.iter().filter(|entry| !entry.paused) {
+                let state = get_state(entry.callers).await;
+                let served = shards_of(&state, firm).iter().any(|shard| {
+                    shard["phase"] == "serving"
+                        && shard["authority_left_us"].as_u64() > Some(0)
+                        && shard["fenced"].as_u64() >= Some(agents as u64)
+                });
+                if served {
+                    return true;
+                }
+            }
+            false
+        })
+        .await;
+    }
+
+    /// Returns the position of the entry that owns a firm's first shard.
+    pub async fn owner_of(&self, firm: Firm) -> Option<usize> {
+        let mut newest = None;
+        for (position, entry) in self.entries.iter().enumerate() {
+            if entry.paused {
+                continue;
+            }
+            let state = get_state(entry.callers).await;
+            for shard in shards_of(&state, firm) {
+                newest = newest.max(Some((shard["generation"].as_u64(), position)));
+            }
+        }
+        newest.map(|(_, position)| position)
+    }
+
+    /// Waits until an entry other than the given one owns a firm's first shard and serves it.
+    pub async fn wait_for_other_owner(&self, firm: Firm, earlier: usize) -> usize {
+        let mut owner = earlier;
+        wait_until("another entry serves the shard", async || {
+            let Some(position) = self.owner_of(firm).await else {
+                return false;
+            };
+            owner = position;
+            position != earlier && {
+                let state = get_state(self.entries[position].callers).await;
+                let shards = shards_of(&state, firm);
+                !shards.is_empty() && shards.iter().all(|shard| shard["phase"] == "serving")
+            }
+        })
+        .await;
+        owner
+    }
+
+    /// Returns all starts at the targets of a firm, and those that came twice.
+    pub async fn starts(&self, firm: Firm) -> (Vec<Value>, Vec<Value>) {
+        let mut starts = Vec::new();
+        let mut doubled = Vec::new();
+        for host in self.hosts.iter().filter(|host| host.firm.name == firm.name) {
+            let found = host.starts().await;
+            starts.extend(found["starts"].as_array().cloned().unwrap_or_default());
+            doubled.extend(found["doubled"].as_array().cloned().unwrap_or_default());
+        }
+        (starts, doubled)
+    }
+}
+
+impl Entry {
+    /// Stops the process by a signal until it is resumed.
+    pub fn pause(&mut self) {
+        self.process.signal("STOP");
+        self.paused = true;
+    }
+
+    /// Resumes the process.
+    pub fn resume(&mut self) {
+        self.process.signal("CONT");
+        self.paused = false;
+    }
+}
+
+impl Host {
+    /// Returns the target's record of starts.
+    pub async fn starts(&self) -> Value {
+        let request = Request::new(Method::GET, "/standin/starts");
+        let found = call(self.target_address, &request).await;
+        found.expect("the target answers").parse().expect("JSON")
+    }
+
+    /// Lets the target take leave of its agent; it goes on with what runs.
+    pub async fn leave(&self) {
+        let request = Request::new(Method::POST, "/standin/leave");
+        let response = call(self.target_address, &request).await;
+        assert_eq!(response.expect("the target answers").status, 204);
+    }
+
+    /// Returns the number of starts at the target.
+    pub async fn start_count(&self) -> usize {
+        let starts = self.starts().await;
+        starts["starts"].as_array().map_or(0, Vec::len)
+    }
+
+    /// Returns the agent's state, or null if it does not answer.
+    pub async fn agent_state(&self) -> Value {
+        let request = Request::new(Method::GET, "/v1/state");
+        let response = call(self.announce, &request).await;
+        let parsed = response.and_then(|response| response.parse().ok());
+        parsed.unwrap_or(Value::Null)
+    }
+}
+
+/// Returns the shards of a firm in an entry's state.
+pub fn shards_of(state: &Value, firm: Firm) -> Vec<Value> {
+    let key = model::FirmKey::from_name(firm.name).to_string();
+    let shards = state["decisions"]["shards"].as_array();
+    let of_firm = |shard: &&Value| shard["shard"].as_str().unwrap_or("").starts_with(&key);
+    shards.map_or_else(Vec::new, |shards| {
+        shards.iter().filter(of_firm).cloned().collect()
+    })
+}
+
+fn spawn_target(firm: Firm, name: &str, announce: SocketAddr) -> Process {
+    Process::spawn(
+        Command::new(example("target")).args([
+            "--listen",
+            "127.0.0.1:0",
+            "--announce-to",
+            &announce.to_string(),
+            "--name",
+            name,
+            "--group",
+            firm.group,
+            "--firm",
+            firm.name,
+            "--slots",
+            "4",
+            "--connections",
+            "16",
+        ]),
+        true,
+    )
+}
+
+fn quoted(addresses: impl Iterator<Item = SocketAddr>) -> String {
+    let quoted: Vec<String> = addresses.map(|address| format!("\"{address}\"")).collect();
+    quoted.join(", ")
+}
+
+fn advertised(relay: Option<&Relay>) -> String {
+    relay.map_or_else(String::new, |relay| {
+        format!("advertised_peer_address = \"{}\"\n", relay.address)
+    })
+}
+
+/// Returns a loopback address of this system alone, so that its ports stay free while one of
+/// its processes is restarted.
+fn next_ip() -> IpAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = std::process::id() * 64 + NEXT.fetch_add(1, Ordering::Relaxed);
+    let [_, high, middle, low] = number.to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, high | 0x80, middle, low))
+}
+
+fn base_configuration() -> String {
+    let firm = |firm: &Firm| {
+        format!(
+            "[firms.{}]\ntokens = [\"{}\"]\n\n[groups.{}]\nfirms = [\"{}\"]\n\n",
+            firm.name, firm.token, firm.group, firm.name
+        )
+    };
+    format!(
+        "[operators]\ntokens = [\"{OPERATORS_TOKEN}\"]\n\n{}{}",
+        firm(&VEMBANAD),
+        firm(&CONSORCIO)
+    )
+}
