--- a/tests/cli_agent.rs
+++ b/tests/cli_agent.rs
@@ -67,7 +67,7 @@
 #[test]
 fn sigterm_drains_and_ends_the_process() {
     let mut agent = AgentProcess::start();
-    agent.wait_for_line("serves on");
+    agent.wait_for_line("serves entries on");
     agent.signal("TERM");
     agent.wait_for_line("drains");
     agent.wait_for_line("has stopped");
@@ -77,7 +77,7 @@
 #[test]
 fn sigusr1_dumps_the_state() {
     let mut agent = AgentProcess::start();
-    agent.wait_for_line("serves on");
+    agent.wait_for_line("serves entries on");
     agent.signal("USR1");
     let line = agent.wait_for_line("\"dump\"");
     let dump: serde_json::Value = serde_json::from_str(&line).expect("JSON");
@@ -88,7 +88,7 @@
 #[test]
 fn agent_has_one_thread_and_no_io_uring() {
     let mut agent = AgentProcess::start();
-    agent.wait_for_line("serves on");
+    agent.wait_for_line("serves entries on");
     let process = format!("/proc/{}", agent.child.id());
     let threads = std::fs::read_dir(format!("{process}/task")).expect("threads");
     assert_eq!(threads.count(), 1);
