Judge deadlines by the rate at which waiting work is placed

Cause: admission took the targets' whole capacity as the firm's own.

Change: a queue measures the rate at which tasks are placed while others wait; admission uses it in place of the nominal rate as far as there is evidence. Four fifths of the work of smaller jobs count as passing, in place of all; with the measured rate all was too pessimistic.

Conclusion: competition is seen without messages between entries.

--- a/components/dispatch/src/admission.rs
+++ b/components/dispatch/src/admission.rs
@@ -12,6 +12,9 @@
 /// Come-back time when no target is there, in milliseconds.
 const NO_TARGET_RETRY_MS: u64 = 1_000;
 
+/// Part of the work of smaller jobs that passes a job; the rest finds its own room.
+const PASSING_PART: f64 = 0.8;
+
 /// Largest part of the capacity that later arrivals are expected to take.
 const MAX_PASSING: f64 = 0.9;
 
@@ -122,11 +125,13 @@
     spec: &JobSpec,
     candidates: &[AgentKey],
 ) -> Result<(), Answer> {
-    let rate = service_rate(cx.agents, candidates, cx.now_us);
-    if rate <= 0.0 {
+    let nominal = service_rate(cx.agents, candidates, cx.now_us);
+    if nominal <= 0.0 {
         return Ok(());
     }
     let group = spec.meta.group;
+    let queue = shard.queues.get(&group);
+    let rate = queue.map_or(nominal, |queue| queue.throughput.expected(nominal));
     let mut work_us = 0.0;
     let mut longest_us: f64 = 0.0;
     for task in &spec.tasks {
@@ -179,7 +184,7 @@
     }
     let queue = shard.queues.get(&group);
     queue.map_or(0.0, |queue| {
-        queue.arrivals.rate_below(standing.work_us, cx.now_us)
+        PASSING_PART * queue.arrivals.rate_below(standing.work_us, cx.now_us)
     })
 }
 
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -28,6 +28,7 @@
 mod shard;
 mod state;
 mod submission;
+mod throughput;
 
 pub use action::{Action, Submission, SwapOutcome, WaiterKey};
 pub use counters::Counters;
--- a/components/dispatch/src/queue.rs
+++ b/components/dispatch/src/queue.rs
@@ -5,6 +5,7 @@
 use crate::arrivals::Arrivals;
 use crate::job::{Job, JobSlot};
 use crate::rules::Order;
+use crate::throughput::Throughput;
 
 /// Waiting jobs, the next one first.
 #[derive(Debug, Default)]
@@ -14,6 +15,7 @@
     /// Estimated work of the waiting tasks, in microseconds.
     pub work_us: u64,
     pub arrivals: Arrivals,
+    pub throughput: Throughput,
 }
 
 impl Queue {
@@ -56,6 +58,7 @@
         self.work_us = self.work_us.saturating_sub(work_us);
         if self.waiting_tasks == 0 {
             self.work_us = 0;
+            self.throughput.drained();
         }
     }
 }
--- a/components/dispatch/src/shard.rs
+++ b/components/dispatch/src/shard.rs
@@ -424,7 +424,12 @@
             &mut self.turn,
             cx.rng,
             cx.now_us,
-        )?;
+        );
+        let Some(agent) = agent else {
+            queue.throughput.stalled(cx.now_us);
+            return None;
+        };
+        queue.throughput.placed(expected_us, cx.now_us);
         task.attempt = next_attempt(task.attempt, self.record.generation.0);
         task.attempts_made += 1;
         task.phase = TaskPhase::Sent {
