Give an agent one task at a time after a failure, and eject it for longer

Cause: a host that fails everything drew tasks of ever new jobs, each of which failed; results of tasks that had begun before the fault counted as recovery.

Change: results of tasks sent before the last failure do not count as recovery; until a later task succeeds an agent holds one task at a time; the first ejection lasts 5 s in place of 2 s.

Conclusion: three jobs pay for the first ejection and one for each trial.

--- a/components/dispatch/src/health.rs
+++ b/components/dispatch/src/health.rs
@@ -16,7 +16,7 @@
 const MIN_FAILED_JOBS: u32 = 3;
 
 /// First time out of service, in microseconds; doubles with each ejection.
-const FIRST_EJECTION_US: u64 = 2_000_000;
+const FIRST_EJECTION_US: u64 = 5_000_000;
 
 /// Longest time out of service, in microseconds.
 const MAX_EJECTION_US: u64 = 60_000_000;
@@ -29,6 +29,7 @@
     /// Different jobs that failed in a row.
     failed_jobs: u32,
     last_failed_job: Option<model::JobKey>,
+    last_failed_us: u64,
     ejections: u32,
     pub ejected_until_us: u64,
     /// Whether the next task decides about the agent's return.
@@ -36,8 +37,13 @@
 }
 
 impl Health {
-    /// Notes a task that finished with a result.
-    pub fn succeeded(&mut self) {
+    /// Notes a task sent at `sent_us` that finished with a result.
+    ///
+    /// Tasks sent before the last failure show nothing about what came after it.
+    pub fn succeeded(&mut self, sent_us: u64) {
+        if sent_us < self.last_failed_us {
+            return;
+        }
         self.failure_rate *= 1.0 - OUTCOME_WEIGHT;
         self.failed_jobs = 0;
         self.last_failed_job = None;
@@ -51,7 +57,8 @@
     }
 
     /// Notes a task that failed.
-    pub fn failed(&mut self, job: model::JobKey) {
+    pub fn failed(&mut self, job: model::JobKey, now_us: u64) {
+        self.last_failed_us = now_us;
         self.failure_rate += OUTCOME_WEIGHT * (1.0 - self.failure_rate);
         if self.last_failed_job != Some(job) {
             self.failed_jobs += 1;
@@ -59,6 +66,13 @@
         }
     }
 
+    /// Tells whether nothing has succeeded since the last failure.
+    ///
+    /// Such an agent gets one task at a time.
+    pub fn is_suspect(&self) -> bool {
+        self.on_trial || self.failed_jobs > 0
+    }
+
     pub fn is_ejected(&self, now_us: u64) -> bool {
         now_us < self.ejected_until_us
     }
--- a/components/dispatch/src/outcomes.rs
+++ b/components/dispatch/src/outcomes.rs
@@ -218,17 +218,23 @@
         ran_us: u64,
     ) {
         let meta = &self.jobs[slot].meta;
-        let kind = self.jobs[slot].tasks[usize::from(key.index)].kind;
+        let task = &self.jobs[slot].tasks[usize::from(key.index)];
+        let kind = task.kind;
+        let TaskPhase::Sent { sent_us, .. } = task.phase else {
+            return;
+        };
         let Some(view) = cx.agents.get_mut(agent) else {
             return;
         };
         match outcome {
             TaskOutcome::Done(_) => {
-                view.health.succeeded();
+                view.health.succeeded(sent_us);
                 cx.learning
                     .observe(meta.key.firm, meta.group, kind, view, ran_us);
             }
-            TaskOutcome::Failed(_) | TaskOutcome::Unknown(_) => view.health.failed(meta.key),
+            TaskOutcome::Failed(_) | TaskOutcome::Unknown(_) => {
+                view.health.failed(meta.key, cx.now_us);
+            }
         }
     }
 
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -113,7 +113,7 @@
         {
             continue;
         }
-        if !view.has_room(now_us) || (view.health.on_trial && view.outstanding > 0) {
+        if !view.has_room(now_us) || (view.health.is_suspect() && view.outstanding > 0) {
             continue;
         }
         let mut score_us = finish_us(view, request.expected_us);
--- a/components/load/src/experiment/hosts.rs
+++ b/components/load/src/experiment/hosts.rs
@@ -88,18 +88,19 @@
         let job = &mut self.jobs[number];
         job.started[index] = job.started[index].saturating_add(1);
         let work_us = job.plan.tasks_us[index];
-        let straggles = self.straggles(number, index);
-        let (run_us, outcome) = self.hosts[host].run(work_us, straggles);
+        let task_number = index as u64 + 1;
+        let straggles = self.draw(number, task_number) < self.scenario.straggle;
+        let broken = self.draw(number, 0) < self.scenario.broken_jobs;
+        let (run_us, outcome) = self.hosts[host].run(work_us, straggles, broken);
         self.finish_call(host, call, run_us, outcome);
     }
 
-    /// Tells whether a task takes ten times as long, the same under every policy.
-    fn straggles(&self, job: usize, index: usize) -> bool {
-        let mut hash = (job as u64) << 16 | index as u64;
+    /// Draws a number between zero and one for a job, the same under every policy.
+    fn draw(&self, job: usize, number: u64) -> f64 {
+        let mut hash = (job as u64) << 16 | number;
         hash = (hash ^ self.seed).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         hash = (hash ^ (hash >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        let draw = (hash >> 11) as f64 / (1_u64 << 53) as f64;
-        draw < self.scenario.straggle
+        (hash >> 11) as f64 / (1_u64 << 53) as f64
     }
 
     fn finish_call(
--- a/components/load/src/fake_host.rs
+++ b/components/load/src/fake_host.rs
@@ -94,9 +94,9 @@
 
     /// Returns how long a task runs and how it ends.
     #[must_use]
-    pub fn run(&self, work_us: u64, straggles: bool) -> (u64, CallOutcome) {
-        if self.failing {
-            let outcome = CallOutcome::Failed("the target is out of order".to_owned());
+    pub fn run(&self, work_us: u64, straggles: bool, broken: bool) -> (u64, CallOutcome) {
+        if self.failing || broken {
+            let outcome = CallOutcome::Failed("the task failed".to_owned());
             return (FAIL_US, outcome);
         }
         let factor = if straggles { 10.0 } else { 1.0 };
--- a/components/load/src/scenario.rs
+++ b/components/load/src/scenario.rs
@@ -67,6 +67,8 @@
     pub declared_error: f64,
     /// Probability that a task takes ten times as long where it runs.
     pub straggle: f64,
+    /// Probability that every task of a job fails wherever it runs.
+    pub broken_jobs: f64,
     /// Time over which jobs arrive, in microseconds.
     pub duration_us: u64,
     /// Jobs that arrive earlier are not measured, in microseconds.
@@ -123,6 +125,7 @@
                 slowness: (0..HOSTS).map(|host| 0.8 + step * host as f64).collect(),
                 declared_error: 1.0,
                 straggle: 0.0,
+                broken_jobs: 0.0,
                 duration_us: 90_000_000,
                 warmup_us: 5_000_000,
                 faults: Vec::new(),
@@ -179,6 +182,13 @@
         self
     }
 
+    /// Sets the probability that every task of a job fails.
+    #[must_use]
+    pub fn broken_jobs(mut self, probability: f64) -> Self {
+        self.scenario.broken_jobs = probability;
+        self
+    }
+
     /// Sets the time over which jobs arrive and the part that is not measured.
     #[must_use]
     pub fn duration_us(mut self, duration_us: u64, warmup_us: u64) -> Self {
--- a/components/load/src/scenarios.rs
+++ b/components/load/src/scenarios.rs
@@ -36,6 +36,8 @@
     Stragglers,
     /// One host fails everything at once.
     FailingHost,
+    /// One job in ten fails wherever it runs.
+    BrokenJobs,
     /// A short burst above the capacity.
     Burst,
     /// Half of the jobs are cancelled at once, twice.
@@ -78,6 +80,7 @@
                 .offered(0.6)
                 .fault(10 * SECOND_US, Fault::FailAll { host: 2 })
                 .fault(22 * SECOND_US, Fault::Recover { host: 2 }),
+            Self::BrokenJobs => builder.offered(0.6).broken_jobs(0.1),
             Self::Burst => builder
                 .offered(0.5)
                 .burst(10 * SECOND_US, 13 * SECOND_US, 3.0),
