--- a/components/dispatch/src/agents.rs
+++ b/components/dispatch/src/agents.rs
@@ -77,17 +77,23 @@
     }
 
     /// Acknowledges an outcome, in one message with others of the same shard.
+    ///
+    /// It leaves with the next urgent message, at the latest with a heartbeat; agents send
+    /// outcomes again only after longer than that.
     pub fn push_received(&mut self, shard: ShardKey, task: TaskKey) {
-        if let Some(OwnerMessage::Received { shard: last, tasks }) = self.outbox.last_mut()
-            && *last == shard
-        {
-            tasks.push(task);
-            return;
-        }
-        self.push(OwnerMessage::Received {
-            shard,
-            tasks: vec![task],
+        // No heartbeat goes to an agent that is on no roster.
+        self.urgent |= self.rostered == 0;
+        let known = self.outbox.iter_mut().find_map(|message| match message {
+            OwnerMessage::Received { shard: at, tasks } if *at == shard => Some(tasks),
+            _ => None,
         });
+        match known {
+            Some(tasks) => tasks.push(task),
+            None => self.outbox.push(OwnerMessage::Received {
+                shard,
+                tasks: vec![task],
+            }),
+        }
     }
 
     pub fn is_gone(&self, now_us: u64) -> bool {
