Give up the tasks of an agent when the roster lists it as departed

Cause: tasks of a gone agent were given up by a review every 50 ms, and only while the roster listed the agent as active. The roster changes at the first poll after the agent is gone, 3 ms later in the platform; the review then passed the agent by. Its jobs stayed until their deadline and their tasks were revoked five times a second for three minutes.

Change: the change of the roster gives the tasks up as well.

Conclusion: a fault in ownership, found by the count of wasted messages.

--- a/components/dispatch/src/ownership.rs
+++ b/components/dispatch/src/ownership.rs
@@ -430,6 +430,7 @@
     fn roster_written(&mut self, cx: &mut Cx<'_>, record: ShardRecord, revision: u64) {
         let mut earlier = std::mem::take(&mut self.members);
         let mut members = Vec::with_capacity(record.roster.len());
+        let mut departed = Vec::new();
         for member in &record.roster {
             let at = earlier.iter().position(|view| view.process == member.agent);
             match at {
@@ -438,6 +439,7 @@
                     if view.state != member.state {
                         view.state = member.state;
                         view.departed_us = cx.now_us;
+                        departed.push(view.agent);
                     }
                     members.push(view);
                 }
@@ -458,6 +460,10 @@
         self.index_members();
         self.refresh_authority();
         self.send_fences(cx);
+        // The roster may change before the periodic review has seen that the agent is gone.
+        for agent in departed {
+            self.lose_agent(cx, agent);
+        }
     }
 
     fn is_idle(&self) -> bool {
