Plan rosters at the review, not at every poll; add load cost

Cause: each poll listed all agents, with copies of their addresses, to see whether any had to join a roster: 454 us and 1697 allocations a task with 760 agents, growing with their square.

Change: rosters are planned every 50 ms with the review of gone agents. The load command measures time, allocations and memory.

Conclusion: what is left grows with the number of agents through the choice of an agent and the list of candidates.

--- a/components/dispatch/src/ownership.rs
+++ b/components/dispatch/src/ownership.rs
@@ -186,8 +186,9 @@
             self.next_review_us = now_us + REVIEW_INTERVAL_US;
             self.note_gone_agents(now_us, now_unix_ms, actions);
             self.eject_failing(now_us);
+            self.plan_rosters(now_us);
         }
-        self.change_rosters(now_us, actions);
+        self.send_swaps(now_us, actions);
         if self.draining {
             self.hand_over(now_us, now_unix_ms, actions);
         }
@@ -287,12 +288,14 @@
         }
     }
 
-    fn change_rosters(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+    fn plan_rosters(&mut self, now_us: u64) {
         for shard in self.shards.values_mut() {
-            if shard.phase == Phase::Yielding && shard.swap.is_none() {
-                continue;
-            }
             shard.plan_roster(&self.agents, now_us);
+        }
+    }
+
+    fn send_swaps(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        for shard in self.shards.values_mut() {
             shard.send_swap(now_us, actions);
         }
     }
--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -2,6 +2,7 @@
 //! small fakes of clients, targets and the platform, in simulated time.
 
 pub mod contender;
+pub mod cost;
 pub mod deployment;
 pub mod experiment;
 mod fake_host;
--- a/components/load/src/main.rs
+++ b/components/load/src/main.rs
@@ -1,5 +1,7 @@
 //! The command line of the load and experiment command.
 
+mod cost_command;
+
 use std::process::ExitCode;
 
 use getopts::{Matches, Options};
@@ -11,6 +13,7 @@
 use strum::IntoEnumIterator;
 
 const USAGE: &str = "usage: load compare [options]
+       load cost [--json]
        load list";
 
 fn main() -> ExitCode {
@@ -22,6 +25,10 @@
     };
     let outcome = match matches.free.first().map(String::as_str) {
         Some("compare") => compare(&matches),
+        Some("cost") => {
+            cost_command::run(matches.opt_present("json"));
+            Ok(())
+        }
         Some("list") => {
             list();
             Ok(())
