--- a/components/dispatch/src/ownership.rs
+++ b/components/dispatch/src/ownership.rs
@@ -186,8 +186,9 @@
             self.next_review_us = now_us + REVIEW_INTERVAL_US;
             self.note_gone_agents(now_us, now_unix_ms, actions);
             self.eject_failing(now_us);
+            self.plan_rosters(now_us);
         }
-        self.change_rosters(now_us, actions);
+        self.send_swaps(now_us, actions);
         if self.draining {
             self.hand_over(now_us, now_unix_ms, actions);
         }
@@ -284,12 +285,14 @@
         }
     }
 
-    fn change_rosters(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+    fn plan_rosters(&mut self, now_us: u64) {
         for shard in self.shards.values_mut() {
-            if shard.phase == Phase::Yielding && shard.swap.is_none() {
-                continue;
-            }
             shard.plan_roster(&self.agents, now_us);
+        }
+    }
+
+    fn send_swaps(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        for shard in self.shards.values_mut() {
             shard.send_swap(now_us, actions);
         }
     }
@@ -438,6 +441,7 @@
     fn roster_written(&mut self, cx: &mut Cx<'_>, record: ShardRecord, revision: u64) {
         let mut earlier = std::mem::take(&mut self.members);
         let mut members = Vec::with_capacity(record.roster.len());
+        let mut departed = Vec::new();
         for member in &record.roster {
             let at = earlier.iter().position(|view| view.process == member.agent);
             match at {
@@ -446,6 +450,7 @@
                     if view.state != member.state {
                         view.state = member.state;
                         view.departed_us = cx.now_us;
+                        departed.push(view.agent);
                     }
                     members.push(view);
                 }
@@ -466,6 +471,10 @@
         self.index_members();
         self.refresh_authority();
         self.send_fences(cx);
+        // The roster may change before the periodic review has seen that the agent is gone.
+        for agent in departed {
+            self.lose_agent(cx, agent);
+        }
     }
 
     fn is_idle(&self) -> bool {
