--- a/components/dispatch/src/ownership.rs
+++ b/components/dispatch/src/ownership.rs
@@ -314,6 +314,12 @@
         self.shards.values().all(Shard::is_idle)
     }
 
+    /// Tells whether this entry owns no shard.
+    #[must_use]
+    pub fn is_released(&self) -> bool {
+        self.shards.is_empty()
+    }
+
     fn hand_over(&mut self, now_us: u64, now_unix_ms: u64, actions: &mut Vec<Action>) {
         let ready: Vec<ShardKey> = self
             .shards
--- a/components/execution/src/agent.rs
+++ b/components/execution/src/agent.rs
@@ -71,6 +71,12 @@
         self.settings.key
     }
 
+    /// Returns the revision of the rules in force.
+    #[must_use]
+    pub fn config_revision(&self) -> u64 {
+        self.config_revision
+    }
+
     /// Handles the messages of one owner.
     ///
     /// An envelope for another incarnation is counted and has no other effect.
--- /dev/null
+++ b/components/proof/src/campaign.rs
@@ -0,0 +1,208 @@
+//! Many runs on several threads, and what came of them.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use model::Answer;
+use strum::IntoEnumIterator;
+
+use crate::check::Violation;
+use crate::event::EventKind;
+use crate::history::History;
+use crate::matrix::{Cell, Planner, cells};
+use crate::report::Report;
+use crate::world::{MatrixFault, Outcome, Scenario, Step, run};
+
+/// What came of the runs of one cell.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct CellCounts {
+    /// Runs.
+    pub runs: u64,
+    /// Runs in which the step did not occur.
+    pub skipped: u64,
+    /// Answers of complete jobs.
+    pub complete: u64,
+    /// Answers that refuse or give up a job.
+    pub failed: u64,
+    /// Broken promises.
+    pub violations: u64,
+}
+
+/// A run in which promises were broken.
+#[derive(Debug)]
+pub struct Failure {
+    /// The cells of the run.
+    pub cells: Vec<Cell>,
+    /// The scenario, to be run again.
+    pub scenario: Scenario,
+    /// The broken promises.
+    pub violations: Vec<Violation>,
+    /// What happened.
+    pub history: History,
+}
+
+/// What came of a campaign.
+#[derive(Debug, Default)]
+pub struct Results {
+    /// Counts over all runs.
+    pub report: Report,
+    /// Counts of the cells with one fault.
+    pub cells: BTreeMap<Cell, CellCounts>,
+    /// Counts of the runs with two faults.
+    pub pairs: CellCounts,
+    /// Answers by kind and reason.
+    pub answers: BTreeMap<String, u64>,
+    /// Runs in which promises were broken.
+    pub failures: Vec<Failure>,
+}
+
+/// Settings of a campaign.
+#[derive(Debug, Clone)]
+pub struct Campaign {
+    /// The first seed.
+    pub first_seed: u64,
+    /// Number of seeds.
+    pub seeds: u64,
+    /// Runs with two faults for each seed.
+    pub pairs_per_seed: u64,
+    /// Threads.
+    pub threads: usize,
+}
+
+impl Campaign {
+    /// Runs every cell and some pairs of cells for every seed.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a run panics.
+    #[must_use]
+    pub fn run(&self) -> Results {
+        let results = Mutex::new(Results::default());
+        let next = AtomicU64::new(0);
+        std::thread::scope(|scope| {
+            for _ in 0..self.threads {
+                scope.spawn(|| self.work(&next, &results));
+            }
+        });
+        results.into_inner().expect("no run panics")
+    }
+
+    fn work(&self, next: &AtomicU64, results: &Mutex<Results>) {
+        loop {
+            let offset = next.fetch_add(1, Ordering::Relaxed);
+            if offset >= self.seeds {
+                return;
+            }
+            let mut planner = Planner::new(self.first_seed + offset);
+            for cell in cells() {
+                match planner.plan(cell) {
+                    Some(scenario) => conclude(results, vec![cell], scenario),
+                    None => skip(results, cell),
+                }
+            }
+            for _ in 0..self.pairs_per_seed {
+                let (one, other) = planner.draw_pair();
+                if let Some(scenario) = planner.plan_pair(one, other) {
+                    conclude(results, vec![one, other], scenario);
+                }
+            }
+        }
+    }
+}
+
+fn skip(results: &Mutex<Results>, cell: Cell) {
+    let mut results = results.lock().expect("no run panics");
+    results.cells.entry(cell).or_default().skipped += 1;
+}
+
+fn conclude(results: &Mutex<Results>, cells: Vec<Cell>, scenario: Scenario) {
+    let outcome = run(scenario.clone());
+    let mut results = results.lock().expect("no run panics");
+    results.add(cells, scenario, outcome);
+}
+
+impl Results {
+    fn add(&mut self, cells: Vec<Cell>, scenario: Scenario, outcome: Outcome) {
+        let Outcome {
+            history,
+            violations,
+            ..
+        } = outcome;
+        self.report.add(&history, &violations);
+        let counts = match cells.as_slice() {
+            [cell] => self.cells.entry(*cell).or_default(),
+            _ => &mut self.pairs,
+        };
+        counts.runs += 1;
+        counts.violations += violations.len() as u64;
+        for event in history.events() {
+            let EventKind::Answered { answer, .. } = &event.kind else {
+                continue;
+            };
+            match answer {
+                Answer::Complete(_) => counts.complete += 1,
+                Answer::Failed(_) => counts.failed += 1,
+            }
+            *self.answers.entry(describe(answer)).or_default() += 1;
+        }
+        if !violations.is_empty() {
+            self.failures.push(Failure {
+                cells,
+                scenario,
+                violations,
+                history,
+            });
+        }
+    }
+}
+
+fn describe(answer: &Answer) -> String {
+    match answer {
+        Answer::Complete(_) => "complete".to_owned(),
+        Answer::Failed(failure) => format!("{}: {}", failure.kind, failure.reason),
+    }
+}
+
+impl Results {
+    /// Formats the matrix as a table: a row for each step, a column for each fault.
+    ///
+    /// A field tells the runs of its cells and, if there are any, the broken promises.
+    #[must_use]
+    pub fn table(&self) -> String {
+        let mut table = String::from("| step |");
+        for fault in MatrixFault::iter() {
+            table += &format!(" {} |", <&str>::from(fault));
+        }
+        table += "\n|---|";
+        table += &"---|".repeat(MatrixFault::iter().count());
+        for step in Step::iter() {
+            table += &format!("\n| {} |", <&str>::from(step));
+            for fault in MatrixFault::iter() {
+                table += &format!(" {} |", self.field(step, fault));
+            }
+        }
+        table += &format!(
+            "\n\nPairs of faults: {} runs, {} violations.\n",
+            self.pairs.runs, self.pairs.violations
+        );
+        table
+    }
+
+    fn field(&self, step: Step, fault: MatrixFault) -> String {
+        let of_field = self
+            .cells
+            .iter()
+            .filter(|(cell, _)| cell.step == step && cell.fault == fault);
+        let (mut runs, mut violations) = (0, 0);
+        for (_, counts) in of_field {
+            runs += counts.runs;
+            violations += counts.violations;
+        }
+        match (runs, violations) {
+            (0, _) => "not covered".to_owned(),
+            (_, 0) => format!("{runs}"),
+            _ => format!("{runs}, **{violations} broken**"),
+        }
+    }
+}
--- /dev/null
+++ b/components/proof/src/matrix.rs
@@ -0,0 +1,112 @@
+//! The fault matrix: every fault at every step, before, during and after it.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+use strum::IntoEnumIterator;
+
+use crate::seed::SeededRng;
+use crate::world::{Base, Injection, MatrixFault, Occurrence, Scenario, Step, Timing, run};
+
+/// Times between which the faults of the matrix strike, in microseconds.
+const STRIKE_US: (u64, u64) = (1_600_000, 12_000_000);
+
+/// A cell of the matrix.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+pub struct Cell {
+    /// The step.
+    pub step: Step,
+    /// The fault.
+    pub fault: MatrixFault,
+    /// When the fault strikes.
+    pub timing: Timing,
+}
+
+/// Returns all cells of the matrix.
+#[must_use]
+pub fn cells() -> Vec<Cell> {
+    let mut cells = Vec::new();
+    for step in Step::iter() {
+        for fault in MatrixFault::iter() {
+            let of_fault = Timing::iter().map(|timing| Cell {
+                step,
+                fault,
+                timing,
+            });
+            cells.extend(of_fault);
+        }
+    }
+    cells
+}
+
+/// Runs of one seed without faults, which tell where faults may strike.
+#[derive(Debug)]
+pub struct Planner {
+    seed: u64,
+    rng: SeededRng,
+    occurrences: BTreeMap<Step, Vec<u64>>,
+}
+
+impl Planner {
+    /// Runs the seed without faults.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        let mut occurrences = BTreeMap::new();
+        for base in [Base::Calm, Base::KillEntry, Base::StopEntry] {
+            let outcome = run(Scenario::new(seed, base));
+            for step in Step::iter().filter(|step| step.base() == base) {
+                occurrences.insert(step, events_of(&outcome.occurrences, step));
+            }
+        }
+        Self {
+            seed,
+            rng: SeededRng::new(seed ^ 0xfa_17),
+            occurrences,
+        }
+    }
+
+    /// Plans a run for a cell, or nothing if the step does not occur under this seed.
+    pub fn plan(&mut self, cell: Cell) -> Option<Scenario> {
+        let injection = self.draw(cell)?;
+        Some(Scenario::new(self.seed, cell.step.base()).with(injection))
+    }
+
+    /// Plans a run with the faults of two cells that have the same base.
+    pub fn plan_pair(&mut self, one: Cell, other: Cell) -> Option<Scenario> {
+        if one.step.base() != other.step.base() {
+            return None;
+        }
+        let scenario = self.plan(one)?;
+        Some(scenario.with(self.draw(other)?))
+    }
+
+    /// Draws two cells for a pair of faults.
+    pub fn draw_pair(&mut self) -> (Cell, Cell) {
+        (self.draw_cell(), self.draw_cell())
+    }
+
+    fn draw_cell(&mut self) -> Cell {
+        let cells = cells();
+        let at = self.rng.range(0..=cells.len() as u64 - 1);
+        cells[at as usize]
+    }
+
+    fn draw(&mut self, cell: Cell) -> Option<Injection> {
+        let events = self.occurrences.get(&cell.step)?;
+        let event = *self.rng.pick(events)?;
+        Some(Injection {
+            event,
+            timing: cell.timing,
+            fault: cell.fault,
+        })
+    }
+}
+
+fn events_of(occurrences: &[Occurrence], step: Step) -> Vec<u64> {
+    let (from_us, to_us) = STRIKE_US;
+    occurrences
+        .iter()
+        .filter(|one| one.step == step && (from_us..to_us).contains(&one.at_us))
+        .map(|one| one.event)
+        .collect()
+}
--- /dev/null
+++ b/components/proof/src/world/calls.rs
@@ -0,0 +1,145 @@
+//! Fake targets: they run tasks, and hold the truth about starts.
+
+use bytes::Bytes;
+use execution::{CallKey, CallOutcome};
+use model::{Attempt, TaskKey};
+
+use crate::event::{EventKind, TaskStarted};
+use crate::fault::FaultKind;
+use crate::results::{digest, result_of};
+use crate::world::message::{AgentEvent, CallEnd, Event, Node, Place};
+use crate::world::scenario::Step;
+use crate::world::{PROBES_AT_US, World};
+
+/// Time from a target to the agent beside it, in microseconds.
+const LOCAL_US: u64 = 50;
+
+/// Share of calls that the target does not start.
+const NOT_STARTED: f64 = 0.01;
+
+/// Share of tasks that the target fails.
+const FAILED: f64 = 0.01;
+
+/// Share of calls whose connection breaks after the task was sent.
+const BROKEN: f64 = 0.005;
+
+/// Share of tasks that run for seconds.
+const LONG: f64 = 0.05;
+
+impl World {
+    pub(super) fn invoke(
+        &mut self,
+        place: Place,
+        call: CallKey,
+        (task, attempt): (TaskKey, Attempt),
+        payload: &Bytes,
+        timeout_us: u64,
+    ) {
+        let key = self.agents[place].key;
+        if !self.agents[place].target_up || self.strikes(NOT_STARTED) {
+            let outcome = CallOutcome::NotStarted("connection refused".to_owned());
+            self.end_call_after(place, LOCAL_US, call, outcome);
+            return;
+        }
+        let payload_digest = digest(payload);
+        let submitted_unix_ms = self.agents[place].submitted.get(&(task, attempt)).copied();
+        self.record(EventKind::TaskStarted(TaskStarted {
+            task,
+            attempt,
+            agent: key,
+            payload_digest,
+            submitted_unix_ms,
+        }));
+        self.agents[place]
+            .calls
+            .insert(call, (task, payload_digest));
+        let outcome = self.draw_outcome(task, payload_digest);
+        let run_us = self.draw_run_us(place);
+        let end = CallEnd {
+            agent: place,
+            key,
+            call,
+            task,
+            outcome,
+        };
+        let at_us = self.now_us() + run_us;
+        self.net.schedule(at_us, Event::CallEnd(Box::new(end)));
+        if run_us > timeout_us {
+            let outcome = CallOutcome::Unknown("timed out".to_owned());
+            self.end_call_after(place, timeout_us, call, outcome);
+        }
+    }
+
+    /// Draws whether a target misbehaves now, and counts it as a fault.
+    fn strikes(&mut self, share: f64) -> bool {
+        let strikes = self.rng.chance(share) && self.faulty_targets && !self.is_probing();
+        if strikes {
+            let kind = FaultKind::TargetFault;
+            self.record(EventKind::FaultInjected { kind, firm: None });
+        }
+        strikes
+    }
+
+    fn is_probing(&self) -> bool {
+        self.now_us() >= PROBES_AT_US
+    }
+
+    fn draw_outcome(&mut self, task: TaskKey, payload_digest: u64) -> CallOutcome {
+        if self.strikes(FAILED) {
+            return CallOutcome::Failed("task failed".to_owned());
+        }
+        if self.strikes(BROKEN) {
+            return CallOutcome::Unknown("connection reset".to_owned());
+        }
+        CallOutcome::Done(result_of(task, payload_digest))
+    }
+
+    fn draw_run_us(&mut self, place: Place) -> u64 {
+        let usual_us = if self.strikes(LONG) {
+            self.rng.range(1_000_000..=4_000_000)
+        } else {
+            self.rng.range(20_000..=400_000)
+        };
+        if self.is_probing() {
+            return usual_us;
+        }
+        usual_us * self.agents[place].run_percent / 100
+    }
+
+    fn end_call_after(&mut self, place: Place, after_us: u64, call: CallKey, outcome: CallOutcome) {
+        let key = self.agents[place].key;
+        let event = Event::Agent(place, AgentEvent::CallDone(key, call, outcome));
+        self.schedule_at(after_us, Node::Agent(place), event);
+    }
+
+    /// Gives up a call; its target goes on.
+    pub(super) fn abort(&mut self, place: Place, call: CallKey) {
+        if self.agents[place].calls.contains_key(&call) {
+            let outcome = CallOutcome::Unknown("aborted".to_owned());
+            self.end_call_after(place, LOCAL_US, call, outcome);
+        }
+    }
+
+    /// Ends a task at its target, whatever became of the agent.
+    pub(super) fn end_call(&mut self, end: CallEnd) {
+        self.note(Step::Run);
+        match &end.outcome {
+            CallOutcome::Done(result) => {
+                let result_digest = digest(result);
+                let task = end.task;
+                self.record(EventKind::TaskFinished {
+                    task,
+                    result_digest,
+                });
+            }
+            CallOutcome::Failed(_) => self.record(EventKind::TaskFailed(end.task)),
+            CallOutcome::NotStarted(_) | CallOutcome::Unknown(_) => {}
+        }
+        let node = &mut self.agents[end.agent];
+        if node.key != end.key || !node.alive {
+            return;
+        }
+        node.calls.remove(&end.call);
+        self.end_call_after(end.agent, LOCAL_US, end.call, end.outcome);
+    }
+}
