Check the take-over horizon before refusing as not run

Cause: a copy that arrived after its deadline at a new owner was refused as not run ("the deadline had passed on arrival") before the horizon was looked at, although an agent that had not answered the fence may have run the job under the previous owner. The same held for a submission time ahead of the new owner's clock. Ruled out: a wrong horizon; the submission lay well before it. Change: age, then horizon, then the other checks.

--- a/components/dispatch/src/submission.rs
+++ b/components/dispatch/src/submission.rs
@@ -128,8 +128,10 @@
 
     /// Checks whether a submission that is not known may be admitted.
     fn check(&mut self, cx: &mut Cx<'_>, spec: &JobSpec) -> Result<(), Answer> {
-        self.check_times(cx, spec)?;
+        self.check_age(cx, spec)?;
+        // Goes before every refusal as not run: an earlier owner may have run the job.
         self.check_horizon(cx, spec)?;
+        self.check_times(cx, spec)?;
         let candidates = admission::check_group(self, cx, spec)?;
         admission::check_limits(self, cx, spec)?;
         if cx.policy.admission {
@@ -138,15 +140,19 @@
         Ok(())
     }
 
+    fn check_age(&self, cx: &Cx<'_>, spec: &JobSpec) -> Result<(), Answer> {
+        if spec.meta.submitted_unix_ms + RETENTION_MS >= cx.now_unix_ms {
+            return Ok(());
+        }
+        Err(Answer::failed(
+            FailureKind::MayHaveRun,
+            FailureReason::TooOld,
+            "the submission is older than the retention period; its fate is not known",
+        ))
+    }
+
     fn check_times(&self, cx: &Cx<'_>, spec: &JobSpec) -> Result<(), Answer> {
         let meta = &spec.meta;
-        if meta.submitted_unix_ms + RETENTION_MS < cx.now_unix_ms {
-            return Err(Answer::failed(
-                FailureKind::MayHaveRun,
-                FailureReason::TooOld,
-                "the submission is older than the retention period; its fate is not known",
-            ));
-        }
         if meta.submitted_unix_ms > cx.now_unix_ms + CLOCK_SKEW_MS {
             let ahead_ms = meta.submitted_unix_ms - cx.now_unix_ms;
             if ahead_ms > RETENTION_MS {
