Name the next owner before the table is sent, and take each record and outcome once

Causes, found by reading and by the matrix: - a record that the platform delivered late brought a shard back at an entry that had been deposed, without its table; its agents' old answers to the fence counted as complete, so copies of finished jobs were refused as not run; - an outcome of an earlier compare-and-swap was taken for that of a later one, which could drop a change of the roster or a hand-over that then took effect; - an offer of a table that arrived late replaced a newer one; - a hand-over that waited for the platform stopped the shard for as long; - while agents were still to answer the fence, a cancelled or late job was refused as not run; - an entry that woke from a pause took every other entry and agent for silent. Ruled out: the horizon and the agents' tables. Change: older records are ignored; one compare-and-swap a shard at a time; the owner names its successor first, goes on until it sees that record, and then sends its final table, which the successor awaits before it fences; not run is claimed only when serving; gaps are discounted. Conclusion: what is left is liveness and stops during an outage of the platform.

--- a/components/dispatch/src/agents.rs
+++ b/components/dispatch/src/agents.rs
@@ -201,6 +201,13 @@
         self.by_address.insert(info.address.clone(), info.key);
     }
 
+    /// Discounts a time in which this process could hear nobody.
+    pub fn note_gap(&mut self, gap_us: u64, now_us: u64) {
+        for view in self.arena.values_mut() {
+            view.last_heard_us = (view.last_heard_us + gap_us).min(now_us);
+        }
+    }
+
     /// Forgets agents that are gone and on no roster.
     pub fn forget_gone(&mut self, now_us: u64) {
         let gone: Vec<AgentKey> = self
--- a/components/dispatch/src/claims.rs
+++ b/components/dispatch/src/claims.rs
@@ -64,6 +64,16 @@
         }
     }
 
+    /// Discounts a time in which this process could hear nobody.
+    pub fn note_gap(&mut self, gap_us: u64, now_us: u64) {
+        for peer in self.peers.values_mut() {
+            peer.last_heard_us = (peer.last_heard_us + gap_us).min(now_us);
+        }
+        for known in self.known.values_mut() {
+            known.first_seen_us = (known.first_seen_us + gap_us).min(now_us);
+        }
+    }
+
     /// Takes in a record; returns whether it is newer than what was known.
     pub fn record_seen(&mut self, record: ShardRecord, revision: u64, now_us: u64) -> bool {
         let shard = record.shard;
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -1,6 +1,6 @@
 //! All decisions of one entry.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use model::{
     AgentEnvelope, AgentInfo, AgentMessage, Answer, EntryInfo, FailureKind, FailureReason,
@@ -17,8 +17,9 @@
 use crate::learning::Learning;
 use crate::ownership::Claim;
 use crate::rules::{DispatchRules, Policy};
-use crate::shard::{Cx, Shard};
+use crate::shard::Shard;
 use crate::state::PeerState;
+use crate::transfer::{Awaited, Offer};
 
 /// Where a job is to be decided.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -48,16 +49,22 @@
     pub(crate) shards: BTreeMap<ShardKey, Shard>,
     pub(crate) claims: Claims,
     pub(crate) claiming: BTreeMap<ShardKey, Claim>,
+    /// Shards with a compare-and-swap whose outcome is still to come; one at a time, so that an
+    /// outcome is never taken for that of another write.
+    pub(crate) tries: BTreeSet<ShardKey>,
     pub(crate) imports: BTreeMap<ShardKey, Table>,
+    pub(crate) awaiting: BTreeMap<ShardKey, Awaited>,
+    pub(crate) offers: BTreeMap<ShardKey, Offer>,
     pub(crate) draining: bool,
     pub(crate) next_review_us: u64,
+    pub(crate) last_poll_us: u64,
     next_forget_us: u64,
 }
 
 /// Splits the dispatcher into a shard's surroundings and the shards.
 macro_rules! cx {
     ($self:ident, $now_us:expr, $now_unix_ms:expr, $actions:expr) => {
-        Cx {
+        $crate::shard::Cx {
             now_us: $now_us,
             now_unix_ms: $now_unix_ms,
             agents: &mut $self.agents,
@@ -90,9 +97,13 @@
             shards: BTreeMap::new(),
             claims: Claims::default(),
             claiming: BTreeMap::new(),
+            tries: BTreeSet::new(),
             imports: BTreeMap::new(),
+            awaiting: BTreeMap::new(),
+            offers: BTreeMap::new(),
             draining: false,
             next_review_us: 0,
+            last_poll_us: 0,
             next_forget_us: 0,
         }
     }
--- a/components/dispatch/src/handover.rs
+++ b/components/dispatch/src/handover.rs
@@ -5,7 +5,7 @@
 
 use crate::job::{Job, TaskPhase};
 use crate::records::Record;
-use crate::shard::{Cx, Phase, Shard};
+use crate::shard::{Cx, Shard};
 
 /// All that the next owner of a shard must know.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -32,9 +32,8 @@
 }
 
 impl Shard {
-    /// Stops changing the table and returns a copy of it.
-    pub fn export(&mut self, cx: &Cx<'_>) -> Table {
-        self.phase = Phase::Yielding;
+    /// Returns a copy of the table.
+    pub fn export(&self, cx: &Cx<'_>) -> Table {
         Table {
             generation: self.record.generation,
             horizon_unix_ms: self.horizon_unix_ms,
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -26,6 +26,8 @@
 mod shard;
 mod state;
 mod submission;
+mod swaps;
+mod transfer;
 
 pub use action::{Action, Submission, SwapOutcome, WaiterKey};
 pub use counters::Counters;
--- a/components/dispatch/src/outcomes.rs
+++ b/components/dispatch/src/outcomes.rs
@@ -7,7 +7,7 @@
 
 use crate::agents::AgentKey;
 use crate::job::{JobSlot, TaskPhase};
-use crate::shard::{Cx, Phase, Shard, decrement};
+use crate::shard::{Cx, Shard, decrement};
 
 /// Part of a permit's life for which it is used; the rest covers the way to the agent.
 const PERMIT_USE_US: u64 = PERMIT_TTL_MS * 1_000 * 3 / 4;
@@ -20,9 +20,6 @@
         from: ProcessKey,
         message: AgentMessage,
     ) -> Option<model::Generation> {
-        if self.phase == Phase::Yielding {
-            return None;
-        }
         match message {
             AgentMessage::Fenced {
                 generation,
--- a/components/dispatch/src/ownership.rs
+++ b/components/dispatch/src/ownership.rs
@@ -1,28 +1,29 @@
-//! Claims, take-overs, changes of the roster, and planned hand-overs.
+//! Records of shards, claims and take-overs.
 
-use model::{EntryInfo, MemberState, ProcessKey, ShardKey, ShardRecord};
+use model::{EntryInfo, ProcessKey, ShardKey, ShardRecord};
 
 use crate::action::{Action, SwapOutcome};
-use crate::agents::AgentKey;
 use crate::dispatcher::{Dispatcher, cx};
-use crate::handover::Table;
-use crate::roster::{self, MemberView};
-use crate::shard::{Cx, PendingSwap, Phase, Shard};
+use crate::roster;
+use crate::transfer::Charge;
 
 /// Pause before a failed compare-and-swap is tried again, in microseconds.
-const RETRY_SWAP_US: u64 = 500_000;
+pub(crate) const RETRY_SWAP_US: u64 = 500_000;
 
 /// Interval at which all agents are looked through, in microseconds.
 ///
 /// Short against the silence that makes an agent gone, long against a task.
 const REVIEW_INTERVAL_US: u64 = 50_000;
 
+/// Time between two turns of the loop from which on the process counts as having been paused,
+/// in microseconds.
+const GAP_US: u64 = 500_000;
+
 /// A claim of a shard that is under way.
 #[derive(Debug)]
 pub struct Claim {
     record: ShardRecord,
     expected_revision: u64,
-    in_flight: bool,
     next_try_us: u64,
 }
 
@@ -54,67 +55,45 @@
         actions: &mut Vec<Action>,
     ) {
         let key = record.shard;
-        self.claims.record_seen(record.clone(), revision, now_us);
-        self.settle_claim(&record, revision, now_us);
+        let previous_owner = self.claims.known.get(&key).map(|known| known.record.owner);
+        let newer = self.claims.record_seen(record.clone(), revision, now_us);
+        let claimed = self.settle_claim(&record, revision, now_us);
+        // An older record that arrives late must not bring a shard back.
+        if !newer {
+            return;
+        }
+        self.awaiting.remove(&key);
         let Some(shard) = self.shards.get_mut(&key) else {
-            self.adopt(record, revision, now_us, now_unix_ms, actions);
+            if record.owner == self.me.key {
+                let charge = Charge {
+                    record,
+                    revision,
+                    previous_owner,
+                };
+                self.take_charge(charge, claimed, now_us, now_unix_ms, actions);
+            }
             return;
         };
-        if revision <= shard.revision {
-            return;
-        }
         let mine = record.owner == self.me.key && record.generation == shard.record.generation;
-        let mut cx = cx!(self, now_us, now_unix_ms, actions);
         if mine {
+            let mut cx = cx!(self, now_us, now_unix_ms, actions);
             shard.roster_written(&mut cx, record, revision);
             return;
         }
-        let Some(shard) = self.shards.remove(&key) else {
-            return;
-        };
-        if shard.phase != Phase::Yielding {
-            cx.counters.deposed += 1;
-        }
-        shard.dissolve(&mut cx);
+        self.yield_shard(&record, now_us, now_unix_ms, actions);
     }
 
-    /// Ends a claim whose outcome the record shows.
-    fn settle_claim(&mut self, record: &ShardRecord, revision: u64, now_us: u64) {
+    /// Ends a claim whose outcome the record shows; returns whether there was one.
+    fn settle_claim(&mut self, record: &ShardRecord, revision: u64, now_us: u64) -> bool {
         let Some(claim) = self.claiming.get_mut(&record.shard) else {
-            return;
+            return false;
         };
         if revision > claim.expected_revision {
             self.claiming.remove(&record.shard);
-            return;
+            return true;
         }
         claim.next_try_us = now_us + RETRY_SWAP_US;
-    }
-
-    /// Takes charge of a shard whose record names this entry.
-    fn adopt(
-        &mut self,
-        record: ShardRecord,
-        revision: u64,
-        now_us: u64,
-        now_unix_ms: u64,
-        actions: &mut Vec<Action>,
-    ) {
-        if record.owner != self.me.key || self.shards.contains_key(&record.shard) {
-            return;
-        }
-        let key = record.shard;
-        let generation = record.generation;
-        let first = generation.0 == 1;
-        let mut cx = cx!(self, now_us, now_unix_ms, actions);
-        let mut shard = Shard::new(record, revision, !first, &mut cx);
-        let import = self
-            .imports
-            .remove(&key)
-            .filter(|table| table.generation.next() == generation);
-        if let Some(table) = import {
-            shard.import(&mut cx, table);
-        }
-        self.shards.insert(key, shard);
+        false
     }
 
     /// Takes in the outcome of a compare-and-swap.
@@ -126,6 +105,7 @@
         now_unix_ms: u64,
         actions: &mut Vec<Action>,
     ) {
+        self.tries.remove(&key);
         if self.claiming.contains_key(&key) {
             self.claim_done(key, outcome, now_us, now_unix_ms, actions);
             return;
@@ -136,7 +116,6 @@
         let Some(swap) = &mut shard.swap else {
             return;
         };
-        swap.in_flight = false;
         swap.next_try_us = now_us + RETRY_SWAP_US;
         match outcome {
             SwapOutcome::Done(revision) => {
@@ -162,7 +141,6 @@
         let Some(claim) = self.claiming.get_mut(&key) else {
             return;
         };
-        claim.in_flight = false;
         claim.next_try_us = now_us + RETRY_SWAP_US;
         match outcome {
             SwapOutcome::Done(revision) => {
@@ -180,6 +158,8 @@
         now_unix_ms: u64,
         actions: &mut Vec<Action>,
     ) {
+        self.note_gap(now_us);
+        self.end_waits(now_us, now_unix_ms, actions);
         self.begin_claims(now_us);
         self.send_claims(now_us, actions);
         if now_us >= self.next_review_us {
@@ -187,10 +167,23 @@
             self.note_gone_agents(now_us, now_unix_ms, actions);
             self.eject_failing(now_us);
         }
-        self.change_rosters(now_us, actions);
         if self.draining {
-            self.hand_over(now_us, now_unix_ms, actions);
+            self.plan_hand_overs(now_us);
+        }
+        self.change_rosters(now_us, actions);
+        self.offer_tables(now_us, actions);
+    }
+
+    /// Discounts a time in which this process did not run.
+    ///
+    /// Nobody can be heard meanwhile, which tells nothing about their silence.
+    fn note_gap(&mut self, now_us: u64) {
+        let gap_us = now_us.saturating_sub(self.last_poll_us);
+        if self.last_poll_us > 0 && gap_us > GAP_US {
+            self.claims.note_gap(gap_us, now_us);
+            self.agents.note_gap(gap_us, now_us);
         }
+        self.last_poll_us = now_us;
     }
 
     fn begin_claims(&mut self, now_us: u64) {
@@ -216,7 +209,6 @@
                 Claim {
                     record,
                     expected_revision,
-                    in_flight: false,
                     next_try_us: now_us,
                 },
             );
@@ -253,11 +245,10 @@
     }
 
     fn send_claims(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        for (key, claim) in &mut self.claiming {
-            if claim.in_flight || claim.next_try_us > now_us {
+        for (key, claim) in &self.claiming {
+            if claim.next_try_us > now_us || !self.tries.insert(*key) {
                 continue;
             }
-            claim.in_flight = true;
             actions.push(Action::Swap {
                 shard: *key,
                 expected_revision: claim.expected_revision,
@@ -265,208 +256,4 @@
             });
         }
     }
-
-    fn note_gone_agents(&mut self, now_us: u64, now_unix_ms: u64, actions: &mut Vec<Action>) {
-        for shard in self.shards.values_mut() {
-            if shard.phase == Phase::Yielding {
-                continue;
-            }
-            let gone: Vec<AgentKey> = shard
-                .members
-                .iter()
-                .filter(|member| {
-                    member_is_gone(&self.agents, member, now_us)
-                        && member.state == MemberState::Active
-                })
-                .map(|member| member.agent)
-                .collect();
-            let mut cx = cx!(self, now_us, now_unix_ms, actions);
-            for agent in gone {
-                shard.lose_agent(&mut cx, agent);
-            }
-        }
-    }
-
-    fn change_rosters(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        for shard in self.shards.values_mut() {
-            if shard.phase == Phase::Yielding && shard.swap.is_none() {
-                continue;
-            }
-            shard.plan_roster(&self.agents, now_us);
-            shard.send_swap(now_us, actions);
-        }
-    }
-
-    /// Begins a planned stop: shards are handed over, none is claimed.
-    pub fn drain(&mut self) {
-        self.draining = true;
-    }
-
-    /// Tells whether a planned stop has been begun.
-    #[must_use]
-    pub fn is_draining(&self) -> bool {
-        self.draining
-    }
-
-    /// Tells whether nothing keeps the process from ending.
-    #[must_use]
-    pub fn is_idle(&self) -> bool {
-        self.shards.values().all(Shard::is_idle)
-    }
-
-    /// Tells whether this entry owns no shard.
-    #[must_use]
-    pub fn is_released(&self) -> bool {
-        self.shards.is_empty()
-    }
-
-    fn hand_over(&mut self, now_us: u64, now_unix_ms: u64, actions: &mut Vec<Action>) {
-        let ready: Vec<ShardKey> = self
-            .shards
-            .values()
-            .filter(|shard| shard.phase == Phase::Serving && shard.swap.is_none())
-            .map(|shard| shard.key)
-            .collect();
-        for key in ready {
-            let Some(peer) = self.claims.best_peer(key, now_us) else {
-                continue;
-            };
-            let (to, address) = (peer.info.key, peer.info.address.clone());
-            let Some(shard) = self.shards.get_mut(&key) else {
-                continue;
-            };
-            let mut record = shard.record.clone();
-            record.generation = record.generation.next();
-            record.owner = to;
-            record.owner_address.clone_from(&address);
-            shard.handing_to = Some(record);
-            let mut offered = Vec::new();
-            let cx = cx!(self, now_us, now_unix_ms, &mut offered);
-            let table = Box::new(shard.export(&cx));
-            actions.push(Action::HandOver {
-                shard: key,
-                to,
-                address,
-                table,
-            });
-        }
-    }
-
-    /// Takes in the answer to an offer of a shard's table.
-    pub fn handed_over(&mut self, key: ShardKey, accepted: bool, now_us: u64) {
-        let Some(shard) = self.shards.get_mut(&key) else {
-            return;
-        };
-        let Some(record) = shard.handing_to.take() else {
-            return;
-        };
-        if !accepted {
-            shard.phase = Phase::Serving;
-            return;
-        }
-        shard.swap = Some(PendingSwap {
-            record,
-            in_flight: false,
-            unknown: false,
-            next_try_us: now_us,
-        });
-    }
-
-    /// Takes in a table offered by the present owner of a shard; returns whether it is accepted.
-    pub fn take_table(&mut self, key: ShardKey, table: Table) -> bool {
-        if self.draining || self.shards.contains_key(&key) || self.claiming.contains_key(&key) {
-            return false;
-        }
-        self.imports.insert(key, table);
-        true
-    }
-}
-
-fn member_is_gone(agents: &crate::agents::Agents, member: &MemberView, now_us: u64) -> bool {
-    agents
-        .get(member.agent)
-        .is_none_or(|agent| agent.is_gone(now_us))
-}
-
-impl Shard {
-    fn plan_roster(&mut self, agents: &crate::agents::Agents, now_us: u64) {
-        if self.swap.is_some() || self.phase != Phase::Serving || now_us < self.next_swap_us {
-            return;
-        }
-        let Some(roster) = roster::next_roster(&self.record, &self.members, agents, now_us) else {
-            return;
-        };
-        let mut record = self.record.clone();
-        record.roster = roster;
-        self.swap = Some(PendingSwap {
-            record,
-            in_flight: false,
-            unknown: false,
-            next_try_us: now_us,
-        });
-        self.refresh_authority();
-    }
-
-    fn send_swap(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        let Some(swap) = &mut self.swap else {
-            return;
-        };
-        if swap.in_flight || swap.next_try_us > now_us {
-            return;
-        }
-        swap.in_flight = true;
-        actions.push(Action::Swap {
-            shard: self.key,
-            expected_revision: self.revision,
-            record: swap.record.clone(),
-        });
-    }
-
-    /// Gives up a change of the record that surely had no effect.
-    fn drop_swap(&mut self, now_us: u64) {
-        self.swap = None;
-        self.next_swap_us = now_us + RETRY_SWAP_US;
-        if self.phase == Phase::Yielding {
-            self.phase = Phase::Serving;
-        }
-        self.refresh_authority();
-    }
-
-    /// Takes in the record of this generation with a changed roster.
-    fn roster_written(&mut self, cx: &mut Cx<'_>, record: ShardRecord, revision: u64) {
-        let mut earlier = std::mem::take(&mut self.members);
-        let mut members = Vec::with_capacity(record.roster.len());
-        for member in &record.roster {
-            let at = earlier.iter().position(|view| view.process == member.agent);
-            match at {
-                Some(at) => {
-                    let mut view = earlier.swap_remove(at);
-                    if view.state != member.state {
-                        view.state = member.state;
-                        view.departed_us = cx.now_us;
-                    }
-                    members.push(view);
-                }
-                None => {
-                    let agent = cx.agents.ensure(member.agent, &member.address, cx.now_us);
-                    if let Some(view) = cx.agents.get_mut(agent) {
-                        view.rostered += 1;
-                    }
-                    members.push(MemberView::new(member, agent, cx.now_us));
-                }
-            }
-        }
-        roster::release(&earlier, cx.agents);
-        self.members = members;
-        self.record = record;
-        self.revision = revision;
-        self.swap = None;
-        self.index_members();
-        self.refresh_authority();
-        self.send_fences(cx);
-    }
-
-    fn is_idle(&self) -> bool {
-        self.jobs.is_empty() && self.parked.is_empty()
-    }
 }
--- a/components/dispatch/src/shard.rs
+++ b/components/dispatch/src/shard.rs
@@ -57,15 +57,12 @@
     Fencing { since_us: u64 },
     /// Admits and starts.
     Serving,
-    /// Has given its table to another entry and changes nothing any more.
-    Yielding,
 }
 
 /// A change of the shard's record that is under way.
 #[derive(Debug)]
 pub struct PendingSwap {
     pub record: ShardRecord,
-    pub in_flight: bool,
     /// Whether the answer to a try was lost.
     pub unknown: bool,
     pub next_try_us: u64,
@@ -103,8 +100,6 @@
     pub horizon_unix_ms: u64,
     pub swap: Option<PendingSwap>,
     pub next_swap_us: u64,
-    /// The record to write once the next owner has accepted the table.
-    pub handing_to: Option<ShardRecord>,
     pub authority_until_us: u64,
     pub jobs: SlotMap<JobSlot, Job>,
     pub by_key: FxHashMap<JobKey, JobSlot>,
@@ -138,7 +133,6 @@
             horizon_unix_ms: 0,
             swap: None,
             next_swap_us: 0,
-            handing_to: None,
             authority_until_us: 0,
             jobs: SlotMap::with_key(),
             by_key: FxHashMap::default(),
@@ -234,9 +228,6 @@
 
     /// Does what is due: fences, deadlines, repetitions, parked copies, scheduling.
     pub fn poll(&mut self, cx: &mut Cx<'_>) {
-        if self.phase == Phase::Yielding {
-            return;
-        }
         self.send_fences(cx);
         self.finish_fencing(cx);
         self.pass_deadlines(cx);
@@ -275,8 +266,9 @@
     /// Returns what may be claimed if the job failed now.
     pub fn failure_kind(&self, slot: JobSlot, now_us: u64) -> FailureKind {
         let untouched = self.jobs.get(slot).is_some_and(Job::is_untouched);
-        // Without authority another owner may be running the same job.
-        if untouched && self.has_authority(now_us) {
+        // Without authority another owner may be running the same job, and before every agent
+        // has told what it holds one of them may have run a part of it.
+        if untouched && self.phase == Phase::Serving && self.has_authority(now_us) {
             return FailureKind::NotRun;
         }
         FailureKind::MayHaveRun
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -171,7 +171,6 @@
         phase: match shard.phase {
             Phase::Fencing { .. } => "fencing",
             Phase::Serving => "serving",
-            Phase::Yielding => "yielding",
         },
         authority_left_us: shard.authority_until_us.saturating_sub(now_us),
         horizon_unix_ms: shard.horizon_unix_ms,
--- /dev/null
+++ b/components/dispatch/src/swaps.rs
@@ -0,0 +1,128 @@
+//! Changes of the rosters of shards that this entry owns.
+
+use std::collections::BTreeSet;
+
+use model::{MemberState, ShardKey, ShardRecord};
+
+use crate::action::Action;
+use crate::agents::AgentKey;
+use crate::dispatcher::{Dispatcher, cx};
+use crate::ownership::RETRY_SWAP_US;
+use crate::roster::{self, MemberView};
+use crate::shard::{Cx, PendingSwap, Phase, Shard};
+
+impl Dispatcher {
+    pub(crate) fn note_gone_agents(
+        &mut self,
+        now_us: u64,
+        now_unix_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        for shard in self.shards.values_mut() {
+            let gone: Vec<AgentKey> = shard
+                .members
+                .iter()
+                .filter(|member| {
+                    member_is_gone(&self.agents, member, now_us)
+                        && member.state == MemberState::Active
+                })
+                .map(|member| member.agent)
+                .collect();
+            let mut cx = cx!(self, now_us, now_unix_ms, actions);
+            for agent in gone {
+                shard.lose_agent(&mut cx, agent);
+            }
+        }
+    }
+
+    pub(crate) fn change_rosters(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        for shard in self.shards.values_mut() {
+            shard.plan_roster(&self.agents, now_us);
+            shard.send_swap(&mut self.tries, now_us, actions);
+        }
+    }
+}
+
+fn member_is_gone(agents: &crate::agents::Agents, member: &MemberView, now_us: u64) -> bool {
+    agents
+        .get(member.agent)
+        .is_none_or(|agent| agent.is_gone(now_us))
+}
+
+impl Shard {
+    fn plan_roster(&mut self, agents: &crate::agents::Agents, now_us: u64) {
+        if self.swap.is_some() || self.phase != Phase::Serving || now_us < self.next_swap_us {
+            return;
+        }
+        let Some(roster) = roster::next_roster(&self.record, &self.members, agents, now_us) else {
+            return;
+        };
+        let mut record = self.record.clone();
+        record.roster = roster;
+        self.swap = Some(PendingSwap {
+            record,
+            unknown: false,
+            next_try_us: now_us,
+        });
+        self.refresh_authority();
+    }
+
+    fn send_swap(&self, tries: &mut BTreeSet<ShardKey>, now_us: u64, actions: &mut Vec<Action>) {
+        let Some(swap) = &self.swap else {
+            return;
+        };
+        if swap.next_try_us > now_us || !tries.insert(self.key) {
+            return;
+        }
+        actions.push(Action::Swap {
+            shard: self.key,
+            expected_revision: self.revision,
+            record: swap.record.clone(),
+        });
+    }
+
+    /// Gives up a change of the record that surely had no effect.
+    pub fn drop_swap(&mut self, now_us: u64) {
+        self.swap = None;
+        self.next_swap_us = now_us + RETRY_SWAP_US;
+        self.refresh_authority();
+    }
+
+    /// Takes in the record of this generation with a changed roster.
+    pub fn roster_written(&mut self, cx: &mut Cx<'_>, record: ShardRecord, revision: u64) {
+        let mut earlier = std::mem::take(&mut self.members);
+        let mut members = Vec::with_capacity(record.roster.len());
+        for member in &record.roster {
+            let at = earlier.iter().position(|view| view.process == member.agent);
+            match at {
+                Some(at) => {
+                    let mut view = earlier.swap_remove(at);
+                    if view.state != member.state {
+                        view.state = member.state;
+                        view.departed_us = cx.now_us;
+                    }
+                    members.push(view);
+                }
+                None => {
+                    let agent = cx.agents.ensure(member.agent, &member.address, cx.now_us);
+                    if let Some(view) = cx.agents.get_mut(agent) {
+                        view.rostered += 1;
+                    }
+                    members.push(MemberView::new(member, agent, cx.now_us));
+                }
+            }
+        }
+        roster::release(&earlier, cx.agents);
+        self.members = members;
+        self.record = record;
+        self.revision = revision;
+        self.swap = None;
+        self.index_members();
+        self.refresh_authority();
+        self.send_fences(cx);
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.jobs.is_empty() && self.parked.is_empty()
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/transfer.rs
@@ -0,0 +1,240 @@
+//! Planned hand-overs of shards.
+//!
+//! The owner first names the next owner in the record and goes on meanwhile: the agents still
+//! vouch for it. Once it sees that record it stops, and sends its table, which is therefore
+//! final. The next owner waits for the table before it fences the agents, and takes over as
+//! from a dead owner if the table does not come.
+
+use model::{Generation, ProcessKey, ShardKey, ShardRecord};
+
+use crate::action::Action;
+use crate::dispatcher::{Dispatcher, cx};
+use crate::handover::Table;
+use crate::shard::{PendingSwap, Phase, Shard};
+
+/// Time for which the table of a shard is waited for and offered, in microseconds.
+///
+/// Covers a lost answer of the platform, which the present owner learns from its watch.
+const TABLE_WAIT_US: u64 = 3_000_000;
+
+/// Pause before a refused table is offered again, in microseconds.
+const OFFER_RETRY_US: u64 = 50_000;
+
+/// A shard whose record names this entry.
+#[derive(Debug)]
+pub(crate) struct Charge {
+    pub record: ShardRecord,
+    pub revision: u64,
+    pub previous_owner: Option<ProcessKey>,
+}
+
+/// A shard whose table is still to come.
+#[derive(Debug)]
+pub(crate) struct Awaited {
+    charge: Charge,
+    until_us: u64,
+}
+
+/// A table on its way to the next owner.
+#[derive(Debug)]
+pub(crate) struct Offer {
+    table: Table,
+    to: ProcessKey,
+    address: String,
+    in_flight: bool,
+    next_try_us: u64,
+    until_us: u64,
+}
+
+impl Dispatcher {
+    /// Begins a planned stop: shards are handed over, none is claimed.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Tells whether a planned stop has been begun.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Tells whether nothing keeps the process from ending.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.offers.is_empty() && self.shards.values().all(Shard::is_idle)
+    }
+
+    /// Tells whether this entry owns no shard and has handed over all tables.
+    #[must_use]
+    pub fn is_released(&self) -> bool {
+        self.shards.is_empty() && self.awaiting.is_empty() && self.offers.is_empty()
+    }
+
+    /// Plans to name the next owners of shards in their records.
+    pub(crate) fn plan_hand_overs(&mut self, now_us: u64) {
+        for shard in self.shards.values_mut() {
+            if shard.phase != Phase::Serving || shard.swap.is_some() || now_us < shard.next_swap_us
+            {
+                continue;
+            }
+            let Some(peer) = self.claims.best_peer(shard.key, now_us) else {
+                continue;
+            };
+            let mut record = shard.record.clone();
+            record.generation = record.generation.next();
+            record.owner = peer.info.key;
+            record.owner_address.clone_from(&peer.info.address);
+            shard.swap = Some(PendingSwap {
+                record,
+                unknown: false,
+                next_try_us: now_us,
+            });
+        }
+    }
+
+    /// Gives up a shard whose record names another owner, with its table if that was planned.
+    pub(crate) fn yield_shard(
+        &mut self,
+        record: &ShardRecord,
+        now_us: u64,
+        now_unix_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let key = record.shard;
+        let Some(shard) = self.shards.remove(&key) else {
+            return;
+        };
+        let planned = shard.swap.as_ref().is_some_and(|swap| {
+            swap.record.owner == record.owner && swap.record.generation == record.generation
+        });
+        let mut cx = cx!(self, now_us, now_unix_ms, actions);
+        if planned {
+            let offer = Offer {
+                table: shard.export(&cx),
+                to: record.owner,
+                address: record.owner_address.clone(),
+                in_flight: false,
+                next_try_us: now_us,
+                until_us: now_us + TABLE_WAIT_US,
+            };
+            self.offers.insert(key, offer);
+        } else {
+            cx.counters.deposed += 1;
+        }
+        shard.dissolve(&mut cx);
+    }
+
+    /// Sends tables to the next owners.
+    pub(crate) fn offer_tables(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        for (key, offer) in &mut self.offers {
+            if offer.in_flight || offer.next_try_us > now_us {
+                continue;
+            }
+            offer.in_flight = true;
+            actions.push(Action::HandOver {
+                shard: *key,
+                to: offer.to,
+                address: offer.address.clone(),
+                table: Box::new(offer.table.clone()),
+            });
+        }
+    }
+
+    /// Takes in the answer to an offer of a shard's table.
+    pub fn handed_over(&mut self, key: ShardKey, accepted: bool, now_us: u64) {
+        let Some(offer) = self.offers.get_mut(&key) else {
+            return;
+        };
+        if accepted || now_us >= offer.until_us {
+            self.offers.remove(&key);
+            return;
+        }
+        offer.in_flight = false;
+        offer.next_try_us = now_us + OFFER_RETRY_US;
+    }
+
+    /// Takes in a table offered by the previous owner of a shard; returns whether it is accepted.
+    pub fn take_table(&mut self, key: ShardKey, table: Table) -> bool {
+        if self.shards.contains_key(&key) || self.claiming.contains_key(&key) {
+            return false;
+        }
+        self.imports.insert(key, table);
+        true
+    }
+
+    /// Takes charge of a shard, at once or when its table has come.
+    pub(crate) fn take_charge(
+        &mut self,
+        charge: Charge,
+        claimed: bool,
+        now_us: u64,
+        now_unix_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let first = charge.record.generation == Generation(1);
+        if first || claimed {
+            self.adopt(charge, None, now_us, now_unix_ms, actions);
+            return;
+        }
+        let awaited = Awaited {
+            charge,
+            until_us: now_us + TABLE_WAIT_US,
+        };
+        self.awaiting.insert(awaited.charge.record.shard, awaited);
+    }
+
+    /// Takes charge of shards whose tables have come or will not come.
+    pub(crate) fn end_waits(&mut self, now_us: u64, now_unix_ms: u64, actions: &mut Vec<Action>) {
+        let due: Vec<ShardKey> = self
+            .awaiting
+            .iter()
+            .filter(|(key, awaited)| {
+                now_us >= awaited.until_us
+                    || self.table_for(**key, &awaited.charge).is_some()
+                    || self.is_refused(awaited.charge.previous_owner)
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        for key in due {
+            let Some(Awaited { charge, .. }) = self.awaiting.remove(&key) else {
+                continue;
+            };
+            let usable = self.table_for(key, &charge).is_some();
+            let table = self.imports.remove(&key).filter(|_| usable);
+            self.adopt(charge, table, now_us, now_unix_ms, actions);
+        }
+    }
+
+    fn table_for(&self, key: ShardKey, charge: &Charge) -> Option<&Table> {
+        let generation = charge.record.generation;
+        self.imports
+            .get(&key)
+            .filter(|table| table.generation.next() == generation)
+    }
+
+    fn is_refused(&self, process: Option<ProcessKey>) -> bool {
+        let peer = process.and_then(|process| self.claims.peers.get(&process));
+        peer.is_some_and(|peer| peer.refused)
+    }
+
+    fn adopt(
+        &mut self,
+        charge: Charge,
+        table: Option<Table>,
+        now_us: u64,
+        now_unix_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Charge {
+            record, revision, ..
+        } = charge;
+        let key = record.shard;
+        let first = record.generation == Generation(1);
+        let mut cx = cx!(self, now_us, now_unix_ms, actions);
+        let mut shard = Shard::new(record, revision, !first, &mut cx);
+        if let Some(table) = table {
+            shard.import(&mut cx, table);
+        }
+        self.shards.insert(key, shard);
+    }
+}
--- a/components/proof/src/world/agent.rs
+++ b/components/proof/src/world/agent.rs
@@ -71,6 +71,7 @@
             self.agents.push(created);
         }
         self.record(EventKind::ProcessStarted(key));
+        self.note_started(Node::Agent(place));
         self.record(EventKind::TargetAnnounced(key));
         let (now_us, _) = self.agent_time(place);
         let mut actions = Vec::new();
--- a/components/proof/src/world/entry.rs
+++ b/components/proof/src/world/entry.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use dispatch::{Action, Dispatcher, Policy, SwapOutcome, WaiterKey};
+use dispatch::{Action, DispatchRules, Dispatcher, Policy, SwapOutcome, WaiterKey};
 use model::{
     AgentEnvelope, AgentMessage, EntryInfo, OwnerEnvelope, OwnerMessage, ProcessKey, ShardKey,
 };
@@ -97,6 +97,7 @@
             self.entries.push(node);
         }
         self.record(EventKind::ProcessStarted(key));
+        self.note_started(Node::Entry(place));
         self.schedule_at(
             0,
             Node::Entry(place),
@@ -203,12 +204,21 @@
             EntryEvent::Ping(info, draining, from) => {
                 let node = &mut self.entries[place];
                 node.dispatcher.peer_heard(info, draining, now_us);
-                let pong = EntryEvent::Pong(node.dispatcher.info().clone(), node.stopping);
+                let pong = EntryEvent::Pong {
+                    info: node.dispatcher.info().clone(),
+                    draining: node.stopping,
+                    rules: Box::new(node.dispatcher.rules().clone()),
+                };
                 self.send_entry(place, from, pong);
             }
-            EntryEvent::Pong(info, draining) => {
+            EntryEvent::Pong {
+                info,
+                draining,
+                rules,
+            } => {
                 let dispatcher = &mut self.entries[place].dispatcher;
                 dispatcher.peer_heard(info, draining, now_us);
+                self.apply_rules(place, *rules);
             }
             EntryEvent::Refused(process) => {
                 self.entries[place].dispatcher.peer_refused(process);
@@ -368,10 +378,15 @@
         let Some(rules) = snapshot.rules else {
             return;
         };
-        let revision = rules.revision;
         if snapshot.whole {
             node.dispatcher.records_synced();
         }
+        self.apply_rules(place, rules);
+    }
+
+    fn apply_rules(&mut self, place: Place, rules: DispatchRules) {
+        let revision = rules.revision;
+        let node = &mut self.entries[place];
         if node.dispatcher.apply_rules(rules) {
             let process = node.key;
             self.note(Step::Apply);
--- a/components/proof/src/world/faults.rs
+++ b/components/proof/src/world/faults.rs
@@ -230,19 +230,38 @@
         links
     }
 
-    /// Records whether configuration can reach a process.
+    /// Records whether configuration can reach a process, now and after a restart.
     fn note_unreachable(&mut self, node: Node, unreachable: bool) {
-        let mut keys = Vec::new();
-        keys.extend(self.key_of(node));
+        let mut hit = vec![node];
         // An agent hears of configuration from the entries.
         if matches!(node, Node::Entry(_) | Node::Platform) {
-            keys.extend(self.agents.iter().map(|agent| agent.key));
+            hit.extend((0..AGENTS).map(Node::Agent));
         }
-        for key in keys {
-            self.record(match unreachable {
-                true => EventKind::Unreachable(key),
-                false => EventKind::Reachable(key),
-            });
+        for node in hit {
+            let faults = self.unreachable.entry(node).or_default();
+            let before = *faults;
+            *faults = match unreachable {
+                true => before + 1,
+                false => before.saturating_sub(1),
+            };
+            let (was, is) = (before > 0, *faults > 0);
+            if let (true, Some(key)) = (was != is, self.key_of(node)) {
+                self.record(match is {
+                    true => EventKind::Unreachable(key),
+                    false => EventKind::Reachable(key),
+                });
+            }
+        }
+    }
+
+    /// Records that a process that starts is out of reach of configuration.
+    pub(super) fn note_started(&mut self, node: Node) {
+        let unreachable = self
+            .unreachable
+            .get(&node)
+            .is_some_and(|faults| *faults > 0);
+        if let (true, Some(key)) = (unreachable, self.key_of(node)) {
+            self.record(EventKind::Unreachable(key));
         }
     }
 
--- a/components/proof/src/world/message.rs
+++ b/components/proof/src/world/message.rs
@@ -54,7 +54,11 @@
     },
     ForwardCancel(JobKey),
     Ping(EntryInfo, bool, Place),
-    Pong(EntryInfo, bool),
+    Pong {
+        info: EntryInfo,
+        draining: bool,
+        rules: Box<DispatchRules>,
+    },
     Refused(ProcessKey),
     Offer {
         from: Place,
--- a/components/proof/src/world/mod.rs
+++ b/components/proof/src/world/mod.rs
@@ -70,6 +70,8 @@
     agents: Vec<AgentNode>,
     clients: Clients,
     keys: BTreeMap<ProcessKey, Node>,
+    /// Number of faults that keep configuration from a process.
+    unreachable: BTreeMap<Node, u32>,
     /// Whether targets fail tasks, break connections and are slow.
     faulty_targets: bool,
     /// Number of the event in hand.
@@ -120,6 +122,7 @@
             agents: Vec::new(),
             clients,
             keys: BTreeMap::new(),
+            unreachable: BTreeMap::new(),
             faulty_targets,
             event: 0,
             during: None,
