--- a/components/dispatch/src/agents.rs
+++ b/components/dispatch/src/agents.rs
@@ -20,6 +20,16 @@
 /// Three heartbeats: one lost answer does not take an agent out of service.
 pub const AGENT_SILENT_US: u64 = 750_000;
 
+/// Silence of a replacement after which an announcement of the replaced incarnation counts, in
+/// microseconds.
+///
+/// Longer than two announcements of a live agent are apart.
+const REPLACED_SILENCE_US: u64 = 5_000_000;
+
+/// Time after which rules are sent again to an agent that has not put them in force, in
+/// microseconds.
+pub const TELL_RULES_US: u64 = 1_000_000;
+
 new_key_type! {
     /// Locates an agent in the entry's arena.
     pub struct AgentKey;
@@ -46,6 +56,8 @@
     pub rostered: u32,
     /// Newest revision of the rules sent.
     pub told_revision: u64,
+    /// Time from which on they are sent again.
+    pub tell_again_us: u64,
     outbox: Vec<OwnerMessage>,
     urgent: bool,
 }
@@ -65,6 +77,7 @@
             next_beat_us: 0,
             rostered: 0,
             told_revision: 0,
+            tell_again_us: 0,
             outbox: Vec::new(),
             urgent: false,
         }
@@ -150,15 +163,34 @@
     }
 
     /// Takes in an announcement.
+    ///
+    /// An announcement of an incarnation that was replaced came late, unless its replacement
+    /// has been silent since: then it was the replacement's that came late.
     pub fn announce(&mut self, info: AgentInfo, now_us: u64) -> AgentKey {
-        self.mark_replaced(&info);
-        if let Some(key) = self.find(info.key) {
-            let view = &mut self.arena[key];
-            view.last_heard_us = now_us;
-            view.info = info;
-            return key;
+        let Some(key) = self.find(info.key) else {
+            self.mark_replaced(&info);
+            return self.insert(info, now_us);
+        };
+        if self.arena[key].replaced {
+            if !self.is_silent_at(&info.address, now_us) {
+                return key;
+            }
+            self.arena[key].replaced = false;
         }
-        self.insert(info, now_us)
+        self.mark_replaced(&info);
+        let view = &mut self.arena[key];
+        view.last_heard_us = now_us;
+        view.info = info;
+        key
+    }
+
+    /// Tells whether the incarnation that was last seen at an address has stopped announcing.
+    fn is_silent_at(&self, address: &str, now_us: u64) -> bool {
+        let current = self.by_address.get(address);
+        let view = current
+            .and_then(|process| self.find(*process))
+            .and_then(|key| self.get(key));
+        view.is_none_or(|view| now_us > view.last_heard_us + REPLACED_SILENCE_US)
     }
 
     /// Returns the view of a roster member, making one for a member never heard of.
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 
 use crate::action::{Action, Submission, WaiterKey};
-use crate::agents::{AgentKey, Agents};
+use crate::agents::{AgentKey, Agents, TELL_RULES_US};
 use crate::claims::Claims;
 use crate::counters::Counters;
 use crate::handover::Table;
@@ -266,23 +266,25 @@
             view.last_heard_us = now_us;
             view.load = envelope.load;
         }
-        self.bring_up_to_date(agent);
+        self.bring_up_to_date(agent, now_us);
         for message in envelope.messages {
             self.agent_message(envelope.from, message, now_us, now_unix_ms, actions);
         }
     }
 
     /// Sends the rules to an agent that has older ones.
-    fn bring_up_to_date(&mut self, agent: AgentKey) {
+    fn bring_up_to_date(&mut self, agent: AgentKey, now_us: u64) {
         let rules = &self.rules.agent_rules;
         let Some(view) = self.agents.get_mut(agent) else {
             return;
         };
-        let told = view.told_revision >= rules.revision;
+        // The message may have been lost, so it is repeated until the agent shows the rules.
+        let told = view.told_revision >= rules.revision && now_us < view.tell_again_us;
         if view.load.config_revision >= rules.revision || told {
             return;
         }
         view.told_revision = rules.revision;
+        view.tell_again_us = now_us + TELL_RULES_US;
         view.push(OwnerMessage::Configure(rules.clone()));
     }
 
--- a/components/dispatch/src/recovery.rs
+++ b/components/dispatch/src/recovery.rs
@@ -71,6 +71,11 @@
         let Some(slot) = self.slot_for(cx, &record) else {
             return;
         };
+        if record.meta.submitted_unix_ms < self.jobs[slot].meta.submitted_unix_ms {
+            // Refused as not run before the newer submission was admitted.
+            self.raise_attempts(slot, &record);
+            return;
+        }
         for task in record.tasks {
             let key = TaskKey {
                 job: record.meta.key,
@@ -108,25 +113,46 @@
     /// Finds the job of a record, making it while the shard is being recovered.
     fn slot_for(&mut self, cx: &mut Cx<'_>, record: &JobRecord) -> Option<JobSlot> {
         let key = record.meta.key;
-        if let Some(slot) = self.by_key.get(&key) {
-            return Some(*slot);
-        }
         let recovering = matches!(self.phase, Phase::Fencing { .. });
+        if let Some(&slot) = self.by_key.get(&key) {
+            let job = &self.jobs[slot];
+            let outdated = job.meta.submitted_unix_ms < record.meta.submitted_unix_ms;
+            if !outdated || !recovering || job.has_payloads {
+                return Some(slot);
+            }
+            // No task of the older submission started, or there would be no newer one.
+            let attempt = job.last_attempt();
+            self.forget(slot);
+            let slot = self.insert_recovered(cx, record);
+            self.jobs[slot].start_above(attempt);
+            return Some(slot);
+        }
         if !recovering || !self.unclean || self.records.get(key).is_some() {
             return None;
         }
+        Some(self.insert_recovered(cx, record))
+    }
+
+    fn insert_recovered(&mut self, cx: &Cx<'_>, record: &JobRecord) -> JobSlot {
         self.arrivals += 1;
-        let job = Job::recovered(
-            record.meta.clone(),
-            self.arrivals,
-            cx.now_us,
-            cx.now_unix_ms,
-        );
+        let meta = record.meta.clone();
+        let key = meta.key;
+        let job = Job::recovered(meta, self.arrivals, cx.now_us, cx.now_unix_ms);
         let deadline_us = job.deadline_us;
         let slot = self.jobs.insert(job);
         self.by_key.insert(key, slot);
         self.deadlines.insert((deadline_us, slot));
-        Some(slot)
+        slot
+    }
+
+    /// Keeps later attempts of a job above those that a record rules out.
+    fn raise_attempts(&mut self, slot: JobSlot, record: &JobRecord) {
+        for task in &record.tasks {
+            let known = self.jobs[slot].tasks.get_mut(usize::from(task.index));
+            if let Some(known) = known {
+                known.attempt = known.attempt.max(task.attempt);
+            }
+        }
     }
 
     fn is_done(&self, slot: JobSlot, key: TaskKey) -> bool {
--- a/components/dispatch/src/roster.rs
+++ b/components/dispatch/src/roster.rs
@@ -2,7 +2,7 @@
 
 use model::{CLOCK_SKEW_MS, Member, MemberState, ProcessKey, RETENTION_MS, ShardKey, ShardRecord};
 
-use crate::agents::{AgentKey, Agents};
+use crate::agents::{AgentKey, AgentView, Agents};
 
 /// Time for which a departed member stays on the roster, in microseconds.
 ///
@@ -80,8 +80,9 @@
 
 /// Computes the roster that should follow, or none if nothing changes.
 ///
-/// Agents of the firm that are not listed join; members that are gone depart; departed
-/// members leave once nothing they may hold can be submitted again.
+/// Agents of the firm that are not listed join; members that are gone depart, and come back
+/// when they are heard again; departed members leave once nothing they may hold can be
+/// submitted again.
 pub fn next_roster(
     record: &ShardRecord,
     members: &[MemberView],
@@ -102,6 +103,13 @@
                     ..member.clone()
                 });
             }
+            MemberState::Departed if !gone && serves(agents, view, record.shard) => {
+                changed = true;
+                roster.push(Member {
+                    state: MemberState::Active,
+                    ..member.clone()
+                });
+            }
             MemberState::Departed if now_us > view.departed_us + DEPARTED_KEEP_US => {
                 changed = true;
             }
@@ -115,19 +123,23 @@
     changed.then_some(roster)
 }
 
+fn serves(agents: &Agents, member: &MemberView, shard: ShardKey) -> bool {
+    agents
+        .get(member.agent)
+        .is_some_and(|view| may_serve(view, shard))
+}
+
+fn may_serve(view: &AgentView, shard: ShardKey) -> bool {
+    let target = view.info.target.as_ref();
+    target.is_some_and(|target| target.firms.contains(&shard.firm)) && !view.info.draining
+}
+
 /// Lists the agents that serve a shard's firm, for its first roster.
 pub fn joining_for(shard: ShardKey, agents: &Agents, now_us: u64) -> Vec<Member> {
     agents
         .iter()
         .map(|(_, view)| view)
-        .filter(|view| {
-            let serves = view
-                .info
-                .target
-                .as_ref()
-                .is_some_and(|target| target.firms.contains(&shard.firm));
-            serves && !view.info.draining && !view.is_gone(now_us)
-        })
+        .filter(|view| may_serve(view, shard) && !view.is_gone(now_us))
         .map(|view| Member {
             agent: view.info.key,
             address: view.info.address.clone(),
--- a/components/dispatch/src/submission.rs
+++ b/components/dispatch/src/submission.rs
@@ -40,7 +40,8 @@
             cx.answer(submission.waiter, answer);
             return;
         }
-        if !self.has_authority(cx.now_us) {
+        // An entry that started during an outage may still be without rules.
+        if !self.has_authority(cx.now_us) || cx.rules.revision == 0 {
             self.park(cx, submission);
             return;
         }
