Route by what other entries tell while the platform is away

Change: entries tell which shards they own; the receiver of a forwarded copy still checks. Fakes: a request that an entry had not read when it ended counts as never accepted.

--- a/components/dispatch/src/claims.rs
+++ b/components/dispatch/src/claims.rs
@@ -34,9 +34,19 @@
     pub first_seen_us: u64,
 }
 
+/// An owner as another entry told it.
+#[derive(Debug, Clone)]
+pub struct Hint {
+    pub generation: Generation,
+    pub owner: ProcessKey,
+    pub address: String,
+}
+
 /// What an entry knows of shards and of other entries.
 #[derive(Debug, Default)]
 pub struct Claims {
+    /// Owners told by other entries; good for routing only, since the receiver checks.
+    pub hints: BTreeMap<ShardKey, Hint>,
     pub known: BTreeMap<ShardKey, Known>,
     pub peers: BTreeMap<ProcessKey, Peer>,
     /// Whether the platform's records have been read once.
@@ -97,6 +107,28 @@
         true
     }
 
+    /// Takes in what another entry tells of its ownership.
+    pub fn hinted(&mut self, shard: ShardKey, hint: Hint) {
+        let known = self.hints.get(&shard);
+        if known.is_none_or(|known| known.generation <= hint.generation) {
+            self.hints.insert(shard, hint);
+        }
+    }
+
+    /// Returns the newest owner known, with its address.
+    pub fn owner(&self, shard: ShardKey) -> Option<(ProcessKey, &str)> {
+        let record = self.known.get(&shard).map(|known| &known.record);
+        let hint = self.hints.get(&shard);
+        match (record, hint) {
+            (Some(record), Some(hint)) if record.generation < hint.generation => {
+                Some((hint.owner, &hint.address))
+            }
+            (Some(record), _) => Some((record.owner, &record.owner_address)),
+            (None, Some(hint)) => Some((hint.owner, &hint.address)),
+            (None, None) => None,
+        }
+    }
+
     /// Returns the number of shards of a firm; what was created goes before what is configured.
     pub fn shard_count(&self, firm: FirmKey, configured: u16) -> u16 {
         let first = ShardKey { firm, index: 0 };
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -4,14 +4,15 @@
 
 use model::{
     AgentEnvelope, AgentInfo, AgentMessage, Answer, EntryInfo, FailureKind, FailureReason,
-    HEARTBEAT_INTERVAL_MS, JobKey, OwnerMessage, ProcessKey, Rules, ShardBeat, ShardKey,
+    Generation, HEARTBEAT_INTERVAL_MS, JobKey, OwnerMessage, ProcessKey, Rules, ShardBeat,
+    ShardKey,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use crate::action::{Action, Submission, WaiterKey};
 use crate::agents::{AgentKey, Agents, TELL_RULES_US};
-use crate::claims::Claims;
+use crate::claims::{Claims, Hint};
 use crate::counters::Counters;
 use crate::handover::Table;
 use crate::learning::Learning;
@@ -182,15 +183,37 @@
         if self.shards.contains_key(&shard) {
             return Route::Own(shard);
         }
-        match self.claims.known.get(&shard) {
-            Some(known) if known.record.owner != self.me.key => Route::Other {
-                owner: known.record.owner,
-                address: known.record.owner_address.clone(),
+        match self.claims.owner(shard) {
+            Some((owner, address)) if owner != self.me.key => Route::Other {
+                owner,
+                address: address.to_owned(),
             },
             _ => Route::Unknown,
         }
     }
 
+    /// Takes in the shards that another entry says it owns, to route by during an outage.
+    pub fn owner_told(
+        &mut self,
+        owner: &EntryInfo,
+        owned: impl IntoIterator<Item = (ShardKey, Generation)>,
+    ) {
+        for (shard, generation) in owned {
+            let hint = Hint {
+                generation,
+                owner: owner.key,
+                address: owner.address.clone(),
+            };
+            self.claims.hinted(shard, hint);
+        }
+    }
+
+    /// Returns the shards that this entry owns, with their generations.
+    pub fn owned(&self) -> impl Iterator<Item = (ShardKey, Generation)> {
+        let shards = self.shards.values();
+        shards.map(|shard| (shard.key, shard.record.generation))
+    }
+
     /// Returns the owners of all shards known, for agents.
     pub fn owners(&self) -> impl Iterator<Item = (ShardKey, ProcessKey, &str)> {
         self.claims.known.values().map(|known| {
--- a/components/dispatch/src/submission.rs
+++ b/components/dispatch/src/submission.rs
@@ -67,7 +67,7 @@
 
     /// Decides about parked copies again.
     pub fn retry_parked(&mut self, cx: &mut Cx<'_>) {
-        if !self.has_authority(cx.now_us) {
+        if !self.has_authority(cx.now_us) || cx.rules.revision == 0 {
             return;
         }
         for parked in std::mem::take(&mut self.parked) {
--- a/components/proof/src/world/client.rs
+++ b/components/proof/src/world/client.rs
@@ -50,6 +50,8 @@
 pub struct Clients {
     jobs: Vec<Job>,
     copies: BTreeMap<CopyKey, (usize, usize)>,
+    /// Copies sent and not yet read, with the entry they were sent to.
+    pub in_transit: BTreeMap<CopyKey, usize>,
     next_copy: u64,
     next_operation: u64,
     seen_revisions: BTreeMap<u32, u64>,
@@ -85,6 +87,7 @@
         Self {
             jobs: (0..JOBS + PROBES).map(|number| job(number, rng)).collect(),
             copies: BTreeMap::new(),
+            in_transit: BTreeMap::new(),
             next_copy: 0,
             next_operation: 0,
             seen_revisions: BTreeMap::new(),
@@ -203,6 +206,7 @@
             self.lose_unaccepted(copy);
             return;
         }
+        self.clients.in_transit.insert(copy, place);
         let event = Event::Entry(place, EntryEvent::Copy(copy, Box::new(spec)));
         let at_us = now_us + CLIENT_DELAY_US;
         self.net
--- a/components/proof/src/world/entry.rs
+++ b/components/proof/src/world/entry.rs
@@ -208,6 +208,7 @@
                     info: node.dispatcher.info().clone(),
                     draining: node.stopping,
                     rules: Box::new(node.dispatcher.rules().clone()),
+                    owned: node.dispatcher.owned().collect(),
                 };
                 self.send_entry(place, from, pong);
             }
@@ -215,8 +216,10 @@
                 info,
                 draining,
                 rules,
+                owned,
             } => {
                 let dispatcher = &mut self.entries[place].dispatcher;
+                dispatcher.owner_told(&info, owned);
                 dispatcher.peer_heard(info, draining, now_us);
                 self.apply_rules(place, *rules);
             }
--- a/components/proof/src/world/faults.rs
+++ b/components/proof/src/world/faults.rs
@@ -150,6 +150,7 @@
             Node::Entry(place) => {
                 self.entries[place].alive = false;
                 self.lose_copies(place, LossReason::EntryDied);
+                self.refuse_unread(place);
                 self.heal_after(after_us, Heal::RestartEntry(place));
             }
             Node::Agent(place) => {
@@ -166,6 +167,18 @@
         }
     }
 
+    /// Closes the connections whose requests an entry that ended had not read.
+    fn refuse_unread(&mut self, place: Place) {
+        let in_transit = self.clients.in_transit.iter();
+        let unread: Vec<_> = in_transit
+            .filter(|(_, to)| **to == place)
+            .map(|(copy, _)| *copy)
+            .collect();
+        for copy in unread {
+            self.lose_unaccepted(copy);
+        }
+    }
+
     fn pause(&mut self, node: Node) {
         if !self.is_alive(node) {
             return;
@@ -368,6 +381,7 @@
 
     fn replace_stopped(&mut self, place: Place) {
         self.net.discard(Node::Entry(place).endpoint());
+        self.refuse_unread(place);
         let at_us = self.now_us() + self.rng.range(200_000..=2_000_000);
         let restart = Event::Heal(Heal::RestartEntry(place));
         self.net.schedule(at_us, restart);
--- a/components/proof/src/world/message.rs
+++ b/components/proof/src/world/message.rs
@@ -3,8 +3,8 @@
 use dispatch::{Action, DispatchRules, SwapOutcome, Table};
 use execution::{AgentAction, CallKey, CallOutcome};
 use model::{
-    AgentEnvelope, AgentInfo, Answer, EntryInfo, JobKey, JobSpec, OwnerEnvelope, ProcessKey,
-    ShardKey, ShardRecord, TaskKey,
+    AgentEnvelope, AgentInfo, Answer, EntryInfo, Generation, JobKey, JobSpec, OwnerEnvelope,
+    ProcessKey, ShardKey, ShardRecord, TaskKey,
 };
 
 use crate::event::CopyKey;
@@ -58,6 +58,7 @@
         info: EntryInfo,
         draining: bool,
         rules: Box<DispatchRules>,
+        owned: Vec<(ShardKey, Generation)>,
     },
     Refused(ProcessKey),
     Offer {
--- a/components/proof/src/world/routing.rs
+++ b/components/proof/src/world/routing.rs
@@ -47,6 +47,7 @@
             self.lose_unaccepted(copy);
             return;
         }
+        self.clients.in_transit.remove(&copy);
         self.note(Step::Accept);
         self.record(EventKind::CopyAccepted(copy));
         let pending = PendingCopy {
@@ -58,6 +59,7 @@
     }
 
     pub(super) fn lose_unaccepted(&mut self, copy: CopyKey) {
+        self.clients.in_transit.remove(&copy);
         let reason = LossReason::NeverAccepted;
         self.record(EventKind::CopyLost { copy, reason });
         self.client_lost(copy);
