--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -16,6 +16,7 @@
 use crate::counters::Counters;
 use crate::handover::Table;
 use crate::learning::Learning;
+use crate::mutation::{Mutation, Mutations};
 use crate::ownership::Claim;
 use crate::rules::{DispatchRules, Policy};
 use crate::shard::Shard;
@@ -59,6 +60,7 @@
     pub(crate) draining: bool,
     pub(crate) next_review_us: u64,
     pub(crate) last_poll_us: u64,
+    pub(crate) mutations: Mutations,
     next_forget_us: u64,
 }
 
@@ -74,6 +76,7 @@
             policy: &$self.policy,
             counters: &mut $self.counters,
             rng: &mut $self.rng,
+            mutations: $self.mutations,
             actions: $actions,
         }
     };
@@ -105,10 +108,17 @@
             draining: false,
             next_review_us: 0,
             last_poll_us: 0,
+            mutations: Mutations::default(),
             next_forget_us: 0,
         }
     }
 
+    /// Leaves out one guard.
+    #[cfg(feature = "mutants")]
+    pub fn mutate(&mut self, mutation: Mutation) {
+        self.mutations.set(mutation);
+    }
+
     /// Returns the incarnation of this entry.
     #[must_use]
     pub fn me(&self) -> ProcessKey {
@@ -159,7 +169,8 @@
 
     /// Puts newer rules in force; older ones are ignored.
     pub fn apply_rules(&mut self, rules: DispatchRules) -> bool {
-        if rules.revision <= self.rules.revision {
+        let reverts = self.mutations.has(Mutation::ConfigGoesBack);
+        if rules.revision <= self.rules.revision && !reverts {
             return false;
         }
         self.rules = rules;
@@ -223,7 +234,8 @@
     }
 
     /// Takes in an agent's announcement.
-    pub fn agent_announced(&mut self, info: AgentInfo, now_us: u64) {
+    pub fn agent_announced(&mut self, mut info: AgentInfo, now_us: u64) {
+        info.draining &= !self.mutations.has(Mutation::PlaceOnDraining);
         self.agents.announce(info, now_us);
     }
 
@@ -288,6 +300,10 @@
         if let Some(view) = self.agents.get_mut(agent) {
             view.last_heard_us = now_us;
             view.load = envelope.load;
+            if self.mutations.has(Mutation::PlaceOnDraining) {
+                view.load.ready = true;
+                view.load.window = view.load.window.max(4);
+            }
         }
         self.bring_up_to_date(agent, now_us);
         for message in envelope.messages {
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 mod health;
 mod job;
 mod learning;
+mod mutation;
 mod outcomes;
 mod ownership;
 mod placement;
@@ -33,5 +34,7 @@
 pub use counters::Counters;
 pub use dispatcher::{Dispatcher, Route};
 pub use handover::Table;
+#[cfg(feature = "mutants")]
+pub use mutation::Mutation;
 pub use rules::{DispatchRules, FirmRules, GroupRules, Order, Placement, Policy, PolicyBuilder};
 pub use state::{AgentState, DispatcherState, JobState, JobSummary, PeerState, ShardState};
--- a/components/dispatch/src/outcomes.rs
+++ b/components/dispatch/src/outcomes.rs
@@ -7,6 +7,7 @@
 
 use crate::agents::AgentKey;
 use crate::job::{JobSlot, TaskPhase};
+use crate::mutation::Mutation;
 use crate::shard::{Cx, Shard, decrement};
 
 /// Part of a permit's life for which it is used; the rest covers the way to the agent.
@@ -246,7 +247,8 @@
             TaskOutcome::Done(result) => {
                 task.phase = TaskPhase::Done(result);
                 job.unfinished -= 1;
-                if job.unfinished == 0 {
+                let hasty = self.mutations.has(Mutation::PartialAnswer);
+                if job.unfinished == 0 || hasty {
                     self.complete_job(cx, slot);
                 }
             }
--- a/components/dispatch/src/ownership.rs
+++ b/components/dispatch/src/ownership.rs
@@ -4,6 +4,7 @@
 
 use crate::action::{Action, SwapOutcome};
 use crate::dispatcher::{Dispatcher, cx};
+use crate::mutation::Mutation;
 use crate::roster;
 use crate::transfer::Charge;
 
@@ -59,7 +60,7 @@
         let newer = self.claims.record_seen(record.clone(), revision, now_us);
         let claimed = self.settle_claim(&record, revision, now_us);
         // An older record that arrives late must not bring a shard back.
-        if !newer {
+        if !newer && !self.mutations.has(Mutation::AdoptLateRecord) {
             return;
         }
         self.awaiting.remove(&key);
@@ -158,6 +159,9 @@
         now_unix_ms: u64,
         actions: &mut Vec<Action>,
     ) {
+        if self.draining && self.mutations.has(Mutation::CutOnDrain) {
+            self.abandon(actions);
+        }
         self.note_gap(now_us);
         self.end_waits(now_us, now_unix_ms, actions);
         self.begin_claims(now_us);
--- a/components/dispatch/src/recovery.rs
+++ b/components/dispatch/src/recovery.rs
@@ -7,6 +7,7 @@
 
 use crate::agents::AgentKey;
 use crate::job::{Job, JobSlot, TaskPhase};
+use crate::mutation::Mutation;
 use crate::shard::{Cx, Phase, REPEAT_US, Shard};
 
 /// Time for which a new owner waits for the last agents' answers, in microseconds.
@@ -199,7 +200,7 @@
     }
 
     /// Lets a task wait again that an agent held and did not start.
-    fn return_task(&mut self, cx: &mut Cx<'_>, slot: JobSlot, key: TaskKey, agent: AgentKey) {
+    pub fn return_task(&mut self, cx: &mut Cx<'_>, slot: JobSlot, key: TaskKey, agent: AgentKey) {
         let job = &mut self.jobs[slot];
         let task = &mut job.tasks[usize::from(key.index)];
         let held = matches!(task.phase, TaskPhase::Sent { agent: at, .. } if at == agent);
@@ -250,7 +251,8 @@
         let all = self.members.iter().all(|member| member.fenced);
         let majority = active == 0 || fenced * 2 > active;
         let waited = cx.now_us >= since_us + FENCE_GRACE_US;
-        let enough = all || (majority && waited);
+        let skip = self.mutations.has(Mutation::SkipFenceWait);
+        let enough = all || (majority && waited) || skip;
         if !enough {
             return;
         }
@@ -258,7 +260,7 @@
         if !self.unclean {
             return;
         }
-        self.complete = all;
+        self.complete = all || skip;
         self.horizon_unix_ms = cx.now_unix_ms + TAKEOVER_HORIZON_MS;
         self.resume_jobs(cx);
     }
--- a/components/dispatch/src/shard.rs
+++ b/components/dispatch/src/shard.rs
@@ -17,6 +17,7 @@
 use crate::counters::Counters;
 use crate::job::{Job, JobSlot, TaskPhase};
 use crate::learning::Learning;
+use crate::mutation::{Mutation, Mutations};
 use crate::placement::{self, Request};
 use crate::queue::Queue;
 use crate::records::{Record, Records};
@@ -41,6 +42,7 @@
     pub policy: &'a Policy,
     pub counters: &'a mut Counters,
     pub rng: &'a mut SmallRng,
+    pub mutations: Mutations,
     pub actions: &'a mut Vec<Action>,
 }
 
@@ -112,6 +114,7 @@
     pub in_progress: u32,
     pub arrivals: u64,
     pub rate: RateLimit,
+    pub mutations: Mutations,
     turn: usize,
 }
 
@@ -145,6 +148,7 @@
             in_progress: 0,
             arrivals: 0,
             rate: RateLimit::default(),
+            mutations: cx.mutations,
             turn: 0,
         };
         shard.index_members();
@@ -196,7 +200,7 @@
     }
 
     pub fn has_authority(&self, now_us: u64) -> bool {
-        now_us < self.authority_until_us
+        now_us < self.authority_until_us || self.mutations.has(Mutation::SkipAuthority)
     }
 
     /// Returns the entry of this shard in a heartbeat to an agent, if it is concerned.
@@ -268,7 +272,8 @@
         let untouched = self.jobs.get(slot).is_some_and(Job::is_untouched);
         // Without authority another owner may be running the same job, and before every agent
         // has told what it holds one of them may have run a part of it.
-        if untouched && self.phase == Phase::Serving && self.has_authority(now_us) {
+        let told = self.phase == Phase::Serving || self.mutations.has(Mutation::RefuseWhileFencing);
+        if untouched && told && self.has_authority(now_us) {
             return FailureKind::NotRun;
         }
         FailureKind::MayHaveRun
@@ -300,6 +305,14 @@
         if task.attempt != attempt || !job.has_payloads {
             return;
         }
+        if self.mutations.has(Mutation::RestartSentTask) {
+            let key = TaskKey {
+                job: job.meta.key,
+                index,
+            };
+            self.return_task(cx, slot, key, agent);
+            return;
+        }
         self.unacknowledged
             .push_back((cx.now_us, slot, index, attempt));
         if !self.has_authority(cx.now_us) {
--- a/components/dispatch/src/submission.rs
+++ b/components/dispatch/src/submission.rs
@@ -9,6 +9,7 @@
 use crate::action::{Submission, WaiterKey};
 use crate::admission;
 use crate::job::{Job, JobSlot, TaskPhase};
+use crate::mutation::Mutation;
 use crate::records::Record;
 use crate::shard::{Cx, Parked, Phase, Shard};
 
@@ -99,7 +100,8 @@
 
     fn join(&mut self, cx: &mut Cx<'_>, slot: JobSlot, submission: Submission) {
         let job = &mut self.jobs[slot];
-        if job.meta.body_digest != submission.spec.meta.body_digest {
+        let blind = self.mutations.has(Mutation::IgnoreBodyDigest);
+        if job.meta.body_digest != submission.spec.meta.body_digest && !blind {
             cx.counters.conflicts += 1;
             cx.answer(submission.waiter, conflict());
             return;
@@ -121,7 +123,8 @@
         if record.allows_newer(spec.meta.submitted_unix_ms) {
             return None;
         }
-        if record.body_digest != spec.meta.body_digest {
+        let blind = self.mutations.has(Mutation::IgnoreBodyDigest);
+        if record.body_digest != spec.meta.body_digest && !blind {
             return Some(conflict());
         }
         Some(record.answer.clone())
@@ -183,7 +186,8 @@
 
     fn check_horizon(&self, cx: &mut Cx<'_>, spec: &JobSpec) -> Result<(), Answer> {
         let submitted_unix_ms = spec.meta.submitted_unix_ms;
-        if submitted_unix_ms > self.horizon_unix_ms {
+        let skip = self.mutations.has(Mutation::SkipHorizon);
+        if submitted_unix_ms > self.horizon_unix_ms || skip {
             return Ok(());
         }
         let left_ms = self.horizon_unix_ms.saturating_sub(cx.now_unix_ms);
@@ -223,8 +227,10 @@
         }
         let meta = &submission.spec.meta;
         let last_attempt = self.last_attempt(meta.key);
-        self.records
-            .insert(Record::new(meta, answer.clone(), last_attempt));
+        if !self.mutations.has(Mutation::ForgetRefusals) {
+            self.records
+                .insert(Record::new(meta, answer.clone(), last_attempt));
+        }
         cx.answer(submission.waiter, answer);
     }
 
--- a/components/dispatch/src/swaps.rs
+++ b/components/dispatch/src/swaps.rs
@@ -7,6 +7,7 @@
 use crate::action::Action;
 use crate::agents::AgentKey;
 use crate::dispatcher::{Dispatcher, cx};
+use crate::mutation::Mutation;
 use crate::ownership::RETRY_SWAP_US;
 use crate::roster::{self, MemberView};
 use crate::shard::{Cx, PendingSwap, Phase, Shard};
@@ -38,6 +39,13 @@
     pub(crate) fn change_rosters(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         for shard in self.shards.values_mut() {
             shard.plan_roster(&self.agents, now_us);
+            if self.mutations.has(Mutation::IgnoreRoster)
+                && let Some(swap) = shard.swap.take_if(|swap| swap.record.owner == self.me.key)
+            {
+                let revision = shard.revision;
+                let mut cx = cx!(self, now_us, 0, actions);
+                shard.roster_written(&mut cx, swap.record, revision);
+            }
             shard.send_swap(&mut self.tries, now_us, actions);
         }
     }
--- a/components/proof/src/world/agent.rs
+++ b/components/proof/src/world/agent.rs
@@ -47,8 +47,10 @@
         #[allow(unused_mut)]
         let mut builder = AgentBuilder::new(key);
         #[cfg(feature = "mutants")]
-        if let Some(super::Mutant::Execution(mutation)) = self.scenario.mutant {
-            builder = builder.mutation(mutation);
+        for mutant in &self.scenario.mutants {
+            if let super::Mutant::Execution(mutation) = mutant {
+                builder = builder.mutation(*mutation);
+            }
         }
         let slow = place == 0 && self.rng.chance(0.3) && self.faulty_targets;
         let created = AgentNode {
@@ -252,6 +254,7 @@
         node.stopping = true;
         let key = node.key;
         self.record(EventKind::GracefulStop(key));
+        self.record(EventKind::TargetLeaving(key));
         let (now_us, _) = self.agent_time(place);
         let mut actions = Vec::new();
         self.agents[place].agent.drain(now_us, &mut actions);
--- a/components/proof/src/world/entry.rs
+++ b/components/proof/src/world/entry.rs
@@ -73,8 +73,10 @@
         #[allow(unused_mut)]
         let mut dispatcher = Dispatcher::new(info, Policy::default(), seed);
         #[cfg(feature = "mutants")]
-        if let Some(super::Mutant::Dispatch(mutation)) = self.scenario.mutant {
-            dispatcher.mutate(mutation);
+        for mutant in &self.scenario.mutants {
+            if let super::Mutant::Dispatch(mutation) = mutant {
+                dispatcher.mutate(*mutation);
+            }
         }
         let node = EntryNode {
             key,
--- a/components/proof/src/world/scenario.rs
+++ b/components/proof/src/world/scenario.rs
@@ -186,9 +186,9 @@
     pub base: Base,
     /// The faults.
     pub injections: Vec<Injection>,
-    /// The guard that is left out.
+    /// The guards that are left out.
     #[cfg(feature = "mutants")]
-    pub mutant: Option<Mutant>,
+    pub mutants: Vec<Mutant>,
 }
 
 impl Scenario {
@@ -206,7 +206,7 @@
             base,
             injections: Vec::new(),
             #[cfg(feature = "mutants")]
-            mutant: None,
+            mutants: Vec::new(),
         }
     }
 
@@ -221,7 +221,7 @@
     #[cfg(feature = "mutants")]
     #[must_use]
     pub fn mutant(mut self, mutant: Mutant) -> Self {
-        self.mutant = Some(mutant);
+        self.mutants.push(mutant);
         self
     }
 }
