--- a/components/dispatch/src/shard.rs
+++ b/components/dispatch/src/shard.rs
@@ -17,6 +17,7 @@
 use crate::counters::Counters;
 use crate::job::{Job, JobSlot, TaskPhase};
 use crate::learning::Learning;
+use crate::mutation::{Mutation, Mutations};
 use crate::placement::{self, Request};
 use crate::queue::Queue;
 use crate::records::{Record, Records};
@@ -41,6 +42,7 @@
     pub policy: &'a Policy,
     pub counters: &'a mut Counters,
     pub rng: &'a mut SmallRng,
+    pub mutations: Mutations,
     pub actions: &'a mut Vec<Action>,
 }
 
@@ -57,15 +59,12 @@
     Fencing { since_us: u64 },
     /// Admits and starts.
     Serving,
-    /// Has given its table to another entry and changes nothing any more.
-    Yielding,
 }
 
 /// A change of the shard's record that is under way.
 #[derive(Debug)]
 pub struct PendingSwap {
     pub record: ShardRecord,
-    pub in_flight: bool,
     /// Whether the answer to a try was lost.
     pub unknown: bool,
     pub next_try_us: u64,
@@ -103,8 +102,6 @@
     pub horizon_unix_ms: u64,
     pub swap: Option<PendingSwap>,
     pub next_swap_us: u64,
-    /// The record to write once the next owner has accepted the table.
-    pub handing_to: Option<ShardRecord>,
     pub authority_until_us: u64,
     pub jobs: SlotMap<JobSlot, Job>,
     pub by_key: FxHashMap<JobKey, JobSlot>,
@@ -117,6 +114,7 @@
     pub in_progress: u32,
     pub arrivals: u64,
     pub rate: RateLimit,
+    pub mutations: Mutations,
     turn: usize,
 }
 
@@ -138,7 +136,6 @@
             horizon_unix_ms: 0,
             swap: None,
             next_swap_us: 0,
-            handing_to: None,
             authority_until_us: 0,
             jobs: SlotMap::with_key(),
             by_key: FxHashMap::default(),
@@ -151,6 +148,7 @@
             in_progress: 0,
             arrivals: 0,
             rate: RateLimit::default(),
+            mutations: cx.mutations,
             turn: 0,
         };
         shard.index_members();
@@ -202,7 +200,7 @@
     }
 
     pub fn has_authority(&self, now_us: u64) -> bool {
-        now_us < self.authority_until_us
+        now_us < self.authority_until_us || self.mutations.has(Mutation::SkipAuthority)
     }
 
     /// Returns the entry of this shard in a heartbeat to an agent, if it is concerned.
@@ -234,9 +232,6 @@
 
     /// Does what is due: fences, deadlines, repetitions, parked copies, scheduling.
     pub fn poll(&mut self, cx: &mut Cx<'_>) {
-        if self.phase == Phase::Yielding {
-            return;
-        }
         self.send_fences(cx);
         self.finish_fencing(cx);
         self.pass_deadlines(cx);
@@ -275,8 +270,10 @@
     /// Returns what may be claimed if the job failed now.
     pub fn failure_kind(&self, slot: JobSlot, now_us: u64) -> FailureKind {
         let untouched = self.jobs.get(slot).is_some_and(Job::is_untouched);
-        // Without authority another owner may be running the same job.
-        if untouched && self.has_authority(now_us) {
+        // Without authority another owner may be running the same job, and before every agent
+        // has told what it holds one of them may have run a part of it.
+        let told = self.phase == Phase::Serving || self.mutations.has(Mutation::RefuseWhileFencing);
+        if untouched && told && self.has_authority(now_us) {
             return FailureKind::NotRun;
         }
         FailureKind::MayHaveRun
@@ -308,6 +305,14 @@
         if task.attempt != attempt || !job.has_payloads {
             return;
         }
+        if self.mutations.has(Mutation::RestartSentTask) {
+            let key = TaskKey {
+                job: job.meta.key,
+                index,
+            };
+            self.return_task(cx, slot, key, agent);
+            return;
+        }
         self.unacknowledged
             .push_back((cx.now_us, slot, index, attempt));
         if !self.has_authority(cx.now_us) {
--- a/components/dispatch/src/submission.rs
+++ b/components/dispatch/src/submission.rs
@@ -9,6 +9,7 @@
 use crate::action::{Submission, WaiterKey};
 use crate::admission;
 use crate::job::{Job, JobSlot, TaskPhase};
+use crate::mutation::Mutation;
 use crate::records::Record;
 use crate::shard::{Cx, Parked, Phase, Shard};
 
@@ -40,7 +41,8 @@
             cx.answer(submission.waiter, answer);
             return;
         }
-        if !self.has_authority(cx.now_us) {
+        // An entry that started during an outage may still be without rules.
+        if !self.has_authority(cx.now_us) || cx.rules.revision == 0 {
             self.park(cx, submission);
             return;
         }
@@ -66,7 +68,7 @@
 
     /// Decides about parked copies again.
     pub fn retry_parked(&mut self, cx: &mut Cx<'_>) {
-        if !self.has_authority(cx.now_us) {
+        if !self.has_authority(cx.now_us) || cx.rules.revision == 0 {
             return;
         }
         for parked in std::mem::take(&mut self.parked) {
@@ -98,7 +100,8 @@
 
     fn join(&mut self, cx: &mut Cx<'_>, slot: JobSlot, submission: Submission) {
         let job = &mut self.jobs[slot];
-        if job.meta.body_digest != submission.spec.meta.body_digest {
+        let blind = self.mutations.has(Mutation::IgnoreBodyDigest);
+        if job.meta.body_digest != submission.spec.meta.body_digest && !blind {
             cx.counters.conflicts += 1;
             cx.answer(submission.waiter, conflict());
             return;
@@ -120,7 +123,8 @@
         if record.allows_newer(spec.meta.submitted_unix_ms) {
             return None;
         }
-        if record.body_digest != spec.meta.body_digest {
+        let blind = self.mutations.has(Mutation::IgnoreBodyDigest);
+        if record.body_digest != spec.meta.body_digest && !blind {
             return Some(conflict());
         }
         Some(record.answer.clone())
@@ -128,8 +132,10 @@
 
     /// Checks whether a submission that is not known may be admitted.
     fn check(&mut self, cx: &mut Cx<'_>, spec: &JobSpec) -> Result<(), Answer> {
-        self.check_times(cx, spec)?;
+        self.check_age(cx, spec)?;
+        // Goes before every refusal as not run: an earlier owner may have run the job.
         self.check_horizon(cx, spec)?;
+        self.check_times(cx, spec)?;
         let candidates = admission::check_group(self, cx, spec)?;
         admission::check_limits(self, cx, spec)?;
         if cx.policy.admission {
@@ -138,15 +144,19 @@
         Ok(())
     }
 
+    fn check_age(&self, cx: &Cx<'_>, spec: &JobSpec) -> Result<(), Answer> {
+        if spec.meta.submitted_unix_ms + RETENTION_MS >= cx.now_unix_ms {
+            return Ok(());
+        }
+        Err(Answer::failed(
+            FailureKind::MayHaveRun,
+            FailureReason::TooOld,
+            "the submission is older than the retention period; its fate is not known",
+        ))
+    }
+
     fn check_times(&self, cx: &Cx<'_>, spec: &JobSpec) -> Result<(), Answer> {
         let meta = &spec.meta;
-        if meta.submitted_unix_ms + RETENTION_MS < cx.now_unix_ms {
-            return Err(Answer::failed(
-                FailureKind::MayHaveRun,
-                FailureReason::TooOld,
-                "the submission is older than the retention period; its fate is not known",
-            ));
-        }
         if meta.submitted_unix_ms > cx.now_unix_ms + CLOCK_SKEW_MS {
             let ahead_ms = meta.submitted_unix_ms - cx.now_unix_ms;
             if ahead_ms > RETENTION_MS {
@@ -176,7 +186,8 @@
 
     fn check_horizon(&self, cx: &mut Cx<'_>, spec: &JobSpec) -> Result<(), Answer> {
         let submitted_unix_ms = spec.meta.submitted_unix_ms;
-        if submitted_unix_ms > self.horizon_unix_ms {
+        let skip = self.mutations.has(Mutation::SkipHorizon);
+        if submitted_unix_ms > self.horizon_unix_ms || skip {
             return Ok(());
         }
         let left_ms = self.horizon_unix_ms.saturating_sub(cx.now_unix_ms);
@@ -216,8 +227,10 @@
         }
         let meta = &submission.spec.meta;
         let last_attempt = self.last_attempt(meta.key);
-        self.records
-            .insert(Record::new(meta, answer.clone(), last_attempt));
+        if !self.mutations.has(Mutation::ForgetRefusals) {
+            self.records
+                .insert(Record::new(meta, answer.clone(), last_attempt));
+        }
         cx.answer(submission.waiter, answer);
     }
 
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -124,7 +124,7 @@
     }
 
     fn pinged(self: &Rc<Self>, message: EntryPing) -> EntryPong {
-        self.peer_heard(message.from, message.draining);
+        self.peer_heard(message.from, message.draining, &message.owned);
         EntryPong {
             from: self.core.borrow().info().clone(),
             now_unix_ms: unix_ms(),
@@ -146,14 +146,15 @@
         if let Some(document) = &pong.config {
             self.config_offered(&document.bytes);
         }
-        self.peer_heard(pong.from, pong.draining);
+        self.peer_heard(pong.from, pong.draining, &pong.owned);
     }
 
-    fn peer_heard(&self, info: EntryInfo, draining: bool) {
+    fn peer_heard(&self, info: EntryInfo, draining: bool, owned: &[OwnedShard]) {
         self.entry_known(info.clone());
-        self.core
-            .borrow_mut()
-            .peer_heard(info, draining, monotonic_us());
+        let owned = owned.iter().map(|owned| (owned.shard, owned.generation));
+        let mut core = self.core.borrow_mut();
+        core.owner_told(&info, owned);
+        core.peer_heard(info, draining, monotonic_us());
     }
 
     /// Tells whether the platform answered lately.
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -238,6 +238,8 @@
     }
 
     fn is_drained(&self) -> bool {
-        self.requests.get() == 0 && self.core.borrow().is_idle()
+        let core = self.core.borrow();
+        let is_released = core.is_released() || !core.has_successor(monotonic_us());
+        self.requests.get() == 0 && core.is_idle() && is_released
     }
 }
