--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -210,6 +210,7 @@
         owned: impl IntoIterator<Item = (ShardKey, Generation)>,
     ) {
         for (shard, generation) in owned {
+            self.confirm_hand_over(owner.key, shard, generation);
             let hint = Hint {
                 generation,
                 owner: owner.key,
@@ -219,10 +220,12 @@
         }
     }
 
-    /// Returns the shards that this entry owns, with their generations.
+    /// Returns the shards whose records name this entry, with their generations.
     pub fn owned(&self) -> impl Iterator<Item = (ShardKey, Generation)> {
-        let shards = self.shards.values();
-        shards.map(|shard| (shard.key, shard.record.generation))
+        let shards = self.shards.values().map(|shard| &shard.record);
+        let awaited = self.awaiting.values().map(Awaited::record);
+        let records = shards.chain(awaited);
+        records.map(|record| (record.shard, record.generation))
     }
 
     /// Returns the owners of all shards known, for agents.
--- a/components/dispatch/src/handover.rs
+++ b/components/dispatch/src/handover.rs
@@ -21,6 +21,7 @@
 pub(crate) struct JobExport {
     meta: JobMeta,
     has_payloads: bool,
+    conflict_unix_ms: u64,
     tasks: Vec<(TaskSpec, Attempt, u32, PhaseExport)>,
 }
 
@@ -60,6 +61,7 @@
         self.arrivals += 1;
         let mut job = Job::recovered(export.meta, self.arrivals, cx.now_us, cx.now_unix_ms);
         job.has_payloads = export.has_payloads;
+        job.conflict_unix_ms = export.conflict_unix_ms;
         let mut waiting = Vec::new();
         for (index, (spec, attempt, attempts_made, phase)) in export.tasks.into_iter().enumerate() {
             let task = &mut job.tasks[index];
@@ -123,6 +125,7 @@
     JobExport {
         meta: job.meta.clone(),
         has_payloads: job.has_payloads,
+        conflict_unix_ms: job.conflict_unix_ms,
         tasks,
     }
 }
--- a/components/dispatch/src/job.rs
+++ b/components/dispatch/src/job.rs
@@ -28,6 +28,8 @@
     pub has_payloads: bool,
     /// Estimated work of the unfinished tasks, in microseconds.
     pub work_us: u64,
+    /// Time of the newest submission with another body that was refused for this job.
+    pub conflict_unix_ms: u64,
     /// Key under which the job stands in its queue.
     pub queue_rank: Option<u64>,
 }
@@ -92,6 +94,7 @@
             waiting: Vec::new(),
             has_payloads: false,
             work_us: 0,
+            conflict_unix_ms: 0,
             queue_rank: None,
         }
     }
--- a/components/dispatch/src/ownership.rs
+++ b/components/dispatch/src/ownership.rs
@@ -163,6 +163,7 @@
             self.abandon(actions);
         }
         self.note_gap(now_us);
+        self.yield_confirmed(now_us, now_unix_ms, actions);
         self.end_waits(now_us, now_unix_ms, actions);
         self.begin_claims(now_us);
         self.send_claims(now_us, actions);
--- a/components/dispatch/src/roster.rs
+++ b/components/dispatch/src/roster.rs
@@ -23,6 +23,8 @@
     pub acked_sent_us: u64,
     pub departed_us: u64,
     pub next_fence_us: u64,
+    /// Whether the tasks that it held were given up after it had gone.
+    pub lost: bool,
 }
 
 impl MemberView {
@@ -36,6 +38,7 @@
             acked_sent_us: 0,
             departed_us: now_us,
             next_fence_us: now_us,
+            lost: false,
         }
     }
 
--- a/components/dispatch/src/shard.rs
+++ b/components/dispatch/src/shard.rs
@@ -67,6 +67,8 @@
     pub record: ShardRecord,
     /// Whether the answer to a try was lost.
     pub unknown: bool,
+    /// Whether the next owner has seen the record.
+    pub confirmed: bool,
     pub next_try_us: u64,
 }
 
@@ -523,8 +525,10 @@
             cx.answer(waiter, answer.clone());
         }
         let last_attempt = job.last_attempt();
-        self.records
-            .insert(Record::new(&job.meta, answer, last_attempt));
+        let mut record = Record::new(&job.meta, answer, last_attempt);
+        // A submission that was refused for a conflict stays refused.
+        record.submitted_unix_ms = record.submitted_unix_ms.max(job.conflict_unix_ms);
+        self.records.insert(record);
     }
 
     fn leave_queue(&mut self, cx: &mut Cx<'_>, job: &mut Job) {
--- a/components/dispatch/src/submission.rs
+++ b/components/dispatch/src/submission.rs
@@ -37,6 +37,10 @@
             return;
         }
         if let Some(answer) = self.recorded_answer(&submission.spec) {
+            if is_conflict(&answer) && !self.has_authority(cx.now_us) {
+                self.park(cx, submission);
+                return;
+            }
             cx.counters.resubmitted += 1;
             cx.answer(submission.waiter, answer);
             return;
@@ -102,8 +106,7 @@
         let job = &mut self.jobs[slot];
         let blind = self.mutations.has(Mutation::IgnoreBodyDigest);
         if job.meta.body_digest != submission.spec.meta.body_digest && !blind {
-            cx.counters.conflicts += 1;
-            cx.answer(submission.waiter, conflict());
+            self.refuse_conflict(cx, slot, submission);
             return;
         }
         cx.counters.resubmitted += 1;
@@ -118,6 +121,21 @@
         }
     }
 
+    /// Refuses another body under the id of a job in progress.
+    ///
+    /// The refusal claims that the body never runs, which only an owner can tell.
+    fn refuse_conflict(&mut self, cx: &mut Cx<'_>, slot: JobSlot, submission: Submission) {
+        if !self.has_authority(cx.now_us) {
+            self.park(cx, submission);
+            return;
+        }
+        let job = &mut self.jobs[slot];
+        let submitted_unix_ms = submission.spec.meta.submitted_unix_ms;
+        job.conflict_unix_ms = job.conflict_unix_ms.max(submitted_unix_ms);
+        cx.counters.conflicts += 1;
+        cx.answer(submission.waiter, conflict());
+    }
+
     fn recorded_answer(&mut self, spec: &JobSpec) -> Option<Answer> {
         let record = self.records.get(spec.meta.key)?;
         if record.allows_newer(spec.meta.submitted_unix_ms) {
@@ -306,6 +324,10 @@
     }
 }
 
+fn is_conflict(answer: &Answer) -> bool {
+    matches!(answer, Answer::Failed(failure) if failure.reason == FailureReason::Conflict)
+}
+
 fn conflict() -> Answer {
     Answer::Failed(Failure {
         kind: FailureKind::CannotRun,
--- a/components/dispatch/src/swaps.rs
+++ b/components/dispatch/src/swaps.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeSet;
 
-use model::{MemberState, ShardKey, ShardRecord};
+use model::{ShardKey, ShardRecord};
 
 use crate::action::Action;
-use crate::agents::AgentKey;
+use crate::agents::{AgentKey, Agents};
 use crate::dispatcher::{Dispatcher, cx};
 use crate::mutation::Mutation;
 use crate::ownership::RETRY_SWAP_US;
@@ -20,15 +20,7 @@
         actions: &mut Vec<Action>,
     ) {
         for shard in self.shards.values_mut() {
-            let gone: Vec<AgentKey> = shard
-                .members
-                .iter()
-                .filter(|member| {
-                    member_is_gone(&self.agents, member, now_us)
-                        && member.state == MemberState::Active
-                })
-                .map(|member| member.agent)
-                .collect();
+            let gone = shard.newly_gone(&self.agents, now_us);
             let mut cx = cx!(self, now_us, now_unix_ms, actions);
             for agent in gone {
                 shard.lose_agent(&mut cx, agent);
@@ -51,14 +43,27 @@
     }
 }
 
-fn member_is_gone(agents: &crate::agents::Agents, member: &MemberView, now_us: u64) -> bool {
+fn member_is_gone(agents: &Agents, member: &MemberView, now_us: u64) -> bool {
     agents
         .get(member.agent)
         .is_none_or(|agent| agent.is_gone(now_us))
 }
 
 impl Shard {
-    fn plan_roster(&mut self, agents: &crate::agents::Agents, now_us: u64) {
+    /// Returns the members that have gone since the last call.
+    fn newly_gone(&mut self, agents: &Agents, now_us: u64) -> Vec<AgentKey> {
+        let mut gone = Vec::new();
+        for member in &mut self.members {
+            let is_gone = member_is_gone(agents, member, now_us);
+            if is_gone && !member.lost {
+                gone.push(member.agent);
+            }
+            member.lost = is_gone;
+        }
+        gone
+    }
+
+    fn plan_roster(&mut self, agents: &Agents, now_us: u64) {
         if self.swap.is_some() || self.phase != Phase::Serving || now_us < self.next_swap_us {
             return;
         }
@@ -70,6 +75,7 @@
         self.swap = Some(PendingSwap {
             record,
             unknown: false,
+            confirmed: false,
             next_try_us: now_us,
         });
         self.refresh_authority();
--- a/components/dispatch/src/transfer.rs
+++ b/components/dispatch/src/transfer.rs
@@ -35,6 +35,12 @@
     until_us: u64,
 }
 
+impl Awaited {
+    pub(crate) fn record(&self) -> &ShardRecord {
+        &self.charge.record
+    }
+}
+
 /// A table on its way to the next owner.
 #[derive(Debug)]
 pub(crate) struct Offer {
@@ -70,6 +76,38 @@
         self.shards.is_empty() && self.awaiting.is_empty() && self.offers.is_empty()
     }
 
+    /// Notes that the next owner of a shard has seen the record that names it.
+    ///
+    /// The platform's own answer may be lost, and the next owner does not wait for ever.
+    pub(crate) fn confirm_hand_over(
+        &mut self,
+        owner: ProcessKey,
+        shard: ShardKey,
+        generation: Generation,
+    ) {
+        let shard = self.shards.get_mut(&shard);
+        if let Some(swap) = shard.and_then(|shard| shard.swap.as_mut()) {
+            swap.confirmed |= swap.record.owner == owner && swap.record.generation == generation;
+        }
+    }
+
+    /// Gives up shards whose next owners have seen the records that name them.
+    pub(crate) fn yield_confirmed(
+        &mut self,
+        now_us: u64,
+        now_unix_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let swaps = self.shards.values().filter_map(|shard| shard.swap.as_ref());
+        let records: Vec<ShardRecord> = swaps
+            .filter(|swap| swap.confirmed)
+            .map(|swap| swap.record.clone())
+            .collect();
+        for record in records {
+            self.yield_shard(&record, now_us, now_unix_ms, actions);
+        }
+    }
+
     /// Plans to name the next owners of shards in their records.
     pub(crate) fn plan_hand_overs(&mut self, now_us: u64) {
         for shard in self.shards.values_mut() {
@@ -87,6 +125,7 @@
             shard.swap = Some(PendingSwap {
                 record,
                 unknown: false,
+                confirmed: false,
                 next_try_us: now_us,
             });
         }
--- a/components/execution/src/agent.rs
+++ b/components/execution/src/agent.rs
@@ -18,6 +18,11 @@
 use crate::target::Target;
 use crate::window::Owners;
 
+/// Time for which a draining agent goes on answering, in microseconds.
+///
+/// An owner whose start was lost sends it again, and must be told that the task did not start.
+const DRAIN_NOTICE_US: u64 = 2_000_000;
+
 /// Decides which tasks start at one target.
 ///
 /// Every method takes the time of the caller's monotonic clock and appends what is to
@@ -29,6 +34,7 @@
     pub(crate) now_unix_ms: u64,
     pub(crate) target: Target,
     pub(crate) draining: bool,
+    pub(crate) drained_us: u64,
     /// Time since which no call has run.
     pub(crate) quiet_since_us: u64,
     pub(crate) config_revision: u64,
@@ -51,6 +57,7 @@
             now_unix_ms: 0,
             target: Target::default(),
             draining: false,
+            drained_us: 0,
             quiet_since_us: 0,
             config_revision: 0,
             shards: FxHashMap::default(),
@@ -125,6 +132,7 @@
         self.advance(now_us);
         if !self.draining {
             self.draining = true;
+            self.drained_us = self.now_us;
             self.quiet_since_us = self.now_us;
             self.refuse_all_queued(RefusalReason::Draining);
         }
@@ -133,13 +141,14 @@
 
     /// Returns whether a draining agent may stop.
     ///
-    /// That is so once nothing runs and each outcome is acknowledged or has been waited
+    /// That is so once owners whose starts were lost have sent them again, nothing runs and each outcome is acknowledged or has been waited
     /// for long enough, as of the last event.
     #[must_use]
     pub fn is_idle(&self) -> bool {
         let is_delivered =
             self.table.unacknowledged() == 0 || self.now_us >= self.acknowledgement_limit_us();
-        self.draining && self.calls.is_empty() && self.queue.len() == 0 && is_delivered
+        let is_known = self.now_us >= self.drained_us.saturating_add(DRAIN_NOTICE_US);
+        self.draining && is_known && self.calls.is_empty() && self.queue.len() == 0 && is_delivered
     }
 
     /// Does what has become due.
@@ -154,8 +163,12 @@
     #[must_use]
     pub fn next_wake_us(&self) -> Option<u64> {
         let has_waiting = self.queue.len() > 0;
-        let drained_us = (self.draining && self.calls.is_empty() && !self.is_idle())
-            .then(|| self.acknowledgement_limit_us());
+        let is_ending = self.draining && self.calls.is_empty() && !self.is_idle();
+        let noticed_us = self.drained_us.saturating_add(DRAIN_NOTICE_US);
+        let drained_us = is_ending.then(|| match noticed_us > self.now_us {
+            true => noticed_us,
+            false => self.acknowledgement_limit_us(),
+        });
         [
             self.target.expires_us(),
             self.queue.earliest_deadline_us(),
--- a/components/proof/src/world/calls.rs
+++ b/components/proof/src/world/calls.rs
@@ -65,6 +65,8 @@
         let at_us = self.now_us() + run_us;
         self.net.schedule(at_us, Event::CallEnd(Box::new(end)));
         if run_us > timeout_us {
+            let kind = FaultKind::TargetFault;
+            self.record(EventKind::FaultInjected { kind, firm: None });
             let outcome = CallOutcome::Unknown("timed out".to_owned());
             self.end_call_after(place, timeout_us, call, outcome);
         }
--- a/components/proof/src/world/client.rs
+++ b/components/proof/src/world/client.rs
@@ -283,7 +283,8 @@
             state.done = true;
             return;
         };
-        if state.submissions.len() >= MAX_SUBMISSIONS || state.done {
+        let spent = state.submissions.len() >= MAX_SUBMISSIONS && !state.probe;
+        if spent || state.done {
             return;
         }
         let at_us = now_us + retry_after_ms.min(3_000) * 1_000;
--- a/components/proof/src/world/entry.rs
+++ b/components/proof/src/world/entry.rs
@@ -46,6 +46,8 @@
     offers: BTreeMap<u64, (ShardKey, u64)>,
     next_ping_us: u64,
     next_sync_us: u64,
+    /// Time of the platform's last answer or event.
+    pub heard_platform_us: u64,
 }
 
 impl EntryNode {
@@ -92,6 +94,7 @@
             offers: BTreeMap::new(),
             next_ping_us: 0,
             next_sync_us: 0,
+            heard_platform_us: 0,
         };
         if place < self.entries.len() {
             self.entries[place] = node;
@@ -375,7 +378,9 @@
 
     fn take_records(&mut self, place: Place, snapshot: Snapshot, actions: &mut Vec<Action>) {
         let (now_us, now_unix_ms) = self.entry_time(place);
+        let true_us = self.now_us();
         let node = &mut self.entries[place];
+        node.heard_platform_us = true_us;
         for (record, revision) in snapshot.records {
             node.dispatcher
                 .record_seen(record, revision, now_us, now_unix_ms, actions);
--- a/components/proof/src/world/faults.rs
+++ b/components/proof/src/world/faults.rs
@@ -13,6 +13,9 @@
 /// Longest time of a planned stop of an entry, in microseconds.
 const STOP_LIMIT_US: u64 = 8_000_000;
 
+/// Silence of the platform from which on a stop waits for it, in microseconds.
+const PLATFORM_SILENCE_US: u64 = 2_500_000;
+
 /// Interval at which a stop past its limit looks for waiting copies, in microseconds.
 const STOP_RECHECK_US: u64 = 250_000;
 
@@ -364,7 +367,9 @@
         if !node.alive || node.key != key {
             return;
         }
-        if node.copies.is_empty() {
+        // While the platform is away a shard cannot be handed over, so the stop waits.
+        let hears_platform = self.now_us() < node.heard_platform_us + PLATFORM_SILENCE_US;
+        if node.copies.is_empty() && hears_platform {
             self.stopped(place);
             return;
         }
--- a/components/proof/src/world/message.rs
+++ b/components/proof/src/world/message.rs
@@ -33,6 +33,8 @@
     /// Stops a fault.
     Heal(Heal),
     StartBase,
+    /// Ends chance losses and duplicates.
+    EndNoise,
 }
 
 #[derive(Debug, Clone)]
--- a/components/proof/src/world/mod.rs
+++ b/components/proof/src/world/mod.rs
@@ -111,13 +111,14 @@
         let mut net = Net::new(scenario.seed ^ 0x5eed);
         net.set_default_faults(Faults::default().delay_us(500..=1_400));
         let faulty_targets = rng.chance(0.5);
+        let tight_rates = rng.chance(0.3);
         let clients = Clients::draw(&mut rng);
         let mut world = Self {
             net,
             rng,
             scenario,
             history: History::new(),
-            platform: Platform::default(),
+            platform: Platform::new(tight_rates),
             entries: Vec::new(),
             agents: Vec::new(),
             clients,
@@ -139,6 +140,7 @@
         world.draw_noise();
         world.schedule_clients();
         world.net.schedule(BASE_AT_US, Event::StartBase);
+        world.net.schedule(FAULTS_END_US, Event::EndNoise);
         world
     }
 
@@ -146,6 +148,10 @@
     fn draw_noise(&mut self) {
         let levels = [0.0, 0.0, 0.01, 0.05];
         let noise = levels[self.rng.range(0..=3) as usize];
+        self.set_noise(noise);
+    }
+
+    fn set_noise(&mut self, noise: f64) {
         let faults = Faults::default()
             .delay_us(500..=1_400)
             .loss(noise)
@@ -205,6 +211,7 @@
             Event::Inject(injection, process, peer) => self.inject(injection, process, peer),
             Event::Heal(heal) => self.heal(heal),
             Event::StartBase => self.start_base(),
+            Event::EndNoise => self.set_noise(0.0),
         }
     }
 
--- a/components/proof/src/world/platform.rs
+++ b/components/proof/src/world/platform.rs
@@ -20,9 +20,19 @@
     pub down: bool,
     pub slow: bool,
     pub loses_answers: bool,
+    /// Whether the firms' rates are so low that jobs are refused.
+    tight_rates: bool,
 }
 
 impl Platform {
+    /// Creates an empty platform.
+    pub fn new(tight_rates: bool) -> Self {
+        Self {
+            tight_rates,
+            ..Self::default()
+        }
+    }
+
     /// Writes a record if its revision is still the expected one.
     pub fn swap(&mut self, record: ShardRecord, expected_revision: u64) -> SwapOutcome {
         let shard = record.shard;
@@ -59,7 +69,7 @@
 
     /// Returns the rules, once there are any.
     pub fn rules(&self) -> Option<DispatchRules> {
-        (self.config_revision > 0).then(|| rules(self.config_revision))
+        (self.config_revision > 0).then(|| rules(self.config_revision, self.tight_rates))
     }
 }
 
@@ -76,14 +86,14 @@
     GroupKey::from_name("planner")
 }
 
-fn rules(revision: u64) -> DispatchRules {
+fn rules(revision: u64, tight_rates: bool) -> DispatchRules {
     let firm_rules = |firm| FirmRules {
         firm,
         shard_count: SHARD_COUNT,
         quota_tasks: 64,
         max_queue_tasks: 400,
-        rate_tasks_per_s: None,
-        burst_tasks: 100,
+        rate_tasks_per_s: tight_rates.then_some(8.0),
+        burst_tasks: if tight_rates { 8 } else { 100 },
     };
     let share = |firm| FirmShare {
         firm,
