--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -8,6 +8,7 @@
 mod fake_host;
 mod fake_platform;
 pub mod ideal;
+pub mod plot;
 pub mod report;
 pub mod scenario;
 pub mod scenarios;
--- a/components/load/src/main.rs
+++ b/components/load/src/main.rs
@@ -2,13 +2,15 @@
 
 mod cost_command;
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use getopts::{Matches, Options};
 use load::contender::Contender;
 use load::deployment::Deployment;
 use load::experiment::{self, RunResult};
-use load::report::{self, Summary};
+use load::plot;
+use load::report::{self, Spread, Summary};
 use load::scenarios::ScenarioName;
 use strum::IntoEnumIterator;
 
@@ -49,6 +51,7 @@
     options.optopt("", "seeds", "number of seeds", "COUNT");
     options.optopt("", "threads", "runs at the same time", "COUNT");
     options.optflag("", "json", "print each run as a line of JSON");
+    options.optflag("", "matrix", "print a table for each figure");
     options.optopt("", "svg", "write plots", "DIR");
     options
 }
@@ -106,7 +109,58 @@
         return Ok(());
     }
     let summaries: Vec<Summary> = results.iter().map(|runs| Summary::of(runs)).collect();
-    print!("{}", report::table(&summaries));
+    if let Some(folder) = matches.opt_str("svg") {
+        write_plots(&folder, &deployments, &summaries)?;
+    }
+    if matches.opt_present("matrix") {
+        print_matrices(&summaries);
+    } else {
+        print!("{}", report::table(&summaries));
+    }
+    Ok(())
+}
+
+fn print_matrices(summaries: &[Summary]) {
+    let figures: [Figure; 5] = [
+        ("p99 over ideal", |summary| summary.ratio_p99),
+        ("p50 over ideal", |summary| summary.ratio_p50),
+        ("goodput", |summary| summary.goodput),
+        ("wasted messages a task", |summary| summary.waste_per_task),
+        ("envelopes over least", |summary| {
+            summary.messages_over_least
+        }),
+    ];
+    for (title, figure) in figures {
+        println!("{}", report::matrix(title, summaries, figure));
+    }
+    let broken: u64 = summaries.iter().map(|summary| summary.broken).sum();
+    println!("Jobs lost, tasks doubled, jobs falsely refused over all runs: {broken}");
+}
+
+type Figure = (&'static str, fn(&Summary) -> Spread);
+
+fn write_plots(
+    folder: &str,
+    deployments: &[Deployment],
+    summaries: &[Summary],
+) -> Result<(), String> {
+    for deployment in deployments {
+        let name = deployment.to_string();
+        let part: Vec<Summary> = summaries
+            .iter()
+            .filter(|summary| summary.deployment == name)
+            .cloned()
+            .collect();
+        let path = |figure: &str| Path::new(folder).join(format!("{name}-{figure}.svg"));
+        let p99 = "99th percentile of response time over ideal";
+        plot::against_load(&path("p99"), p99, &part, |summary| summary.ratio_p99.mean)
+            .map_err(|error| error.to_string())?;
+        let goodput = "work complete in time, of the capacity";
+        plot::against_load(&path("goodput"), goodput, &part, |summary| {
+            summary.goodput.mean
+        })
+        .map_err(|error| error.to_string())?;
+    }
     Ok(())
 }
 
--- a/components/load/src/report.rs
+++ b/components/load/src/report.rs
@@ -151,3 +151,24 @@
 pub fn json_line(result: &impl Serialize) -> String {
     serde_json::to_string(result).unwrap_or_default()
 }
+
+/// Renders one figure of each scenario, with a column for each policy.
+///
+/// Cells are means with their range over seeds.
+#[must_use]
+pub fn matrix(title: &str, summaries: &[Summary], figure: fn(&Summary) -> Spread) -> String {
+    let mut contenders: Vec<&str> = Vec::new();
+    for summary in summaries {
+        if !contenders.contains(&summary.contender.as_str()) {
+            contenders.push(&summary.contender);
+        }
+    }
+    let mut text = format!("| {title} | {} |\n", contenders.join(" | "));
+    let _ = writeln!(text, "|---|{}", "---|".repeat(contenders.len()));
+    for row in summaries.chunks(contenders.len().max(1)) {
+        let cells: Vec<String> = row.iter().map(|cell_of| cell(figure(cell_of))).collect();
+        let name = format!("{} {}", row[0].scenario, row[0].deployment);
+        let _ = writeln!(text, "| {name} | {} |", cells.join(" | "));
+    }
+    text
+}
