Drop the log records of calls before the logger looks them up

Cause: tarpc opens a span at level info for each call on both sides, and fern looked for the level of its part each time; a profile of an entry under load (234 samples) shows 8 % in fern and the logging of spans. Ruled out: switching off tracing, which would lose tarpc's own warnings. Change: a wrapper compares level and target first. The benchmark shows how long the entry was ready without a processor, since other builds load the machine.

--- a/components/bench/src/throughput.rs
+++ b/components/bench/src/throughput.rs
@@ -15,7 +15,7 @@
 use crate::system::{Size, System};
 use crate::usage::Usage;
 
-const COLUMNS: [Column; 14] = [
+const COLUMNS: [Column; 15] = [
     column("tasks a job", "job_tasks"),
     column("jobs/s", "jobs_per_s"),
     column("tasks/s", "tasks_per_s"),
@@ -23,6 +23,7 @@
     column("p50 ms", "p50_ms"),
     column("p99 ms", "p99_ms"),
     column("entry %", "entry_percent"),
+    column("entry delayed %", "entry_delayed_percent"),
     column("busiest agent %", "agent_percent"),
     column("busiest target %", "target_percent"),
     column("client %", "client_percent"),
@@ -212,6 +213,7 @@
         quantile_ms(0.5),
         quantile_ms(0.99),
         percent(entry_us),
+        percent(after.entry.delayed_us_since(&before.entry)),
         busiest(&agents_us),
         busiest(&targets_us),
         percent(after.client.cpu_us_since(&before.client)),
--- a/components/bench/src/usage.rs
+++ b/components/bench/src/usage.rs
@@ -15,6 +15,8 @@
 pub struct Usage {
     /// Processor time of all threads, in microseconds.
     pub cpu_us: u64,
+    /// Time for which threads were ready and waited for a processor, in microseconds.
+    pub delayed_us: u64,
     /// Resident memory, in bytes.
     pub resident_bytes: u64,
     /// Voluntary context switches of the main thread.
@@ -29,8 +31,10 @@
     /// Fails if the process has ended or `/proc` has another form.
     pub fn read(process: u32) -> Outcome<Self> {
         let status = fs::read_to_string(format!("/proc/{process}/status"))?;
+        let (cpu_us, delayed_us) = scheduled_us(process)?;
         Ok(Self {
-            cpu_us: cpu_us(process)?,
+            cpu_us,
+            delayed_us,
             resident_bytes: field(&status, "VmRSS:")? * 1024,
             waits: field(&status, "voluntary_ctxt_switches:")?,
         })
@@ -61,17 +65,23 @@
     pub fn cpu_us_since(&self, earlier: &Self) -> u64 {
         self.cpu_us.saturating_sub(earlier.cpu_us)
     }
+
+    /// Returns the time ready without a processor since an earlier reading, in microseconds.
+    pub fn delayed_us_since(&self, earlier: &Self) -> u64 {
+        self.delayed_us.saturating_sub(earlier.delayed_us)
+    }
 }
 
-/// Sums the processor time of the threads; `schedstat` counts it in nanoseconds.
-fn cpu_us(process: u32) -> Outcome<u64> {
-    let mut total_ns = 0;
+/// Sums the time that the threads ran and waited to run; `schedstat` holds nanoseconds.
+fn scheduled_us(process: u32) -> Outcome<(u64, u64)> {
+    let (mut ran_ns, mut waited_ns) = (0, 0);
     for task in fs::read_dir(format!("/proc/{process}/task"))? {
         let text = fs::read_to_string(task?.path().join("schedstat"))?;
-        let first = text.split(' ').next().unwrap_or_default();
-        total_ns += first.parse::<u64>()?;
+        let mut words = text.split_whitespace().map(str::parse::<u64>);
+        ran_ns += words.next().ok_or("schedstat is empty")??;
+        waited_ns += words.next().ok_or("schedstat is short")??;
     }
-    Ok(total_ns / 1_000)
+    Ok((ran_ns / 1_000, waited_ns / 1_000))
 }
 
 fn field(status: &str, name: &str) -> Outcome<u64> {
--- a/components/runtime/src/logging.rs
+++ b/components/runtime/src/logging.rs
@@ -4,12 +4,15 @@
 use std::io;
 
 use derive_more::{Display, Error, From};
-use log::{Level, LevelFilter, Record, SetLoggerError};
+use log::{Level, LevelFilter, Log, Metadata, Record, SetLoggerError};
 use serde::Serialize;
 use strum::{EnumString, IntoStaticStr};
 
 use crate::clock;
 
+/// Part whose records are most of all and seldom wanted.
+const CALLS_PART: &str = "tarpc";
+
 /// Form of a log line.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, EnumString, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -68,15 +71,58 @@
             .format(move |out, message, record| {
                 out.finish(format_args!("{}", format_line(format, message, record)));
             });
-    // It logs every call at level info.
-    dispatch = dispatch.level_for("tarpc", options.level.min(LevelFilter::Warn));
+    let calls_level = calls_level(&options);
+    dispatch = dispatch.level_for(CALLS_PART, calls_level);
     for (part, level) in options.part_levels {
         dispatch = dispatch.level_for(part, level);
     }
-    dispatch.chain(io::stderr()).apply()?;
+    let (max_level, logger) = dispatch.chain(io::stderr()).into_log();
+    let quiet = Quiet {
+        calls_level,
+        logger,
+    };
+    log::set_boxed_logger(Box::new(quiet))?;
+    log::set_max_level(max_level);
     Ok(())
 }
 
+/// Returns the level of the part that logs every call several times at level info.
+fn calls_level(options: &LogOptions) -> LevelFilter {
+    let named = options.part_levels.iter().rev();
+    let mut named = named.filter(|(part, _)| part == CALLS_PART);
+    named
+        .next()
+        .map_or(options.level.min(LevelFilter::Warn), |(_, level)| *level)
+}
+
+/// Drops the records of calls before the logger looks for the level of their part.
+struct Quiet {
+    calls_level: LevelFilter,
+    logger: Box<dyn Log>,
+}
+
+impl Quiet {
+    fn drops(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.level() > self.calls_level && metadata.target().starts_with(CALLS_PART)
+    }
+}
+
+impl Log for Quiet {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        !self.drops(metadata) && self.logger.enabled(metadata)
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.drops(record.metadata()) {
+            self.logger.log(record);
+        }
+    }
+
+    fn flush(&self) {
+        self.logger.flush();
+    }
+}
+
 fn format_line(format: LogFormat, message: &Arguments<'_>, record: &Record<'_>) -> String {
     let time = clock::format_rfc3339_ms(clock::unix_ms());
     let message = message.to_string();
