Send the messages of one turn of the agent's loop in one envelope

Ruled out: waiting for the answer of the call before, which would add a round trip to outcomes. Change: messages to an entry are collected and sent after what is ready in this turn; mere acceptances wait up to 50 ms for something to go with, below the 400 ms after which an owner sends a start again. What limits the rate now is not yet known.

--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -5,6 +5,7 @@
 mod directory;
 mod local;
 mod metrics;
+mod outgoing;
 mod process;
 mod tasks;
 
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -15,6 +15,7 @@
 
 use crate::directory::Directory;
 use crate::metrics::AgentMetrics;
+use crate::outgoing::Outgoing;
 use crate::tasks::Calls;
 
 /// Longest pause of the loop, in milliseconds.
@@ -30,6 +31,7 @@
     pub peer_address: String,
     pub core: RefCell<Agent>,
     pub calls: RefCell<Calls>,
+    pub outgoing: RefCell<Outgoing>,
     pub directory: RefCell<Directory>,
     pub entries: EntryPool,
     pub draining: Cell<bool>,
@@ -70,6 +72,7 @@
             peer_address: settings.advertised_peer_address(peer_address).to_string(),
             core: RefCell::new(core),
             calls: RefCell::default(),
+            outgoing: RefCell::default(),
             directory: RefCell::new(Directory::new(seeds)),
             entries: EntryPool::new(key).with_traffic(traffic.clone()),
             draining: Cell::new(false),
@@ -258,6 +261,7 @@
         {
             reply = sent;
         }
+        self.add_posted(&mut reply);
         self.perform(actions);
         reply
     }
--- a/components/agent/src/tasks.rs
+++ b/components/agent/src/tasks.rs
@@ -83,7 +83,7 @@
         for action in actions {
             match action {
                 AgentAction::Send(envelope) => {
-                    monoio::spawn(Rc::clone(self).send(envelope));
+                    self.post(envelope);
                 }
                 AgentAction::Abort { call } => {
                     if let Some(handle) = self.calls.borrow_mut().aborts.remove(&call) {
@@ -142,7 +142,8 @@
         self.perform(actions);
     }
 
-    async fn send(self: Rc<Self>, envelope: AgentEnvelope) {
+    /// Sends an envelope and takes in the answer.
+    pub async fn send(self: Rc<Self>, envelope: AgentEnvelope) {
         let Some(address) = self.directory.borrow().address(envelope.to) else {
             log::debug!("Entry {} has no known address.", envelope.to);
             return;
