--- a/components/callers/src/response.rs
+++ b/components/callers/src/response.rs
@@ -98,6 +98,15 @@
     refused(StatusCode::NOT_FOUND, "not_found", "no such job")
 }
 
+/// Returns the response for a question about a job whose owner cannot be asked.
+#[must_use]
+pub fn no_owner_response() -> Response<Bytes> {
+    let detail = "the job's owner cannot be reached; ask again";
+    let mut response = refused(StatusCode::SERVICE_UNAVAILABLE, "no_owner", detail);
+    set_header(&mut response, RETRY_AFTER, HeaderValue::from_static("1"));
+    response
+}
+
 /// Returns the response for a request without a valid token.
 #[must_use]
 pub fn unauthorized_response() -> Response<Bytes> {
@@ -121,7 +130,8 @@
         SubmissionError::Malformed { .. }
         | SubmissionError::BadName { .. }
         | SubmissionError::NoTask
-        | SubmissionError::DeadlineBeforeSubmission => (StatusCode::BAD_REQUEST, "malformed"),
+        | SubmissionError::DeadlineBeforeSubmission
+        | SubmissionError::DeadlineTooFar { .. } => (StatusCode::BAD_REQUEST, "malformed"),
     };
     refused(status, reason, &error.to_string())
 }
--- a/components/callers/src/route.rs
+++ b/components/callers/src/route.rs
@@ -98,13 +98,20 @@
     }
 }
 
-/// Returns the route of a request; a query after the path is ignored.
+/// Returns the route of a request; a query after the path is ignored, and `HEAD` is taken as
+/// `GET`.
 ///
 /// # Errors
 ///
 /// Fails if there is no such path, the path does not support the method, or a name in the
 /// path is malformed.
 pub fn parse_route(method: &Method, path: &str) -> Result<Route, RouteError> {
+    // The server leaves out the body of the response.
+    let method = if method == Method::HEAD {
+        &Method::GET
+    } else {
+        method
+    };
     let path = path.split_once('?').map_or(path, |(path, _)| path);
     let mut segments = path.split('/');
     if segments.next() != Some("") {
--- a/components/callers/src/submission.rs
+++ b/components/callers/src/submission.rs
@@ -20,6 +20,8 @@
     pub payload_bytes: usize,
     /// Largest number of tasks.
     pub task_count: u16,
+    /// Longest time from the submission to the deadline, in milliseconds.
+    pub deadline_ms: u64,
 }
 
 impl Default for SubmissionLimits {
@@ -28,6 +30,7 @@
             body_bytes: 8 * 1024 * 1024,
             payload_bytes: 1024 * 1024,
             task_count: 4_096,
+            deadline_ms: u64::MAX,
         }
     }
 }
@@ -76,6 +79,12 @@
     /// The deadline is not after the submission time.
     #[display("deadline is not after the submission time")]
     DeadlineBeforeSubmission,
+    /// The deadline is too long after the submission time.
+    #[display("deadline is more than {limit_ms} ms after the submission time")]
+    DeadlineTooFar {
+        /// The limit, in milliseconds.
+        limit_ms: u64,
+    },
 }
 
 #[derive(Deserialize)]
@@ -152,6 +161,10 @@
     if body.deadline_unix_ms <= body.submitted_unix_ms {
         return Err(SubmissionError::DeadlineBeforeSubmission);
     }
+    if body.deadline_unix_ms - body.submitted_unix_ms > limits.deadline_ms {
+        let limit_ms = limits.deadline_ms;
+        return Err(SubmissionError::DeadlineTooFar { limit_ms });
+    }
     if body.tasks.is_empty() {
         return Err(SubmissionError::NoTask);
     }
--- a/components/callers/tests/interface.rs
+++ b/components/callers/tests/interface.rs
@@ -4,8 +4,8 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use callers::{
-    Access, NameError, Route, RouteError, SubmissionError, Token, TokenError, TokenTable,
-    answer_response, bearer_token, parse_route, route_error_response, submission_error_response,
+    Access, NameError, Route, RouteError, SubmissionError, answer_response, bearer_token,
+    no_owner_response, parse_route, route_error_response, submission_error_response,
 };
 use http::header::{ALLOW, RETRY_AFTER};
 use http::{Method, Response, StatusCode};
@@ -17,10 +17,6 @@
     serde_json::from_slice(response.body()).unwrap()
 }
 
-fn token(secret: &str) -> Token {
-    Token::new(secret.as_bytes()).unwrap()
-}
-
 #[test]
 fn every_route_is_parsed() {
     let id = "a:1".to_owned();
@@ -174,34 +170,42 @@
 }
 
 #[test]
-fn tokens_find_their_callers() {
-    let entries = vec![(token("north-1"), "north"), (token("south-1"), "south")];
-    let table = TokenTable::new(entries).unwrap();
-    let find = |header: &[u8]| bearer_token(header).and_then(|token| table.find(&token).copied());
-    assert_eq!(find(b"Bearer north-1"), Some("north"));
-    assert_eq!(find(b"bearer  south-1 "), Some("south"));
+fn tokens_are_read_from_the_header() {
+    assert_eq!(bearer_token(b"Bearer north-1"), Some("north-1"));
+    assert_eq!(bearer_token(b"bearer  south-1 "), Some("south-1"));
+    let longest = format!("Bearer {}", "a".repeat(128));
+    assert_eq!(bearer_token(longest.as_bytes()), Some(&longest[7..]));
+    let too_long = format!("Bearer {}", "a".repeat(129));
     for header in [
         "north-1",
         "Basic north-1",
         "Bearer",
         "Bearer ",
-        "Bearer north-",
-        "Bearer x",
+        "Bearer a b",
+        "Bearer \u{e9}",
+        &too_long,
     ] {
-        assert_eq!(find(header.as_bytes()), None, "{header}");
+        assert_eq!(bearer_token(header.as_bytes()), None, "{header}");
     }
 }
 
 #[test]
-fn tokens_are_checked_and_hidden() {
-    assert_eq!(format!("{:?}", token("secret")), "Token(..)");
-    assert_eq!(Token::new(b"").err(), Some(TokenError::Empty));
-    assert_eq!(Token::new(&[b'a'; 129]).err(), Some(TokenError::TooLong));
-    assert_eq!(Token::new(b"a b").err(), Some(TokenError::BadCharacter));
-    let twice = TokenTable::new(vec![(token("same"), 1), (token("same"), 2)]);
-    assert_eq!(twice.err(), Some(TokenError::Duplicate));
-    let table = TokenTable::new(vec![(token("secret"), 1)]).unwrap();
-    assert!(!format!("{table:?}").contains("secret"));
+fn head_is_routed_as_get() {
+    assert_eq!(parse_route(&Method::HEAD, "/healthz"), Ok(Route::Health));
+    let id = "a".to_owned();
+    let shown = parse_route(&Method::HEAD, "/v1/jobs/a");
+    assert_eq!(shown, Ok(Route::ShowJob { id }));
+    let drain = parse_route(&Method::HEAD, "/admin/v1/drain");
+    assert_eq!(drain, Err(RouteError::MethodNotAllowed { allowed: "POST" }));
+}
+
+#[test]
+fn question_without_an_owner_says_when_to_ask_again() {
+    let response = no_owner_response();
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(response.headers()[RETRY_AFTER], "1");
+    assert_eq!(body(&response)["state"], "refused");
+    assert_eq!(body(&response)["reason"], "no_owner");
 }
 
 proptest! {
--- a/components/callers/tests/submission.rs
+++ b/components/callers/tests/submission.rs
@@ -135,6 +135,7 @@
         body_bytes: text.len(),
         payload_bytes: br#"{"lane":1}"#.len(),
         task_count: 2,
+        deadline_ms: 10,
     };
     let check = |limits| parse_submission(FIRM, "a", text.as_bytes(), &limits);
     assert!(check(limits).is_ok());
@@ -160,6 +161,12 @@
         ..limits
     });
     assert_eq!(error, Err(SubmissionError::TooManyTasks { limit: 1 }));
+    let error = check(SubmissionLimits {
+        deadline_ms: 9,
+        ..limits
+    });
+    let limit_ms = 9;
+    assert_eq!(error, Err(SubmissionError::DeadlineTooFar { limit_ms }));
 }
 
 proptest! {
--- a/components/entry/src/http.rs
+++ b/components/entry/src/http.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use callers::{
-    Access, Route, SubmissionLimits, answer_response, cancelling_response, not_found_response,
-    parse_route, parse_submission, pending_response, route_error_response,
-    submission_error_response, unauthorized_response,
+    Access, Route, SubmissionLimits, answer_response, bearer_token, cancelling_response,
+    no_owner_response, not_found_response, parse_route, parse_submission, pending_response,
+    route_error_response, submission_error_response, unauthorized_response,
 };
 use config::Principal;
 use model::{FirmKey, JobKey};
@@ -74,7 +74,9 @@
     }
 
     fn caller(&self, request: &Request) -> Caller {
-        let Some(token) = request.header("authorization").and_then(bearer) else {
+        let authorization = request.headers.get(http::header::AUTHORIZATION);
+        let token = authorization.and_then(|value| bearer_token(value.as_bytes()));
+        let Some(token) = token else {
             return Caller::Nobody;
         };
         let config = self.config.borrow();
@@ -131,12 +133,6 @@
             Ok(spec) => spec,
             Err(error) => return from_callers(submission_error_response(&error)),
         };
-        let meta = &spec.meta;
-        let max_deadline_ms = self.max_deadline_ms(firm);
-        if meta.deadline_unix_ms - meta.submitted_unix_ms > max_deadline_ms {
-            let text = format!("the deadline is more than {max_deadline_ms} ms away");
-            return Response::error(400, &text);
-        }
         let started_us = monotonic_us();
         let answer = self.submit(spec).await;
         self.metrics
@@ -149,6 +145,7 @@
         let mut limits = SubmissionLimits {
             body_bytes: self.settings.limits.max_body_bytes as usize,
             task_count: self.settings.limits.max_tasks_per_job,
+            deadline_ms: self.max_deadline_ms(firm),
             ..SubmissionLimits::default()
         };
         if let Some(published) = config.published() {
@@ -182,7 +179,7 @@
                 progress.finished_count,
             )),
             Some(StatusReply::NotFound) => from_callers(not_found_response()),
-            Some(StatusReply::NotOwner { .. }) | None => no_owner_response(),
+            Some(StatusReply::NotOwner { .. }) | None => from_callers(no_owner_response()),
         }
     }
 
@@ -191,7 +188,7 @@
             Some(CancelReply::Answered(answer)) => from_callers(answer_response(&answer)),
             Some(CancelReply::Cancelling) => from_callers(cancelling_response()),
             Some(CancelReply::NotFound) => from_callers(not_found_response()),
-            Some(CancelReply::NotOwner { .. }) | None => no_owner_response(),
+            Some(CancelReply::NotOwner { .. }) | None => from_callers(no_owner_response()),
         }
     }
 
@@ -267,18 +264,6 @@
     }
 }
 
-fn bearer(header: &str) -> Option<&str> {
-    let (scheme, token) = header.split_once(' ')?;
-    scheme.eq_ignore_ascii_case("bearer").then(|| token.trim())
-}
-
-fn no_owner_response() -> Response {
-    Response::error(503, "the job's owner cannot be reached; ask again").with_header(
-        web::HeaderName::from_static("retry-after"),
-        web::HeaderValue::from_static("1"),
-    )
-}
-
 fn from_callers(response: http::Response<Bytes>) -> Response {
     let (parts, body) = response.into_parts();
     Response {
