Wake idle processes less often

Cause: an idle agent woke 93 times a second: 50 for the timer of tarpc, 40 for two looks for signals, the rest for its own loops. Change: the timer turns every 100 ms, since only the end of handlers past their deadline waits for it; signals are looked for every 200 ms, due announcements every 250 ms. The loops of the decisions look every 50 ms and are the rest.

--- a/components/agent/src/announcements.rs
+++ b/components/agent/src/announcements.rs
@@ -10,7 +10,7 @@
 use crate::process::Shared;
 
 /// Interval at which due announcements are looked for, in milliseconds.
-const LOOK_INTERVAL_MS: u64 = 100;
+const LOOK_INTERVAL_MS: u64 = 250;
 
 /// Time that an entry has to answer an announcement, in microseconds.
 const ANSWER_US: u64 = 1_000_000;
--- a/components/runtime/src/executor.rs
+++ b/components/runtime/src/executor.rs
@@ -8,7 +8,9 @@
 use crate::clock;
 
 /// Interval at which the timer that `tarpc` uses is advanced, in milliseconds.
-pub const TIMER_TURN_MS: u64 = 20;
+///
+/// Only the end of handlers past their deadline waits for it; callers have a timer of `monoio`.
+pub const TIMER_TURN_MS: u64 = 100;
 
 /// Runs a future to completion on the calling thread, together with all that it spawns.
 ///
--- a/components/runtime/src/signals.rs
+++ b/components/runtime/src/signals.rs
@@ -8,7 +8,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
 
 /// Interval at which signals are looked for, in milliseconds.
-pub const SIGNAL_POLL_MS: u64 = 50;
+pub const SIGNAL_POLL_MS: u64 = 200;
 
 /// Signals that the process has received.
 ///
