--- /dev/null
+++ b/src/cmd/demo/firm.rs
@@ -0,0 +1,71 @@
+//! The firms of the demonstration, as `demo/config` declares them.
+
+use config::SourceFile;
+use serde_json::{Value, json};
+
+/// Token of the operators.
+pub(super) const OPERATORS_TOKEN: &str = "operators-demo-token";
+
+/// A firm.
+#[derive(Debug)]
+pub(super) struct Firm {
+    /// Name.
+    pub(super) name: &'static str,
+    /// Token of its clients.
+    pub(super) token: &'static str,
+    /// Group of its targets.
+    pub(super) group: &'static str,
+    /// Kind of its tasks.
+    pub(super) kind: &'static str,
+    /// Failure domains of its hosts, one target each.
+    pub(super) failure_domains: [&'static str; 2],
+}
+
+/// The firms.
+pub(super) const FIRMS: [&Firm; 2] = [&VEMBANAD, &CONSORCIO];
+
+const VEMBANAD: Firm = Firm {
+    name: "vembanad",
+    token: "vembanad-demo-token",
+    group: "escort",
+    kind: "lane-check",
+    failure_domains: ["kerala-1", "kerala-2"],
+};
+
+const CONSORCIO: Firm = Firm {
+    name: "consorcio",
+    token: "consorcio-demo-token",
+    group: "agenda",
+    kind: "availability",
+    failure_domains: ["guatemala-1", "guatemala-2"],
+};
+
+/// Returns the operators' folder `demo/config`.
+pub(super) fn operators_folder() -> Vec<SourceFile> {
+    let base = include_str!("../../../demo/config/10-base.toml");
+    let consorcio = include_str!("../../../demo/config/20-consorcio.toml");
+    [("10-base.toml", base), ("20-consorcio.toml", consorcio)]
+        .map(|(name, text)| SourceFile {
+            name: name.to_owned(),
+            bytes: text.as_bytes().to_vec(),
+        })
+        .into()
+}
+
+impl Firm {
+    /// Returns the body of a job with tasks of the same length, without its times.
+    pub(super) fn job(&self, task_count: usize, run_ms: u64) -> Value {
+        let tasks: Vec<Value> = (0..task_count)
+            .map(|position| self.task(position, run_ms))
+            .collect();
+        json!({ "group": self.group, "repeatable": false, "tasks": tasks })
+    }
+
+    fn task(&self, position: usize, run_ms: u64) -> Value {
+        json!({
+            "kind": self.kind,
+            "declared_ms": run_ms,
+            "payload": { "run_ms": run_ms, "position": position },
+        })
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod agent;
 mod cancel;
 mod check;
+mod demo;
 mod drain;
 mod dump;
 mod job;
@@ -31,6 +32,7 @@
 
 const COMMANDS: &[&Command] = &[
     &serve::COMMAND,
+    &demo::COMMAND,
     &check::COMMAND,
     &publish::COMMAND,
     &show::COMMAND,
