--- a/components/agent/src/local.rs
+++ b/components/agent/src/local.rs
@@ -1,5 +1,6 @@
 //! The port on the host itself: the target's announcements, health, metrics and the state.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use monoio::net::TcpListener;
@@ -34,20 +35,15 @@
 
     fn target_announces(self: &Rc<Self>, request: &Request) -> Result<Response, AnnounceError> {
         let announcement = parse_announcement(request)?;
-        let now_us = monotonic_us();
-        let expires_us = now_us + announcement.ttl_ms * 1_000;
-        let info = announcement.target_info();
+        let expires_us = monotonic_us() + announcement.ttl_ms * 1_000;
         let before = self.calls.borrow().target_info();
-        let changed = before.as_ref() != Some(&info);
+        let name = announcement.name.clone();
+        self.calls.borrow_mut().announced(announcement, expires_us);
+        let changed = before != self.calls.borrow().target_info();
         if changed {
-            log::info!("Target {} announced itself.", announcement.name);
+            log::info!("Target {name} announced itself.");
         }
-        self.calls.borrow_mut().announced(announcement);
-        let mut actions = Vec::new();
-        self.core
-            .borrow_mut()
-            .target_announced(now_us, info, expires_us, &mut actions);
-        self.perform(actions);
+        self.refresh_target();
         if changed {
             self.directory.borrow_mut().hasten();
         }
@@ -89,17 +85,15 @@
 
     /// Returns the state of the process.
     pub fn state(&self) -> serde_json::Value {
-        let links: serde_json::Map<String, serde_json::Value> = self
-            .links
-            .iter()
-            .map(|(name, count)| (name.to_owned(), count.into()))
-            .collect();
+        let links: BTreeMap<_, _> = self.links.iter().collect();
+        let traffic: BTreeMap<_, _> = self.traffic.iter().collect();
         serde_json::json!({
             "agent": self.key.to_string(),
             "address": self.peer_address,
             "failure_domain": self.settings.failure_domain,
             "draining": self.draining.get(),
             "links": links,
+            "traffic": traffic,
             "decisions": self.core.borrow().state(),
         })
     }
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use model::{
-    AgentEnvelope, AgentInfo, AgentMessage, Answer, EntryInfo, FailureKind, FailureReason,
+    AgentEnvelope, AgentInfo, AgentMessage, Answer, EntryInfo, FailureKind, FailureReason, FirmKey,
     Generation, HEARTBEAT_INTERVAL_MS, JobKey, OwnerMessage, ProcessKey, Rules, ShardBeat,
     ShardKey,
 };
@@ -155,6 +155,11 @@
         true
     }
 
+    /// Sets the firms that this entry serves; empty means all.
+    pub fn serve_firms(&mut self, firms: Vec<FirmKey>) {
+        self.me.firms = firms;
+    }
+
     /// Returns the shard that holds a job.
     #[must_use]
     pub fn shard_of(&self, key: JobKey) -> ShardKey {
@@ -201,6 +206,11 @@
         self.agents.announce(info, now_us);
     }
 
+    /// Notes that an agent's host refused a connection: the process has ended.
+    pub fn agent_refused(&mut self, process: ProcessKey) {
+        self.agents.mark_refused(process);
+    }
+
     /// Decides about one copy of a submission; copies for shards owned elsewhere are moved.
     pub fn submit(
         &mut self,
@@ -260,7 +270,7 @@
             return;
         };
         if let Some(view) = self.agents.get_mut(agent) {
-            view.last_heard_us = now_us;
+            view.heard(now_us);
             // An envelope without messages says nothing of the load.
             if !envelope.messages.is_empty() {
                 view.load = envelope.load;
@@ -317,7 +327,10 @@
     /// Does everything that is due and sends what is queued.
     pub fn poll(&mut self, now_us: u64, now_unix_ms: u64, actions: &mut Vec<Action>) {
         self.poll_ownership(now_us, now_unix_ms, actions);
-        for shard in self.shards.values_mut() {
+        for key in crate::fairness::placing_order(&self.shards, &self.rules) {
+            let Some(shard) = self.shards.get_mut(&key) else {
+                continue;
+            };
             let mut cx = cx!(self, now_us, now_unix_ms, actions);
             shard.poll(&mut cx);
         }
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -7,7 +7,7 @@
 use model::{EntryInfo, Generation, ProcessKey, ShardKey};
 use protocol::{
     CancelReply, EntryHandlers, EntryPing, EntryPong, HandOver, HandOverReply, LinkError,
-    LinkFault, MissingHandler, OwnedShard, OwnerHint, StatusReply, SubmitReply,
+    LinkFault, MissingHandler, OwnedShard, OwnerHint, Refusal, StatusReply, SubmitReply,
 };
 use runtime::{monotonic_us, unix_ms};
 
@@ -84,7 +84,9 @@
 async fn ping(shared: Rc<Shared>, address: String, expected: Option<ProcessKey>) {
     match try_ping(&shared, &address, expected).await {
         Ok(pong) => shared.ponged(pong),
-        Err(LinkError::NotSent(LinkFault::Connect(_) | LinkFault::Refused(_))) => {
+        Err(LinkError::NotSent(
+            LinkFault::NobodyListens | LinkFault::Refused(Refusal::Key { .. }),
+        )) => {
             if let Some(process) = expected {
                 shared.core.borrow_mut().peer_refused(process);
             }
@@ -103,7 +105,7 @@
 ) -> Result<EntryPong, LinkError> {
     let link = shared.entries.link(address, expected).await?;
     let message = EntryPing {
-        from: shared.me.clone(),
+        from: shared.core.borrow().info().clone(),
         now_unix_ms: unix_ms(),
         config_revision: shared.config.borrow().revision(),
         owned: shared.owned(),
@@ -124,7 +126,7 @@
     fn pinged(self: &Rc<Self>, message: EntryPing) -> EntryPong {
         self.peer_heard(message.from, message.draining);
         EntryPong {
-            from: self.me.clone(),
+            from: self.core.borrow().info().clone(),
             now_unix_ms: unix_ms(),
             config: self.config_for(message.config_revision),
             owned: self.owned(),
