Explain responses that are no answers about a job

Cause: a 400 or 503 with an error text, such as a deadline too far away, was reported as another service's response.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -37,19 +37,19 @@
     Cancelling {},
 }
 
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: String,
+}
+
 impl JobAnswer {
     /// Reads an answer.
     ///
     /// # Errors
     ///
-    /// Fails if the response is none of an entry.
+    /// Fails if the response holds an error, or is none of an entry.
     pub(crate) fn parse(response: &Response) -> Result<Self, Error> {
-        let foreign = |_| {
-            let text = String::from_utf8_lossy(&response.body);
-            let message = format!("status {}: {}", response.status, text.trim());
-            Error::new(ExitCode::Unavailable, message).with_remedy("check that this is an entry")
-        };
-        response.parse().map_err(foreign)
+        response.parse().map_err(|_| response_error(response))
     }
 
     /// Returns how long to wait before a new submission, if none of the job's tasks ran and
@@ -96,6 +96,21 @@
     }
 }
 
+/// Returns the error for a response without an answer about a job.
+fn response_error(response: &Response) -> Error {
+    let status = response.status;
+    if let Ok(ErrorBody { error }) = response.parse() {
+        let message = format!("status {status}: {error}");
+        return match status {
+            503 => Error::new(ExitCode::Unavailable, message).with_remedy("try again"),
+            _ => Error::new(ExitCode::Invalid, message).with_remedy("correct the request"),
+        };
+    }
+    let text = String::from_utf8_lossy(&response.body);
+    let message = format!("status {status}: {}", text.trim());
+    Error::new(ExitCode::Unavailable, message).with_remedy("check that this is an entry")
+}
+
 fn remedy(kind: FailureKind, retry_after_ms: Option<u64>) -> String {
     match (kind, retry_after_ms) {
         (FailureKind::NotRun, Some(ms)) => format!("submit it again after {ms} ms"),
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -13,12 +13,10 @@
 /// The command.
 pub(super) const COMMAND: Command = Command {
     name: "serve",
-    summary: SUMMARY,
+    summary: "run an entry",
     run,
 };
 
-const SUMMARY: &str = "Runs an entry. SIGTERM drains it, SIGUSR1 dumps its state.";
-
 /// Runs until a signal has drained the process.
 fn run(args: &[String]) -> Result<ExitCode> {
     let Some(arguments) = usage().parse(args)? else {
@@ -35,5 +33,6 @@
 fn usage() -> Usage {
     let mut options = Options::new();
     options.reqopt("s", "settings", "settings of the entry, in TOML", "FILE");
-    Usage::new("shallotcross serve", &[], SUMMARY, options)
+    let summary = "Runs an entry. SIGTERM drains it, SIGUSR1 dumps its state.";
+    Usage::new("shallotcross serve", &[], summary, options)
 }
--- a/tests/cli_submit.rs
+++ b/tests/cli_submit.rs
@@ -177,6 +177,24 @@
         .expect_stderr("status 200: hello");
 }
 
+#[test]
+fn errors_outside_of_answers_are_sorted_by_status() {
+    let replies = vec![
+        Reply::Answer(
+            400,
+            r#"{"error":"the deadline is more than 60000 ms away"}"#,
+        ),
+        Reply::Answer(503, r#"{"error":"too many connections"}"#),
+    ];
+    let entry = ScriptedEntry::start(replies);
+    submit(&[entry.address], &job(), &[])
+        .expect_code(4)
+        .expect_stderr("status 400: the deadline is more than 60000 ms away");
+    submit(&[entry.address], &job(), &[])
+        .expect_code(5)
+        .expect_stderr("status 503: too many connections; try again");
+}
+
 #[test]
 fn file_and_token_are_checked_before_any_call() {
     let dir = folder(&[("job.json", "[]"), ("empty", "\n")]);
--- a/tests/cli_usage.rs
+++ b/tests/cli_usage.rs
@@ -4,8 +4,8 @@
 
 use cli_support::{AGENT, Ran, SHALLOTCROSS, command, run};
 
-const COMMANDS: [&str; 8] = [
-    "check", "publish", "show", "submit", "status", "cancel", "dump", "drain",
+const COMMANDS: [&str; 10] = [
+    "serve", "demo", "check", "publish", "show", "submit", "status", "cancel", "dump", "drain",
 ];
 
 fn run_agent(args: &[&str]) -> Ran {
@@ -124,6 +124,17 @@
         .expect_stderr("check the address");
 }
 
+#[test]
+fn serve_needs_settings() {
+    run(&["serve"])
+        .expect_code(2)
+        .expect_stderr("'settings' missing");
+    run(&["serve", "--settings", "/nonexistent.toml"])
+        .expect_code(4)
+        .expect_stderr("/nonexistent.toml")
+        .expect_stderr("name an existing file");
+}
+
 #[test]
 fn agent_describes_itself_and_needs_settings() {
     let help = run_agent(&["--help"]).expect_code(0);
