--- a/components/proof/src/world/entry.rs
+++ b/components/proof/src/world/entry.rs
@@ -119,7 +119,7 @@
 
     pub(super) fn entry_event(&mut self, place: Place, event: EntryEvent) {
         if !self.entries[place].alive {
-            self.refuse_connection(place, event);
+            self.refuse_connection(place, &event);
             return;
         }
         let key = self.entries[place].key;
@@ -316,11 +316,11 @@
     }
 
     /// Tells the sender of a message that the host refuses the connection.
-    fn refuse_connection(&mut self, place: Place, event: EntryEvent) {
+    fn refuse_connection(&mut self, place: Place, event: &EntryEvent) {
         let key = self.entries[place].key;
         match event {
             EntryEvent::Ping(_, _, from) => {
-                self.send_entry(place, from, EntryEvent::Refused(key));
+                self.send_entry(place, *from, EntryEvent::Refused(key));
             }
             EntryEvent::Forward {
                 from,
@@ -329,11 +329,11 @@
                 ..
             } => {
                 let reply = EntryEvent::ForwardReply {
-                    to: reply_to,
-                    request,
+                    to: *reply_to,
+                    request: *request,
                     answer: None,
                 };
-                self.send_entry(place, from, reply);
+                self.send_entry(place, *from, reply);
             }
             EntryEvent::Offer {
                 from,
@@ -342,13 +342,13 @@
                 ..
             } => {
                 let reply = EntryEvent::OfferReply {
-                    to: reply_to,
-                    number,
+                    to: *reply_to,
+                    number: *number,
                     accepted: false,
                 };
-                self.send_entry(place, from, reply);
+                self.send_entry(place, *from, reply);
             }
-            EntryEvent::Copy(copy, _) => self.lose_unaccepted(copy),
+            EntryEvent::Copy(copy, _) => self.lose_unaccepted(*copy),
             _ => {}
         }
     }
--- a/components/proof/src/world/faults.rs
+++ b/components/proof/src/world/faults.rs
@@ -84,18 +84,18 @@
             MatrixFault::CutOneWay => self.cut(process, true),
             MatrixFault::CutBothWays => self.cut(process, false),
             MatrixFault::Delay => {
-                self.degrade(process, Faults::default().delay_us(500..=3_000_000))
+                self.degrade(process, &Faults::default().delay_us(500..=3_000_000));
             }
             MatrixFault::Duplicate => {
                 let faults = Faults::default().duplicate(0.8);
-                self.degrade(process, faults.delay_us(500..=300_000));
+                self.degrade(process, &faults.delay_us(500..=300_000));
             }
             MatrixFault::Reorder => {
-                self.degrade(process, Faults::default().delay_us(100..=400_000));
+                self.degrade(process, &Faults::default().delay_us(100..=400_000));
             }
             MatrixFault::Loss => {
                 let faults = Faults::default().loss(0.4);
-                self.degrade(process, faults.delay_us(500..=1_400));
+                self.degrade(process, &faults.delay_us(500..=1_400));
             }
             MatrixFault::PlatformDown => self.stop_platform(),
             MatrixFault::PlatformSlow => {
@@ -226,7 +226,7 @@
     }
 
     /// Replaces the behaviour of all links of a process.
-    fn degrade(&mut self, node: Node, faults: Faults) {
+    fn degrade(&mut self, node: Node, faults: &Faults) {
         for (one, two) in self.links_of(node) {
             self.net
                 .set_faults(one.endpoint(), two.endpoint(), faults.clone());
--- a/components/proof/src/world/message.rs
+++ b/components/proof/src/world/message.rs
@@ -144,7 +144,7 @@
     },
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub enum ClientEvent {
     Submit { job: usize, submission: usize },
     Cancel { job: usize },
@@ -153,7 +153,7 @@
     LeaveTarget { agent: Place },
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub enum Heal {
     Resume(Node),
     Links(Node),
--- a/components/proof/src/world/routing.rs
+++ b/components/proof/src/world/routing.rs
@@ -125,7 +125,7 @@
     fn reply(&mut self, place: Place, waiter: Waiter, answer: Option<Answer>) {
         match waiter {
             Waiter::Local(copy) => match answer {
-                Some(answer) => self.answer_copy(place, copy, answer),
+                Some(answer) => self.answer_copy(place, copy, &answer),
                 None => self.retry_copy(place, copy),
             },
             Waiter::Remote {
@@ -148,7 +148,7 @@
             return;
         };
         match answer {
-            Some(answer) => self.answer_copy(place, copy, answer),
+            Some(answer) => self.answer_copy(place, copy, &answer),
             None => self.retry_copy(place, copy),
         }
     }
@@ -172,7 +172,7 @@
         }
     }
 
-    fn answer_copy(&mut self, place: Place, copy: CopyKey, answer: Answer) {
+    fn answer_copy(&mut self, place: Place, copy: CopyKey, answer: &Answer) {
         if self.entries[place].copies.remove(&copy).is_none() {
             return;
         }
@@ -180,7 +180,7 @@
             copy,
             answer: answer.clone(),
         });
-        self.client_answered(copy, &answer);
+        self.client_answered(copy, answer);
     }
 
     /// Routes copies again whose owner is silent, and answers those that nobody answered.
@@ -202,7 +202,7 @@
                 FailureReason::NoOwner,
                 "no owner answered before the deadline",
             );
-            self.answer_copy(place, copy, answer);
+            self.answer_copy(place, copy, &answer);
         }
         for copy in due {
             self.route_copy(place, copy, actions);
