--- a/components/dispatch/src/submission.rs
+++ b/components/dispatch/src/submission.rs
@@ -37,7 +37,8 @@
             return;
         }
         if let Some(answer) = self.recorded_answer(&submission.spec) {
-            if is_conflict(&answer) && !self.has_authority(cx.now_us) {
+            // Under another owner a newer submission may have run since.
+            if claims_not_run(&answer) && !self.has_authority(cx.now_us) {
                 self.park(cx, submission);
                 return;
             }
@@ -324,8 +325,11 @@
     }
 }
 
-fn is_conflict(answer: &Answer) -> bool {
-    matches!(answer, Answer::Failed(failure) if failure.reason == FailureReason::Conflict)
+fn claims_not_run(answer: &Answer) -> bool {
+    let Answer::Failed(failure) = answer else {
+        return false;
+    };
+    matches!(failure.kind, FailureKind::NotRun | FailureKind::CannotRun)
 }
 
 fn conflict() -> Answer {
