Let only the timer of what is held send it

Cause: the timer of an acceptance that had already gone with an outcome sent the next one early, one more call each. Change: the timer names the envelope that it belongs to.

--- a/components/agent/src/outgoing.rs
+++ b/components/agent/src/outgoing.rs
@@ -24,10 +24,12 @@
 #[derive(Debug, Default)]
 pub struct Outgoing {
     envelopes: BTreeMap<ProcessKey, Pending>,
+    next_number: u64,
 }
 
 #[derive(Debug)]
 struct Pending {
+    number: u64,
     envelope: AgentEnvelope,
     size_bytes: usize,
     /// What has been set off to send the envelope.
@@ -48,10 +50,12 @@
         let size_bytes = size_bytes(&envelope);
         let Some(pending) = self.envelopes.get_mut(&to) else {
             let pending = Pending {
+                number: self.next_number,
                 envelope,
                 size_bytes,
                 sender: wanted,
             };
+            self.next_number += 1;
             self.envelopes.insert(to, pending);
             return (Some(wanted), None);
         };
@@ -69,6 +73,16 @@
         (set_off, full)
     }
 
+    /// Tells whether the messages that wait for an entry are those of a number.
+    fn is_pending(&self, to: ProcessKey, number: u64) -> bool {
+        let pending = self.envelopes.get(&to);
+        pending.is_some_and(|pending| pending.number == number)
+    }
+
+    fn number(&self, to: ProcessKey) -> Option<u64> {
+        self.envelopes.get(&to).map(|pending| pending.number)
+    }
+
     /// Takes the messages that wait for an entry.
     pub fn take(&mut self, to: ProcessKey) -> Option<AgentEnvelope> {
         self.envelopes.remove(&to).map(|pending| pending.envelope)
@@ -88,21 +102,26 @@
         if let Some(full) = full {
             monoio::spawn(Rc::clone(self).send(full));
         }
-        let shared = Rc::clone(self);
         match sender {
             None => {}
             Some(Sender::Turn) => {
-                monoio::spawn(shared.send_posted(to));
+                monoio::spawn(Rc::clone(self).send_posted(to));
             }
             Some(Sender::Hold) => {
-                monoio::spawn(async move {
-                    monoio::time::sleep(Duration::from_millis(HOLD_MS)).await;
-                    shared.send_posted(to).await;
-                });
+                monoio::spawn(Rc::clone(self).send_held(to));
             }
         }
     }
 
+    async fn send_held(self: Rc<Self>, to: ProcessKey) {
+        let number = self.outgoing.borrow().number(to);
+        monoio::time::sleep(Duration::from_millis(HOLD_MS)).await;
+        let is_held = number.is_some_and(|number| self.outgoing.borrow().is_pending(to, number));
+        if is_held {
+            self.send_posted(to).await;
+        }
+    }
+
     async fn send_posted(self: Rc<Self>, to: ProcessKey) {
         let posted = self.outgoing.borrow_mut().take(to);
         if let Some(envelope) = posted {
