--- a/components/protocol/tests/common/mod.rs
+++ b/components/protocol/tests/common/mod.rs
@@ -12,8 +12,8 @@
 use monoio::net::{TcpListener, TcpStream};
 use protocol::{
     AnnounceReply, CancelReply, EntryHandlers, EntryHandlersBuilder, EntryPing, EntryPong,
-    HandOverReply, LinkCounters, OwnedShard, ServerSettings, StatusReply, SubmitReply, serve_agent,
-    serve_entry,
+    HandOverReply, LinkCounters, OwnedShard, ServerSettings, StatusReply, SubmitReply, Traffic,
+    serve_agent, serve_entry,
 };
 use runtime::Stop;
 
@@ -27,6 +27,7 @@
 pub struct Server {
     pub address: SocketAddr,
     pub counters: LinkCounters,
+    pub traffic: Traffic,
     pub stop: Stop,
 }
 
@@ -40,39 +41,37 @@
     (listener, address)
 }
 
-fn settings(connection_limit: usize) -> (ServerSettings, LinkCounters, Stop) {
-    let (counters, stop) = (LinkCounters::default(), Stop::new());
+fn server(address: SocketAddr, connection_limit: usize) -> (ServerSettings, Server) {
+    let server = Server {
+        address,
+        counters: LinkCounters::default(),
+        traffic: Traffic::default(),
+        stop: Stop::new(),
+    };
     let settings = ServerSettings::builder(SERVER)
         .connection_limit(connection_limit)
-        .counters(counters.clone())
-        .stop(stop.clone())
+        .counters(server.counters.clone())
+        .traffic(server.traffic.clone())
+        .stop(server.stop.clone())
         .build();
-    (settings, counters, stop)
+    (settings, server)
 }
 
 pub fn start_agent(connection_limit: usize) -> Server {
     let (listener, address) = listen();
-    let (settings, counters, stop) = settings(connection_limit);
+    let (settings, server) = server(address, connection_limit);
     monoio::spawn(serve_agent(listener, settings, |envelope| {
         agent_envelope(envelope.from)
     }));
-    Server {
-        address,
-        counters,
-        stop,
-    }
+    server
 }
 
 pub fn start_entry(handlers: EntryHandlersBuilder) -> Server {
     let (listener, address) = listen();
-    let (settings, counters, stop) = settings(8);
+    let (settings, server) = server(address, 8);
     let handlers = handlers.build().unwrap();
     monoio::spawn(serve_entry(listener, settings, handlers));
-    Server {
-        address,
-        counters,
-        stop,
-    }
+    server
 }
 
 pub fn entry_handlers() -> EntryHandlersBuilder {
--- a/components/protocol/tests/links.rs
+++ b/components/protocol/tests/links.rs
@@ -12,8 +12,8 @@
 use futures::future::join_all;
 use model::{Answer, FirmKey, Generation, JobKey};
 use protocol::{
-    AgentLink, CancelReply, EntryHandlers, EntryLink, HandOver, LinkError, LinkFault,
-    MAX_FRAME_BYTES, StatusReply, SubmitReply,
+    AgentLink, CancelReply, EntryHandlers, EntryLink, EntryPool, HandOver, LinkError, LinkFault,
+    MAX_FRAME_BYTES, StatusReply, SubmitReply, Traffic,
 };
 
 async fn entry_link(server: &common::Server) -> EntryLink {
@@ -43,6 +43,26 @@
     .unwrap();
 }
 
+#[test]
+fn traffic_is_counted_alike_at_both_ends() {
+    runtime::run(async {
+        let server = start_entry(entry_handlers());
+        let traffic = Traffic::default();
+        let pool = EntryPool::new(CLIENT).with_traffic(traffic.clone());
+        let address = server.address.to_string();
+        let link = pool.link(&address, Some(SERVER)).await.unwrap();
+        let job = JobKey::new(FirmKey::from_name("north"), "a");
+        for _ in 0..3 {
+            link.status(job, deadline_us()).await.unwrap();
+        }
+        assert_eq!((traffic.sent_frames(), traffic.received_frames()), (3, 3));
+        assert_eq!(traffic.sent_bytes(), server.traffic.received_bytes());
+        assert_eq!(traffic.received_bytes(), server.traffic.sent_bytes());
+        assert!(traffic.sent_bytes() > 3 * 4);
+    })
+    .unwrap();
+}
+
 #[test]
 fn entry_answers_every_call() {
     runtime::run(async {
