--- a/components/dispatch/src/health.rs
+++ b/components/dispatch/src/health.rs
@@ -145,10 +145,11 @@
 impl GroupHealth {
     /// Returns the median failure rate; a few failing agents do not move it.
     fn median_rate(&mut self) -> f64 {
-        let middle = self.rates.len() / 2;
         if self.rates.is_empty() {
             return 0.0;
         }
+        // The lower of two middle ones, so that one of two agents can stand out.
+        let middle = (self.rates.len() - 1) / 2;
         let (_, median, _) = self.rates.select_nth_unstable_by(middle, f64::total_cmp);
         *median
     }
--- /dev/null
+++ b/components/load/src/capacity_command.rs
@@ -0,0 +1,159 @@
+//! The command that works out a fleet's load on control from measured costs.
+
+use load::contender::Contender;
+use load::cost::{Bench, JOB_TASKS};
+use load::deployment::Deployment;
+use load::experiment;
+use load::scenarios::ScenarioName;
+use load::workload;
+use model::{HEARTBEAT_INTERVAL_MS, RETENTION_MS};
+
+use crate::cost_command::{self, MemoryCost, TaskCost};
+
+/// Workers of the fleet, each with a target and an agent.
+const WORKERS: u64 = 760;
+
+/// Tasks started in a second.
+const STARTS_PER_S: f64 = 42_000.0;
+
+/// Firms, each with its own part of the workers.
+const FIRMS: u64 = 26;
+
+/// Entries: two in each of twelve failure domains, four domains to a region.
+const ENTRIES: u64 = 24;
+
+/// Intervals over which heartbeats are measured.
+const MEASURED_INTERVALS: u64 = 100;
+
+/// Announcements of an agent to each entry in a second, at most.
+const ANNOUNCEMENTS_PER_S: f64 = 0.5;
+
+/// Bytes of an announcement.
+const ANNOUNCEMENT_BYTES: f64 = 200.0;
+
+/// Shards of each firm.
+const SHARD_COUNTS: [u64; 3] = [1, 2, 24];
+
+/// Costs of a heartbeat and its answer.
+struct HeartbeatCost {
+    entry_ns: f64,
+    agent_ns: f64,
+    bytes: f64,
+}
+
+/// Messages of a task, both directions.
+struct TaskTraffic {
+    envelopes: f64,
+    bytes: f64,
+}
+
+/// Prints the worked-out table.
+pub fn run() {
+    let firm_agents = (WORKERS / FIRMS) as usize;
+    let own = cost_command::task_cost(firm_agents);
+    let shared = cost_command::task_cost(WORKERS as usize);
+    let memory = cost_command::memory_cost();
+    let beat = heartbeat_cost(WORKERS as usize);
+    println!(
+        "{WORKERS} workers, {STARTS_PER_S} starts/s, {FIRMS} firms, {ENTRIES} entries in 12 \
+         failure domains of 3 regions.\n"
+    );
+    println!("| figure | for each entry | for each agent |\n|---|---|---|");
+    print_traffic(&task_traffic());
+    print_tasks("own targets", &own);
+    print_tasks("shared targets", &shared);
+    for shards in SHARD_COUNTS {
+        print_heartbeats(shards, &beat);
+    }
+    let per_entry = WORKERS as f64 * ANNOUNCEMENTS_PER_S;
+    let per_agent = ENTRIES as f64 * ANNOUNCEMENTS_PER_S;
+    println!(
+        "| announcements/s (bytes/s) | {per_entry:.0} ({:.0}) | {per_agent:.0} ({:.0}) |",
+        per_entry * ANNOUNCEMENT_BYTES,
+        per_agent * ANNOUNCEMENT_BYTES,
+    );
+    print_records(&memory);
+}
+
+/// Measures the messages of tasks in a run at four fifths of the capacity.
+fn task_traffic() -> TaskTraffic {
+    let scenario = ScenarioName::Load80.scenario(Deployment::Vembanad);
+    let run = experiment::run(&scenario, "chosen", &Contender::Chosen.policy(), 1);
+    let tally = &run.tally;
+    let tasks = run.started_tasks.max(1) as f64;
+    TaskTraffic {
+        envelopes: (tally.envelopes() - tally.heartbeat_only) as f64 / tasks,
+        bytes: (tally.to_agents_bytes + tally.to_owners_bytes) as f64 / tasks,
+    }
+}
+
+fn print_traffic(traffic: &TaskTraffic) {
+    let per_entry = STARTS_PER_S / ENTRIES as f64;
+    let per_agent = STARTS_PER_S / WORKERS as f64;
+    println!("| starts/s | {per_entry:.0} | {per_agent:.0} |");
+    println!(
+        "| task envelopes/s (bytes/s) | {:.0} ({:.0}) | {:.0} ({:.0}) |",
+        per_entry * traffic.envelopes,
+        per_entry * traffic.bytes,
+        per_agent * traffic.envelopes,
+        per_agent * traffic.bytes,
+    );
+}
+
+fn print_tasks(name: &str, cost: &TaskCost) {
+    let per_entry = STARTS_PER_S / ENTRIES as f64;
+    let per_agent = STARTS_PER_S / WORKERS as f64;
+    println!(
+        "| decisions, % of a processor, {name} | {:.2} | {:.3} |",
+        per_entry * cost.dispatcher_ns_per_task / 1e7,
+        per_agent * cost.agent_ns_per_task / 1e7,
+    );
+}
+
+fn print_heartbeats(shards: u64, beat: &HeartbeatCost) {
+    let owners = shards.min(ENTRIES) as f64;
+    let beats_per_s = 1_000.0 / HEARTBEAT_INTERVAL_MS as f64;
+    let per_agent = 2.0 * beats_per_s * owners;
+    let per_entry = per_agent * WORKERS as f64 / ENTRIES as f64;
+    println!(
+        "| heartbeat envelopes/s (bytes/s; % of a processor), {shards} shards a firm \
+         | {per_entry:.0} ({:.0}; {:.2}) | {per_agent:.0} ({:.0}; {:.3}) |",
+        per_entry * beat.bytes / 2.0,
+        per_entry * beat.entry_ns / 2.0 / 1e7,
+        per_agent * beat.bytes / 2.0,
+        per_agent * beat.agent_ns / 2.0 / 1e7,
+    );
+}
+
+fn print_records(memory: &MemoryCost) {
+    let mean_tasks = workload::mean_tasks();
+    let retention_s = RETENTION_MS as f64 / 1e3;
+    let jobs = STARTS_PER_S / mean_tasks * retention_s / ENTRIES as f64;
+    let tasks = STARTS_PER_S / WORKERS as f64 * retention_s;
+    // Records of larger jobs are taken as several of the measured size.
+    let entry_bytes = jobs * memory.entry_record_bytes * (mean_tasks / f64::from(JOB_TASKS));
+    println!(
+        "| records in {retention_s:.0} s (bytes) | {jobs:.0} jobs of {mean_tasks:.1} tasks \
+         ({entry_bytes:.0}) | {tasks:.0} tasks ({:.0}) |",
+        tasks * memory.agent_record_bytes_per_task,
+    );
+    println!(
+        "| views of agents, bytes | {:.0} | |",
+        WORKERS as f64 * memory.agent_bytes
+    );
+}
+
+fn heartbeat_cost(agents: usize) -> HeartbeatCost {
+    let mut bench = Bench::new(agents);
+    bench.take_timing();
+    for _ in 0..MEASURED_INTERVALS {
+        bench.pass_us(HEARTBEAT_INTERVAL_MS * 1_000);
+    }
+    let timing = bench.take_timing();
+    let beats = (timing.envelopes / 2).max(1) as f64;
+    HeartbeatCost {
+        entry_ns: timing.dispatcher_ns as f64 / beats,
+        agent_ns: timing.agents_ns as f64 / beats,
+        bytes: (timing.to_agents_bytes + timing.to_entry_bytes) as f64 / beats,
+    }
+}
--- a/components/load/src/cost_command.rs
+++ b/components/load/src/cost_command.rs
@@ -26,9 +26,9 @@
 /// Cost of a task with so many agents.
 #[derive(Debug, Serialize)]
 pub struct TaskCost {
-    agents: usize,
-    dispatcher_ns_per_task: f64,
-    agent_ns_per_task: f64,
+    pub agents: usize,
+    pub dispatcher_ns_per_task: f64,
+    pub agent_ns_per_task: f64,
     dispatcher_ns_per_call: f64,
     allocations_per_task: f64,
     envelopes_per_task: f64,
@@ -40,15 +40,15 @@
 #[derive(Debug, Serialize)]
 pub struct MemoryCost {
     /// Bytes of a waiting job at the entry.
-    job_bytes: f64,
+    pub job_bytes: f64,
     /// Resident bytes of a waiting job at the entry.
-    job_resident_bytes: f64,
+    pub job_resident_bytes: f64,
     /// Bytes of the record of an answered job at the entry.
-    entry_record_bytes: f64,
+    pub entry_record_bytes: f64,
     /// Bytes of the records of a job at agents, for each task.
-    agent_record_bytes_per_task: f64,
+    pub agent_record_bytes_per_task: f64,
     /// Bytes of an agent at the entry.
-    agent_bytes: f64,
+    pub agent_bytes: f64,
 }
 
 /// Prints the cost of tasks and the memory of what is held.
@@ -82,7 +82,8 @@
     println!("\nBytes, for jobs of {JOB_TASKS} tasks of 200 bytes: {memory:#?}");
 }
 
-fn task_cost(agents: usize) -> TaskCost {
+/// Measures the cost of tasks with so many agents.
+pub fn task_cost(agents: usize) -> TaskCost {
     let mut bench = Bench::new(agents);
     let jobs = (agents as u64 * 8 / (2 * u64::from(JOB_TASKS))).max(1);
     for _ in 0..WARMUP_ROUNDS {
@@ -110,7 +111,8 @@
     }
 }
 
-fn memory_cost() -> MemoryCost {
+/// Measures the memory of what is held.
+pub fn memory_cost() -> MemoryCost {
     let (few, many) = (AGENT_COUNTS[1], AGENT_COUNTS[3]);
     let few_bytes = entry_bytes(few);
     let many_bytes = entry_bytes(many);
--- a/components/load/src/main.rs
+++ b/components/load/src/main.rs
@@ -1,5 +1,6 @@
 //! The command line of the load and experiment command.
 
+mod capacity_command;
 mod cost_command;
 
 use std::path::Path;
@@ -16,6 +17,7 @@
 
 const USAGE: &str = "usage: load compare [options]
        load cost [--json]
+       load capacity
        load list";
 
 fn main() -> ExitCode {
@@ -31,6 +33,10 @@
             cost_command::run(matches.opt_present("json"));
             Ok(())
         }
+        Some("capacity") => {
+            capacity_command::run();
+            Ok(())
+        }
         Some("list") => {
             list();
             Ok(())
--- a/components/load/src/workload.rs
+++ b/components/load/src/workload.rs
@@ -96,6 +96,14 @@
     total as f64 / MEAN_SAMPLE as f64
 }
 
+/// Returns the mean number of tasks of a job.
+#[must_use]
+pub fn mean_tasks() -> f64 {
+    let mut rng = SmallRng::seed_from_u64(0);
+    let total: usize = (0..MEAN_SAMPLE).map(|_| draw_tasks(&mut rng).1.len()).sum();
+    total as f64 / MEAN_SAMPLE as f64
+}
+
 fn draw_job(scenario: &Scenario, firm: usize, at_us: u64, rng: &mut SmallRng) -> PlannedJob {
     let (kind, tasks_us) = draw_tasks(rng);
     let error = scenario.declared_error.powf(rng.random_range(-1.0..=1.0));
