--- a/components/load/src/cost.rs
+++ b/components/load/src/cost.rs
@@ -3,17 +3,18 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use dispatch::{Action, DispatchRules, Dispatcher, FirmRules, GroupRules, Policy, Submission};
+use dispatch::{Action, Dispatcher, Policy, Submission};
 use dispatch::{SwapOutcome, WaiterKey};
 use execution::{Agent, AgentAction, AgentBuilder, CallOutcome};
 use model::{
-    AgentEnvelope, AgentInfo, EntryInfo, FirmKey, GroupKey, JobKey, JobMeta, JobSpec, KindKey,
-    ProcessKey, Rules, TargetInfo, TaskSpec,
+    AgentEnvelope, AgentInfo, EntryInfo, FirmKey, FirmShare, GroupKey, JobKey, JobMeta, JobSpec,
+    KindKey, ProcessKey, TargetInfo, TaskSpec,
 };
 use rustc_hash::FxHashMap;
 use serde::Serialize;
 
 use crate::deployment::{CONNECTIONS, SLOTS};
+use crate::rules::rules;
 
 /// Tasks of each job that is measured.
 pub const JOB_TASKS: u16 = 10;
@@ -39,7 +40,6 @@
     group: GroupKey,
     now_us: u64,
     next_job: u64,
-    answers: u64,
     timing: Timing,
 }
 
@@ -75,7 +75,7 @@
             firms: Vec::new(),
         };
         let mut dispatcher = Dispatcher::new(info, Policy::default(), 1);
-        dispatcher.apply_rules(rules(firm, group));
+        dispatcher.apply_rules(rules(&[FirmShare { firm, weight: 1 }], group, 1));
         dispatcher.records_synced();
         let mut bench = Self {
             dispatcher,
@@ -85,7 +85,6 @@
             group,
             now_us: STEP_US,
             next_job: 0,
-            answers: 0,
             timing: Timing::default(),
         };
         for number in 0..agent_count {
@@ -188,12 +187,6 @@
         std::mem::take(&mut self.timing)
     }
 
-    /// Returns the number of answers given.
-    #[must_use]
-    pub fn answers(&self) -> u64 {
-        self.answers
-    }
-
     /// Moves the time on and lets everything due happen.
     pub fn pass_us(&mut self, passed_us: u64) {
         self.now_us += passed_us;
@@ -213,7 +206,6 @@
         for action in actions {
             match action {
                 Action::Send { address, envelope } => self.deliver(&address, envelope),
-                Action::Answer { .. } => self.answers += 1,
                 Action::Swap { shard, .. } => {
                     let (now_us, now_unix_ms) = (self.now_us, self.unix_ms());
                     let mut actions = Vec::new();
@@ -226,7 +218,10 @@
                     );
                     self.perform(actions);
                 }
-                Action::Moved { .. } | Action::Read { .. } | Action::HandOver { .. } => {}
+                Action::Answer { .. }
+                | Action::Moved { .. }
+                | Action::Read { .. }
+                | Action::HandOver { .. } => {}
             }
         }
     }
@@ -303,27 +298,3 @@
 fn elapsed_ns(began: Instant) -> u64 {
     began.elapsed().as_nanos() as u64
 }
-
-fn rules(firm: FirmKey, group: GroupKey) -> DispatchRules {
-    DispatchRules {
-        revision: 1,
-        firms: vec![FirmRules {
-            firm,
-            shard_count: 1,
-            quota_tasks: 1_000_000,
-            max_queue_tasks: 10_000_000,
-            rate_tasks_per_s: None,
-            burst_tasks: 0,
-        }],
-        groups: vec![GroupRules {
-            group,
-            firms: vec![firm],
-            max_attempts: 3,
-            max_eject_percent: 30,
-        }],
-        agent_rules: Rules {
-            revision: 1,
-            shares: Vec::new(),
-        },
-    }
-}
--- a/components/load/src/experiment/entries.rs
+++ b/components/load/src/experiment/entries.rs
@@ -1,12 +1,11 @@
 //! Entries: the loop around a dispatcher.
 
-use dispatch::{Action, DispatchRules, Dispatcher, FirmRules, GroupRules, Policy};
-use model::{
-    AgentEnvelope, EntryInfo, FirmKey, FirmShare, GroupKey, ProcessKey, Rules, ShardRecord,
-};
+use dispatch::{Action, Dispatcher, Policy};
+use model::{AgentEnvelope, EntryInfo, FirmKey, FirmShare, GroupKey, ProcessKey, ShardRecord};
 
 use super::{Event, Experiment, PEER_US, WrittenRecord, counters, entry_endpoint, host_endpoint};
-use crate::scenario::Scenario;
+use crate::rules::rules;
+use crate::scenario::{FirmLoad, Scenario};
 
 /// Time of a call to the platform, in microseconds.
 const PLATFORM_US: u64 = 3_000;
@@ -36,7 +35,16 @@
             firms: Vec::new(),
         };
         let mut dispatcher = Dispatcher::new(info, policy.clone(), seed + position as u64);
-        dispatcher.apply_rules(rules(scenario, firms, group));
+        let share = |(&firm, load): (&FirmKey, &FirmLoad)| FirmShare {
+            firm,
+            weight: load.weight,
+        };
+        let shares: Vec<FirmShare> = firms.iter().zip(&scenario.firms).map(share).collect();
+        let shard_count = match scenario.entries {
+            1 => 1,
+            entries => entries * SHARDS_PER_ENTRY,
+        };
+        dispatcher.apply_rules(rules(&shares, group, shard_count as u16));
         dispatcher.records_synced();
         Self {
             dispatcher,
@@ -49,39 +57,6 @@
     }
 }
 
-fn rules(scenario: &Scenario, firms: &[FirmKey], group: GroupKey) -> DispatchRules {
-    let shard_count = match scenario.entries {
-        1 => 1,
-        entries => entries * SHARDS_PER_ENTRY,
-    };
-    let firm_rules = |&firm: &FirmKey| FirmRules {
-        firm,
-        shard_count: shard_count as u16,
-        quota_tasks: 100_000,
-        max_queue_tasks: 1_000_000,
-        rate_tasks_per_s: None,
-        burst_tasks: 0,
-    };
-    let share = |(&firm, load): (&FirmKey, &crate::scenario::FirmLoad)| FirmShare {
-        firm,
-        weight: load.weight,
-    };
-    DispatchRules {
-        revision: 1,
-        firms: firms.iter().map(firm_rules).collect(),
-        groups: vec![GroupRules {
-            group,
-            firms: firms.to_vec(),
-            max_attempts: 3,
-            max_eject_percent: 30,
-        }],
-        agent_rules: Rules {
-            revision: 1,
-            shares: firms.iter().zip(&scenario.firms).map(share).collect(),
-        },
-    }
-}
-
 impl Experiment {
     pub(super) fn receive_agent_envelope(&mut self, entry: usize, envelope: AgentEnvelope) {
         let (now_us, now_unix_ms) = (self.now_us, self.unix_ms());
--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ideal;
 pub mod plot;
 pub mod report;
+mod rules;
 pub mod scenario;
 pub mod scenarios;
 pub mod tally;
