Let a leaving agent depart from the roster at once

Cause: an agent that announced that it leaves stayed an active member until it had been silent for 10 s. With two agents the owner then had one of two acknowledgements, no majority, and refused every submission as no_authority for those 10 s.

Ruled out: lost heartbeats of the remaining agent; the owner heard it throughout.

Change: the next roster lists a draining agent as departed. It is still fenced by take-overs and its outcomes are still taken.

--- a/components/dispatch/src/roster.rs
+++ b/components/dispatch/src/roster.rs
@@ -80,7 +80,7 @@
 
 /// Computes the roster that should follow, or none if nothing changes.
 ///
-/// Agents of the firm that are not listed join; members that are gone depart; departed
+/// Agents of the firm that are not listed join; members that leave or are gone depart; departed
 /// members leave once nothing they may hold can be submitted again.
 pub fn next_roster(
     record: &ShardRecord,
@@ -91,11 +91,12 @@
     let mut changed = false;
     let mut roster = Vec::with_capacity(record.roster.len());
     for (member, view) in record.roster.iter().zip(members) {
-        let gone = agents
+        // A leaving agent must not count towards the majority once it is gone.
+        let leaves = agents
             .get(view.agent)
-            .is_none_or(|agent| agent.is_gone(now_us));
+            .is_none_or(|agent| agent.info.draining || agent.is_gone(now_us));
         match member.state {
-            MemberState::Active if gone => {
+            MemberState::Active if leaves => {
                 changed = true;
                 roster.push(Member {
                     state: MemberState::Departed,
