Tell every entry of a planned stop before an agent ends

Cause: an agent without running tasks ended within 50 ms of the signal, before its announcement was sent. Owners went on to send it tasks, and their jobs ended as may_have_run/agent_lost once a new incarnation answered. Besides, entries other than the owner were told of an agent only every 5 s, so that a configuration could take longer than 4 s while the owner was stopped.

Ruled out: tasks that ran when the signal came; they finished and were answered.

Change: the agent ends once every entry it knows was told, or could not be reached, and 250 ms later, within which it refuses what was sent before. The ports are closed before the process ends. Announcements to other entries come every 3 s.

Before: the first rolling replacement under load ended with may_have_run/agent_lost.

--- a/components/agent/src/announcements.rs
+++ b/components/agent/src/announcements.rs
@@ -27,10 +27,11 @@
 }
 
 async fn announce(shared: Rc<Shared>, address: String) {
+    let changes = shared.directory.borrow().changes();
     if let Err(error) = try_announce(&shared, &address).await {
         log::debug!("Entry {address} took no announcement: {error}.");
         shared.entries.remove(&address);
-        shared.directory.borrow_mut().failed(&address);
+        shared.directory.borrow_mut().failed(&address, changes);
     }
 }
 
--- a/components/agent/src/directory.rs
+++ b/components/agent/src/directory.rs
@@ -11,7 +11,9 @@
 const OWNER_INTERVAL_US: u64 = 2_000_000;
 
 /// Interval of announcements to other entries, in microseconds.
-const OTHER_INTERVAL_US: u64 = 5_000_000;
+///
+/// A configuration reaches an agent whose owner is stopped by these, so they must not be rare.
+const OTHER_INTERVAL_US: u64 = 3_000_000;
 
 /// Interval of tries at an entry that does not answer, in microseconds.
 const RETRY_INTERVAL_US: u64 = 500_000;
@@ -26,6 +28,8 @@
     is_owner: bool,
     failures: u32,
     due_us: u64,
+    /// Number of changes up to which the entry was told, or could not be reached.
+    tried_changes: u64,
 }
 
 /// The entries known to an agent, by address.
@@ -88,6 +92,12 @@
         }
     }
 
+    /// Tells whether every entry was told the last change, as far as it can be reached.
+    pub fn is_told(&self) -> bool {
+        let mut entries = self.entries.values();
+        entries.all(|known| known.tried_changes >= self.changes)
+    }
+
     /// Returns the addresses to announce to now, and sets the time of the next try.
     pub fn take_due(&mut self, now_us: u64) -> Vec<String> {
         let mut due = Vec::new();
@@ -113,6 +123,7 @@
         let is_outdated = changes != self.changes;
         if let Some(known) = self.entries.get_mut(address) {
             known.failures = 0;
+            known.tried_changes = changes;
             if is_outdated {
                 known.due_us = now_us;
                 return;
@@ -130,11 +141,12 @@
         self.note(entry.key, &entry.address);
     }
 
-    /// Notes that an entry did not answer.
-    pub fn failed(&mut self, address: &str) {
+    /// Notes that an entry did not answer an announcement made after `changes` changes.
+    pub fn failed(&mut self, address: &str, changes: u64) {
         let Some(known) = self.entries.get_mut(address) else {
             return;
         };
+        known.tried_changes = changes;
         known.failures += 1;
         if known.failures >= MAX_FAILURES && !known.is_seed {
             self.entries.remove(address);
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -20,6 +20,15 @@
 /// Longest pause of the loop, in milliseconds.
 const MAX_PAUSE_MS: u64 = 50;
 
+/// Time after the entries were told of a planned stop for which the ports stay open, in
+/// microseconds.
+///
+/// A task sent before is refused, rather than left without an answer.
+const LEAVING_US: u64 = 250_000;
+
+/// Longest time that the ports take to close after a planned stop.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Largest body of an announcement, in bytes.
 const MAX_ANNOUNCEMENT_BYTES: usize = 64 * 1024;
 
@@ -113,11 +122,11 @@
             .stop(stop.clone())
             .build();
         let owner = Rc::clone(&shared);
-        monoio::spawn(serve_agent(self.peers, settings, move |envelope| {
+        let peers = monoio::spawn(serve_agent(self.peers, settings, move |envelope| {
             owner.owner_envelope(envelope)
         }));
         let web_stop = web::Stop::new();
-        monoio::spawn(crate::local::serve(
+        let local = monoio::spawn(crate::local::serve(
             Rc::clone(&shared),
             self.announcements,
             announcement_limits(),
@@ -133,6 +142,8 @@
         shared.clone().turn(&drain).await;
         stop.stop();
         web_stop.stop();
+        let closed = futures::future::join(peers, local);
+        let _ = monoio::time::timeout(CLOSE_TIMEOUT, closed).await;
         log::info!("Agent {} has stopped.", shared.key);
     }
 }
@@ -166,15 +177,18 @@
 impl Shared {
     /// Runs the timers of the decisions until a planned stop is over.
     async fn turn(self: Rc<Self>, drain: &Stop) {
-        let mut drain_until_us = None;
+        while !drain.is_stopped() {
+            self.tick();
+            monoio::time::sleep(self.pause()).await;
+        }
+        let until_us = self.begin_drain();
+        let mut told_us = None;
         loop {
             self.tick();
-            if drain.is_stopped() && drain_until_us.is_none() {
-                drain_until_us = Some(self.begin_drain());
+            if told_us.is_none() && self.directory.borrow().is_told() {
+                told_us = Some(monotonic_us());
             }
-            if let Some(until_us) = drain_until_us
-                && self.drained(until_us)
-            {
+            if self.drained(told_us, until_us) {
                 return;
             }
             monoio::time::sleep(self.pause()).await;
@@ -207,8 +221,9 @@
         now_us + self.settings.drain_timeout_ms * 1_000
     }
 
-    fn drained(&self, until_us: u64) -> bool {
-        if self.core.borrow().is_idle() {
+    fn drained(&self, told_us: Option<u64>, until_us: u64) -> bool {
+        let left = told_us.is_some_and(|told_us| monotonic_us() >= told_us + LEAVING_US);
+        if left && self.core.borrow().is_idle() {
             return true;
         }
         let late = monotonic_us() >= until_us;
