Wait for the hand-over before an entry without work ends

Cause: a draining entry ended once no request and no job was in progress, also when its shard had not been handed over yet because the platform was away. The shard was then taken over by force, and submissions dated before the horizon were refused.

Ruled out: the offer of the table; the next owner had accepted it, the compare-and-swap was missing.

Change: a planned stop waits up to 5 s for its shards to be handed over if another entry is known.

--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -29,6 +29,12 @@
 /// Lets the balancer notice.
 const UNREADY_MS: u64 = 1_000;
 
+/// Longest time that a planned stop without work waits until its shards are handed over, in
+/// microseconds.
+///
+/// Covers a short outage of the platform; a shard that is left behind is taken over by force.
+const HAND_OVER_US: u64 = 5_000_000;
+
 /// Interval at which a planned stop is looked after, in milliseconds.
 const DRAIN_LOOK_MS: u64 = 20;
 
@@ -214,7 +220,9 @@
         callers: monoio::task::JoinHandle<()>,
     ) {
         log::info!("Entry {} drains.", self.me.key);
-        let until_us = monotonic_us() + self.settings.drain_timeout_ms * 1_000;
+        let begun_us = monotonic_us();
+        let until_us = begun_us + self.settings.drain_timeout_ms * 1_000;
+        let hand_over_until_us = until_us.min(begun_us + HAND_OVER_US);
         self.draining.set(true);
         self.core.borrow_mut().drain();
         self.wake();
@@ -223,6 +231,9 @@
         while !self.is_drained() && monotonic_us() < until_us {
             monoio::time::sleep(Duration::from_millis(DRAIN_LOOK_MS)).await;
         }
+        while self.holds_shards_to_hand_over() && monotonic_us() < hand_over_until_us {
+            monoio::time::sleep(Duration::from_millis(DRAIN_LOOK_MS)).await;
+        }
         if !self.is_drained() {
             log::warn!("Entry {} stops with work in progress.", self.me.key);
             let mut actions = Vec::new();
@@ -233,6 +244,11 @@
         let _ = monoio::time::timeout(Duration::from_micros(left_us), callers).await;
     }
 
+    fn holds_shards_to_hand_over(&self) -> bool {
+        let has_peers = !self.known_entries.borrow().is_empty();
+        has_peers && self.core.borrow().owned().next().is_some()
+    }
+
     fn is_drained(&self) -> bool {
         self.requests.get() == 0 && self.core.borrow().is_idle()
     }
