--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,6 +10,7 @@
 mod load;
 mod process;
 mod relay;
+mod spawn;
 mod system;
 
 use std::net::SocketAddr;
