Keep a handed-over table when a forced claim surely had no effect

Cause: an entry that had accepted a shard's table, and whose watch of the platform was late, saw the old owner end, began to claim the shard by force and threw the table away. Its compare-and-swap then conflicted with the hand-over, and the shard was recovered without the table, with a horizon.

Ruled out: an entry that ends before the hand-over; the record was that of the hand-over.

Change: the table is void once a claim succeeded or may have taken effect, no longer when a claim begins. A stale table still cannot be taken for the one handed over, since a claim whose outcome is not known makes it void.

--- a/components/dispatch/src/ownership.rs
+++ b/components/dispatch/src/ownership.rs
@@ -23,6 +23,8 @@
     record: ShardRecord,
     expected_revision: u64,
     in_flight: bool,
+    /// Whether the outcome of an earlier try is not known.
+    unknown: bool,
     next_try_us: u64,
 }
 
@@ -84,6 +86,10 @@
             return;
         };
         if revision > claim.expected_revision {
+            // The record may be that of this claim, and then a table taken in earlier is void.
+            if claim.in_flight || claim.unknown {
+                self.imports.remove(&record.shard);
+            }
             self.claiming.remove(&record.shard);
             return;
         }
@@ -167,10 +173,13 @@
         match outcome {
             SwapOutcome::Done(revision) => {
                 let record = claim.record.clone();
+                // A table taken in earlier is void once this entry takes over by force.
+                self.imports.remove(&key);
                 self.record_seen(record, *revision, now_us, now_unix_ms, actions);
             }
             SwapOutcome::Conflict => actions.push(Action::Read { shard: key }),
-            SwapOutcome::NotApplied | SwapOutcome::Unknown => {}
+            SwapOutcome::NotApplied => {}
+            SwapOutcome::Unknown => claim.unknown = true,
         }
     }
 
@@ -208,8 +217,6 @@
             else {
                 continue;
             };
-            // A table taken in earlier is void once this entry takes over by force.
-            self.imports.remove(&key);
             self.counters.takeovers += u64::from(expected_revision > 0);
             self.claiming.insert(
                 key,
@@ -217,6 +224,7 @@
                     record,
                     expected_revision,
                     in_flight: false,
+                    unknown: false,
                     next_try_us: now_us,
                 },
             );
