--- a/components/dispatch/src/ownership.rs
+++ b/components/dispatch/src/ownership.rs
@@ -25,6 +25,9 @@
 pub struct Claim {
     record: ShardRecord,
     expected_revision: u64,
+    in_flight: bool,
+    /// Whether the outcome of an earlier try is not known.
+    unknown: bool,
     next_try_us: u64,
 }
 
@@ -84,14 +87,16 @@
         self.yield_shard(&record, now_us, now_unix_ms, actions);
     }
 
-    /// Ends a claim whose outcome the record shows; returns whether there was one.
+    /// Ends a claim whose outcome the record shows; returns whether the record may be the claim's.
     fn settle_claim(&mut self, record: &ShardRecord, revision: u64, now_us: u64) -> bool {
         let Some(claim) = self.claiming.get_mut(&record.shard) else {
             return false;
         };
         if revision > claim.expected_revision {
+            // Otherwise the record is another entry's, which may be handing the shard over.
+            let may_be_own = claim.in_flight || claim.unknown;
             self.claiming.remove(&record.shard);
-            return true;
+            return may_be_own;
         }
         claim.next_try_us = now_us + RETRY_SWAP_US;
         false
@@ -146,10 +151,19 @@
         match outcome {
             SwapOutcome::Done(revision) => {
                 let record = claim.record.clone();
+                // A table taken in earlier is void once this entry takes over by force.
+                self.imports.remove(&key);
                 self.record_seen(record, *revision, now_us, now_unix_ms, actions);
             }
-            SwapOutcome::Conflict => actions.push(Action::Read { shard: key }),
-            SwapOutcome::NotApplied | SwapOutcome::Unknown => {}
+            SwapOutcome::Conflict => {
+                claim.in_flight = false;
+                actions.push(Action::Read { shard: key });
+            }
+            SwapOutcome::NotApplied => claim.in_flight = false,
+            SwapOutcome::Unknown => {
+                claim.in_flight = false;
+                claim.unknown = true;
+            }
         }
     }
 
@@ -207,14 +221,14 @@
             else {
                 continue;
             };
-            // A table taken in earlier is void once this entry takes over by force.
-            self.imports.remove(&key);
             self.counters.takeovers += u64::from(expected_revision > 0);
             self.claiming.insert(
                 key,
                 Claim {
                     record,
                     expected_revision,
+                    in_flight: false,
+                    unknown: false,
                     next_try_us: now_us,
                 },
             );
@@ -251,10 +265,11 @@
     }
 
     fn send_claims(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        for (key, claim) in &self.claiming {
+        for (key, claim) in &mut self.claiming {
             if claim.next_try_us > now_us || !self.tries.insert(*key) {
                 continue;
             }
+            claim.in_flight = true;
             actions.push(Action::Swap {
                 shard: *key,
                 expected_revision: claim.expected_revision,
--- a/tests/failure_agent.rs
+++ b/tests/failure_agent.rs
@@ -26,11 +26,14 @@
 
 /// Waits until every slot of the agent's target runs a task, so that others wait.
 async fn wait_until_busy(host: &Host) {
-    wait_until("the agent runs as many tasks as there are slots", async || {
-        let state = host.agent_state().await;
-        let decisions = &state["decisions"];
-        decisions["running"].as_u64() > Some(0) && decisions["running"] == decisions["slots"]
-    })
+    wait_until(
+        "the agent runs as many tasks as there are slots",
+        async || {
+            let state = host.agent_state().await;
+            let decisions = &state["decisions"];
+            decisions["running"].as_u64() > Some(0) && decisions["running"] == decisions["slots"]
+        },
+    )
     .await;
 }
 
