--- a/components/proof/src/world/routing.rs
+++ b/components/proof/src/world/routing.rs
@@ -33,6 +33,8 @@
 pub struct PendingCopy {
     pub spec: JobSpec,
     pub next_try_us: u64,
+    /// Time before which the owner is waited for, also past the deadline.
+    pub wait_until_us: u64,
 }
 
 impl World {
@@ -53,6 +55,7 @@
         let pending = PendingCopy {
             spec,
             next_try_us: 0,
+            wait_until_us: self.now_us() + GIVE_UP_MS * 1_000,
         };
         self.entries[place].copies.insert(copy, pending);
         self.route_copy(place, copy, actions);
@@ -190,7 +193,8 @@
         let mut due = Vec::new();
         let mut late = Vec::new();
         for (copy, pending) in &self.entries[place].copies {
-            if now_unix_ms >= pending.spec.meta.deadline_unix_ms + GIVE_UP_MS {
+            let late_ms = pending.spec.meta.deadline_unix_ms + GIVE_UP_MS;
+            if now_unix_ms >= late_ms && true_us >= pending.wait_until_us {
                 late.push(*copy);
             } else if pending.next_try_us <= true_us {
                 due.push(*copy);
