--- a/components/proof/src/world/mod.rs
+++ b/components/proof/src/world/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A run holds entries, agents with a fake target each, a fake platform, clients and operators
 //! on one event queue. All that is random comes from one seed, so a run can be repeated up to
-//! any event; [`World::occurrences`] of one run tell where the faults of the next may strike.
+//! any event; the occurrences noted in one run tell where the faults of the next may strike.
 
 mod agent;
 mod calls;
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -247,6 +247,20 @@
         starts["starts"].as_array().map_or(0, Vec::len)
     }
 
+    /// Waits until every slot of the target runs a task, so that others wait.
+    pub async fn wait_until_busy(&self) {
+        wait_until(
+            "the agent runs as many tasks as there are slots",
+            async || {
+                let state = self.agent_state().await;
+                let decisions = &state["decisions"];
+                decisions["running"].as_u64() > Some(0)
+                    && decisions["running"] == decisions["slots"]
+            },
+        )
+        .await;
+    }
+
     /// Returns the agent's state, or null if it does not answer.
     pub async fn agent_state(&self) -> Value {
         let request = Request::new(Method::GET, "/v1/state");
