Let a take-over pass agents that have been replaced

Cause: a new owner waits until a majority of the agents has answered its fence; when most of them had ended with the old owner, none could, and the shard stayed blocked for ever. Ruled out: counting silent agents or refused connections; a cut-off agent may still vouch for the old owner. Counting an ended old owner as enough: the owner before it may still have its majority. Change: an agent in whose place another incarnation answers has ended and vouches for nobody, so it counts against the old owner; nothing is claimed about earlier jobs, since its answer is missing.

--- a/components/dispatch/src/agents.rs
+++ b/components/dispatch/src/agents.rs
@@ -47,6 +47,8 @@
     pub last_heard_us: u64,
     /// Whether a newer incarnation answers at the same address.
     pub replaced: bool,
+    /// Whether a newer incarnation has answered in its place; it can vouch for nobody any more.
+    pub ended: bool,
     /// Whether the agent's host has refused a connection since the agent was last heard.
     refused: bool,
     pub permit: Option<Permit>,
@@ -75,6 +77,7 @@
             info,
             last_heard_us: now_us,
             replaced: false,
+            ended: false,
             refused: false,
             permit: None,
             permit_until_us: 0,
@@ -123,7 +126,7 @@
         } else {
             AGENT_GONE_US
         };
-        self.replaced || now_us > self.last_heard_us + limit_us
+        self.ended || self.replaced || now_us > self.last_heard_us + limit_us
     }
 
     /// Notes that the agent was heard.
@@ -247,6 +250,13 @@
         key
     }
 
+    /// Notes that another incarnation answered a message meant for the agent.
+    pub fn mark_ended(&mut self, process: ProcessKey) {
+        if let Some(key) = self.find(process) {
+            self.arena[key].ended = true;
+        }
+    }
+
     /// Notes that the agent's host refused a connection.
     pub fn mark_refused(&mut self, process: ProcessKey) {
         if let Some(key) = self.find(process) {
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -252,6 +252,11 @@
         self.agents.mark_refused(process);
     }
 
+    /// Notes that another incarnation answered a message meant for an agent: it has ended.
+    pub fn agent_ended(&mut self, process: ProcessKey) {
+        self.agents.mark_ended(process);
+    }
+
     /// Decides about one copy of a submission; copies for shards owned elsewhere are moved.
     pub fn submit(
         &mut self,
--- a/components/dispatch/src/recovery.rs
+++ b/components/dispatch/src/recovery.rs
@@ -29,7 +29,8 @@
             let Some(view) = cx.agents.get_mut(member.agent) else {
                 continue;
             };
-            if view.replaced {
+            // The address of a replaced member still tells whether it has ended.
+            if view.ended {
                 continue;
             }
             member.next_fence_us = cx.now_us + REPEAT_US;
@@ -261,9 +262,13 @@
             return;
         };
         let active = self.count_active(|_| true);
-        let fenced = self.count_active(|member| member.fenced);
+        let silenced = self.count_active(|member| {
+            let ended = cx.agents.get(member.agent).is_some_and(|view| view.ended);
+            member.fenced || ended
+        });
         let all = self.members.iter().all(|member| member.fenced);
-        let majority = active == 0 || fenced * 2 > active;
+        // Neither a fenced nor an ended member can vouch for the previous owner.
+        let majority = active == 0 || silenced * 2 > active;
         let waited = cx.now_us >= since_us + FENCE_GRACE_US;
         let skip = self.mutations.has(Mutation::SkipFenceWait);
         let enough = all || (majority && waited) || skip;
--- a/components/dispatch/tests/take_over.rs
+++ b/components/dispatch/tests/take_over.rs
@@ -393,3 +393,36 @@
     let known: Vec<_> = state.agents.iter().map(|agent| &agent.agent).collect();
     assert!(known.contains(&&live.to_string()));
 }
+
+/// Tells whether the new owner serves after a take-over in which one agent answered.
+fn serves_after(ended: &[ProcessKey]) -> bool {
+    let mut harness = Harness::taken_over();
+    harness.fenced(AGENTS[0], Vec::new());
+    for agent in ended {
+        harness.dispatcher.agent_ended(*agent);
+    }
+    harness.pass(1_000_000);
+    let state = harness.dispatcher.state(harness.now_us, None);
+    state.shards[0].phase == "serving"
+}
+
+#[test]
+fn ended_agents_do_not_keep_a_new_owner_waiting() {
+    assert!(!serves_after(&[]));
+    assert!(serves_after(&[AGENTS[1]]));
+    assert!(serves_after(&[AGENTS[1], AGENTS[2]]));
+}
+
+#[test]
+fn take_over_past_ended_agents_claims_nothing_about_earlier_jobs() {
+    let mut harness = Harness::taken_over();
+    harness.fenced(AGENTS[0], Vec::new());
+    harness.dispatcher.agent_ended(AGENTS[1]);
+    harness.pass(1_000_000);
+    harness.vouch(AGENTS[0]);
+    let now_unix_ms = harness.unix_ms();
+    let spec = job(1, now_unix_ms - 10, now_unix_ms + 60_000);
+    harness.submit(spec, 1);
+    harness.pass(10_000_000);
+    assert_eq!(harness.answer_to(1), Some(FailureKind::MayHaveRun));
+}
--- a/components/entry/src/agents.rs
+++ b/components/entry/src/agents.rs
@@ -40,7 +40,9 @@
         let LinkError::NotSent(fault) = error else {
             return;
         };
-        if *fault == ended || replaced(fault) {
+        if replaced(fault) {
+            self.core.borrow_mut().agent_ended(agent);
+        } else if *fault == ended {
             self.core.borrow_mut().agent_refused(agent);
         }
     }
--- a/components/proof/src/world/agent.rs
+++ b/components/proof/src/world/agent.rs
@@ -110,6 +110,10 @@
                 self.agent_tick(place, &mut actions);
             }
             AgentEvent::Envelope(from, envelope) => {
+                if envelope.to != key {
+                    let told = Event::Entry(from, EntryEvent::AgentEnded(envelope.to));
+                    self.send(Node::Agent(place), Node::Entry(from), told);
+                }
                 self.take_owner_envelope(place, from, *envelope, &mut actions);
             }
             AgentEvent::CallDone(of, call, outcome) => {
--- a/components/proof/src/world/entry.rs
+++ b/components/proof/src/world/entry.rs
@@ -228,6 +228,9 @@
                 dispatcher.peer_heard(info, draining, now_us);
                 self.apply_rules(place, *rules);
             }
+            EntryEvent::AgentEnded(process) => {
+                self.entries[place].dispatcher.agent_ended(process);
+            }
             EntryEvent::Refused(process) => {
                 self.entries[place].dispatcher.peer_refused(process);
             }
--- a/components/proof/src/world/message.rs
+++ b/components/proof/src/world/message.rs
@@ -77,6 +77,8 @@
         accepted: bool,
     },
     Announce(AgentInfo),
+    /// Another incarnation answered a message meant for an agent.
+    AgentEnded(ProcessKey),
     Envelope(Box<AgentEnvelope>),
     SwapReply(ProcessKey, u64, SwapOutcome),
     Records(Box<Snapshot>),
