Beat idle agents less often, and know only the entries that share a firm

Cause: an owner spent 5.0 KB/s out and 3.4 KB/s in on 11 idle agents, above the 6 KB/s allowed for control; entries pinged every other entry, and agents announced themselves to all of them. Ruled out: a longer interval for all; the time to live of the evidence, and with it the horizon of a take-over, would grow. Change: 400 ms between heartbeats to an agent that has no task of the entry and is waited for by none, 250 ms otherwise; entries without a common firm ignore each other, and agents hear only of entries that serve their firms. A body without a deadline gets the firm's default; settings that did nothing are gone; an agent holds 32 MB at most by default, within the 64 MB allowed for control.

--- a/components/callers/src/submission.rs
+++ b/components/callers/src/submission.rs
@@ -22,6 +22,8 @@
     pub task_count: u16,
     /// Longest time from the submission to the deadline, in milliseconds.
     pub deadline_ms: u64,
+    /// Time from the submission to the deadline if the body names none, in milliseconds.
+    pub default_deadline_ms: u64,
 }
 
 impl Default for SubmissionLimits {
@@ -30,6 +32,7 @@
             body_bytes: 8 * 1024 * 1024,
             payload_bytes: 1024 * 1024,
             task_count: 4_096,
+            default_deadline_ms: 10_000,
             deadline_ms: u64::MAX,
         }
     }
@@ -93,7 +96,7 @@
     #[serde(borrow)]
     group: Cow<'a, str>,
     submitted_unix_ms: u64,
-    deadline_unix_ms: u64,
+    deadline_unix_ms: Option<u64>,
     #[serde(default)]
     repeatable: bool,
     #[serde(borrow)]
@@ -138,7 +141,7 @@
             group: GroupKey::from_name(&body.group),
             body_digest: digest(&body),
             submitted_unix_ms: body.submitted_unix_ms,
-            deadline_unix_ms: body.deadline_unix_ms,
+            deadline_unix_ms: deadline_unix_ms(&body, limits),
             repeatable: body.repeatable,
             task_count: body.tasks.len() as u16,
         },
@@ -158,10 +161,10 @@
 
 fn check_body(body: &Body<'_>, limits: &SubmissionLimits) -> Result<(), SubmissionError> {
     check_field("group", &body.group)?;
-    if body.deadline_unix_ms <= body.submitted_unix_ms {
+    if deadline_unix_ms(body, limits) <= body.submitted_unix_ms {
         return Err(SubmissionError::DeadlineBeforeSubmission);
     }
-    if body.deadline_unix_ms - body.submitted_unix_ms > limits.deadline_ms {
+    if deadline_unix_ms(body, limits) - body.submitted_unix_ms > limits.deadline_ms {
         let limit_ms = limits.deadline_ms;
         return Err(SubmissionError::DeadlineTooFar { limit_ms });
     }
@@ -191,6 +194,13 @@
     Ok(())
 }
 
+fn deadline_unix_ms(body: &Body<'_>, limits: &SubmissionLimits) -> u64 {
+    let default = body
+        .submitted_unix_ms
+        .saturating_add(limits.default_deadline_ms);
+    body.deadline_unix_ms.unwrap_or(default)
+}
+
 fn task_spec(task: &Task<'_>) -> TaskSpec {
     TaskSpec {
         kind: KindKey::from_name(&task.kind),
@@ -202,7 +212,8 @@
 fn digest(body: &Body<'_>) -> u128 {
     let mut digest = BodyDigest::new();
     digest.bytes(body.group.as_bytes());
-    digest.number(body.deadline_unix_ms);
+    // The default may change between two copies; they are of one submission all the same.
+    digest.number(body.deadline_unix_ms.unwrap_or(0));
     digest.number(u64::from(body.repeatable));
     digest.number(body.tasks.len() as u64);
     for task in &body.tasks {
--- a/components/config/src/configuration.rs
+++ b/components/config/src/configuration.rs
@@ -98,8 +98,6 @@
     pub firms: Vec<String>,
     /// Share of the group's targets that may be ejected for failing, in percent.
     pub max_eject_percent: u8,
-    /// Tasks that may wait at an agent beyond its target's free slots.
-    pub lookahead_tasks: u16,
     /// Placements of one task that never started before its job fails.
     pub max_attempts: u32,
 }
@@ -194,7 +192,6 @@
         Self {
             firms: Vec::new(),
             max_eject_percent: 30,
-            lookahead_tasks: 1,
             max_attempts: 3,
         }
     }
--- a/components/config/src/folder/keys.rs
+++ b/components/config/src/folder/keys.rs
@@ -53,6 +53,5 @@
 const GROUP: &[Key] = &[
     Key::optional("firms", Kind::Names),
     Key::integer("max_eject_percent", 0, 100),
-    Key::integer("lookahead_tasks", 0, 1_000),
     Key::integer("max_attempts", 1, 100),
 ];
--- a/components/config/src/settings/agent.rs
+++ b/components/config/src/settings/agent.rs
@@ -24,9 +24,6 @@
 const LIMITS: &[Key] = &[
     Key::integer("max_queue_tasks", 1, 1_000_000),
     Key::integer("max_held_bytes", 1, 68_719_476_736),
-    Key::integer("max_result_bytes", 1, 67_108_864),
-    Key::integer("connect_timeout_ms", 1, 60_000),
-    Key::integer("announce_timeout_ms", 1, 600_000),
 ];
 
 /// Settings of an agent.
@@ -62,22 +59,13 @@
     pub max_queue_tasks: u32,
     /// Memory for payloads and results.
     pub max_held_bytes: u64,
-    /// Size of one task's result.
-    pub max_result_bytes: u64,
-    /// Longest time to connect to the target.
-    pub connect_timeout_ms: u64,
-    /// Longest time between two announcements of a live target.
-    pub announce_timeout_ms: u64,
 }
 
 impl Default for AgentLimits {
     fn default() -> Self {
         Self {
             max_queue_tasks: 1_000,
-            max_held_bytes: 268_435_456,
-            max_result_bytes: 1_048_576,
-            connect_timeout_ms: 1_000,
-            announce_timeout_ms: 5_000,
+            max_held_bytes: 33_554_432,
         }
     }
 }
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -4,8 +4,8 @@
 
 use model::{
     AgentEnvelope, AgentInfo, AgentMessage, Answer, EntryInfo, FailureKind, FailureReason, FirmKey,
-    Generation, HEARTBEAT_INTERVAL_MS, JobKey, OwnerMessage, ProcessKey, Rules, ShardBeat,
-    ShardKey,
+    Generation, HEARTBEAT_INTERVAL_MS, IDLE_HEARTBEAT_INTERVAL_MS, JobKey, OwnerMessage,
+    ProcessKey, Rules, ShardBeat, ShardKey,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -413,7 +413,13 @@
                 .values()
                 .filter_map(|shard| shard.beat_for(process, group))
                 .collect();
-            let next_us = now_us + HEARTBEAT_INTERVAL_MS * 1_000;
+            let busy = view.outstanding > 0 || beats.iter().any(|beat| beat.backlog > 0);
+            let interval_ms = if busy {
+                HEARTBEAT_INTERVAL_MS
+            } else {
+                IDLE_HEARTBEAT_INTERVAL_MS
+            };
+            let next_us = now_us + interval_ms * 1_000;
             self.agents.beat(key, beats, now_us, next_us);
         }
     }
--- a/components/entry/src/agents.rs
+++ b/components/entry/src/agents.rs
@@ -7,6 +7,7 @@
 use protocol::{AnnounceReply, LinkError, LinkFault, Refusal, ShardOwner, TeamInfo};
 use runtime::{monotonic_us, unix_ms};
 
+use crate::platform_sync::shares_firm;
 use crate::process::Shared;
 
 /// Time after which an unanswered message to an agent is given up, in microseconds.
@@ -109,6 +110,7 @@
         let rules = newer.then(|| rules.clone());
         let mut entries: Vec<_> = self.known_entries.borrow().values().cloned().collect();
         entries.push(self.me.clone());
+        entries.retain(|entry| shares_firm(&entry.firms, &firms));
         drop(core);
         self.wake();
         AnnounceReply {
--- a/components/entry/src/http.rs
+++ b/components/entry/src/http.rs
@@ -152,6 +152,7 @@
             limits.task_count = limits.task_count.min(merged.limits.max_tasks_per_job);
             if let Some(tenant) = merged.tenant(firm) {
                 limits.task_count = limits.task_count.min(tenant.firm.max_tasks_per_job);
+                limits.default_deadline_ms = tenant.firm.default_deadline_ms;
             }
         }
         limits
--- a/components/entry/src/platform_sync.rs
+++ b/components/entry/src/platform_sync.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use config::CONFIG_KEY;
-use model::EntryInfo;
+use model::{EntryInfo, FirmKey};
 use platform::{Entry, PlatformError, Swap, Versioned, Watch, WatchEvent};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -118,9 +118,11 @@
         self.entry_known(info);
     }
 
-    /// Notes another entry.
+    /// Notes another entry if it serves a firm that this one serves too.
+    ///
+    /// Other entries can neither take over a shard from this one nor hand one to it.
     pub fn entry_known(&self, info: EntryInfo) {
-        if info.key != self.me.key {
+        if info.key != self.me.key && shares_firm(&info.firms, &self.me.firms) {
             self.known_entries.borrow_mut().insert(info.key, info);
         }
     }
@@ -133,6 +135,11 @@
     }
 }
 
+/// Tells whether two lists of firms have one in common; an empty list means all firms.
+pub fn shares_firm(one: &[FirmKey], other: &[FirmKey]) -> bool {
+    one.is_empty() || other.is_empty() || one.iter().any(|firm| other.contains(firm))
+}
+
 /// Keeps this entry registered; never returns.
 pub async fn register(shared: Rc<Shared>) {
     loop {
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -15,8 +15,8 @@
     TaskKey,
 };
 pub use limits::{
-    AUTHORITY_TTL_MS, CLOCK_SKEW_MS, HEARTBEAT_INTERVAL_MS, PERMIT_TTL_MS, RETENTION_MS,
-    TAKEOVER_HORIZON_MS,
+    AUTHORITY_TTL_MS, CLOCK_SKEW_MS, HEARTBEAT_INTERVAL_MS, IDLE_HEARTBEAT_INTERVAL_MS,
+    PERMIT_TTL_MS, RETENTION_MS, TAKEOVER_HORIZON_MS,
 };
 pub use message::{
     AgentEnvelope, AgentMessage, Fence, FirmShare, Heartbeat, HeartbeatAck, JobRecord, Load,
--- a/components/model/src/limits.rs
+++ b/components/model/src/limits.rs
@@ -3,6 +3,13 @@
 /// Interval between heartbeats of an owner to each of its agents, in milliseconds.
 pub const HEARTBEAT_INTERVAL_MS: u64 = 250;
 
+/// Interval between heartbeats to an agent that holds no task and is waited for by none, in
+/// milliseconds.
+///
+/// Twice within the life of the evidence, so that one lost heartbeat does not end it, and
+/// before an agent repeats an outcome whose acknowledgement waits for the heartbeat.
+pub const IDLE_HEARTBEAT_INTERVAL_MS: u64 = 400;
+
 /// How long an acknowledged heartbeat counts as evidence of ownership, in milliseconds
 /// from the moment it was sent.
 pub const AUTHORITY_TTL_MS: u64 = 1_000;
