Tell other entries of a planned stop at once, and keep those that still answer

An outage's end deletes the registrations of live entries, which were then forgotten. A stop that ran out of time left parked copies without an answer. Ruled out: waiting before each hand-over; every planned stop would take longer. Change: a ping with the stop goes out at once; an entry without a registration is kept while it answers; parked copies are answered too.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -447,15 +447,17 @@
     /// Answers all waiting copies because the process ends; for a bound on draining.
     pub fn abandon(&mut self, actions: &mut Vec<Action>) {
         for shard in self.shards.values_mut() {
-            for job in shard.jobs.values_mut() {
-                for waiter in job.waiters.drain(..) {
-                    let answer = Answer::failed(
-                        FailureKind::MayHaveRun,
-                        FailureReason::Draining,
-                        "the process stopped before the job was done",
-                    );
-                    actions.push(Action::Answer { waiter, answer });
-                }
+            let jobs = shard.jobs.values_mut();
+            let mut waiters: Vec<WaiterKey> = jobs.flat_map(|job| job.waiters.drain(..)).collect();
+            let parked = shard.parked.drain(..);
+            waiters.extend(parked.map(|parked| parked.submission.waiter));
+            for waiter in waiters {
+                let answer = Answer::failed(
+                    FailureKind::MayHaveRun,
+                    FailureReason::Draining,
+                    "the process stopped before the job was done",
+                );
+                actions.push(Action::Answer { waiter, answer });
             }
         }
     }
--- a/components/dispatch/src/ownership.rs
+++ b/components/dispatch/src/ownership.rs
@@ -39,6 +39,13 @@
         }
     }
 
+    /// Tells whether an entry has answered within the given time.
+    #[must_use]
+    pub fn has_heard(&self, process: ProcessKey, within_us: u64, now_us: u64) -> bool {
+        let peer = self.claims.peers.get(&process);
+        peer.is_some_and(|peer| !peer.refused && now_us < peer.last_heard_us + within_us)
+    }
+
     /// Notes that an entry's host refused a connection.
     pub fn peer_refused(&mut self, process: ProcessKey) {
         self.claims.peer_refused(process);
--- a/components/dispatch/tests/take_over.rs
+++ b/components/dispatch/tests/take_over.rs
@@ -426,3 +426,13 @@
     harness.pass(10_000_000);
     assert_eq!(harness.answer_to(1), Some(FailureKind::MayHaveRun));
 }
+
+#[test]
+fn copy_that_waits_for_a_decision_is_answered_when_the_process_gives_up() {
+    let mut harness = Harness::taken_over();
+    let now_unix_ms = harness.unix_ms();
+    harness.submit(job(1, now_unix_ms - 10, now_unix_ms + 60_000), 1);
+    assert_eq!(harness.answer_to(1), None);
+    harness.dispatcher.abandon(&mut harness.actions);
+    assert_eq!(harness.answer_to(1), Some(FailureKind::MayHaveRun));
+}
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -62,14 +62,20 @@
         .build()
 }
 
+/// Pings every known entry once and returns them.
+pub fn ping_known(shared: &Rc<Shared>) -> Vec<EntryInfo> {
+    let peers: Vec<EntryInfo> = shared.known_entries.borrow().values().cloned().collect();
+    for peer in &peers {
+        let expected = Some(peer.key);
+        monoio::spawn(ping(Rc::clone(shared), peer.address.clone(), expected));
+    }
+    peers
+}
+
 /// Pings every other entry; never returns.
 pub async fn ping_all(shared: Rc<Shared>) {
     loop {
-        let peers: Vec<EntryInfo> = shared.known_entries.borrow().values().cloned().collect();
-        for peer in &peers {
-            let expected = Some(peer.key);
-            monoio::spawn(ping(Rc::clone(&shared), peer.address.clone(), expected));
-        }
+        let peers = ping_known(&shared);
         for seed in &shared.settings.seed_peers {
             let address = seed.to_string();
             let known = peers.iter().any(|peer| peer.address == address);
--- a/components/entry/src/platform_sync.rs
+++ b/components/entry/src/platform_sync.rs
@@ -5,10 +5,11 @@
 
 use bytes::Bytes;
 use config::CONFIG_KEY;
-use model::{EntryInfo, FirmKey};
+use model::{EntryInfo, FirmKey, ProcessKey};
 use platform::{Entry, PlatformError, Swap, Versioned, Watch, WatchEvent};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use runtime::monotonic_us;
 
 use crate::drive::SHARD_PREFIX;
 use crate::process::Shared;
@@ -24,6 +25,12 @@
 /// Only discovery rests on it: entries watch each other directly.
 const LEASE_MS: u64 = 15_000;
 
+/// Time within which an entry without a registration must have answered to be kept, in
+/// microseconds.
+///
+/// Longer than the silence that makes another entry take its shards over.
+const ANSWERS_US: u64 = 5_000_000;
+
 /// Pause before the platform is tried again, in milliseconds; a random part comes on top, so
 /// that entries do not all come back at once.
 const RETRY_MS: u64 = 250;
@@ -88,10 +95,8 @@
         match event {
             WatchEvent::Put(entry) => self.key_read(&entry.key, &entry.versioned),
             WatchEvent::Deleted { key, .. } => {
-                if let Some(name) = key.strip_prefix(ENTRY_PREFIX) {
-                    self.known_entries
-                        .borrow_mut()
-                        .retain(|process, _| process.to_string() != name);
+                if key.starts_with(ENTRY_PREFIX) {
+                    self.forget_entries(|process| entry_path(process) == *key);
                 }
             }
         }
@@ -128,13 +133,28 @@
     }
 
     fn forget_unlisted(&self, listed: &[&Entry]) {
+        self.forget_entries(|process| {
+            let key = entry_path(process);
+            listed.iter().all(|entry| entry.key != key)
+        });
+    }
+
+    /// Forgets entries whose registrations are gone, except for those that still answer.
+    ///
+    /// All leases lapse in an outage of the platform, which is not the end of the entries.
+    fn forget_entries(&self, is_unregistered: impl Fn(ProcessKey) -> bool) {
+        let core = self.core.borrow();
+        let now_us = monotonic_us();
         self.known_entries.borrow_mut().retain(|process, _| {
-            let key = format!("{ENTRY_PREFIX}{process}");
-            listed.iter().any(|entry| entry.key == key)
+            !is_unregistered(*process) || core.has_heard(*process, ANSWERS_US, now_us)
         });
     }
 }
 
+fn entry_path(process: ProcessKey) -> String {
+    format!("{ENTRY_PREFIX}{process}")
+}
+
 /// Tells whether two lists of firms have one in common; an empty list means all firms.
 pub fn shares_firm(one: &[FirmKey], other: &[FirmKey]) -> bool {
     one.is_empty() || other.is_empty() || one.iter().any(|firm| other.contains(firm))
@@ -154,7 +174,7 @@
 async fn keep_registered(shared: &Rc<Shared>) -> Result<(), PlatformError> {
     let lease = shared.platform.lease_grant(LEASE_MS).await?;
     shared.platform_reached();
-    let key = format!("{ENTRY_PREFIX}{}", shared.me.key);
+    let key = entry_path(shared.me.key);
     let value = serde_json::to_vec(&shared.me)
         .map_err(|error| PlatformError::NotApplied(error.to_string()))?;
     put(shared, &key, Bytes::from(value), lease).await?;
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -228,6 +228,8 @@
         let until_us = begun_us + self.settings.drain_timeout_ms * 1_000;
         let hand_over_until_us = until_us.min(begun_us + HAND_OVER_US);
         self.draining.set(true);
+        // Others are told at once, so that none hands a shard over to this entry.
+        crate::peers::ping_known(self);
         self.core.borrow_mut().drain();
         self.wake();
         monoio::time::sleep(Duration::from_millis(UNREADY_MS)).await;
