--- a/components/agent/src/metrics.rs
+++ b/components/agent/src/metrics.rs
@@ -16,6 +16,7 @@
     ready: IntGauge,
     events: IntCounterVec,
     links: IntCounterVec,
+    web: IntCounterVec,
     traffic: IntCounterVec,
 }
 
@@ -57,6 +58,11 @@
                 "Events on connections of entries.",
                 &["event"],
             )?,
+            web: metrics.counter_vec(
+                "shallotcross_agent_web_events_total",
+                "Events on HTTP connections of the target.",
+                &["event"],
+            )?,
             traffic: metrics.counter_vec(
                 "shallotcross_agent_traffic_total",
                 "Frames and bytes on connections with other processes.",
@@ -88,6 +94,9 @@
         for (event, count) in shared.links.iter() {
             raise(&self.links, event, count);
         }
+        for (event, count) in shared.web.iter() {
+            raise(&self.web, event, count);
+        }
         for (name, count) in shared.traffic.iter() {
             raise(&self.traffic, name, count);
         }
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -18,6 +18,7 @@
     response_s: HistogramVec,
     events: IntCounterVec,
     links: IntCounterVec,
+    web: IntCounterVec,
     traffic: IntCounterVec,
     shard_tasks: IntGaugeVec,
     shard_jobs: IntGaugeVec,
@@ -60,6 +61,11 @@
                 "Events on connections of other processes.",
                 &["event"],
             )?,
+            web: metrics.counter_vec(
+                "shallotcross_entry_web_events_total",
+                "Events on HTTP connections of callers.",
+                &["event"],
+            )?,
             traffic: metrics.counter_vec(
                 "shallotcross_entry_traffic_total",
                 "Frames and bytes on connections with other processes.",
@@ -142,6 +148,9 @@
         for (event, count) in shared.links.iter() {
             raise(&self.links, event, count);
         }
+        for (event, count) in shared.web.iter() {
+            raise(&self.web, event, count);
+        }
         for (name, count) in shared.traffic.iter() {
             raise(&self.traffic, name, count);
         }
--- a/components/web/src/counters.rs
+++ b/components/web/src/counters.rs
@@ -29,6 +29,25 @@
     pub slow_readers: Cell<u64>,
 }
 
+impl ServerCounters {
+    /// Returns the names and counts of what only ever grows.
+    pub fn iter(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        [
+            ("accepted", self.connections_accepted.get()),
+            ("refused", self.connections_refused.get()),
+            ("accept_failed", self.accept_errors.get()),
+            ("request", self.requests.get()),
+            ("malformed", self.malformed.get()),
+            ("oversized", self.oversized.get()),
+            ("timed_out", self.timed_out.get()),
+            ("idle_closed", self.idle_closed.get()),
+            ("broken", self.broken.get()),
+            ("slow_reader", self.slow_readers.get()),
+        ]
+        .into_iter()
+    }
+}
+
 /// Adds one to a counter.
 pub(crate) fn increment(counter: &Cell<u64>) {
     counter.set(counter.get() + 1);
--- a/tests/failure_input.rs
+++ b/tests/failure_input.rs
@@ -212,3 +212,31 @@
     });
     run.expect("the runtime starts");
 }
+
+/// Returns how many malformed requests a process has counted.
+async fn malformed_count(address: SocketAddr) -> u64 {
+    let request = support::with_token(
+        Request::new(Method::GET, "/metrics"),
+        support::OPERATORS_TOKEN,
+    );
+    let response = call(address, &request).await.expect("the port answers");
+    let text = String::from_utf8_lossy(&response.body).into_owned();
+    let line = text
+        .lines()
+        .find(|line| line.contains("_web_events_total{event=\"malformed\"}"));
+    let count = line.and_then(|line| line.rsplit(' ').next());
+    count.and_then(|count| count.parse().ok()).unwrap_or(0)
+}
+
+#[test]
+fn garbage_is_counted() {
+    let run = runtime::run(async {
+        let system = start().await;
+        for address in [system.entries[0].callers, system.hosts[0].announce] {
+            let before = malformed_count(address).await;
+            exchange(address, b"no request at all\r\n\r\n");
+            assert_eq!(malformed_count(address).await, before + 1);
+        }
+    });
+    run.expect("the runtime starts");
+}
