Bound a target's result so that its outcome fits a frame

Cause: an agent took up to 64 MiB from its target, but a frame between processes holds 16 MiB; such an outcome could never be delivered. Found by reading. Change: at most 4 MiB; a larger answer counts as unknown, as after a broken connection.

--- a/components/agent/src/tasks.rs
+++ b/components/agent/src/tasks.rs
@@ -18,6 +18,11 @@
 /// The decisions send again what was not acknowledged.
 const EXCHANGE_US: u64 = 2_000_000;
 
+/// Largest result of one task, in bytes.
+///
+/// Must fit a frame of the protocol, or the outcome could never be delivered.
+const MAX_RESULT_BYTES: usize = protocol::MAX_FRAME_BYTES / 4;
+
 /// The target beside the agent and the calls to it.
 #[derive(Default)]
 pub struct Calls {
@@ -44,7 +49,9 @@
             return;
         }
         let connections = usize::from(announcement.connections);
-        let invoker = Invoker::new(announcement.address, connections);
+        let client = web::Client::new(announcement.address, connections)
+            .with_max_body_bytes(MAX_RESULT_BYTES);
+        let invoker = Invoker::with_client(client);
         self.target = Some(Target {
             announcement,
             expires_us,
