Sum a job's expected work in one place

Cause: the same loop stood in two functions of a shard; a match was written as two comparisons; a method of the dispatcher had no caller. Ruled out: one function for the links of both pools, and one loop for the questions about a job; each would need a closure over a future to save a few lines. Change: one function for the sum, one match, one method less; behaviour as before.

--- a/components/dispatch/src/shard.rs
+++ b/components/dispatch/src/shard.rs
@@ -499,13 +499,7 @@
         let firm = self.firm();
         let job = &mut self.jobs[slot];
         let group = job.meta.group;
-        let mut work_us = 0.0;
-        for index in indexes {
-            let task = &job.tasks[usize::from(*index)];
-            work_us += cx
-                .learning
-                .expected_us(firm, group, task.kind, task.declared_us);
-        }
+        let work_us = expected_work_us(cx.learning, firm, job, indexes);
         let queue = self.queues.entry(group).or_default();
         queue.count_in(indexes.len() as u32, work_us as u64);
         queue.insert(slot, job, cx.policy.order);
@@ -545,13 +539,7 @@
             return;
         };
         queue.remove(job);
-        let mut work_us = 0.0;
-        for index in &job.waiting {
-            let task = &job.tasks[usize::from(*index)];
-            work_us += cx
-                .learning
-                .expected_us(firm, job.meta.group, task.kind, task.declared_us);
-        }
+        let work_us = expected_work_us(cx.learning, firm, job, &job.waiting);
         queue.count_out(job.waiting.len() as u32, work_us as u64);
     }
 
@@ -600,6 +588,17 @@
     }
 }
 
+/// Returns the expected work of some tasks of a job, in microseconds.
+fn expected_work_us(learning: &Learning, firm: FirmKey, job: &Job, indexes: &[u16]) -> f64 {
+    let group = job.meta.group;
+    let mut work_us = 0.0;
+    for index in indexes {
+        let task = &job.tasks[usize::from(*index)];
+        work_us += learning.expected_us(firm, group, task.kind, task.declared_us);
+    }
+    work_us
+}
+
 fn release_outstanding(agents: &mut Agents, job: &Job) {
     for task in &job.tasks {
         if let TaskPhase::Sent { agent, .. } = task.phase {
--- a/components/dispatch/src/transfer.rs
+++ b/components/dispatch/src/transfer.rs
@@ -58,12 +58,6 @@
         self.draining = true;
     }
 
-    /// Tells whether a planned stop has been begun.
-    #[must_use]
-    pub fn is_draining(&self) -> bool {
-        self.draining
-    }
-
     /// Tells whether nothing keeps the process from ending.
     #[must_use]
     pub fn is_idle(&self) -> bool {
--- a/components/entry/src/agents.rs
+++ b/components/entry/src/agents.rs
@@ -36,15 +36,13 @@
     }
 
     fn note_refusal(&self, agent: ProcessKey, error: &LinkError) {
-        let ended = LinkFault::NobodyListens;
-        let replaced = |fault: &LinkFault| matches!(fault, LinkFault::Refused(Refusal::Key { .. }));
         let LinkError::NotSent(fault) = error else {
             return;
         };
-        if replaced(fault) {
-            self.core.borrow_mut().agent_ended(agent);
-        } else if *fault == ended {
-            self.core.borrow_mut().agent_refused(agent);
+        match fault {
+            LinkFault::Refused(Refusal::Key { .. }) => self.core.borrow_mut().agent_ended(agent),
+            LinkFault::NobodyListens => self.core.borrow_mut().agent_refused(agent),
+            _ => {}
         }
     }
 
