--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -29,8 +29,8 @@
     PublishedError,
 };
 pub use settings::{
-    AgentLimits, AgentSettings, EntryLimits, EntrySettings, LogFormat, LogLevel, LogSettings,
-    SettingsError,
+    AgentLimits, AgentSettings, EntryLimits, EntrySettings, GatewayLimits, GatewaySettings,
+    LogFormat, LogLevel, LogSettings, SettingsError, SidecarSettings,
 };
 pub use tenant::Tenant;
 pub use token::Token;
--- /dev/null
+++ b/components/config/src/settings/gateway.rs
@@ -0,0 +1,120 @@
+//! Settings of an entry on the users' platform.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+
+use super::load::{self, SettingsError};
+use super::log::{self, LogSettings};
+use crate::schema::{Key, Kind};
+
+const KEYS: &[Key] = &[
+    Key::required("name", Kind::Text),
+    Key::required("failure_domain", Kind::Text),
+    Key::required("callers_address", Kind::Address),
+    Key::required("readiness_address", Kind::Address),
+    Key::required("peer_address", Kind::Address),
+    Key::optional("metrics_address", Kind::Address),
+    Key::required("store_address", Kind::Address),
+    Key::optional("seed_peers", Kind::Addresses { min_count: 0 }),
+    Key::integer("drain_timeout_ms", 0, 600_000),
+    Key::integer("far_factor_percent", 100, 10_000),
+    Key::optional("log", Kind::Table(log::KEYS)),
+    Key::optional("limits", Kind::Table(LIMITS)),
+];
+
+const LIMITS: &[Key] = &[
+    Key::integer("max_connections", 1, 1_000_000),
+    Key::integer("max_body_bytes", 1, 1_073_741_824),
+    Key::integer("max_header_bytes", 256, 1_048_576),
+    Key::integer("read_timeout_ms", 1, 600_000),
+    Key::integer("idle_timeout_ms", 1, 3_600_000),
+];
+
+/// Settings of an entry on the users' platform.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewaySettings {
+    /// Name of the host.
+    pub name: String,
+    /// Failure domain of the host.
+    pub failure_domain: String,
+    /// Address that callers connect to.
+    pub callers_address: SocketAddr,
+    /// Address at which readiness is asked for.
+    pub readiness_address: SocketAddr,
+    /// Address that other entries connect to.
+    pub peer_address: SocketAddr,
+    /// Address of the metrics.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
+    /// Address of the platform's store.
+    pub store_address: SocketAddr,
+    /// Addresses of other entries, for times when the store cannot be reached.
+    #[serde(default)]
+    pub seed_peers: Vec<SocketAddr>,
+    /// Longest time that a planned stop takes.
+    #[serde(default = "load::default_drain_timeout_ms")]
+    pub drain_timeout_ms: u64,
+    /// How much longer a task takes away from its data.
+    #[serde(default = "default_far_factor_percent")]
+    pub far_factor_percent: u64,
+    /// What is logged.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Limits on callers.
+    #[serde(default)]
+    pub limits: GatewayLimits,
+}
+
+/// Limits on what callers may send to one entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct GatewayLimits {
+    /// Connections open at the same time.
+    pub max_connections: u32,
+    /// Size of a request's body.
+    pub max_body_bytes: u64,
+    /// Size of a request's head.
+    pub max_header_bytes: u64,
+    /// Longest time for a request to arrive.
+    pub read_timeout_ms: u64,
+    /// Longest time that a connection stays open without a request.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for GatewayLimits {
+    fn default() -> Self {
+        Self {
+            max_connections: 3_000,
+            max_body_bytes: 1_048_576,
+            max_header_bytes: 16_384,
+            read_timeout_ms: 5_000,
+            idle_timeout_ms: 60_000,
+        }
+    }
+}
+
+fn default_far_factor_percent() -> u64 {
+    100
+}
+
+impl GatewaySettings {
+    /// Loads the settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault in the file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        Self::from_toml(&path.display().to_string(), &load::read(path)?)
+    }
+
+    /// Parses the settings from the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault in the text.
+    pub fn from_toml(file: &str, text: &str) -> Result<Self, SettingsError> {
+        load::parse(file, text, KEYS, |_, _| Vec::new())
+    }
+}
--- a/components/config/src/settings/mod.rs
+++ b/components/config/src/settings/mod.rs
@@ -2,10 +2,14 @@
 
 mod agent;
 mod entry;
+mod gateway;
 mod load;
 mod log;
+mod sidecar;
 
 pub use agent::{AgentLimits, AgentSettings};
 pub use entry::{EntryLimits, EntrySettings};
+pub use gateway::{GatewayLimits, GatewaySettings};
 pub use load::SettingsError;
 pub use log::{LogFormat, LogLevel, LogSettings};
+pub use sidecar::SidecarSettings;
--- /dev/null
+++ b/components/config/src/settings/sidecar.rs
@@ -0,0 +1,68 @@
+//! Settings of an agent on the users' platform.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+
+use super::load::{self, SettingsError};
+use super::log::{self, LogSettings};
+use crate::schema::{Key, Kind};
+
+const KEYS: &[Key] = &[
+    Key::required("name", Kind::Text),
+    Key::required("failure_domain", Kind::Text),
+    Key::required("target_address", Kind::Address),
+    Key::required("reports_address", Kind::Address),
+    Key::required("peer_address", Kind::Address),
+    Key::optional("metrics_address", Kind::Address),
+    Key::required("store_address", Kind::Address),
+    Key::integer("drain_timeout_ms", 0, 600_000),
+    Key::optional("log", Kind::Table(log::KEYS)),
+];
+
+/// Settings of an agent on the users' platform.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SidecarSettings {
+    /// Name of the host.
+    pub name: String,
+    /// Failure domain of the host.
+    pub failure_domain: String,
+    /// Address of the target beside the agent.
+    pub target_address: SocketAddr,
+    /// Address that the target reports to.
+    pub reports_address: SocketAddr,
+    /// Address that entries connect to.
+    pub peer_address: SocketAddr,
+    /// Address of the metrics.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
+    /// Address of the platform's store.
+    pub store_address: SocketAddr,
+    /// Longest time that a planned stop takes.
+    #[serde(default = "load::default_drain_timeout_ms")]
+    pub drain_timeout_ms: u64,
+    /// What is logged.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+impl SidecarSettings {
+    /// Loads the settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault in the file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        Self::from_toml(&path.display().to_string(), &load::read(path)?)
+    }
+
+    /// Parses the settings from the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault in the text.
+    pub fn from_toml(file: &str, text: &str) -> Result<Self, SettingsError> {
+        load::parse(file, text, KEYS, |_, _| Vec::new())
+    }
+}
--- /dev/null
+++ b/components/gateway/src/actions.rs
@@ -0,0 +1,67 @@
+//! Carries out what the decisions ask for.
+
+use scheduling::{SchedulerAction, Verdict};
+
+use crate::process::Shared;
+
+/// Carries out one action.
+pub(crate) fn perform(shared: &Shared, action: SchedulerAction) {
+    match action {
+        SchedulerAction::SendOrders(host) => {
+            if let Some(waker) = shared.wakers.borrow().get(host) {
+                waker.notify_all();
+            }
+        }
+        SchedulerAction::Answer {
+            job,
+            id,
+            verdict,
+            is_late,
+        } => {
+            log_answer(id.as_str(), verdict, is_late);
+            let waiters = shared.waiters.borrow_mut().remove(&job);
+            for waiter in waiters.unwrap_or_default() {
+                // A caller that has left takes no answer.
+                let _ = waiter.send(verdict);
+            }
+        }
+        SchedulerAction::Noted {
+            run,
+            host,
+            age_ms,
+            event,
+        } => shared.metrics.note_event(run, &host, age_ms, event),
+        SchedulerAction::Placed {
+            run,
+            host,
+            view_age_ms,
+            wait_ms,
+        } => {
+            shared.metrics.note_placement(wait_ms);
+            log::debug!(target: "gateway", event = "placed", id = run.task.job.as_str(),
+                step = run.task.step, task = run.task.index, attempt = run.attempt, host = &*host,
+                view_age_ms = view_age_ms, expected_wait_ms = wait_ms; "task sent to a host");
+        }
+    }
+}
+
+fn log_answer(id: &str, verdict: Verdict, is_late: bool) {
+    match verdict {
+        Verdict::Completed if !is_late => {
+            log::debug!(target: "gateway", event = "answered", id = id, outcome = "completed";
+                "job completed");
+        }
+        Verdict::NotRun {
+            why,
+            retry_after_ms,
+        } => {
+            log::info!(target: "gateway", event = "answered", id = id, outcome = "not_run",
+                reason = <&str>::from(why), retry_after_ms = retry_after_ms;
+                "job given up before any task started");
+        }
+        _ => {
+            log::info!(target: "gateway", event = "answered", id = id, outcome = verdict.name(),
+                is_late = is_late; "job answered");
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/bootstrap.rs
@@ -0,0 +1,90 @@
+//! What entries learn from each other while the store cannot be reached.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use model::HostRegistration;
+use monoio::net::TcpListener;
+use protocol::{BootstrapLink, BootstrapReply, ServerSettings, serve_bootstrap};
+use runtime::monotonic_us;
+
+use crate::process::Shared;
+use crate::{configuration, directory};
+
+/// How long after its start an entry waits for the store before it asks others, in
+/// milliseconds.
+const PATIENCE_MS: u64 = 600;
+
+/// Pause between two rounds of questions, in milliseconds.
+const ROUND_MS: u64 = 500;
+
+/// How long another entry may take to answer, in milliseconds.
+const ANSWER_TIMEOUT_MS: u64 = 500;
+
+/// Serves other entries.
+pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+    let settings = ServerSettings::builder(shared.key)
+        .counters(shared.links.clone())
+        .traffic(shared.traffic.clone())
+        .build();
+    serve_bootstrap(listener, settings, move |known| reply(&shared, known)).await;
+}
+
+fn reply(shared: &Rc<Shared>, known_revision: u64) -> BootstrapReply {
+    let in_force = shared.in_force.borrow();
+    let newer = in_force
+        .as_ref()
+        .filter(|config| config.revision > known_revision);
+    let hosts = shared.scheduler.borrow().hosts(shared.now_ms());
+    let agents = hosts.iter().map(|host| HostRegistration {
+        name: host.info.name.to_string(),
+        address: host.info.address.to_string(),
+        failure_domain: host.info.failure_domain.to_string(),
+    });
+    BootstrapReply {
+        revision: in_force.as_ref().map_or(0, |config| config.revision),
+        configuration: newer.map(|config| config.published.clone()),
+        hosts: agents.collect(),
+    }
+}
+
+/// Asks other entries until this one has a configuration and knows hosts.
+pub(crate) async fn ask_others(shared: Rc<Shared>) {
+    monoio::time::sleep(Duration::from_millis(PATIENCE_MS)).await;
+    while needs_help(&shared) {
+        for peer in shared.settings.seed_peers.clone() {
+            if peer != shared.settings.peer_address && needs_help(&shared) {
+                ask(&shared, &peer.to_string()).await;
+            }
+        }
+        monoio::time::sleep(Duration::from_millis(ROUND_MS)).await;
+    }
+}
+
+fn needs_help(shared: &Shared) -> bool {
+    shared.in_force.borrow().is_none() || shared.addresses.borrow().is_empty()
+}
+
+async fn ask(shared: &Rc<Shared>, address: &str) {
+    let deadline_us = monotonic_us() + ANSWER_TIMEOUT_MS * 1_000;
+    let traffic = shared.traffic.clone();
+    let link = BootstrapLink::connect_bootstrap(address, shared.key, deadline_us, traffic).await;
+    let reply = match link {
+        Ok(link) => link.bootstrap(0, deadline_us).await,
+        Err(error) => Err(error),
+    };
+    match reply {
+        Ok(reply) => {
+            if let Some(published) = &reply.configuration {
+                configuration::apply_published(shared, reply.revision, published, address);
+            }
+            for host in &reply.hosts {
+                directory::add_host(shared, host);
+            }
+        }
+        Err(error) => {
+            log::debug!(target: "gateway", event = "bootstrap_failed", address = address,
+                reason = error.to_string(); "another entry does not help");
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/callers.rs
@@ -0,0 +1,262 @@
+//! Requests of callers.
+
+use std::rc::Rc;
+
+use adapter::{CallerRequest, Submitted};
+use futures::channel::oneshot;
+use model::CallerId;
+use monoio::net::TcpListener;
+use scheduling::{Decision, JobRequest, JobSlot, Route, Submission, Verdict};
+use web::{HeaderValue, Request, Response, ServerLimits, Stop};
+
+use crate::process::Shared;
+
+const HOST_HEADER: &str = "host";
+const CONNECTION_HEADER: &str = "connection";
+
+/// When to come back to an entry that cannot serve yet, in milliseconds: it will be out of the
+/// balancer's rotation by then.
+const NOT_READY_RETRY_MS: u64 = 1_000;
+
+/// Serves callers until the stop, and then until the requests in progress have been answered.
+pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener, stop: Stop) {
+    let limits = &shared.settings.limits;
+    let limits = ServerLimits::builder()
+        .max_connections(limits.max_connections as usize)
+        .max_body_bytes(limits.max_body_bytes as usize)
+        .max_header_bytes(limits.max_header_bytes as usize)
+        .read_timeout_ms(limits.read_timeout_ms)
+        .idle_timeout_ms(limits.idle_timeout_ms)
+        .drops_abandoned(true)
+        .build();
+    let counters = Rc::clone(&shared.web);
+    web::serve(listener, limits, counters, stop, move |request, _| {
+        handle(Rc::clone(&shared), request)
+    })
+    .await;
+}
+
+async fn handle(shared: Rc<Shared>, request: Request) -> Response {
+    let mut response = answer(&shared, &request).await;
+    if shared.is_draining.get() {
+        let close = HeaderValue::from_static("close");
+        response.headers.insert(CONNECTION_HEADER, close);
+    }
+    response
+}
+
+async fn answer(shared: &Rc<Shared>, request: &Request) -> Response {
+    let in_force = shared.in_force.borrow().clone();
+    let Some(in_force) = in_force else {
+        return refuse(shared, request, "no_configuration", NOT_READY_RETRY_MS);
+    };
+    let host = request.header(HOST_HEADER).unwrap_or_default();
+    let Some((route, rest)) = in_force.routes.find(host, &request.path) else {
+        log_refusal(request, "unknown_queue", in_force.version);
+        return adapter::unknown_queue();
+    };
+    match adapter::caller_request(&request.method, rest) {
+        CallerRequest::Submit(id) => submit(shared, request, route, id, in_force.version).await,
+        CallerRequest::QueueLength => {
+            let waiting = shared.scheduler.borrow().waiting_jobs(&route.queue.name);
+            adapter::queue_length(waiting)
+        }
+        CallerRequest::State(_) | CallerRequest::Cancel(_) => adapter::unknown_job(),
+        CallerRequest::Unknown => Response::error(400, "no such call"),
+    }
+}
+
+async fn submit(
+    shared: &Rc<Shared>,
+    request: &Request,
+    route: &Route,
+    id: CallerId,
+    version: u64,
+) -> Response {
+    let submitted = match adapter::decode_submission(&request.body) {
+        Ok(submitted) => submitted,
+        Err(error) => {
+            log::info!(target: "gateway", event = "refused", id = id.as_str(),
+                reason = "malformed", detail = error.to_string(); "request cannot be read");
+            return Response::error(400, &format!("malformed job: {error}"));
+        }
+    };
+    if let Some(kind) = submitted.not_served {
+        log::info!(target: "gateway", event = "refused", id = id.as_str(),
+            reason = "kind_not_served", kind = kind.name(); "job is of a kind that is not served");
+        return adapter::not_run("jobs of this kind are not served", None);
+    }
+    let now_ms = shared.now_ms();
+    if shared.is_resuming(now_ms) {
+        return refuse(shared, request, "resuming", NOT_READY_RETRY_MS);
+    }
+    let (_, time_left_ms) = adapter::request_id(request);
+    let job = job_request(id, submitted, route, time_left_ms);
+    let mut actions = Vec::new();
+    let submission = shared
+        .scheduler
+        .borrow_mut()
+        .submit(now_ms, job, &mut actions);
+    let slot = match submission {
+        Submission::Admitted(slot, decision) => {
+            log_admission(request, id, route, &decision, version);
+            slot
+        }
+        Submission::Joined(slot) => {
+            log::info!(target: "gateway", event = "joined", id = id.as_str();
+                "a copy waits for the answer of the first");
+            slot
+        }
+        Submission::Known(verdict) => {
+            log::info!(target: "gateway", event = "repeated", id = id.as_str(),
+                outcome = verdict.name(); "a copy gets the answer of the first");
+            return response_to(verdict);
+        }
+        Submission::Refused(verdict, decision) => {
+            log_refused(request, id, route, &decision, verdict, version);
+            shared
+                .metrics
+                .note_answer(verdict.name(), reason_of(verdict), 0);
+            return response_to(verdict);
+        }
+    };
+    let waiting = Waiting::register(shared, slot);
+    shared.perform(actions);
+    let verdict = waiting.verdict().await;
+    let took_ms = shared.now_ms().saturating_sub(now_ms);
+    let reason = reason_of(verdict);
+    shared.metrics.note_answer(verdict.name(), reason, took_ms);
+    response_to(verdict)
+}
+
+fn job_request(
+    id: CallerId,
+    submitted: Submitted,
+    route: &Route,
+    time_left_ms: Option<u64>,
+) -> JobRequest {
+    JobRequest {
+        id,
+        queue: Rc::clone(&route.queue),
+        specification: submitted.specification,
+        steps: submitted.steps,
+        time_left_ms: time_left_ms.unwrap_or(route.queue.timeout_ms),
+    }
+}
+
+/// A caller that waits for the answer to a job; dropping it means that the caller has left.
+struct Waiting {
+    shared: Rc<Shared>,
+    slot: JobSlot,
+    receiver: Option<oneshot::Receiver<Verdict>>,
+}
+
+impl Waiting {
+    fn register(shared: &Rc<Shared>, slot: JobSlot) -> Self {
+        let (sender, receiver) = oneshot::channel();
+        let mut waiters = shared.waiters.borrow_mut();
+        waiters.entry(slot).or_default().push(sender);
+        Self {
+            shared: Rc::clone(shared),
+            slot,
+            receiver: Some(receiver),
+        }
+    }
+
+    async fn verdict(mut self) -> Verdict {
+        let verdict = match self.receiver.as_mut() {
+            Some(receiver) => receiver.await,
+            None => Ok(Verdict::Lost),
+        };
+        self.receiver = None;
+        // The sender only goes without an answer when the process ends.
+        verdict.unwrap_or(Verdict::Lost)
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.receiver.take().is_none() {
+            return;
+        }
+        let mut actions = Vec::new();
+        self.shared
+            .scheduler
+            .borrow_mut()
+            .leave(self.slot, &mut actions);
+        let mut waiters = self.shared.waiters.borrow_mut();
+        if let Some(senders) = waiters.get_mut(&self.slot) {
+            senders.retain(|sender| !sender.is_canceled());
+            if senders.is_empty() {
+                waiters.remove(&self.slot);
+            }
+        }
+        drop(waiters);
+        self.shared.metrics.note_answer("abandoned", "", 0);
+        self.shared.perform(actions);
+    }
+}
+
+fn response_to(verdict: Verdict) -> Response {
+    match verdict {
+        Verdict::Completed => adapter::completed(),
+        Verdict::Failed => adapter::failed(),
+        Verdict::NotRun {
+            why,
+            retry_after_ms,
+        } => adapter::not_run(why.into(), Some(retry_after_ms)),
+        Verdict::Lost => adapter::lost(false, "hosts were lost while the job ran"),
+        Verdict::Expired => adapter::lost(true, "the time for the job is over"),
+    }
+}
+
+fn reason_of(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::NotRun { why, .. } => why.into(),
+        _ => "",
+    }
+}
+
+fn refuse(shared: &Shared, request: &Request, reason: &str, retry_after_ms: u64) -> Response {
+    shared.metrics.note_answer("not_run", reason, 0);
+    log_refusal(request, reason, 0);
+    adapter::not_run(reason, Some(retry_after_ms))
+}
+
+fn log_refusal(request: &Request, reason: &str, version: u64) {
+    let (request_id, _) = adapter::request_id(request);
+    log::info!(target: "gateway", event = "refused", request = request_id,
+        path = request.path.as_str(), reason = reason, configuration_version = version;
+        "request refused");
+}
+
+fn log_admission(
+    request: &Request,
+    id: CallerId,
+    route: &Route,
+    decision: &Decision,
+    version: u64,
+) {
+    let (request_id, _) = adapter::request_id(request);
+    log::debug!(target: "gateway", event = "admitted", id = id.as_str(), request = request_id,
+        queue = &*route.queue.name, hosts = decision.usable_hosts,
+        oldest_view_ms = decision.oldest_view_ms,
+        expected_ms = decision.finish_ms.unwrap_or(-1.0), objective_ms = decision.objective_ms,
+        configuration_version = version; "job admitted");
+}
+
+fn log_refused(
+    request: &Request,
+    id: CallerId,
+    route: &Route,
+    decision: &Decision,
+    verdict: Verdict,
+    version: u64,
+) {
+    let (request_id, _) = adapter::request_id(request);
+    log::info!(target: "gateway", event = "refused", id = id.as_str(), request = request_id,
+        queue = &*route.queue.name, reason = reason_of(verdict), hosts = decision.usable_hosts,
+        oldest_view_ms = decision.oldest_view_ms,
+        expected_ms = decision.finish_ms.unwrap_or(-1.0), objective_ms = decision.objective_ms,
+        configuration_version = version; "job refused on arrival");
+}
--- /dev/null
+++ b/components/gateway/src/directory.rs
@@ -0,0 +1,91 @@
+//! Which hosts there are, from the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use model::{HOSTS_PREFIX, HostRegistration};
+use platform::StoreFault;
+use scheduling::HostInfo;
+
+use crate::links;
+use crate::process::Shared;
+
+/// How long a watch waits for a change, in milliseconds.
+const WATCH_WAIT_MS: u64 = 5_000;
+
+/// Pause after a failed call of the store, in milliseconds; entries of live hosts are to be back
+/// within two seconds of the store's return.
+const RETRY_MS: u64 = 500;
+
+/// Keeps the hosts in step with the store; goes on with those it knows while the store is away.
+pub(crate) async fn follow(shared: Rc<Shared>) {
+    loop {
+        match follow_once(&shared).await {
+            Ok(()) => {}
+            Err(fault) => {
+                log::info!(target: "gateway", event = "directory_unavailable",
+                    reason = fault.to_string(); "the list of hosts cannot be read");
+                monoio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+/// Lists the hosts, then waits for a change.
+async fn follow_once(shared: &Rc<Shared>) -> Result<(), StoreFault> {
+    let listed = shared.store.list(HOSTS_PREFIX, false).await;
+    shared.metrics.note_store_call("list", listed.is_ok());
+    let list = listed?;
+    for item in &list.items {
+        add(shared, &item.key, &item.value);
+    }
+    let mut revision = list.revision;
+    loop {
+        let watched = shared
+            .store
+            .watch(HOSTS_PREFIX, revision, WATCH_WAIT_MS)
+            .await;
+        shared.metrics.note_store_call("watch", watched.is_ok());
+        let watch = watched?;
+        for change in &watch.changes {
+            // A key that goes says nothing of its host: connections tell who lives.
+            if let adapter::WatchedChange::Put(item) = change {
+                add(shared, &item.key, &item.value);
+            }
+        }
+        // A store that moved on without telling of a change may have missed some.
+        if watch.changes.is_empty() && watch.revision != revision {
+            return Ok(());
+        }
+        revision = watch.revision;
+    }
+}
+
+fn add(shared: &Rc<Shared>, key: &str, value: &[u8]) {
+    match serde_json::from_slice::<HostRegistration>(value) {
+        Ok(registration) => add_host(shared, &registration),
+        Err(error) => {
+            log::warn!(target: "gateway", event = "bad_registration", key = key,
+                reason = error.to_string(); "a host's registration cannot be read");
+        }
+    }
+}
+
+/// Adds a host unless it is known.
+pub(crate) fn add_host(shared: &Rc<Shared>, registration: &HostRegistration) {
+    let mut addresses = shared.addresses.borrow_mut();
+    if addresses.contains_key(&registration.address) {
+        return;
+    }
+    let slot = shared.scheduler.borrow_mut().add_host(HostInfo {
+        name: Rc::from(registration.name.as_str()),
+        address: Rc::from(registration.address.as_str()),
+        failure_domain: Rc::from(registration.failure_domain.as_str()),
+    });
+    addresses.insert(registration.address.clone(), slot);
+    log::info!(target: "gateway", event = "host_known", host = registration.name.as_str(),
+        address = registration.address.as_str(),
+        failure_domain = registration.failure_domain.as_str(); "a host was found");
+    let address = registration.address.clone();
+    monoio::spawn(links::keep(Rc::clone(shared), slot, address));
+}
--- /dev/null
+++ b/components/gateway/src/links.rs
@@ -0,0 +1,119 @@
+//! Connections to the agents of hosts.
+
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::future::{Either, select};
+use protocol::{HostLink, LinkError};
+use runtime::monotonic_us;
+use scheduling::{HostSlot, NEWS_TIMEOUT_MS};
+use web::Notify;
+
+use crate::process::Shared;
+
+/// How long a connection may take to be made, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 400;
+
+/// How long an answer to orders may take, in milliseconds.
+const ORDER_TIMEOUT_MS: u64 = 300;
+
+/// Pause before a lost connection is made again, in milliseconds: at once for the first time,
+/// since an agent gives its entry 250 ms.
+const FIRST_PAUSE_MS: u64 = 10;
+
+/// Longest pause between two tries to connect, in milliseconds.
+const LONGEST_PAUSE_MS: u64 = 500;
+
+/// Keeps a connection to the agent of a host for as long as the host is known.
+pub(crate) async fn keep(shared: Rc<Shared>, slot: HostSlot, address: String) {
+    let mut pause_ms = FIRST_PAUSE_MS;
+    let waker = Rc::new(Notify::default());
+    shared.wakers.borrow_mut().insert(slot, Rc::clone(&waker));
+    while shared.addresses.borrow().get(&address) == Some(&slot) {
+        let deadline_us = monotonic_us() + CONNECT_TIMEOUT_MS * 1_000;
+        let traffic = shared.traffic.clone();
+        match HostLink::connect_host(&address, shared.key, deadline_us, traffic).await {
+            Ok(link) => {
+                pause_ms = FIRST_PAUSE_MS;
+                serve(&shared, slot, &address, &link, &waker).await;
+            }
+            Err(error) => {
+                shared.metrics.note_link("connect_failed");
+                log::debug!(target: "gateway", event = "connect_failed", address = address.as_str(),
+                    reason = error.to_string(), pause_ms = pause_ms; "agent cannot be reached");
+            }
+        }
+        monoio::time::sleep(Duration::from_millis(pause_ms)).await;
+        pause_ms = (pause_ms * 2).min(LONGEST_PAUSE_MS);
+    }
+    shared.wakers.borrow_mut().remove(slot);
+}
+
+async fn serve(
+    shared: &Rc<Shared>,
+    slot: HostSlot,
+    address: &str,
+    link: &HostLink,
+    waker: &Notify,
+) {
+    shared
+        .scheduler
+        .borrow_mut()
+        .host_connected(slot, link.peer());
+    shared.metrics.note_link("connected");
+    log::info!(target: "gateway", event = "link_up", address = address,
+        agent = link.peer().to_string(); "connected to an agent");
+    let orders = pin!(send_orders(shared, slot, link, waker));
+    let news = pin!(ask_news(shared, slot, link));
+    let error = match select(orders, news).await {
+        Either::Left((error, _)) | Either::Right((error, _)) => error,
+    };
+    shared.scheduler.borrow_mut().host_disconnected(slot);
+    shared.metrics.note_link("lost");
+    log::warn!(target: "gateway", event = "link_down", address = address,
+        agent = link.peer().to_string(), reason = error.to_string(); "connection to an agent lost");
+}
+
+async fn send_orders(
+    shared: &Rc<Shared>,
+    slot: HostSlot,
+    link: &HostLink,
+    waker: &Notify,
+) -> LinkError {
+    loop {
+        let orders = waker
+            .wait_until(|| shared.scheduler.borrow_mut().take_orders(slot))
+            .await;
+        let number = orders.number;
+        let deadline_us = monotonic_us() + ORDER_TIMEOUT_MS * 1_000;
+        match link.order(orders, deadline_us).await {
+            Ok(news) => take_news(shared, slot, Some(number), &news),
+            Err(error) => return error,
+        }
+    }
+}
+
+async fn ask_news(shared: &Rc<Shared>, slot: HostSlot, link: &HostLink) -> LinkError {
+    loop {
+        let Some(request) = shared.scheduler.borrow().news_request(slot) else {
+            return LinkError::NotSent(protocol::LinkFault::Closed);
+        };
+        let wait_ms = u64::from(request.wait_ms) + NEWS_TIMEOUT_MS;
+        let deadline_us = monotonic_us() + wait_ms * 1_000;
+        match link.news(request, deadline_us).await {
+            Ok(news) => take_news(shared, slot, None, &news),
+            Err(error) => return error,
+        }
+    }
+}
+
+fn take_news(shared: &Rc<Shared>, slot: HostSlot, number: Option<u64>, news: &model::News) {
+    let now_ms = shared.now_ms();
+    let mut actions = Vec::new();
+    shared
+        .scheduler
+        .borrow_mut()
+        .host_news(now_ms, slot, number, news, &mut actions);
+    shared.perform(actions);
+}
--- /dev/null
+++ b/components/gateway/src/metrics.rs
@@ -0,0 +1,174 @@
+//! Metrics of an entry.
+
+use model::{RunEvent, RunId};
+use runtime::prometheus::{HistogramVec, IntCounterVec, IntGauge};
+use runtime::{Metrics, MetricsError, uptime_ms};
+
+use crate::process::Shared;
+
+/// Upper bounds of response times, in seconds; tasks last 50 ms to several seconds.
+const RESPONSE_BUCKETS_S: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 1.5, 2.5, 5.0,
+];
+
+/// The metrics of an entry.
+pub(crate) struct GatewayMetrics {
+    metrics: Metrics,
+    answers: IntCounterVec,
+    response_s: HistogramVec,
+    expected_wait_s: HistogramVec,
+    run_events: IntCounterVec,
+    store_calls: IntCounterVec,
+    link_events: IntCounterVec,
+    web_events: IntCounterVec,
+    jobs: IntGauge,
+    usable_hosts: IntGauge,
+    known_hosts: IntGauge,
+    oldest_view_ms: IntGauge,
+    configuration_version: IntGauge,
+    log_lines_left_out: IntGauge,
+}
+
+impl GatewayMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a name is malformed or taken.
+    pub(crate) fn new() -> Result<Self, MetricsError> {
+        let metrics = Metrics::new();
+        Ok(Self {
+            answers: metrics.counter_vec(
+                "shallotcross_gateway_answers_total",
+                "Answers to callers by outcome and reason.",
+                &["outcome", "reason"],
+            )?,
+            response_s: metrics.histogram_vec(
+                "shallotcross_gateway_response_seconds",
+                "Time from the request to the answer by outcome.",
+                &["outcome"],
+                &RESPONSE_BUCKETS_S,
+            )?,
+            expected_wait_s: metrics.histogram_vec(
+                "shallotcross_gateway_expected_wait_seconds",
+                "Expected wait of tasks at the host chosen for them.",
+                &[],
+                &RESPONSE_BUCKETS_S,
+            )?,
+            run_events: metrics.counter_vec(
+                "shallotcross_gateway_run_events_total",
+                "What became of tasks at hosts.",
+                &["event"],
+            )?,
+            store_calls: metrics.counter_vec(
+                "shallotcross_gateway_store_calls_total",
+                "Calls of the platform's store by kind and result.",
+                &["call", "result"],
+            )?,
+            link_events: metrics.counter_vec(
+                "shallotcross_gateway_link_events_total",
+                "Connections to agents that were made and lost.",
+                &["event"],
+            )?,
+            web_events: metrics.counter_vec(
+                "shallotcross_gateway_web_events_total",
+                "Events on HTTP connections of callers.",
+                &["event"],
+            )?,
+            jobs: metrics.gauge("shallotcross_gateway_jobs", "Jobs in progress.")?,
+            usable_hosts: metrics.gauge(
+                "shallotcross_gateway_usable_hosts",
+                "Hosts on which tasks may be placed.",
+            )?,
+            known_hosts: metrics.gauge("shallotcross_gateway_known_hosts", "Hosts known.")?,
+            oldest_view_ms: metrics.gauge(
+                "shallotcross_gateway_oldest_view_milliseconds",
+                "Age of the oldest view among usable hosts.",
+            )?,
+            configuration_version: metrics.gauge(
+                "shallotcross_gateway_configuration_version",
+                "Version of the configuration in force.",
+            )?,
+            log_lines_left_out: metrics.gauge(
+                "shallotcross_gateway_log_lines_left_out",
+                "Log lines left out because of their number or a slow reader.",
+            )?,
+            metrics,
+        })
+    }
+
+    /// Counts an answer.
+    pub(crate) fn note_answer(&self, outcome: &str, reason: &str, took_ms: u64) {
+        self.answers.with_label_values(&[outcome, reason]).inc();
+        let response_s = self.response_s.with_label_values(&[outcome]);
+        response_s.observe(took_ms as f64 / 1_000.0);
+    }
+
+    /// Counts a placement.
+    pub(crate) fn note_placement(&self, wait_ms: u64) {
+        let no_labels: [&str; 0] = [];
+        let expected_wait_s = self.expected_wait_s.with_label_values(&no_labels);
+        expected_wait_s.observe(wait_ms as f64 / 1_000.0);
+    }
+
+    /// Counts an event of a run, and logs it unless it is the usual course.
+    pub(crate) fn note_event(&self, run: RunId, host: &str, age_ms: u64, event: RunEvent) {
+        let name = match event {
+            RunEvent::Started => "started",
+            RunEvent::Ended(end, _) => end.into(),
+            RunEvent::NotStarted(why) => why.into(),
+            RunEvent::Stalled => "stalled",
+        };
+        self.run_events.with_label_values(&[name]).inc();
+        let level = match event {
+            RunEvent::Started | RunEvent::Ended(model::RunEnd::Done, _) => log::Level::Debug,
+            _ => log::Level::Info,
+        };
+        log::log!(target: "gateway", level, event = "run", id = run.task.job.as_str(),
+            step = run.task.step, task = run.task.index, attempt = run.attempt, host = host,
+            age_ms = age_ms, outcome = name; "news of a task");
+    }
+
+    /// Counts a call of the store.
+    pub(crate) fn note_store_call(&self, call: &str, is_ok: bool) {
+        let result = if is_ok { "ok" } else { "failed" };
+        self.store_calls.with_label_values(&[call, result]).inc();
+    }
+
+    /// Counts a connection to an agent that was made or lost.
+    pub(crate) fn note_link(&self, event: &str) {
+        self.link_events.with_label_values(&[event]).inc();
+    }
+
+    /// Returns all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric cannot be encoded.
+    pub(crate) fn encode(&self, shared: &Shared) -> Result<String, MetricsError> {
+        let now_ms = uptime_ms();
+        let scheduler = shared.scheduler.borrow();
+        let hosts = scheduler.hosts(now_ms);
+        let usable = hosts.iter().filter(|host| host.is_usable);
+        self.jobs.set(scheduler.job_count() as i64);
+        self.known_hosts.set(hosts.len() as i64);
+        self.usable_hosts.set(usable.clone().count() as i64);
+        let oldest_ms = usable.map(|host| host.view_age_ms).max().unwrap_or(0);
+        self.oldest_view_ms.set(oldest_ms as i64);
+        let version = shared
+            .in_force
+            .borrow()
+            .as_ref()
+            .map_or(0, |config| config.version);
+        self.configuration_version.set(version as i64);
+        let counts = runtime::log_counts();
+        let left_out = counts.over_rate + counts.over_buffer;
+        self.log_lines_left_out.set(left_out as i64);
+        for (event, count) in shared.web.iter() {
+            let counter = self.web_events.with_label_values(&[event]);
+            counter.reset();
+            counter.inc_by(count);
+        }
+        self.metrics.encode()
+    }
+}
--- /dev/null
+++ b/components/gateway/src/process.rs
@@ -0,0 +1,241 @@
+//! The process: its ports, its loop, and its planned stop.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use config::GatewaySettings;
+use errors::{Error, ExitCode};
+use futures::channel::oneshot;
+use model::ProcessKey;
+use monoio::net::TcpListener;
+use platform::Store;
+use protocol::{LinkCounters, Traffic};
+use runtime::{Signals, Stop, uptime_ms};
+use rustc_hash::FxHashMap;
+use scheduling::{HostSlot, JobSlot, Scheduler, SchedulerAction, Verdict};
+use serde_json::{Value, json};
+use slotmap::SecondaryMap;
+use web::{Notify, ServerCounters};
+
+use crate::configuration::InForce;
+use crate::metrics::GatewayMetrics;
+use crate::ports;
+
+/// Interval of the timers of the decisions, in milliseconds: a small part of the shortest tasks.
+const TICK_MS: u64 = 20;
+
+/// Gap in the loop after which the process counts as suspended, in milliseconds; well below the
+/// time after which a caller sends its request again (1,300 ms).
+const SUSPENDED_MS: u64 = 400;
+
+/// How long after a suspension requests are refused, in milliseconds: what was in the buffers
+/// may be older than the suspension.
+const RESUMING_MS: u64 = 100;
+
+/// How long a call of the store may take, in milliseconds; the usual answer takes 4.
+const STORE_TIMEOUT_MS: u64 = 500;
+
+/// How long a draining process takes requests on open connections, in milliseconds: the balancer
+/// looks at readiness each second and acts on the second miss.
+const LINGER_MS: u64 = 2_500;
+
+/// What the tasks of the process share.
+pub(crate) struct Shared {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) key: ProcessKey,
+    pub(crate) scheduler: RefCell<Scheduler>,
+    pub(crate) waiters: RefCell<FxHashMap<JobSlot, Vec<oneshot::Sender<Verdict>>>>,
+    pub(crate) wakers: RefCell<SecondaryMap<HostSlot, Rc<Notify>>>,
+    pub(crate) addresses: RefCell<FxHashMap<String, HostSlot>>,
+    pub(crate) in_force: RefCell<Option<Rc<InForce>>>,
+    pub(crate) store: Store,
+    pub(crate) is_draining: Cell<bool>,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) links: LinkCounters,
+    pub(crate) traffic: Traffic,
+    pub(crate) web: Rc<ServerCounters>,
+    last_turn_ms: Cell<u64>,
+    resumed_until_ms: Cell<u64>,
+}
+
+/// An entry whose ports are open.
+pub struct GatewayProcess {
+    shared: Rc<Shared>,
+    callers: TcpListener,
+    readiness: TcpListener,
+    peers: TcpListener,
+    metrics: Option<TcpListener>,
+}
+
+impl GatewayProcess {
+    /// Opens the ports.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a port cannot be opened or a metric cannot be registered.
+    pub fn bind(settings: GatewaySettings) -> Result<Self, Error> {
+        let callers = ports::open("callers_address", settings.callers_address)?;
+        let readiness = ports::open("readiness_address", settings.readiness_address)?;
+        let peers = ports::open("peer_address", settings.peer_address)?;
+        let metrics = settings
+            .metrics_address
+            .map(|address| ports::open("metrics_address", address));
+        let metrics = metrics.transpose()?;
+        let key = runtime::draw_process_key();
+        let far_factor = settings.far_factor_percent as f64 / 100.0;
+        let shared = Shared {
+            key,
+            scheduler: RefCell::new(Scheduler::new(key, &settings.failure_domain, far_factor)),
+            waiters: RefCell::default(),
+            wakers: RefCell::default(),
+            addresses: RefCell::default(),
+            in_force: RefCell::default(),
+            store: Store::new(settings.store_address, STORE_TIMEOUT_MS),
+            is_draining: Cell::new(false),
+            metrics: GatewayMetrics::new()
+                .map_err(|error| Error::new(ExitCode::Failure, error.to_string()))?,
+            links: LinkCounters::default(),
+            traffic: Traffic::default(),
+            web: Rc::default(),
+            last_turn_ms: Cell::new(uptime_ms()),
+            resumed_until_ms: Cell::new(0),
+            settings,
+        };
+        Ok(Self {
+            shared: Rc::new(shared),
+            callers,
+            readiness,
+            peers,
+            metrics,
+        })
+    }
+
+    /// Returns a closure that gives the state as JSON, for dumps on a signal.
+    pub fn state(&self) -> impl Fn() -> Value + use<> {
+        let shared = Rc::clone(&self.shared);
+        move || shared.state()
+    }
+
+    /// Runs until `drain` is stopped and the requests in progress have their answers.
+    pub async fn run(self, drain: Stop, signals: Signals) {
+        let shared = self.shared;
+        log::info!(target: "gateway", event = "started", entry = shared.key.to_string(),
+            host = shared.settings.name.as_str(),
+            failure_domain = shared.settings.failure_domain.as_str(); "entry started");
+        let web_stop = web::Stop::new();
+        let callers = monoio::spawn(crate::callers::serve(
+            Rc::clone(&shared),
+            self.callers,
+            web_stop.clone(),
+        ));
+        monoio::spawn(ports::serve_readiness(Rc::clone(&shared), self.readiness));
+        monoio::spawn(crate::bootstrap::serve(Rc::clone(&shared), self.peers));
+        if let Some(listener) = self.metrics {
+            monoio::spawn(ports::serve_metrics(Rc::clone(&shared), listener));
+        }
+        monoio::spawn(crate::configuration::follow(Rc::clone(&shared)));
+        monoio::spawn(crate::directory::follow(Rc::clone(&shared)));
+        monoio::spawn(crate::bootstrap::ask_others(Rc::clone(&shared)));
+        monoio::spawn(reload_on_signal(signals));
+        monoio::spawn(turn(Rc::clone(&shared)));
+        drain.stopped().await;
+        shared.is_draining.set(true);
+        log::info!(target: "gateway", event = "draining",
+            jobs = shared.scheduler.borrow().job_count(); "planned stop began");
+        monoio::time::sleep(Duration::from_millis(LINGER_MS)).await;
+        web_stop.stop();
+        let left_ms = shared.settings.drain_timeout_ms.saturating_sub(LINGER_MS);
+        let is_done = monoio::time::timeout(Duration::from_millis(left_ms), callers).await;
+        log::info!(target: "gateway", event = "stopped", is_complete = is_done.is_ok(),
+            jobs = shared.scheduler.borrow().job_count(); "entry stopped");
+        runtime::flush_log();
+    }
+}
+
+async fn turn(shared: Rc<Shared>) {
+    loop {
+        let now_ms = shared.now_ms();
+        let mut actions = Vec::new();
+        shared.scheduler.borrow_mut().tick(now_ms, &mut actions);
+        shared.perform(actions);
+        runtime::flush_log();
+        monoio::time::sleep(Duration::from_millis(TICK_MS)).await;
+    }
+}
+
+async fn reload_on_signal(signals: Signals) {
+    loop {
+        if signals.take_reload_request() {
+            // What the settings hold is bound at the start; limits come with the configuration.
+            log::info!(target: "gateway", event = "reload",
+                is_changed = false; "settings are read at the next start");
+        }
+        monoio::time::sleep(Duration::from_millis(runtime::SIGNAL_POLL_MS)).await;
+    }
+}
+
+impl Shared {
+    /// Returns the time, after giving up what a suspension of the host has made doubtful.
+    pub(crate) fn now_ms(&self) -> u64 {
+        let now_ms = uptime_ms();
+        let gap_ms = now_ms.saturating_sub(self.last_turn_ms.replace(now_ms));
+        if gap_ms >= SUSPENDED_MS {
+            log::warn!(target: "gateway", event = "suspended", gap_ms = gap_ms;
+                "the process stood still; jobs in progress are given up");
+            self.resumed_until_ms.set(now_ms + RESUMING_MS);
+            let mut actions = Vec::new();
+            self.scheduler.borrow_mut().resumed(now_ms, &mut actions);
+            self.perform(actions);
+        }
+        now_ms
+    }
+
+    /// Tells whether requests may be older than a suspension of the host.
+    pub(crate) fn is_resuming(&self, now_ms: u64) -> bool {
+        now_ms < self.resumed_until_ms.get()
+    }
+
+    /// Tells whether the balancer should send new connections.
+    pub(crate) fn is_ready(&self) -> bool {
+        let has_configuration = self.in_force.borrow().is_some();
+        !self.is_draining.get()
+            && has_configuration
+            && self.scheduler.borrow().has_usable_host(self.now_ms())
+    }
+
+    /// Performs what the decisions ask for.
+    pub(crate) fn perform(&self, actions: Vec<SchedulerAction>) {
+        for action in actions {
+            crate::actions::perform(self, action);
+        }
+    }
+
+    fn state(&self) -> Value {
+        let now_ms = uptime_ms();
+        let scheduler = self.scheduler.borrow();
+        let hosts: Vec<Value> = scheduler
+            .hosts(now_ms)
+            .into_iter()
+            .map(|host| {
+                json!({
+                    "name": &*host.info.name,
+                    "address": &*host.info.address,
+                    "failure_domain": &*host.info.failure_domain,
+                    "is_connected": host.is_connected,
+                    "is_usable": host.is_usable,
+                    "view_age_ms": host.view_age_ms,
+                    "view": host.view,
+                })
+            })
+            .collect();
+        let version = self.in_force.borrow().as_ref().map(|config| config.version);
+        json!({
+            "entry": self.key.to_string(),
+            "is_draining": self.is_draining.get(),
+            "configuration_version": version,
+            "jobs": scheduler.job_count(),
+            "hosts": hosts,
+        })
+    }
+}
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod message;
 mod roster;
+mod run;
 
 pub use answer::{Answer, Failure, FailureKind, FailureReason};
 pub use job::{JobMeta, JobSpec, TaskSpec};
@@ -24,3 +25,7 @@
     TaskRecord, TaskStart, TaskState,
 };
 pub use roster::{AgentInfo, EntryInfo, Member, MemberState, ShardRecord, TargetInfo};
+pub use run::{
+    CALLER_ID_DIGITS, CallerId, HOSTS_PREFIX, HostRegistration, HostView, News, NewsRequest,
+    NotStarted, Orders, Resources, RunEnd, RunEvent, RunId, RunPermit, StartOrder, TaskRef,
+};
--- a/components/platform/src/transport.rs
+++ b/components/platform/src/transport.rs
@@ -51,7 +51,8 @@
         body: &impl Serialize,
     ) -> Result<T, PlatformError> {
         let request = Request::post_json(path, body);
-        let result = self.call_addresses(effect, counter, &request).await;
+        let limit = self.call_timeout;
+        let result = self.call_addresses(effect, counter, &request, limit).await;
         let parsed = match result {
             Ok(response) => parse_response(effect, &response),
             Err(error) => Err(call_error(effect, &error)),
@@ -59,11 +60,26 @@
         parsed.inspect_err(|error| self.count(error))
     }
 
+    /// Sends a call in the form of another service; any answer counts.
+    pub(crate) async fn send(
+        &self,
+        effect: Effect,
+        counter: &Cell<u64>,
+        request: &Request,
+        limit: Duration,
+    ) -> Result<Response, PlatformError> {
+        let result = self.call_addresses(effect, counter, request, limit).await;
+        result
+            .map_err(|error| call_error(effect, &error))
+            .inspect_err(|error| self.count(error))
+    }
+
     async fn call_addresses(
         &self,
         effect: Effect,
         counter: &Cell<u64>,
         request: &Request,
+        limit: Duration,
     ) -> Result<Response, CallError> {
         let mut attempts_left = match effect {
             Effect::Read => self.clients.len(),
@@ -72,7 +88,7 @@
         loop {
             increment(counter);
             attempts_left -= 1;
-            let result = self.client().call(request, self.call_timeout).await;
+            let result = self.client().call(request, limit).await;
             match result {
                 Err(CallError::NotSent(_)) if attempts_left > 0 => self.advance(),
                 Err(error) => {
--- a/components/protocol/src/hello.rs
+++ b/components/protocol/src/hello.rs
@@ -34,6 +34,12 @@
     /// Service of an entry.
     #[display("entry")]
     Entry,
+    /// Service of an agent that runs tasks for entries on their word alone.
+    #[display("host")]
+    Host,
+    /// Service of an entry for entries that cannot reach the platform.
+    #[display("bootstrap")]
+    Bootstrap,
 }
 
 /// First message of whoever opens a connection.
@@ -105,6 +111,8 @@
         match self {
             Self::Agent => 1,
             Self::Entry => 2,
+            Self::Host => 3,
+            Self::Bootstrap => 4,
         }
     }
 }
--- /dev/null
+++ b/components/protocol/src/host_link.rs
@@ -0,0 +1,100 @@
+//! The service of an agent that runs tasks for entries on their word alone.
+
+use std::rc::Rc;
+
+use futures::future::LocalBoxFuture;
+use model::{News, NewsRequest, Orders, ProcessKey};
+use monoio::net::TcpListener;
+use tarpc::context::Context;
+
+use crate::connect::{hello_for, open};
+use crate::error::{LinkError, LinkFault};
+use crate::hello::Service;
+use crate::link::Link;
+use crate::server::accept_connections;
+use crate::service::{HostService, HostServiceRequest, HostServiceResponse};
+use crate::settings::ServerSettings;
+use crate::traffic::Traffic;
+
+/// A connection to an agent that runs tasks for entries on their word alone.
+pub type HostLink = Link<HostServiceRequest, HostServiceResponse>;
+
+impl HostLink {
+    /// Connects to the agent at `address`, an `ip:port`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the agent cannot be reached before `deadline_us` on the monotonic clock,
+    /// or refuses the connection.
+    pub async fn connect_host(
+        address: &str,
+        own: ProcessKey,
+        deadline_us: u64,
+        traffic: Traffic,
+    ) -> Result<Self, LinkError> {
+        let hello = hello_for(Service::Host, own, None);
+        let (stream, peer) = open(address, hello, deadline_us).await?;
+        Ok(Self::start(stream, peer, traffic))
+    }
+
+    /// Sends orders and returns the agent's immediate answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer before the deadline or the connection ends.
+    pub async fn order(&self, orders: Orders, deadline_us: u64) -> Result<News, LinkError> {
+        let request = HostServiceRequest::Order { orders };
+        match self.call(request, deadline_us).await? {
+            HostServiceResponse::Order(news) => Ok(news),
+            HostServiceResponse::News(_) => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
+        }
+    }
+
+    /// Asks what has happened at the agent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer before the deadline or the connection ends.
+    pub async fn news(&self, request: NewsRequest, deadline_us: u64) -> Result<News, LinkError> {
+        let request = HostServiceRequest::News { request };
+        match self.call(request, deadline_us).await? {
+            HostServiceResponse::News(news) => Ok(news),
+            HostServiceResponse::Order(_) => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
+        }
+    }
+}
+
+/// Handlers of the calls that an agent receives from entries.
+#[derive(Clone)]
+struct HostHandlers {
+    order: Rc<dyn Fn(Orders) -> News>,
+    news: Rc<dyn Fn(NewsRequest) -> LocalBoxFuture<'static, News>>,
+}
+
+impl HostService for HostHandlers {
+    async fn order(self, _: Context, orders: Orders) -> News {
+        (self.order)(orders)
+    }
+
+    async fn news(self, _: Context, request: NewsRequest) -> News {
+        (self.news)(request).await
+    }
+}
+
+/// Serves the port of an agent until the server is stopped.
+///
+/// The future of `news` is dropped when the entry gives up or its connection breaks.
+pub async fn serve_host<F>(
+    listener: TcpListener,
+    settings: ServerSettings,
+    order: impl Fn(Orders) -> News + 'static,
+    news: impl Fn(NewsRequest) -> F + 'static,
+) where
+    F: Future<Output = News> + 'static,
+{
+    let handlers = HostHandlers {
+        order: Rc::new(order),
+        news: Rc::new(move |request| Box::pin(news(request))),
+    };
+    accept_connections(listener, Service::Host, handlers.serve(), settings).await;
+}
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -1,7 +1,9 @@
 //! Messages between entries, and from agents to entries, besides the envelopes of `model`.
 
 use bytes::Bytes;
-use model::{Answer, EntryInfo, FirmKey, Generation, ProcessKey, Rules, ShardKey};
+use model::{
+    Answer, EntryInfo, FirmKey, Generation, HostRegistration, ProcessKey, Rules, ShardKey,
+};
 use serde::{Deserialize, Serialize};
 
 /// Names the owner of a shard.
@@ -174,3 +176,14 @@
     /// Whether the receiver has taken the shard.
     pub accepted: bool,
 }
+
+/// What an entry knows that another needs to serve while the platform cannot be reached.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BootstrapReply {
+    /// Revision of the configuration; 0 if the entry has none.
+    pub revision: u64,
+    /// The configuration as published, if it is newer than what the caller knows.
+    pub configuration: Option<Bytes>,
+    /// Hosts that the entry knows.
+    pub hosts: Vec<HostRegistration>,
+}
--- a/components/protocol/src/server.rs
+++ b/components/protocol/src/server.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use futures::{FutureExt, SinkExt, Stream};
-use model::{AgentEnvelope, OwnerEnvelope};
+use model::{AgentEnvelope, OwnerEnvelope, ProcessKey};
 use monoio::net::{TcpListener, TcpStream};
 use runtime::Stop;
 use serde::Serialize;
@@ -57,7 +57,7 @@
     accept_connections(listener, Service::Entry, handlers.serve(), settings).await;
 }
 
-async fn accept_connections<S>(
+pub(crate) async fn accept_connections<S>(
     listener: TcpListener,
     service: Service,
     serve: S,
@@ -129,8 +129,8 @@
         S::Req: RequestName + DeserializeOwned + 'static,
         S::Resp: Serialize + 'static,
     {
-        let _open = match self.greet(&mut stream).await {
-            Ok(open) => open,
+        let (_open, peer) = match self.greet(&mut stream).await {
+            Ok(greeted) => greeted,
             Err(event) => return self.report_refusal(event),
         };
         drop(greeting);
@@ -139,6 +139,9 @@
             self.settings.counters.count(LinkEvent::Broken);
             log::warn!(target: LOG_TARGET, "Connection broke: {error}.");
         }
+        if let Some(closed) = &self.settings.closed {
+            (closed.0)(peer);
+        }
     }
 
     fn report_refusal(&self, event: LinkEvent) {
@@ -146,7 +149,10 @@
         log::info!(target: LOG_TARGET, "Connection refused: {}.", <&str>::from(event));
     }
 
-    async fn greet(&self, stream: &mut TcpStream) -> Result<OpenConnection, LinkEvent> {
+    async fn greet(
+        &self,
+        stream: &mut TcpStream,
+    ) -> Result<(OpenConnection, ProcessKey), LinkEvent> {
         let hello_timeout = Duration::from_millis(HELLO_TIMEOUT_MS);
         match monoio::time::timeout(hello_timeout, self.exchange_hello(stream)).await {
             Ok(Ok(greeted)) => greeted,
@@ -157,7 +163,7 @@
     async fn exchange_hello(
         &self,
         stream: &mut TcpStream,
-    ) -> io::Result<Result<OpenConnection, LinkEvent>> {
+    ) -> io::Result<Result<(OpenConnection, ProcessKey), LinkEvent>> {
         connect::set_options(stream)?;
         let Some(hello) = hello::read_hello(stream).await? else {
             return Ok(Err(LinkEvent::Garbage));
@@ -173,7 +179,9 @@
             key: self.settings.own,
         };
         hello::write_reply(stream, reply).await?;
-        Ok(judged.map_err(|(_, event)| event))
+        Ok(judged
+            .map(|open| (open, hello.from))
+            .map_err(|(_, event)| event))
     }
 
     fn judge(&self, hello: &Hello) -> Result<OpenConnection, (ReplyCode, LinkEvent)> {
--- a/components/protocol/src/service.rs
+++ b/components/protocol/src/service.rs
@@ -4,11 +4,11 @@
     reason = "tarpc generates public items without documentation"
 )]
 
-use model::{AgentEnvelope, AgentInfo, JobKey, JobSpec, OwnerEnvelope};
+use model::{AgentEnvelope, AgentInfo, JobKey, JobSpec, News, NewsRequest, Orders, OwnerEnvelope};
 
 use crate::message::{
-    AnnounceReply, CancelReply, EntryPing, EntryPong, HandOver, HandOverReply, StatusReply,
-    SubmitReply,
+    AnnounceReply, BootstrapReply, CancelReply, EntryPing, EntryPong, HandOver, HandOverReply,
+    StatusReply, SubmitReply,
 };
 
 /// Service of an agent.
@@ -36,3 +36,19 @@
     /// Offers a shard to its next owner.
     async fn hand_over(hand_over: HandOver) -> HandOverReply;
 }
+
+/// Service of an agent that runs tasks for entries on their word alone.
+#[tarpc::service]
+pub trait HostService {
+    /// Takes orders; what becomes of them is reported as news.
+    async fn order(orders: Orders) -> News;
+    /// Returns what has happened, or nothing new after the time that the request allows.
+    async fn news(request: NewsRequest) -> News;
+}
+
+/// Service of an entry for entries that cannot reach the platform.
+#[tarpc::service]
+pub trait BootstrapService {
+    /// Returns the configuration and the agents that the entry knows.
+    async fn bootstrap(known_revision: u64) -> BootstrapReply;
+}
--- a/components/protocol/src/settings.rs
+++ b/components/protocol/src/settings.rs
@@ -1,5 +1,8 @@
 //! Settings of a server.
 
+use std::fmt;
+use std::rc::Rc;
+
 use model::ProcessKey;
 use runtime::Stop;
 
@@ -9,6 +12,16 @@
 /// Connections that a server accepts unless told otherwise.
 pub const DEFAULT_CONNECTION_LIMIT: usize = 4_096;
 
+/// Is told which incarnation's connection has ended.
+#[derive(Clone)]
+pub(crate) struct ClosedHook(pub(crate) Rc<dyn Fn(ProcessKey)>);
+
+impl fmt::Debug for ClosedHook {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("ClosedHook")
+    }
+}
+
 /// Settings of a server.
 #[derive(Debug, Clone)]
 pub struct ServerSettings {
@@ -17,6 +30,7 @@
     pub(crate) counters: LinkCounters,
     pub(crate) traffic: Traffic,
     pub(crate) stop: Stop,
+    pub(crate) closed: Option<ClosedHook>,
 }
 
 impl ServerSettings {
@@ -30,6 +44,7 @@
                 counters: LinkCounters::default(),
                 traffic: Traffic::default(),
                 stop: Stop::new(),
+                closed: None,
             },
         }
     }
@@ -70,6 +85,13 @@
         self
     }
 
+    /// Sets what is told when a connection ends, with the incarnation that opened it.
+    #[must_use]
+    pub fn closed(mut self, closed: impl Fn(ProcessKey) + 'static) -> Self {
+        self.settings.closed = Some(ClosedHook(Rc::new(closed)));
+        self
+    }
+
     /// Returns the settings.
     #[must_use]
     pub fn build(self) -> ServerSettings {
--- a/components/runtime/src/clock.rs
+++ b/components/runtime/src/clock.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
+
 const SECONDS_PER_DAY: u64 = 86_400;
 
 struct Anchor {
@@ -31,6 +33,18 @@
     anchor().started.elapsed().as_micros() as u64
 }
 
+/// Returns the milliseconds since the host started, on a clock that never goes back and also
+/// counts the time for which the host was suspended.
+///
+/// Falls back to [`monotonic_us`] on a system without such a clock.
+#[must_use]
+pub fn uptime_ms() -> u64 {
+    match clock_gettime(ClockId::CLOCK_BOOTTIME) {
+        Ok(time) => time.tv_sec() as u64 * 1_000 + time.tv_nsec() as u64 / 1_000_000,
+        Err(_) => monotonic_us() / 1_000,
+    }
+}
+
 /// Returns the instant of a point in time on the clock of [`monotonic_us`].
 ///
 /// Points beyond the range of [`Instant`] become the current time.
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -4,6 +4,7 @@
 mod clock;
 mod dump;
 mod executor;
+mod line_sink;
 mod logging;
 mod metrics;
 mod process;
@@ -11,11 +12,15 @@
 mod stop;
 
 pub use clock::{
-    clock_drift_ms, format_rfc3339_ms, instant_at, monotonic_us, resample_clock, unix_ms,
+    clock_drift_ms, format_rfc3339_ms, instant_at, monotonic_us, resample_clock, unix_ms, uptime_ms,
 };
 pub use dump::{DumpError, dump_on_signal, dump_to_string, write_dump, write_dump_to};
 pub use executor::{TIMER_TURN_MS, run};
-pub use logging::{LogError, LogFormat, LogOptions, format_json, format_text, init_logging};
+pub use line_sink::{LineSink, MAX_LINE_BYTES, SinkCounts};
+pub use logging::{
+    LogError, LogFormat, LogOptions, LogOutput, flush_log, format_json, format_text, init_logging,
+    log_counts,
+};
 pub use metrics::{Metrics, MetricsError};
 pub use process::draw_process_key;
 pub use signals::{SIGNAL_POLL_MS, Signals};
--- a/components/runtime/src/signals.rs
+++ b/components/runtime/src/signals.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 
 /// Interval at which signals are looked for, in milliseconds.
 pub const SIGNAL_POLL_MS: u64 = 200;
@@ -17,11 +17,12 @@
 pub struct Signals {
     drain: Arc<AtomicBool>,
     dump: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
 }
 
 impl Signals {
-    /// Takes over `SIGTERM` and `SIGINT` as requests to drain and `SIGUSR1` as a request
-    /// for a dump.
+    /// Takes over `SIGTERM` and `SIGINT` as requests to drain, `SIGUSR1` as a request
+    /// for a dump and `SIGHUP` as a request to read the settings again.
     ///
     /// # Errors
     ///
@@ -31,9 +32,16 @@
         signal_hook::flag::register(SIGTERM, Arc::clone(&signals.drain))?;
         signal_hook::flag::register(SIGINT, Arc::clone(&signals.drain))?;
         signal_hook::flag::register(SIGUSR1, Arc::clone(&signals.dump))?;
+        signal_hook::flag::register(SIGHUP, Arc::clone(&signals.reload))?;
         Ok(signals)
     }
 
+    /// Tells whether the settings are to be read again, since the last call.
+    #[must_use]
+    pub fn take_reload_request(&self) -> bool {
+        self.reload.swap(false, Ordering::Relaxed)
+    }
+
     /// Requests a drain as if by signal.
     pub fn request_drain(&self) {
         self.drain.store(true, Ordering::Relaxed);
--- a/components/runtime/tests/runtime.rs
+++ b/components/runtime/tests/runtime.rs
@@ -116,9 +116,9 @@
 proptest! {
     #[test]
     fn log_lines_stay_on_one_line(part in ".*", message in "(?s).*") {
-        let text = runtime::format_text("now", Level::Warn, "part", &message);
+        let text = runtime::format_text("now", Level::Warn, "part", &message, &serde_json::Map::new());
         prop_assert!(!text.contains('\n'));
-        let json = runtime::format_json("now", Level::Warn, &part, &message);
+        let json = runtime::format_json("now", Level::Warn, &part, &message, &serde_json::Map::new());
         prop_assert!(!json.contains('\n'));
         let value: serde_json::Value = serde_json::from_str(&json).unwrap();
         prop_assert_eq!(value["message"].as_str().unwrap(), message);
--- /dev/null
+++ b/components/scheduling/src/host.rs
@@ -0,0 +1,241 @@
+//! What an entry knows of a host.
+
+use std::rc::Rc;
+
+use model::{HostView, News, Orders, ProcessKey, Resources, RunId, RunPermit, StartOrder};
+use slotmap::new_key_type;
+
+use crate::limits::{RUN_OVER_MS, VIEW_MAX_AGE_MS};
+
+new_key_type! {
+    /// Key of a host in the scheduler.
+    pub struct HostSlot;
+}
+
+/// What the directory says of a host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostInfo {
+    /// Name of the host.
+    pub name: Rc<str>,
+    /// Address of its agent, as `ip:port`.
+    pub address: Rc<str>,
+    /// Failure domain.
+    pub failure_domain: Rc<str>,
+}
+
+/// A host's state for dumps, logs and metrics.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostStatus {
+    /// What the directory says.
+    pub info: HostInfo,
+    /// Whether its agent is connected.
+    pub is_connected: bool,
+    /// Whether tasks may be placed there.
+    pub is_usable: bool,
+    /// Age of the view, in milliseconds.
+    pub view_age_ms: u64,
+    /// The last view.
+    pub view: Option<HostView>,
+}
+
+/// A host in the scheduler.
+#[derive(Debug)]
+pub(crate) struct HostRecord {
+    pub(crate) info: HostInfo,
+    pub(crate) agent: Option<ProcessKey>,
+    pub(crate) is_connected: bool,
+    pub(crate) is_inheritance_clear: bool,
+    pub(crate) view: Option<HostView>,
+    pub(crate) seen: u64,
+    permit: Option<RunPermit>,
+    permit_at_ms: u64,
+    starts: Vec<StartOrder>,
+    stops: Vec<RunId>,
+    in_flight: Option<Orders>,
+    next_number: u64,
+    replaced_permit_at_ms: u64,
+}
+
+impl HostRecord {
+    pub(crate) fn new(info: HostInfo) -> Self {
+        Self {
+            info,
+            agent: None,
+            is_connected: false,
+            is_inheritance_clear: false,
+            view: None,
+            seen: 0,
+            permit: None,
+            permit_at_ms: 0,
+            starts: Vec::new(),
+            stops: Vec::new(),
+            in_flight: None,
+            next_number: 0,
+            replaced_permit_at_ms: 0,
+        }
+    }
+
+    /// Takes note that the agent `agent` has answered on a new connection; tells whether it is
+    /// another one than before.
+    pub(crate) fn connected(&mut self, agent: ProcessKey) -> bool {
+        self.is_connected = true;
+        let is_other = self.agent != Some(agent);
+        if is_other {
+            self.agent = Some(agent);
+            self.replaced_permit_at_ms = self.permit_at_ms;
+            self.is_inheritance_clear = false;
+            self.view = None;
+            self.seen = 0;
+            self.permit = None;
+            self.starts.clear();
+            self.stops.clear();
+            self.in_flight = None;
+        }
+        is_other
+    }
+
+    /// Takes the permit and the view out of news; tells whether they are the newest.
+    pub(crate) fn take_news(&mut self, now_ms: u64, news: &News) -> bool {
+        let is_newest = self
+            .permit
+            .is_none_or(|permit| permit.issued_ms <= news.permit.issued_ms);
+        if is_newest {
+            self.permit = Some(news.permit);
+            self.permit_at_ms = now_ms;
+            self.is_inheritance_clear = news.is_inheritance_clear;
+            self.view = Some(news.view.clone());
+        }
+        is_newest
+    }
+
+    /// Returns the newest permit.
+    pub(crate) fn permit(&self) -> Option<RunPermit> {
+        self.permit
+    }
+
+    /// Returns when the last permit came, in milliseconds.
+    pub(crate) fn heard_at_ms(&self) -> u64 {
+        self.permit_at_ms
+    }
+
+    /// Returns when the last permit of an agent of this host came, in milliseconds.
+    pub(crate) fn last_permit_of(&self, agent: ProcessKey) -> u64 {
+        if self.agent == Some(agent) {
+            self.permit_at_ms
+        } else {
+            self.replaced_permit_at_ms
+        }
+    }
+
+    /// Tells whether every run that was sent to an agent of this host has surely ended, unless
+    /// the agent has said so itself.
+    pub(crate) fn is_over(&self, now_ms: u64, agent: ProcessKey) -> bool {
+        let is_replaced = self.agent != Some(agent);
+        let is_silent = is_replaced || !self.is_connected;
+        is_replaced && self.is_inheritance_clear
+            || is_silent && now_ms >= self.last_permit_of(agent) + RUN_OVER_MS
+    }
+
+    /// Tells whether tasks may be placed on the host.
+    pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
+        self.is_connected
+            && now_ms < self.permit_at_ms + VIEW_MAX_AGE_MS
+            && self.view.as_ref().is_some_and(|view| view.is_open)
+    }
+
+    /// Adds tasks to start; tasks of one step share an order.
+    pub(crate) fn push_start(&mut self, order: StartOrder) {
+        let last = self.starts.last_mut();
+        match last.filter(|last| last.job == order.job && last.step == order.step) {
+            Some(last) => last.tasks.extend(order.tasks),
+            None => self.starts.push(order),
+        }
+    }
+
+    /// Adds a stop; an order that has not left yet is taken back instead. Tells whether the run
+    /// has surely not started.
+    pub(crate) fn push_stop(&mut self, run: RunId) -> bool {
+        for order in &mut self.starts {
+            if order.job != run.task.job || order.step != run.task.step {
+                continue;
+            }
+            let before = order.tasks.len();
+            order
+                .tasks
+                .retain(|task| *task != (run.task.index, run.attempt));
+            if order.tasks.len() < before {
+                self.starts.retain(|order| !order.tasks.is_empty());
+                return true;
+            }
+        }
+        self.stops.push(run);
+        false
+    }
+
+    /// Tells whether there are orders to send.
+    pub(crate) fn has_orders(&self) -> bool {
+        self.in_flight.is_some() || !self.starts.is_empty() || !self.stops.is_empty()
+    }
+
+    /// Returns the orders to send now, or the ones whose fate is unknown once more.
+    pub(crate) fn take_orders(&mut self, from: ProcessKey) -> Option<Orders> {
+        let permit = self.permit;
+        let seen = self.seen;
+        if self.in_flight.is_none() {
+            if self.starts.is_empty() && self.stops.is_empty() {
+                return None;
+            }
+            self.next_number += 1;
+            self.in_flight = Some(Orders {
+                from,
+                number: self.next_number,
+                permit,
+                seen,
+                starts: std::mem::take(&mut self.starts),
+                stops: std::mem::take(&mut self.stops),
+            });
+        }
+        let orders = self.in_flight.as_mut()?;
+        orders.permit = permit;
+        orders.seen = seen;
+        Some(orders.clone())
+    }
+
+    /// Takes note that the agent has answered orders.
+    pub(crate) fn orders_answered(&mut self, number: u64) {
+        if self
+            .in_flight
+            .as_ref()
+            .is_some_and(|orders| orders.number == number)
+        {
+            self.in_flight = None;
+        }
+    }
+
+    /// Returns what orders that the view does not show yet will take up, and their work in core
+    /// milliseconds at a speed in thousandths.
+    pub(crate) fn pending(&self, speed_permille: u32) -> (Resources, u64) {
+        let sent = self.in_flight.iter().flat_map(|orders| &orders.starts);
+        let mut resources = Resources::default();
+        let mut work_core_ms = 0;
+        for order in sent.chain(&self.starts) {
+            for _ in &order.tasks {
+                resources = resources.with(&order.needs);
+            }
+            let task_ms = u64::from(order.estimate_ms) * 1_000 / u64::from(speed_permille.max(1));
+            let task_core_ms = u64::from(order.needs.cpu_millis) * task_ms / 1_000;
+            work_core_ms += task_core_ms * order.tasks.len() as u64;
+        }
+        (resources, work_core_ms)
+    }
+
+    pub(crate) fn status(&self, now_ms: u64) -> HostStatus {
+        HostStatus {
+            info: self.info.clone(),
+            is_connected: self.is_connected,
+            is_usable: self.is_usable(now_ms),
+            view_age_ms: now_ms.saturating_sub(self.permit_at_ms),
+            view: self.view.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/components/scheduling/src/placement.rs
@@ -0,0 +1,178 @@
+//! Where tasks run.
+//!
+//! Answers the pattern of many entries that place on the same hosts by views that are up to a
+//! few hundred milliseconds old, of hosts that differ in speed and size, and of jobs that are
+//! worth the same whenever their answer is in time: a task goes where it will surely be in time
+//! on the slowest such host, which keeps the fast hosts for the work that needs them; what cannot
+//! surely be in time goes where it ends first.
+
+use std::cmp::Ordering;
+use std::rc::Rc;
+
+use model::Resources;
+
+use crate::host::HostSlot;
+
+/// Factor by which a task may exceed its estimate and still be in time on a host that counts as
+/// safe; declared run times are off by about as much.
+const SAFETY: f64 = 1.5;
+
+/// Time that messages take on the way to a host and back, in milliseconds.
+const ROUND_TRIP_MS: f64 = 6.0;
+
+/// Width of the classes of speed within which hosts count as equal, in thousandths.
+const SPEED_CLASS_PERMILLE: u32 = 200;
+
+/// Width of the classes of waiting time within which hosts count as equal, in milliseconds.
+const WAIT_CLASS_MS: f64 = 10.0;
+
+/// A host that a task may be placed on.
+#[derive(Debug, Clone)]
+pub(crate) struct Candidate {
+    pub(crate) slot: HostSlot,
+    pub(crate) labels: Vec<Rc<str>>,
+    pub(crate) is_near: bool,
+    pub(crate) capacity: Resources,
+    pub(crate) free: Resources,
+    pub(crate) speed_permille: u32,
+    pub(crate) backlog_core_ms: u64,
+    pub(crate) waiting_core_ms: u64,
+    pub(crate) placed_here: u16,
+}
+
+/// What a task asks of its host.
+#[derive(Debug, Clone)]
+pub(crate) struct Wanted<'a> {
+    pub(crate) needs: Resources,
+    pub(crate) estimate_ms: u32,
+    pub(crate) limit_ms: u64,
+    pub(crate) required_label: Option<&'a Rc<str>>,
+    pub(crate) preferred_label: Option<&'a Rc<str>>,
+    pub(crate) far_factor: f64,
+    pub(crate) max_per_host: Option<u16>,
+    pub(crate) avoided: &'a [HostSlot],
+}
+
+/// A place for a task.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Choice {
+    pub(crate) host: HostSlot,
+    pub(crate) wait_ms: f64,
+    pub(crate) finish_ms: f64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+struct Rank {
+    tier: u8,
+    speed_class: u32,
+    wait_class: f64,
+    is_far: bool,
+    used_share: f64,
+    finish_ms: f64,
+}
+
+/// Chooses a host for a task and takes the task into account for the next choice.
+pub(crate) fn choose(candidates: &mut [Candidate], wanted: &Wanted<'_>) -> Option<Choice> {
+    let best = pick(candidates, wanted, true).or_else(|| pick(candidates, wanted, false));
+    let (at, choice) = best?;
+    candidates[at].take(wanted);
+    Some(choice)
+}
+
+fn pick(
+    candidates: &[Candidate],
+    wanted: &Wanted<'_>,
+    heeds_avoided: bool,
+) -> Option<(usize, Choice)> {
+    let mut best: Option<(Rank, usize, Choice)> = None;
+    for (at, candidate) in candidates.iter().enumerate() {
+        if !candidate.is_fit(wanted) || heeds_avoided && wanted.avoided.contains(&candidate.slot) {
+            continue;
+        }
+        let (rank, choice) = candidate.rank(wanted);
+        let is_better = best
+            .as_ref()
+            .is_none_or(|(best, ..)| rank.partial_cmp(best) == Some(Ordering::Less));
+        if is_better {
+            best = Some((rank, at, choice));
+        }
+    }
+    best.map(|(_, at, choice)| (at, choice))
+}
+
+impl Candidate {
+    fn is_fit(&self, wanted: &Wanted<'_>) -> bool {
+        let has_label = |label: &Rc<str>| self.labels.contains(label);
+        self.capacity.holds(&wanted.needs)
+            && wanted.required_label.is_none_or(has_label)
+            && wanted
+                .max_per_host
+                .is_none_or(|most| self.placed_here < most)
+    }
+
+    fn run_ms(&self, wanted: &Wanted<'_>) -> f64 {
+        let is_far = wanted
+            .preferred_label
+            .is_some_and(|label| !self.labels.contains(label));
+        let factor = if is_far { wanted.far_factor } else { 1.0 };
+        f64::from(wanted.estimate_ms) * factor * 1_000.0 / f64::from(self.speed_permille.max(1))
+    }
+
+    /// Estimates how long a task waits for room, in milliseconds.
+    ///
+    /// What runs ends evenly over twice its mean time left; what waits comes first.
+    fn wait_ms(&self, needs: &Resources) -> f64 {
+        if self.waiting_core_ms == 0 && self.free.holds(needs) {
+            return 0.0;
+        }
+        let cores = f64::from(self.capacity.cpu_millis.max(1)) / 1_000.0;
+        let running_core_ms = self.backlog_core_ms.saturating_sub(self.waiting_core_ms) as f64;
+        let missing_millis = needs.cpu_millis.saturating_sub(self.free.cpu_millis);
+        let missing_cores = f64::from(missing_millis.max(1)) / 1_000.0;
+        let first_end_ms = 2.0 * running_core_ms / cores * (missing_cores / cores);
+        first_end_ms + self.waiting_core_ms as f64 / cores
+    }
+
+    fn rank(&self, wanted: &Wanted<'_>) -> (Rank, Choice) {
+        let wait_ms = self.wait_ms(&wanted.needs);
+        let run_ms = self.run_ms(wanted);
+        let finish_ms = wait_ms + run_ms + ROUND_TRIP_MS;
+        let limit_ms = wanted.limit_ms as f64;
+        let is_safe = (wait_ms + run_ms) * SAFETY + ROUND_TRIP_MS <= limit_ms;
+        let used_millis =
+            self.capacity.cpu_millis - self.free.cpu_millis.min(self.capacity.cpu_millis);
+        let rank = Rank {
+            tier: u8::from(!is_safe),
+            speed_class: if is_safe {
+                self.speed_permille / SPEED_CLASS_PERMILLE
+            } else {
+                0
+            },
+            wait_class: if is_safe {
+                (wait_ms / WAIT_CLASS_MS).floor()
+            } else {
+                (finish_ms / WAIT_CLASS_MS).floor()
+            },
+            is_far: !self.is_near,
+            used_share: f64::from(used_millis) / f64::from(self.capacity.cpu_millis.max(1)),
+            finish_ms,
+        };
+        let choice = Choice {
+            host: self.slot,
+            wait_ms,
+            finish_ms,
+        };
+        (rank, choice)
+    }
+
+    fn take(&mut self, wanted: &Wanted<'_>) {
+        let core_ms = f64::from(wanted.needs.cpu_millis) * self.run_ms(wanted) / 1_000.0;
+        if self.free.holds(&wanted.needs) {
+            self.free = self.free.without(&wanted.needs);
+        } else {
+            self.waiting_core_ms += core_ms as u64;
+        }
+        self.backlog_core_ms += core_ms as u64;
+        self.placed_here += 1;
+    }
+}
--- /dev/null
+++ b/components/sidecar/src/calls.rs
@@ -0,0 +1,121 @@
+//! Calls of the target.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hosting::{CALL_TIMEOUT_MS, HoldOutcome, HostAction};
+use runtime::uptime_ms;
+
+use crate::process::Shared;
+
+/// Pause after a question that failed at once, in milliseconds.
+const RETRY_MS: u64 = 20;
+
+/// Performs one action.
+pub(crate) fn perform(shared: &Rc<Shared>, action: HostAction) {
+    let shared = Rc::clone(shared);
+    match action {
+        HostAction::Start { .. } => {
+            monoio::spawn(start(shared, action));
+        }
+        HostAction::Stop { .. } => {
+            monoio::spawn(stop(shared, action));
+        }
+    }
+}
+
+fn instance(shared: &Shared) -> Option<Rc<str>> {
+    let host = shared.host.borrow();
+    host.target().map(|target| Rc::clone(&target.instance))
+}
+
+async fn start(shared: Rc<Shared>, action: HostAction) {
+    let HostAction::Start {
+        task,
+        number,
+        specification,
+        lease_end_ms,
+        token,
+    } = action
+    else {
+        return;
+    };
+    let Some(instance) = instance(&shared) else {
+        return;
+    };
+    let request =
+        adapter::start_request(&instance, task, number, &specification, lease_end_ms, token);
+    let limit = Duration::from_millis(CALL_TIMEOUT_MS);
+    let result = shared.target.call(&request, limit).await;
+    let outcome = adapter::start_outcome(&result);
+    shared.metrics.note_start(outcome);
+    if outcome != hosting::StartOutcome::Started {
+        log::info!(target: "sidecar", event = "start", id = task.job.as_str(), step = task.step,
+            task = task.index, run = number, outcome = format!("{outcome:?}");
+            "a start did not succeed");
+    }
+    shared.decide(|host, now_ms, actions| host.started(now_ms, task, number, outcome, actions));
+}
+
+async fn stop(shared: Rc<Shared>, action: HostAction) {
+    let HostAction::Stop {
+        task,
+        number,
+        token,
+    } = action
+    else {
+        return;
+    };
+    let Some(instance) = instance(&shared) else {
+        return;
+    };
+    let request = adapter::stop_request(&instance, task, number, token);
+    let limit = Duration::from_millis(CALL_TIMEOUT_MS);
+    let result = shared.target.call(&request, limit).await;
+    let is_answered = adapter::stop_is_answered(&result);
+    shared.metrics.note_stop(is_answered);
+    log::debug!(target: "sidecar", event = "stop", id = task.job.as_str(), step = task.step,
+        task = task.index, run = number, is_answered = is_answered; "a run was told to stop");
+    if is_answered {
+        shared.decide(|host, now_ms, _| host.stop_answered(now_ms, task, number));
+    }
+}
+
+/// Asks the target for its runs without end, and renews their lease by it.
+pub(crate) async fn hold(shared: Rc<Shared>) {
+    let mut is_reachable = true;
+    loop {
+        let request = shared.decide(|host, now_ms, actions| host.hold_request(now_ms, actions));
+        let instance = instance(&shared);
+        let limit = Duration::from_millis(request.wait_ms + CALL_TIMEOUT_MS);
+        let sent_at_ms = uptime_ms();
+        let call = adapter::hold_request(instance.as_deref(), &request);
+        let result = shared.target.call(&call, limit).await;
+        let outcome = adapter::hold_outcome(&result);
+        shared.metrics.note_hold(&outcome);
+        let is_held = matches!(outcome, HoldOutcome::Held(_));
+        if is_held != is_reachable {
+            log_reachability(&outcome);
+        }
+        is_reachable = is_held;
+        shared.decide(|host, now_ms, actions| host.held(now_ms, sent_at_ms, outcome, actions));
+        if !is_held && uptime_ms().saturating_sub(sent_at_ms) < RETRY_MS {
+            monoio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+        }
+    }
+}
+
+fn log_reachability(outcome: &HoldOutcome) {
+    let reason = match outcome {
+        HoldOutcome::Held(_) => {
+            log::info!(target: "sidecar", event = "target_regained"; "the target answers again");
+            return;
+        }
+        HoldOutcome::StaleToken => "stale_token",
+        HoldOutcome::OtherIncarnation => "other_incarnation",
+        HoldOutcome::NobodyListens => "nobody_listens",
+        HoldOutcome::Unanswered => "unanswered",
+    };
+    log::warn!(target: "sidecar", event = "target_lost", reason = reason;
+        "the target does not answer");
+}
--- /dev/null
+++ b/components/sidecar/src/entries.rs
@@ -0,0 +1,42 @@
+//! Calls of entries.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use model::{News, NewsRequest};
+use monoio::net::TcpListener;
+use protocol::{ServerSettings, serve_host};
+use runtime::uptime_ms;
+
+use crate::process::Shared;
+
+/// Serves entries.
+pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+    let closing = Rc::clone(&shared);
+    let settings = ServerSettings::builder(shared.key)
+        .counters(shared.links.clone())
+        .traffic(shared.traffic.clone())
+        .closed(move |entry| {
+            log::info!(target: "sidecar", event = "link_down", entry = entry.to_string();
+                "an entry's connection has ended");
+            closing.decide(|host, now_ms, _| host.link_closed(now_ms, entry));
+        })
+        .build();
+    let ordered = Rc::clone(&shared);
+    let order =
+        move |orders| ordered.decide(|host, now_ms, actions| host.order(now_ms, orders, actions));
+    let news = move |request| answer_with_news(Rc::clone(&shared), request);
+    serve_host(listener, settings, order, news).await;
+}
+
+async fn answer_with_news(shared: Rc<Shared>, request: NewsRequest) -> News {
+    shared.decide(|host, now_ms, actions| host.question(now_ms, &request, actions));
+    let has_news = || {
+        let host = shared.host.borrow();
+        host.has_news(request.from, request.seen).then_some(())
+    };
+    let wait = Duration::from_millis(u64::from(request.wait_ms));
+    // Without news the answer still brings the view and a permit.
+    let _ = monoio::time::timeout(wait, shared.news.wait_until(has_news)).await;
+    shared.host.borrow().news(uptime_ms(), request.from)
+}
--- /dev/null
+++ b/components/sidecar/src/metrics.rs
@@ -0,0 +1,98 @@
+//! Metrics of an agent.
+
+use std::rc::Rc;
+
+use hosting::{HoldOutcome, StartOutcome};
+use monoio::net::TcpListener;
+use runtime::prometheus::{IntCounterVec, IntGauge};
+use runtime::{Metrics, MetricsError};
+use web::{Response, ServerLimits, Stop};
+
+use crate::process::Shared;
+
+/// The metrics of an agent.
+pub(crate) struct SidecarMetrics {
+    metrics: Metrics,
+    target_calls: IntCounterVec,
+    waiting: IntGauge,
+    running: IntGauge,
+    log_lines_left_out: IntGauge,
+}
+
+impl SidecarMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a name is malformed or taken.
+    pub(crate) fn new() -> Result<Self, MetricsError> {
+        let metrics = Metrics::new();
+        Ok(Self {
+            target_calls: metrics.counter_vec(
+                "shallotcross_sidecar_target_calls_total",
+                "Calls of the target by kind and result.",
+                &["call", "result"],
+            )?,
+            waiting: metrics.gauge("shallotcross_sidecar_waiting_tasks", "Tasks that wait.")?,
+            running: metrics.gauge("shallotcross_sidecar_running_tasks", "Tasks that run.")?,
+            log_lines_left_out: metrics.gauge(
+                "shallotcross_sidecar_log_lines_left_out",
+                "Log lines left out because of their number or a slow reader.",
+            )?,
+            metrics,
+        })
+    }
+
+    /// Counts a start.
+    pub(crate) fn note_start(&self, outcome: StartOutcome) {
+        let result = match outcome {
+            StartOutcome::Started => "ok",
+            StartOutcome::Refused(why) => why.into(),
+            StartOutcome::Unanswered => "unanswered",
+        };
+        self.target_calls
+            .with_label_values(&["start", result])
+            .inc();
+    }
+
+    /// Counts a stop.
+    pub(crate) fn note_stop(&self, is_answered: bool) {
+        let result = if is_answered { "ok" } else { "unanswered" };
+        self.target_calls.with_label_values(&["stop", result]).inc();
+    }
+
+    /// Counts a question for the target's runs.
+    pub(crate) fn note_hold(&self, outcome: &HoldOutcome) {
+        let result = match outcome {
+            HoldOutcome::Held(_) => "ok",
+            HoldOutcome::StaleToken => "stale_token",
+            HoldOutcome::OtherIncarnation => "other_incarnation",
+            HoldOutcome::NobodyListens => "nobody_listens",
+            HoldOutcome::Unanswered => "unanswered",
+        };
+        self.target_calls.with_label_values(&["hold", result]).inc();
+    }
+
+    fn encode(&self, shared: &Shared) -> Result<String, MetricsError> {
+        let (waiting, running) = shared.host.borrow().counts();
+        self.waiting.set(waiting as i64);
+        self.running.set(running as i64);
+        let counts = runtime::log_counts();
+        let left_out = counts.over_rate + counts.over_buffer;
+        self.log_lines_left_out.set(left_out as i64);
+        self.metrics.encode()
+    }
+}
+
+/// Serves the metrics.
+pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+    let limits = ServerLimits::builder().max_connections(16).build();
+    web::serve(listener, limits, Rc::default(), Stop::new(), move |_, _| {
+        let response = match shared.metrics.encode(&shared) {
+            Ok(text) => Response::text(200, text),
+            Err(error) => Response::error(500, &error.to_string()),
+        };
+        async move { response }
+    })
+    .await;
+}
--- /dev/null
+++ b/components/sidecar/src/process.rs
@@ -0,0 +1,187 @@
+//! The process: its ports, its loop, and its planned stop.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use config::SidecarSettings;
+use errors::{Error, ExitCode};
+use hosting::{Host, HostAction};
+use model::ProcessKey;
+use monoio::net::TcpListener;
+use platform::Store;
+use protocol::{LinkCounters, Traffic};
+use runtime::{Signals, Stop, monotonic_us, unix_ms, uptime_ms};
+use serde_json::{Value, json};
+use web::{Client, Notify};
+
+use crate::metrics::SidecarMetrics;
+
+/// Interval of the timers of the decisions, in milliseconds: a small part of the shortest tasks.
+const TICK_MS: u64 = 20;
+
+/// Connections to the target; each start, stop and question uses one.
+const TARGET_CONNECTIONS: usize = 32;
+
+/// How long a call of the store may take, in milliseconds; the usual answer takes 4.
+const STORE_TIMEOUT_MS: u64 = 500;
+
+/// What the tasks of the process share.
+pub(crate) struct Shared {
+    pub(crate) settings: SidecarSettings,
+    pub(crate) key: ProcessKey,
+    pub(crate) host: RefCell<Host>,
+    pub(crate) target: Client,
+    pub(crate) store: Store,
+    pub(crate) news: Notify,
+    pub(crate) is_draining: Cell<bool>,
+    pub(crate) metrics: SidecarMetrics,
+    pub(crate) links: LinkCounters,
+    pub(crate) traffic: Traffic,
+}
+
+/// An agent whose ports are open.
+pub struct SidecarProcess {
+    shared: Rc<Shared>,
+    reports: TcpListener,
+    entries: TcpListener,
+    metrics: Option<TcpListener>,
+}
+
+impl SidecarProcess {
+    /// Opens the ports.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a port cannot be opened or a metric cannot be registered.
+    pub fn bind(settings: SidecarSettings) -> Result<Self, Error> {
+        let reports = open("reports_address", settings.reports_address)?;
+        let entries = open("peer_address", settings.peer_address)?;
+        let metrics = settings
+            .metrics_address
+            .map(|address| open("metrics_address", address));
+        let metrics = metrics.transpose()?;
+        let key = runtime::draw_process_key();
+        let shared = Shared {
+            key,
+            // Above the token of an earlier agent, unless the clock was set back; the target
+            // refuses a token that is too low, and it is raised.
+            host: RefCell::new(Host::new(key, unix_ms())),
+            target: Client::new(settings.target_address, TARGET_CONNECTIONS),
+            store: Store::new(settings.store_address, STORE_TIMEOUT_MS),
+            news: Notify::default(),
+            is_draining: Cell::new(false),
+            metrics: SidecarMetrics::new()
+                .map_err(|error| Error::new(ExitCode::Failure, error.to_string()))?,
+            links: LinkCounters::default(),
+            traffic: Traffic::default(),
+            settings,
+        };
+        Ok(Self {
+            shared: Rc::new(shared),
+            reports,
+            entries,
+            metrics,
+        })
+    }
+
+    /// Returns a closure that gives the state as JSON, for dumps on a signal.
+    pub fn state(&self) -> impl Fn() -> Value + use<> {
+        let shared = Rc::clone(&self.shared);
+        move || shared.state()
+    }
+
+    /// Runs until `drain` is stopped and the runs have ended.
+    pub async fn run(self, drain: Stop, signals: Signals) {
+        let shared = self.shared;
+        log::info!(target: "sidecar", event = "started", agent = shared.key.to_string(),
+            host = shared.settings.name.as_str(),
+            failure_domain = shared.settings.failure_domain.as_str(); "agent started");
+        monoio::spawn(crate::reports::serve(Rc::clone(&shared), self.reports));
+        monoio::spawn(crate::entries::serve(Rc::clone(&shared), self.entries));
+        if let Some(listener) = self.metrics {
+            monoio::spawn(crate::metrics::serve(Rc::clone(&shared), listener));
+        }
+        monoio::spawn(crate::registration::keep(Rc::clone(&shared)));
+        monoio::spawn(crate::calls::hold(Rc::clone(&shared)));
+        monoio::spawn(reload_on_signal(signals));
+        monoio::spawn(turn(Rc::clone(&shared)));
+        drain.stopped().await;
+        shared.is_draining.set(true);
+        let (waiting, running) = shared.host.borrow().counts();
+        log::info!(target: "sidecar", event = "draining", waiting = waiting, running = running;
+            "planned stop began");
+        shared.decide(|host, now_ms, actions| host.stop(now_ms, actions));
+        let until_us = monotonic_us() + shared.settings.drain_timeout_ms * 1_000;
+        while !shared.host.borrow().is_idle() && monotonic_us() < until_us {
+            monoio::time::sleep(Duration::from_millis(TICK_MS)).await;
+        }
+        // The entries still have to fetch the last ends.
+        monoio::time::sleep(Duration::from_millis(2 * TICK_MS)).await;
+        let is_idle = shared.host.borrow().is_idle();
+        log::info!(target: "sidecar", event = "stopped", is_complete = is_idle; "agent stopped");
+        runtime::flush_log();
+    }
+}
+
+fn open(key: &str, address: SocketAddr) -> Result<TcpListener, Error> {
+    web::bind(address).map_err(|error| {
+        Error::new(
+            ExitCode::Unavailable,
+            format!("cannot listen on {address}: {error}"),
+        )
+        .at(key)
+        .with_remedy("free the port or name another one")
+    })
+}
+
+async fn turn(shared: Rc<Shared>) {
+    loop {
+        shared.decide(|host, now_ms, actions| host.tick(now_ms, actions));
+        runtime::flush_log();
+        monoio::time::sleep(Duration::from_millis(TICK_MS)).await;
+    }
+}
+
+async fn reload_on_signal(signals: Signals) {
+    loop {
+        if signals.take_reload_request() {
+            // What the settings hold is bound at the start.
+            log::info!(target: "sidecar", event = "reload",
+                is_changed = false; "settings are read at the next start");
+        }
+        monoio::time::sleep(Duration::from_millis(runtime::SIGNAL_POLL_MS)).await;
+    }
+}
+
+impl Shared {
+    /// Lets the decisions take an event and performs what they ask for.
+    pub(crate) fn decide<T>(
+        self: &Rc<Self>,
+        event: impl FnOnce(&mut Host, u64, &mut Vec<HostAction>) -> T,
+    ) -> T {
+        let mut actions = Vec::new();
+        let result = event(&mut self.host.borrow_mut(), uptime_ms(), &mut actions);
+        for action in actions {
+            crate::calls::perform(self, action);
+        }
+        self.news.notify_all();
+        result
+    }
+
+    fn state(&self) -> Value {
+        let host = self.host.borrow();
+        let (waiting, running) = host.counts();
+        let news = host.news(uptime_ms(), self.key);
+        json!({
+            "agent": self.key.to_string(),
+            "is_draining": self.is_draining.get(),
+            "target": host.target().map(|target| target.instance.to_string()),
+            "token": host.token(),
+            "waiting": waiting,
+            "running": running,
+            "view": news.view,
+        })
+    }
+}
--- a/components/web/src/connection.rs
+++ b/components/web/src/connection.rs
@@ -11,6 +11,9 @@
 
 const READ_BYTES: usize = 8 * 1024;
 
+/// Bytes of further requests that are read while one is handled.
+const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+
 /// Bytes of chunk framing allowed in the buffer beside the data.
 const CHUNK_FRAMING_BYTES: usize = 64;
 
@@ -73,6 +76,18 @@
         Ok(count)
     }
 
+    /// Waits until the peer has closed the connection; further requests stay in the buffer.
+    pub(crate) async fn closed(&mut self) {
+        while self.buffer.len() < MAX_PIPELINED_BYTES {
+            match self.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+        // A peer that sends so much ahead is not watched; it has not closed.
+        std::future::pending::<()>().await;
+    }
+
     async fn fill_within_message(&mut self) -> Result<(), ReadError> {
         match self.fill().await {
             Ok(0) => Err(ReadError::Broken("closed within a message".to_owned())),
--- a/components/web/src/counters.rs
+++ b/components/web/src/counters.rs
@@ -27,6 +27,8 @@
     pub broken: Cell<u64>,
     /// Responses that the client did not read in time.
     pub slow_readers: Cell<u64>,
+    /// Requests whose client closed the connection before the response.
+    pub abandoned: Cell<u64>,
 }
 
 impl ServerCounters {
@@ -43,6 +45,7 @@
             ("idle_closed", self.idle_closed.get()),
             ("broken", self.broken.get()),
             ("slow_reader", self.slow_readers.get()),
+            ("abandoned", self.abandoned.get()),
         ]
         .into_iter()
     }
--- a/components/web/src/limits.rs
+++ b/components/web/src/limits.rs
@@ -15,6 +15,8 @@
     pub read_timeout_ms: u64,
     /// How long the client may take to read a response or one line of a stream, in milliseconds.
     pub write_timeout_ms: u64,
+    /// Whether the handler is dropped as soon as its client closes the connection.
+    pub drops_abandoned: bool,
 }
 
 /// Largest value for `max_header_bytes`; the codec handles no longer header names.
@@ -29,6 +31,7 @@
             idle_timeout_ms: 60_000,
             read_timeout_ms: 10_000,
             write_timeout_ms: 10_000,
+            drops_abandoned: false,
         }
     }
 }
@@ -81,6 +84,13 @@
         self
     }
 
+    /// Sets whether the handler is dropped as soon as its client closes the connection.
+    #[must_use]
+    pub fn drops_abandoned(mut self, value: bool) -> Self {
+        self.0.drops_abandoned = value;
+        self
+    }
+
     /// Sets the timeout for writing a response, in milliseconds.
     #[must_use]
     pub fn write_timeout_ms(mut self, value: u64) -> Self {
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -19,7 +19,7 @@
 use crate::line_channel::LineReceiver;
 use crate::message::{Delivery, Request, Response};
 use crate::notify::Notify;
-use crate::request_reader::{ReadRequest, read_request};
+use crate::request_reader::{ReadRequest, asks_to_close, read_request};
 use crate::respond::{WriteError, linger, write_response, write_stream};
 use crate::stop::Stop;
 
@@ -59,7 +59,8 @@
 /// Malformed, oversized and slow requests get an error response with a JSON body and
 /// the connection is closed; connections beyond the limit get status 503. A client
 /// that disconnects while the handler runs is noticed when the response is written,
-/// and at once when the response is a stream. A stop ends streams.
+/// and at once when the response is a stream or the limits say so. A stop ends streams.
+/// A response that asks for it closes its connection.
 pub async fn serve<H, F>(
     listener: TcpListener,
     limits: ServerLimits,
@@ -172,7 +173,10 @@
             };
             increment(&self.counters.requests);
             let head_only = read.request.method == Method::HEAD;
-            let mut response = (self.handler)(read.request, peer).await;
+            let Some(mut response) = self.handle(&mut connection, read.request, peer).await else {
+                increment(&self.counters.abandoned);
+                return;
+            };
             match std::mem::replace(&mut response.delivery, Delivery::Body) {
                 Delivery::Body => {}
                 Delivery::Disconnect => return,
@@ -183,13 +187,33 @@
             if head_only {
                 response.body.clear();
             }
-            let keep_alive = read.keep_alive && !self.stop.is_stopped();
+            let keep_alive =
+                read.keep_alive && !self.stop.is_stopped() && !asks_to_close(&response.headers);
             if !self.respond(&mut connection, response, keep_alive).await {
                 return;
             }
         }
     }
 
+    /// Returns the handler's response, or nothing if the client has closed the connection.
+    async fn handle(
+        &self,
+        connection: &mut Connection,
+        request: Request,
+        peer: SocketAddr,
+    ) -> Option<Response> {
+        let response = (self.handler)(request, peer);
+        if !self.limits.drops_abandoned {
+            return Some(response.await);
+        }
+        let response = pin!(response);
+        let closed = pin!(connection.closed());
+        match select(response, closed).await {
+            Either::Left((response, _)) => Some(response),
+            Either::Right(_) => None,
+        }
+    }
+
     /// Waits for the first byte of a request; `false` if the connection is to be closed.
     async fn wait_for_request(&self, connection: &mut Connection) -> bool {
         if !connection.buffered().is_empty() {
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -7,6 +7,7 @@
 use errors::{ExitCode, Result};
 use getopts::Options;
 
+use super::sidecar;
 use crate::cli::{Usage, print, version};
 use crate::process::serve;
 
@@ -18,6 +19,11 @@
     if args.iter().any(|arg| arg == "--version" || arg == "-V") {
         return print(&version(NAME));
     }
+    if let Some((name, rest)) = args.split_first()
+        && name == sidecar::NAME
+    {
+        return sidecar::run(rest);
+    }
     let Some(arguments) = usage().parse(args)? else {
         return Ok(ExitCode::Ok);
     };
@@ -33,6 +39,7 @@
     let mut options = Options::new();
     options.reqopt("s", "settings", "settings of the agent, in TOML", "FILE");
     options.optflag("V", "version", "print the version");
-    let summary = "Runs the process beside a target. SIGTERM drains it, SIGUSR1 dumps its state.";
+    let summary = "Runs the process beside a target. SIGTERM drains it, SIGUSR1 dumps its state.\n\
+                   `shallotcross-agent sidecar` runs it on the users' platform.";
     Usage::new(NAME, &[], summary, options)
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,10 +7,12 @@
 mod demo;
 mod drain;
 mod dump;
+mod gateway;
 mod job;
 mod publish;
 mod serve;
 mod show;
+mod sidecar;
 mod status;
 mod submit;
 
@@ -32,6 +34,7 @@
 
 const COMMANDS: &[&Command] = &[
     &serve::COMMAND,
+    &gateway::COMMAND,
     &demo::COMMAND,
     &check::COMMAND,
     &publish::COMMAND,
