--- a/components/proof/src/world/entry.rs
+++ b/components/proof/src/world/entry.rs
@@ -305,7 +305,7 @@
         self.schedule_at(wait_us, Node::Entry(place), tick);
     }
 
-    fn ping_others(&mut self, place: Place) {
+    pub(super) fn ping_others(&mut self, place: Place) {
         let node = &self.entries[place];
         let ping = EntryEvent::Ping(node.dispatcher.info().clone(), node.stopping, place);
         for other in (0..ENTRIES).filter(|other| *other != place) {
--- a/components/proof/src/world/faults.rs
+++ b/components/proof/src/world/faults.rs
@@ -348,6 +348,8 @@
         node.dispatcher.drain();
         let key = node.key;
         self.record(EventKind::GracefulStop(key));
+        // Others are told at once, so that none hands a shard over to this entry.
+        self.ping_others(place);
         let limit = Event::Heal(Heal::LimitStop(place, key));
         self.schedule_at(STOP_LIMIT_US, Node::Entry(place), limit);
     }
