Model the served systems around the decisions, and keep promises under faults

The world plays entries, agents, targets with leases, clients that come back and 13 kinds of faults on a simulated clock. Cause: the resend took the newest permit and did not know that its run had been given up. Change: giving up a run takes its order back.

--- a/components/scheduling/src/host.rs
+++ b/components/scheduling/src/host.rs
@@ -155,23 +155,21 @@
     /// Adds a stop; an order that has not left yet is taken back instead. Tells whether the run
     /// has surely not started.
     pub(crate) fn push_stop(&mut self, run: RunId) -> bool {
-        for order in &mut self.starts {
-            if order.job != run.task.job || order.step != run.task.step {
-                continue;
-            }
-            let before = order.tasks.len();
-            order
-                .tasks
-                .retain(|task| *task != (run.task.index, run.attempt));
-            if order.tasks.len() < before {
-                self.starts.retain(|order| !order.tasks.is_empty());
-                return true;
-            }
+        if self.take_back(run) {
+            return true;
         }
         self.stops.push(run);
         false
     }
 
+    /// Keeps an order from being sent, or sent again; tells whether it has never been sent.
+    pub(crate) fn take_back(&mut self, run: RunId) -> bool {
+        if let Some(orders) = &mut self.in_flight {
+            remove_run(&mut orders.starts, run);
+        }
+        remove_run(&mut self.starts, run)
+    }
+
     /// Tells whether there are orders to send.
     pub(crate) fn has_orders(&self) -> bool {
         self.in_flight.is_some() || !self.starts.is_empty() || !self.stops.is_empty()
@@ -239,3 +237,19 @@
         }
     }
 }
+
+/// Removes a run from orders; tells whether it was there.
+fn remove_run(orders: &mut Vec<StartOrder>, run: RunId) -> bool {
+    let mut is_removed = false;
+    for order in orders.iter_mut() {
+        if order.job == run.task.job && order.step == run.task.step {
+            let before = order.tasks.len();
+            order
+                .tasks
+                .retain(|task| *task != (run.task.index, run.attempt));
+            is_removed |= order.tasks.len() < before;
+        }
+    }
+    orders.retain(|order| !order.tasks.is_empty());
+    is_removed
+}
--- a/components/scheduling/src/scheduler.rs
+++ b/components/scheduling/src/scheduler.rs
@@ -694,11 +694,11 @@
         let mut is_lost = false;
         for (run, place) in job.placed() {
             let Some(host) = self.hosts.get(place.host) else {
-                over.push(run);
+                over.push((run, place.host));
                 continue;
             };
             if host.is_over(now_ms, place.agent) {
-                over.push(run);
+                over.push((run, place.host));
                 continue;
             }
             let is_silent = host.agent != Some(place.agent) || !host.is_connected;
@@ -713,7 +713,11 @@
             self.answer(now_ms, slot, Verdict::Lost, actions);
             return;
         }
-        for run in over {
+        for (run, host) in over {
+            // An order that is still to be sent again must not start what runs elsewhere by then.
+            if let Some(host) = self.hosts.get_mut(host) {
+                host.take_back(run);
+            }
             self.note_started(slot, run);
             self.reopen(now_ms, slot, run, now_ms, actions);
         }
--- /dev/null
+++ b/components/sim/src/agent.rs
@@ -0,0 +1,721 @@
+//! Agents and their targets.
+
+use hosting::{
+    CALL_TIMEOUT_MS, HoldOutcome, Host, HostAction, StartOutcome, StartRefusal, TargetReport,
+};
+use model::{ProcessKey, TaskRef};
+use rand::Rng;
+use std::rc::Rc;
+
+use crate::event::Event;
+use crate::fault::{Fault, FaultKind};
+use crate::target::{Target, TargetStart};
+use crate::world::World;
+
+/// Interval of an agent's timer, in microseconds.
+const TICK_US: u64 = 20_000;
+
+/// Delay between an agent and the target beside it, in microseconds.
+const LOCAL_US: u64 = 200;
+
+/// Pause of an agent after a question that failed at once, in microseconds.
+const HOLD_RETRY_US: u64 = 20_000;
+
+/// Interval of a target's reports, in microseconds.
+const REPORT_US: u64 = 1_500_000;
+
+/// Time from a target's start to its first report, in microseconds.
+const FIRST_REPORT_US: u64 = 100_000;
+
+/// Delay of an order that is carried out late, in microseconds: least and most.
+const LATE_US: (u64, u64) = (100_000, 12_000_000);
+
+/// A question of an entry that waits for news.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OpenQuestion {
+    entry: usize,
+    epoch: u64,
+    call: u64,
+    from: ProcessKey,
+    seen: u64,
+}
+
+/// An agent and its target.
+pub(crate) struct AgentNode {
+    pub(crate) key: ProcessKey,
+    pub(crate) life: u32,
+    pub(crate) is_up: bool,
+    pub(crate) frozen_until_us: u64,
+    pub(crate) cut_until_us: u64,
+    pub(crate) host: Host,
+    pub(crate) target: Target,
+    pub(crate) late_share: f64,
+    questions: Vec<OpenQuestion>,
+    hold_call: u64,
+    open_hold: Option<(u64, u32, u64)>,
+    reports: u64,
+}
+
+impl World {
+    pub(crate) fn create_agent(&mut self, host: usize) {
+        let spec = self.deployment.targets[host].clone();
+        let target = Target::new(spec, self.now_us);
+        self.agents.push(AgentNode {
+            key: agent_key(host, 1),
+            life: 1,
+            is_up: true,
+            frozen_until_us: 0,
+            cut_until_us: 0,
+            host: Host::new(agent_key(host, 1), 1),
+            target,
+            late_share: 0.0,
+            questions: Vec::new(),
+            hold_call: 0,
+            open_hold: None,
+            reports: 0,
+        });
+        self.schedule(FIRST_REPORT_US, Event::Report { host });
+        self.start_loops(host);
+    }
+
+    fn start_loops(&mut self, host: usize) {
+        let life = self.agents[host].life;
+        self.schedule(TICK_US, Event::AgentTick { host, life });
+        self.schedule(LOCAL_US, Event::Hold { host, life });
+    }
+
+    fn restart_agent(&mut self, host: usize) {
+        let node = &mut self.agents[host];
+        node.life += 1;
+        node.key = agent_key(host, node.life);
+        node.is_up = true;
+        // The clock may have been set back: the first token may be too low.
+        node.host = Host::new(node.key, 1);
+        node.questions.clear();
+        node.open_hold = None;
+        self.start_loops(host);
+    }
+
+    pub(crate) fn agent_event(&mut self, event: Event) {
+        match event {
+            Event::Orders {
+                entry,
+                host,
+                epoch,
+                call,
+                orders,
+            } => {
+                if !self.agents[host].is_up {
+                    return;
+                }
+                let number = orders.number;
+                let news = self.decide(host, |host, now_ms, actions| {
+                    host.order(now_ms, orders, actions)
+                });
+                self.send_news(entry, host, epoch, call, Some(number), news);
+            }
+            Event::Question {
+                entry,
+                host,
+                epoch,
+                call,
+                request,
+            } => {
+                if !self.agents[host].is_up {
+                    return;
+                }
+                self.agents[host].questions.push(OpenQuestion {
+                    entry,
+                    epoch,
+                    call,
+                    from: request.from,
+                    seen: request.seen,
+                });
+                let life = self.agents[host].life;
+                let wait_us = u64::from(request.wait_ms) * 1_000;
+                self.schedule(wait_us, Event::QuestionDue { host, life, call });
+                self.decide(host, |host, now_ms, actions| {
+                    host.question(now_ms, &request, actions);
+                });
+            }
+            Event::QuestionDue { host, life, call } => {
+                if self.is_agent(host, life) {
+                    self.answer_questions(host, |question| question.call == call);
+                }
+            }
+            Event::LinkClosed { entry, host, life } => {
+                if self.is_agent(host, life) {
+                    let key = self.entries[entry].key;
+                    self.decide(host, |host, now_ms, _| host.link_closed(now_ms, key));
+                }
+            }
+            Event::AgentTick { host, life } => {
+                if self.is_agent(host, life) {
+                    self.decide(host, |host, now_ms, actions| host.tick(now_ms, actions));
+                    self.schedule(TICK_US, Event::AgentTick { host, life });
+                }
+            }
+            Event::Report { host } => self.report(host),
+            Event::StartResult {
+                host,
+                life,
+                task,
+                number,
+                outcome,
+            } => {
+                if self.is_agent(host, life) {
+                    self.decide(host, |host, now_ms, actions| {
+                        host.started(now_ms, task, number, outcome, actions);
+                    });
+                }
+            }
+            Event::StopResult {
+                host,
+                life,
+                task,
+                number,
+            } => {
+                if self.is_agent(host, life) {
+                    self.decide(host, |host, now_ms, _| {
+                        host.stop_answered(now_ms, task, number);
+                    });
+                }
+            }
+            Event::Hold { host, life } => {
+                if self.is_agent(host, life) {
+                    self.hold(host);
+                }
+            }
+            Event::HoldResult {
+                host,
+                life,
+                call,
+                sent_ms,
+                outcome,
+            } => self.held(host, life, call, sent_ms, outcome),
+            _ => self.target_event(event),
+        }
+    }
+
+    fn target_event(&mut self, event: Event) {
+        match event {
+            Event::TargetStart {
+                host,
+                life,
+                order,
+                is_answered,
+            } => {
+                let now_us = self.now_us;
+                if !self.agents[host].target.is_up {
+                    return;
+                }
+                self.settle_target(host);
+                let outcome = self.agents[host].target.start(now_us, &order);
+                self.note_start(host, &order, outcome);
+                if is_answered {
+                    let result = Event::StartResult {
+                        host,
+                        life,
+                        task: order.task,
+                        number: order.number,
+                        outcome,
+                    };
+                    self.schedule(LOCAL_US, result);
+                }
+            }
+            Event::TargetStop {
+                host,
+                life,
+                task,
+                number,
+                token,
+                is_answered,
+            } => {
+                if !self.agents[host].target.is_up {
+                    return;
+                }
+                self.settle_target(host);
+                let now_us = self.now_us;
+                self.agents[host].target.stop(now_us, task, number, token);
+                self.after_target(host);
+                if is_answered {
+                    let result = Event::StopResult {
+                        host,
+                        life,
+                        task,
+                        number,
+                    };
+                    self.schedule(LOCAL_US, result);
+                }
+            }
+            Event::HoldArrives {
+                host,
+                life,
+                call,
+                request,
+                sent_ms,
+            } => {
+                if !self.agents[host].target.is_up {
+                    let outcome = HoldOutcome::NobodyListens;
+                    self.schedule(
+                        LOCAL_US,
+                        Event::HoldResult {
+                            host,
+                            life,
+                            call,
+                            sent_ms,
+                            outcome,
+                        },
+                    );
+                    return;
+                }
+                self.settle_target(host);
+                let now_us = self.now_us;
+                if !self.agents[host].target.asked(now_us, &request) {
+                    let outcome = HoldOutcome::StaleToken;
+                    self.schedule(
+                        LOCAL_US,
+                        Event::HoldResult {
+                            host,
+                            life,
+                            call,
+                            sent_ms,
+                            outcome,
+                        },
+                    );
+                    return;
+                }
+                self.agents[host].open_hold = Some((call, life, sent_ms));
+                let wait_us = request.wait_ms * 1_000;
+                self.schedule(wait_us, Event::HoldDue { host, call });
+                self.after_target(host);
+            }
+            Event::HoldDue { host, call } => {
+                if self.agents[host]
+                    .open_hold
+                    .is_some_and(|open| open.0 == call)
+                {
+                    self.answer_hold(host);
+                }
+            }
+            Event::RunEnds { host } => {
+                if self.agents[host].target.is_up {
+                    self.settle_target(host);
+                    self.after_target(host);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn is_agent(&self, host: usize, life: u32) -> bool {
+        let node = &self.agents[host];
+        node.is_up && node.life == life
+    }
+
+    fn decide<T>(
+        &mut self,
+        host: usize,
+        event: impl FnOnce(&mut Host, u64, &mut Vec<HostAction>) -> T,
+    ) -> T {
+        let now_ms = self.now_ms();
+        let mut actions = Vec::new();
+        let result = event(&mut self.agents[host].host, now_ms, &mut actions);
+        for action in actions {
+            self.call_target(host, action);
+        }
+        let node = &self.agents[host];
+        let ready: Vec<u64> = node
+            .questions
+            .iter()
+            .filter(|question| node.host.has_news(question.from, question.seen))
+            .map(|question| question.call)
+            .collect();
+        if !ready.is_empty() {
+            self.answer_questions(host, |question| ready.contains(&question.call));
+        }
+        result
+    }
+
+    fn answer_questions(&mut self, host: usize, is_due: impl Fn(&OpenQuestion) -> bool) {
+        let questions = std::mem::take(&mut self.agents[host].questions);
+        for question in questions {
+            if !is_due(&question) {
+                self.agents[host].questions.push(question);
+                continue;
+            }
+            let news = self.agents[host].host.news(self.now_ms(), question.from);
+            self.send_news(
+                question.entry,
+                host,
+                question.epoch,
+                question.call,
+                None,
+                news,
+            );
+        }
+    }
+
+    fn send_news(
+        &mut self,
+        entry: usize,
+        host: usize,
+        epoch: u64,
+        call: u64,
+        orders: Option<u64>,
+        news: model::News,
+    ) {
+        let at_us = self.arrival_us(entry, host);
+        self.report.messages += 1;
+        self.schedule_at(
+            at_us,
+            Event::News {
+                entry,
+                host,
+                epoch,
+                call,
+                orders,
+                news,
+            },
+        );
+    }
+
+    fn call_target(&mut self, host: usize, action: HostAction) {
+        let late_share = self.agents[host].late_share;
+        let is_late = late_share > 0.0 && self.rng.random::<f64>() < late_share;
+        let late_us = self.rng.random_range(LATE_US.0..=LATE_US.1);
+        let delay_us = if is_late { late_us } else { LOCAL_US };
+        let life = self.agents[host].life;
+        let timeout_us = CALL_TIMEOUT_MS * 1_000;
+        match action {
+            HostAction::Start {
+                task,
+                number,
+                lease_end_ms,
+                token,
+                ..
+            } => {
+                let job = &self.jobs[self.job_of[&task.job]];
+                let order = TargetStart {
+                    task,
+                    number,
+                    needs: job.request.steps[0].needs,
+                    work_us: job.work_us[usize::from(task.index)],
+                    lease_end_ms,
+                    token,
+                };
+                let is_answered = !is_late && self.agents[host].target.is_up;
+                if !is_answered {
+                    let outcome = StartOutcome::Unanswered;
+                    let result = Event::StartResult {
+                        host,
+                        life,
+                        task,
+                        number,
+                        outcome,
+                    };
+                    self.schedule(timeout_us, result);
+                }
+                let arrives = Event::TargetStart {
+                    host,
+                    life,
+                    order,
+                    is_answered,
+                };
+                self.schedule(delay_us, arrives);
+            }
+            HostAction::Stop {
+                task,
+                number,
+                token,
+            } => {
+                let arrives = Event::TargetStop {
+                    host,
+                    life,
+                    task,
+                    number,
+                    token,
+                    is_answered: !is_late,
+                };
+                self.schedule(delay_us, arrives);
+            }
+        }
+    }
+
+    fn hold(&mut self, host: usize) {
+        let request = self.decide(host, |host, now_ms, actions| {
+            host.hold_request(now_ms, actions)
+        });
+        let call = self.new_call();
+        let sent_ms = self.now_ms();
+        let node = &mut self.agents[host];
+        node.hold_call = call;
+        let life = node.life;
+        let is_late = node.late_share > 0.0 && self.rng.random::<f64>() < node.late_share;
+        let limit_us = (request.wait_ms + CALL_TIMEOUT_MS) * 1_000;
+        if !is_late {
+            let arrives = Event::HoldArrives {
+                host,
+                life,
+                call,
+                request,
+                sent_ms,
+            };
+            self.schedule(LOCAL_US, arrives);
+        }
+        let outcome = HoldOutcome::Unanswered;
+        let given_up = Event::HoldResult {
+            host,
+            life,
+            call,
+            sent_ms,
+            outcome,
+        };
+        self.schedule(limit_us, given_up);
+    }
+
+    fn held(&mut self, host: usize, life: u32, call: u64, sent_ms: u64, outcome: HoldOutcome) {
+        if !self.is_agent(host, life) || self.agents[host].hold_call != call {
+            return;
+        }
+        self.agents[host].hold_call = 0;
+        let is_held = matches!(outcome, HoldOutcome::Held(_));
+        self.decide(host, |host, now_ms, actions| {
+            host.held(now_ms, sent_ms, outcome, actions);
+        });
+        let pause_us = if is_held { 0 } else { HOLD_RETRY_US };
+        self.schedule(pause_us, Event::Hold { host, life });
+    }
+
+    fn answer_hold(&mut self, host: usize) {
+        let Some((call, life, sent_ms)) = self.agents[host].open_hold.take() else {
+            return;
+        };
+        let outcome = self.agents[host].target.answer(self.now_us);
+        let result = Event::HoldResult {
+            host,
+            life,
+            call,
+            sent_ms,
+            outcome,
+        };
+        self.schedule(LOCAL_US, result);
+    }
+
+    fn settle_target(&mut self, host: usize) {
+        let now_us = self.now_us;
+        let before: Vec<TaskRef> = self.agents[host].target.runs.keys().copied().collect();
+        self.agents[host].target.settle(now_us);
+        for task in before {
+            if !self.agents[host].target.runs.contains_key(&task) {
+                self.note_end(host, task);
+            }
+        }
+    }
+
+    fn after_target(&mut self, host: usize) {
+        let gone: Vec<TaskRef> = self
+            .running
+            .iter()
+            .filter(|(task, places)| {
+                places.iter().any(|(at, _)| *at == host)
+                    && !self.agents[host].target.runs.contains_key(task)
+            })
+            .map(|(task, _)| *task)
+            .collect();
+        for task in gone {
+            self.note_end(host, task);
+        }
+        let node = &self.agents[host];
+        if node.open_hold.is_some() && node.target.has_ends() {
+            self.answer_hold(host);
+        }
+        if let Some(at_us) = self.agents[host].target.next_end_us() {
+            self.schedule_at(at_us.max(self.now_us), Event::RunEnds { host });
+        }
+    }
+
+    fn note_start(&mut self, host: usize, order: &TargetStart, outcome: StartOutcome) {
+        if outcome == StartOutcome::Refused(StartRefusal::NoRoom) {
+            self.report.rejected_starts += 1;
+        }
+        let is_known = self
+            .running
+            .get(&order.task)
+            .is_some_and(|places| places.iter().any(|(at, _)| *at == host));
+        if outcome != StartOutcome::Started || is_known {
+            self.after_target(host);
+            return;
+        }
+        self.report.starts += 1;
+        let elsewhere: Vec<usize> = self
+            .running
+            .get(&order.task)
+            .into_iter()
+            .flatten()
+            .map(|(at, _)| *at)
+            .filter(|at| self.agents[*at].target.is_up)
+            .collect();
+        if let Some(other) = elsewhere.first() {
+            let task = order.task;
+            self.violated(format!(
+                "task {task:?} starts on host {host} while it runs on host {other}"
+            ));
+        }
+        let now_us = self.now_us;
+        self.running
+            .entry(order.task)
+            .or_default()
+            .push((host, now_us));
+        let job = self.job_of[&order.task.job];
+        let job = &mut self.jobs[job];
+        job.has_started = true;
+        if job.was_refused > 0 && job.was_refused == job.copies {
+            let id = job.id;
+            self.violated(format!("job {id} starts after it was refused as not run"));
+        }
+        self.after_target(host);
+    }
+
+    fn note_end(&mut self, host: usize, task: TaskRef) {
+        let Some(places) = self.running.get_mut(&task) else {
+            return;
+        };
+        let Some(at) = places.iter().position(|(at, _)| *at == host) else {
+            return;
+        };
+        let (_, started_us) = places.swap_remove(at);
+        if places.is_empty() {
+            self.running.remove(&task);
+        }
+        let job = &self.jobs[self.job_of[&task.job]];
+        let cores = f64::from(job.request.steps[0].needs.cpu_millis) / 1_000.0;
+        let used = cores * (self.now_us - started_us) as f64 / 1_000_000.0;
+        self.report.used_core_s += used;
+        if job.is_over {
+            self.report.wasted_core_s += used;
+        }
+    }
+
+    fn report(&mut self, host: usize) {
+        self.schedule(REPORT_US, Event::Report { host });
+        let node = &mut self.agents[host];
+        if !node.target.is_up || !node.is_up {
+            return;
+        }
+        node.reports += 1;
+        let report = TargetReport {
+            instance: Rc::from("target"),
+            born_unix_ms: node.target.born_unix_ms,
+            sequence: node.reports,
+            group: Rc::from("group"),
+            labels: Vec::new(),
+            capacity: node.target.spec.capacity,
+            is_draining: false,
+        };
+        self.decide(host, |host, now_ms, actions| {
+            host.report(now_ms, report, actions);
+        });
+    }
+
+    pub(crate) fn begin_fault(&mut self, fault: &Fault) {
+        let until_us = self.now_us + fault.for_ms * 1_000;
+        let place = fault.place;
+        match fault.kind {
+            FaultKind::KillEntry => self.end_entry(place, true),
+            FaultKind::PowerOffEntry => self.end_entry(place, false),
+            FaultKind::FreezeEntry => self.entries[place].frozen_until_us = until_us,
+            FaultKind::KillAgent => self.kill_agent(place),
+            FaultKind::FreezeAgent => self.agents[place].frozen_until_us = until_us,
+            FaultKind::CutEntry => self.entries[place].cut_until_us = until_us,
+            FaultKind::CutHost => self.agents[place].cut_until_us = until_us,
+            FaultKind::ResetHost => {
+                for entry in 0..self.entries.len() {
+                    self.disconnect(entry, place);
+                }
+            }
+            FaultKind::CrashTarget => {
+                self.agents[place].target.crash();
+                self.after_target(place);
+            }
+            FaultKind::HangTarget => self.agents[place].target.hangs = true,
+            FaultKind::FailTarget => self.agents[place].target.fails = true,
+            FaultKind::SlowTarget => self.agents[place].target.slowdown = fault.strength,
+            FaultKind::LateOrders => self.agents[place].late_share = fault.strength,
+        }
+    }
+
+    pub(crate) fn end_fault(&mut self, fault: &Fault) {
+        let place = fault.place;
+        let now_us = self.now_us;
+        match fault.kind {
+            FaultKind::KillEntry | FaultKind::PowerOffEntry => {
+                if !self.entries[place].is_up {
+                    self.create_entry(place);
+                }
+            }
+            FaultKind::KillAgent => {
+                if !self.agents[place].is_up {
+                    self.restart_agent(place);
+                }
+            }
+            FaultKind::CrashTarget => {
+                if !self.agents[place].target.is_up {
+                    self.agents[place].target.restart(now_us);
+                }
+            }
+            FaultKind::HangTarget => self.agents[place].target.hangs = false,
+            FaultKind::FailTarget => self.agents[place].target.fails = false,
+            FaultKind::SlowTarget => self.agents[place].target.slowdown = 1.0,
+            FaultKind::LateOrders => self.agents[place].late_share = 0.0,
+            FaultKind::FreezeEntry
+            | FaultKind::FreezeAgent
+            | FaultKind::CutEntry
+            | FaultKind::CutHost
+            | FaultKind::ResetHost => {}
+        }
+    }
+
+    /// Ends an entry; clients hear of it only if its host lives.
+    fn end_entry(&mut self, entry: usize, is_heard: bool) {
+        if !self.entries[entry].is_up {
+            return;
+        }
+        self.entries[entry].is_up = false;
+        let waiting = std::mem::take(&mut self.entries[entry].waiting);
+        for host in 0..self.agents.len() {
+            self.links[entry][host].is_connected = false;
+            self.links[entry][host].epoch += 1;
+            if is_heard {
+                self.tell_closed(entry, host);
+            }
+        }
+        let mut jobs: Vec<usize> = waiting.into_values().collect();
+        jobs.sort_unstable();
+        for job in jobs {
+            // Without a reset the client learns of the loss by its own time limit.
+            self.jobs[job].entry = None;
+            if is_heard {
+                self.lost_copy(job);
+            }
+        }
+    }
+
+    fn kill_agent(&mut self, host: usize) {
+        if !self.agents[host].is_up {
+            return;
+        }
+        self.agents[host].is_up = false;
+        self.agents[host].questions.clear();
+        for entry in 0..self.entries.len() {
+            let is_up = self.entries[entry].is_up;
+            if is_up && !self.is_cut(entry, host) {
+                self.disconnect(entry, host);
+            }
+        }
+    }
+}
+
+fn agent_key(host: usize, life: u32) -> ProcessKey {
+    ProcessKey(1 + host as u64 * 1_000 + u64::from(life))
+}
--- /dev/null
+++ b/components/sim/src/entry.rs
@@ -0,0 +1,421 @@
+//! Entries and their clients.
+
+use model::ProcessKey;
+use rand::Rng;
+use rustc_hash::FxHashMap;
+use scheduling::{
+    HostInfo, HostSlot, JobSlot, NEWS_TIMEOUT_MS, Scheduler, SchedulerAction, Submission, Verdict,
+};
+use std::rc::Rc;
+
+use crate::event::Event;
+use crate::world::{RESEND_MS, World};
+
+/// Interval of an entry's timer, in microseconds.
+const TICK_US: u64 = 20_000;
+
+/// Pause before an entry connects again, in microseconds.
+const RECONNECT_US: u64 = 30_000;
+
+/// How long an entry waits for the answer to orders, in microseconds.
+const ORDER_TIMEOUT_US: u64 = 300_000;
+
+/// Gap in its loop after which an entry gives up its jobs, in milliseconds.
+const SUSPENDED_MS: u64 = 400;
+
+/// An entry.
+pub(crate) struct EntryNode {
+    pub(crate) key: ProcessKey,
+    pub(crate) life: u32,
+    pub(crate) is_up: bool,
+    pub(crate) frozen_until_us: u64,
+    pub(crate) cut_until_us: u64,
+    pub(crate) scheduler: Scheduler,
+    pub(crate) slots: Vec<HostSlot>,
+    pub(crate) waiting: FxHashMap<JobSlot, usize>,
+    last_turn_ms: u64,
+}
+
+impl World {
+    pub(crate) fn create_entry(&mut self, entry: usize) {
+        let life = self.entries.get(entry).map_or(1, |node| node.life + 1);
+        let key = ProcessKey(1_000_000 + entry as u64 * 1_000 + u64::from(life));
+        let mut scheduler = Scheduler::new(key, "domain", 1.0);
+        let hosts = 0..self.deployment.targets.len();
+        let slots: Vec<HostSlot> = hosts
+            .map(|host| {
+                scheduler.add_host(HostInfo {
+                    name: Rc::from(format!("host-{host}")),
+                    address: Rc::from(format!("host-{host}")),
+                    failure_domain: Rc::from("domain"),
+                })
+            })
+            .collect();
+        let node = EntryNode {
+            key,
+            life,
+            is_up: true,
+            frozen_until_us: 0,
+            cut_until_us: self.entries.get(entry).map_or(0, |node| node.cut_until_us),
+            scheduler,
+            slots,
+            waiting: FxHashMap::default(),
+            last_turn_ms: self.now_ms(),
+        };
+        if entry < self.entries.len() {
+            self.entries[entry] = node;
+        } else {
+            self.entries.push(node);
+        }
+        for host in 0..self.deployment.targets.len() {
+            self.schedule(1_000, Event::Connect { entry, host, life });
+        }
+        self.schedule(TICK_US, Event::EntryTick { entry, life });
+    }
+
+    pub(crate) fn entry_event(&mut self, event: Event) {
+        match event {
+            Event::EntryTick { entry, life } => {
+                if !self.is_life(entry, life) {
+                    return;
+                }
+                self.notice_suspension(entry);
+                let now_ms = self.now_ms();
+                let mut actions = Vec::new();
+                self.entries[entry].scheduler.tick(now_ms, &mut actions);
+                self.perform(entry, actions);
+                self.schedule(TICK_US, Event::EntryTick { entry, life });
+            }
+            Event::Connect { entry, host, life } => {
+                if self.is_life(entry, life) {
+                    self.connect(entry, host);
+                }
+            }
+            Event::CallTimeout {
+                entry,
+                host,
+                epoch,
+                call,
+            } => {
+                let link = &self.links[entry][host];
+                let is_open = link.orders_call == Some(call) || link.news_call == Some(call);
+                if link.epoch == epoch && is_open {
+                    self.disconnect(entry, host);
+                }
+            }
+            Event::News {
+                entry,
+                host,
+                epoch,
+                call,
+                orders,
+                news,
+            } => self.take_news(entry, host, epoch, call, orders, &news),
+            _ => {}
+        }
+    }
+
+    fn is_life(&self, entry: usize, life: u32) -> bool {
+        let node = &self.entries[entry];
+        node.is_up && node.life == life
+    }
+
+    fn notice_suspension(&mut self, entry: usize) {
+        let now_ms = self.now_ms();
+        let node = &mut self.entries[entry];
+        let gap_ms = now_ms - node.last_turn_ms;
+        node.last_turn_ms = now_ms;
+        if gap_ms >= SUSPENDED_MS {
+            let mut actions = Vec::new();
+            node.scheduler.resumed(now_ms, &mut actions);
+            self.perform(entry, actions);
+        }
+    }
+
+    fn connect(&mut self, entry: usize, host: usize) {
+        let life = self.entries[entry].life;
+        let is_reachable = !self.is_cut(entry, host)
+            && self.agents[host].is_up
+            && self.agents[host].frozen_until_us <= self.now_us;
+        if !is_reachable {
+            self.schedule(RECONNECT_US, Event::Connect { entry, host, life });
+            return;
+        }
+        let link = &mut self.links[entry][host];
+        link.epoch += 1;
+        link.is_connected = true;
+        link.orders_call = None;
+        link.news_call = None;
+        let agent = self.agents[host].key;
+        let node = &mut self.entries[entry];
+        node.scheduler.host_connected(node.slots[host], agent);
+        self.ask_news(entry, host);
+        self.send_orders(entry, host);
+    }
+
+    /// Ends a link at the entry; the agent hears of it later, unless the entry is silent.
+    pub(crate) fn disconnect(&mut self, entry: usize, host: usize) {
+        let link = &mut self.links[entry][host];
+        if !link.is_connected {
+            return;
+        }
+        link.is_connected = false;
+        link.epoch += 1;
+        let node = &mut self.entries[entry];
+        node.scheduler.host_disconnected(node.slots[host]);
+        let life = node.life;
+        self.schedule(RECONNECT_US, Event::Connect { entry, host, life });
+        self.tell_closed(entry, host);
+    }
+
+    pub(crate) fn tell_closed(&mut self, entry: usize, host: usize) {
+        let at_us = self.arrival_us(entry, host);
+        let life = self.agents[host].life;
+        self.schedule_at(at_us, Event::LinkClosed { entry, host, life });
+    }
+
+    fn ask_news(&mut self, entry: usize, host: usize) {
+        let node = &self.entries[entry];
+        let Some(request) = node.scheduler.news_request(node.slots[host]) else {
+            return;
+        };
+        let call = self.new_call();
+        let limit_us = (u64::from(request.wait_ms) + NEWS_TIMEOUT_MS) * 1_000;
+        let link = &mut self.links[entry][host];
+        link.news_call = Some(call);
+        let epoch = link.epoch;
+        let at_us = self.arrival_us(entry, host);
+        self.report.messages += 1;
+        self.schedule_at(
+            at_us,
+            Event::Question {
+                entry,
+                host,
+                epoch,
+                call,
+                request,
+            },
+        );
+        self.schedule(
+            limit_us,
+            Event::CallTimeout {
+                entry,
+                host,
+                epoch,
+                call,
+            },
+        );
+    }
+
+    fn send_orders(&mut self, entry: usize, host: usize) {
+        let link = &self.links[entry][host];
+        if !link.is_connected || link.orders_call.is_some() {
+            return;
+        }
+        let epoch = link.epoch;
+        let node = &mut self.entries[entry];
+        let Some(orders) = node.scheduler.take_orders(node.slots[host]) else {
+            return;
+        };
+        let call = self.new_call();
+        self.links[entry][host].orders_call = Some(call);
+        let at_us = self.arrival_us(entry, host);
+        self.report.messages += 1;
+        self.schedule_at(
+            at_us,
+            Event::Orders {
+                entry,
+                host,
+                epoch,
+                call,
+                orders,
+            },
+        );
+        self.schedule(
+            ORDER_TIMEOUT_US,
+            Event::CallTimeout {
+                entry,
+                host,
+                epoch,
+                call,
+            },
+        );
+    }
+
+    fn take_news(
+        &mut self,
+        entry: usize,
+        host: usize,
+        epoch: u64,
+        call: u64,
+        orders: Option<u64>,
+        news: &model::News,
+    ) {
+        if !self.entries[entry].is_up || self.links[entry][host].epoch != epoch {
+            return;
+        }
+        self.notice_suspension(entry);
+        let link = &mut self.links[entry][host];
+        if link.orders_call == Some(call) {
+            link.orders_call = None;
+        }
+        let is_question = link.news_call == Some(call);
+        let now_ms = self.now_ms();
+        let mut actions = Vec::new();
+        let node = &mut self.entries[entry];
+        let slot = node.slots[host];
+        node.scheduler
+            .host_news(now_ms, slot, orders, news, &mut actions);
+        self.perform(entry, actions);
+        if is_question && self.links[entry][host].epoch == epoch {
+            self.ask_news(entry, host);
+        }
+        self.send_orders(entry, host);
+    }
+
+    fn perform(&mut self, entry: usize, actions: Vec<SchedulerAction>) {
+        for action in actions {
+            match action {
+                SchedulerAction::SendOrders(slot) => {
+                    let host = self.entries[entry].slots.iter().position(|at| *at == slot);
+                    if let Some(host) = host {
+                        self.send_orders(entry, host);
+                    }
+                }
+                SchedulerAction::Answer { job, verdict, .. } => {
+                    if let Some(at) = self.entries[entry].waiting.remove(&job) {
+                        self.answered(at, verdict);
+                    }
+                }
+                SchedulerAction::Noted { .. } | SchedulerAction::Placed { .. } => {}
+            }
+        }
+    }
+
+    /// Sends a copy of a job to an entry that takes connections.
+    pub(crate) fn send_copy(&mut self, at: usize) {
+        if self.jobs[at].is_over {
+            return;
+        }
+        let up: Vec<usize> = (0..self.entries.len())
+            .filter(|entry| self.entries[*entry].is_up)
+            .collect();
+        if up.is_empty() {
+            self.schedule(RESEND_MS * 1_000, Event::Send { job: at });
+            return;
+        }
+        let entry = up[self.rng.random_range(0..up.len())];
+        let job = &mut self.jobs[at];
+        job.copies += 1;
+        job.entry = Some(entry);
+        job.is_waiting = true;
+        let copy = job.copies;
+        let wait_us = if job.is_leaving {
+            job.objective_ms * 500
+        } else {
+            job.wait_ms * 1_000
+        };
+        let request = job.request.clone();
+        self.schedule(wait_us, Event::GiveUp { job: at, copy });
+        if self.entries[entry].frozen_until_us > self.now_us {
+            // The request waits unread; the client gives up before it is taken.
+            return;
+        }
+        self.notice_suspension(entry);
+        let now_ms = self.now_ms();
+        let mut actions = Vec::new();
+        let scheduler = &mut self.entries[entry].scheduler;
+        match scheduler.submit(now_ms, request, &mut actions) {
+            Submission::Admitted(slot, _) | Submission::Joined(slot) => {
+                self.entries[entry].waiting.insert(slot, at);
+            }
+            Submission::Known(verdict) | Submission::Refused(verdict, _) => {
+                self.answered(at, verdict);
+            }
+        }
+        self.perform(entry, actions);
+    }
+
+    /// A client closes its connection because its time is over.
+    pub(crate) fn give_up(&mut self, at: usize, copy: u32) {
+        let job = &mut self.jobs[at];
+        if job.is_over || job.copies != copy || !job.is_waiting {
+            return;
+        }
+        let entry = job.entry.take();
+        if let Some(entry) = entry {
+            self.leave(at, entry);
+        }
+        if self.jobs[at].is_leaving {
+            let kind = self.jobs[at].kind;
+            self.jobs[at].is_over = true;
+            self.report.kinds[kind].left += 1;
+        } else {
+            self.lost_copy(at);
+        }
+    }
+
+    fn leave(&mut self, at: usize, entry: usize) {
+        let node = &mut self.entries[entry];
+        let slot = node.waiting.iter().find(|(_, job)| **job == at);
+        let Some(slot) = slot.map(|(slot, _)| *slot) else {
+            return;
+        };
+        node.waiting.remove(&slot);
+        if node.frozen_until_us > self.now_us {
+            // It gives up all its jobs when it goes on.
+            return;
+        }
+        let mut actions = Vec::new();
+        node.scheduler.leave(slot, &mut actions);
+        self.perform(entry, actions);
+    }
+
+    fn answered(&mut self, at: usize, verdict: Verdict) {
+        let now_us = self.now_us;
+        let job = &mut self.jobs[at];
+        if job.is_over {
+            return;
+        }
+        let kind = job.kind;
+        let took_ms = (now_us - job.first_sent_us) / 1_000;
+        let report = &mut self.report.kinds[kind];
+        match verdict {
+            Verdict::Completed if took_ms <= job.objective_ms => report.in_time += 1,
+            Verdict::Completed => report.late += 1,
+            Verdict::NotRun { .. } => {
+                report.refused += 1;
+                report.longest_refusal_ms = report.longest_refusal_ms.max(took_ms);
+                job.was_refused = job.copies;
+                if job.has_started && job.copies == 1 {
+                    let id = job.id;
+                    self.violated(format!("job {id} was refused as not run after a start"));
+                }
+            }
+            Verdict::Failed => report.failed += 1,
+            Verdict::Lost | Verdict::Expired => {
+                self.lost_copy(at);
+                return;
+            }
+        }
+        self.jobs[at].is_over = true;
+    }
+
+    /// A client lost the answer to a copy and sends another later.
+    pub(crate) fn lost_copy(&mut self, at: usize) {
+        let job = &mut self.jobs[at];
+        if job.is_over || !job.is_waiting {
+            return;
+        }
+        job.entry = None;
+        job.is_waiting = false;
+        let is_hopeless = self.now_us >= job.first_sent_us + 2 * job.wait_ms * 1_000;
+        if is_hopeless || job.is_leaving {
+            job.is_over = true;
+            let kind = job.kind;
+            self.report.kinds[kind].failed += 1;
+            return;
+        }
+        self.schedule(RESEND_MS * 1_000, Event::Send { job: at });
+    }
+}
--- /dev/null
+++ b/components/sim/tests/promises.rs
@@ -0,0 +1,105 @@
+//! No task runs twice at a time and no refusal is false, whatever fails.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use sim::{Fault, FaultKind, Scenario, deployment, usual_load};
+
+const KINDS: [FaultKind; 13] = [
+    FaultKind::KillEntry,
+    FaultKind::PowerOffEntry,
+    FaultKind::FreezeEntry,
+    FaultKind::KillAgent,
+    FaultKind::FreezeAgent,
+    FaultKind::CutEntry,
+    FaultKind::CutHost,
+    FaultKind::ResetHost,
+    FaultKind::CrashTarget,
+    FaultKind::HangTarget,
+    FaultKind::FailTarget,
+    FaultKind::SlowTarget,
+    FaultKind::LateOrders,
+];
+
+fn is_of_entry(kind: FaultKind) -> bool {
+    matches!(
+        kind,
+        FaultKind::KillEntry
+            | FaultKind::PowerOffEntry
+            | FaultKind::FreezeEntry
+            | FaultKind::CutEntry
+    )
+}
+
+fn draw_fault(rng: &mut SmallRng, kind: FaultKind, entries: usize, hosts: usize) -> Fault {
+    let places = if is_of_entry(kind) { entries } else { hosts };
+    Fault {
+        kind,
+        place: rng.random_range(0..places),
+        at_ms: rng.random_range(200..5_000),
+        for_ms: rng.random_range(50..4_000),
+        strength: match kind {
+            FaultKind::LateOrders => rng.random_range(0.02..0.5),
+            _ => rng.random_range(1.5..8.0),
+        },
+    }
+}
+
+fn world(seed: u64, faults: Vec<Fault>) -> Scenario {
+    Scenario {
+        name: "faults",
+        deployment: deployment(3, 5),
+        load: usual_load(5, if seed % 3 == 0 { 1.6 } else { 0.9 }),
+        load_ms: 6_000,
+        faults,
+    }
+}
+
+fn assert_kept(seed: u64, faults: Vec<Fault>) {
+    let report = world(seed, faults.clone()).play(seed);
+    assert!(
+        report.violations.is_empty(),
+        "seed {seed}, faults {faults:?}\n{report}"
+    );
+    assert!(report.starts > 0, "seed {seed}: nothing ran");
+}
+
+#[test]
+fn every_single_fault_keeps_the_promises() {
+    for (number, kind) in KINDS.into_iter().enumerate() {
+        for repeat in 0..6 {
+            let seed = 100 + number as u64 * 10 + repeat;
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let fault = draw_fault(&mut rng, kind, 3, 5);
+            assert_kept(seed, vec![fault]);
+        }
+    }
+}
+
+#[test]
+fn every_pair_of_faults_keeps_the_promises() {
+    for (first, kind) in KINDS.into_iter().enumerate() {
+        for (second, other) in KINDS.into_iter().enumerate() {
+            let seed = 1_000 + first as u64 * 20 + second as u64;
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let faults = vec![
+                draw_fault(&mut rng, kind, 3, 5),
+                draw_fault(&mut rng, other, 3, 5),
+            ];
+            assert_kept(seed, faults);
+        }
+    }
+}
+
+#[test]
+fn many_faults_at_once_keep_the_promises() {
+    for seed in 5_000..5_060 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let faults = (0..rng.random_range(3..9))
+            .map(|_| {
+                let kind = KINDS[rng.random_range(0..KINDS.len())];
+                draw_fault(&mut rng, kind, 3, 5)
+            })
+            .collect();
+        assert_kept(seed, faults);
+    }
+}
