Place by what is in time on slow hosts, finish begun jobs first, withdraw late ones

Cause: the safety factor on estimates forgot that the objective grows with the real work, so that slow hosts were hardly used; late tasks of begun jobs starved; late tasks of unbegun jobs went round between hosts until they expired and made every estimate of waiting worse. Change: a host is safe if more work than estimated is in time there too; orders say whether their job is begun, and such tasks come first; unbegun jobs that will be late are withdrawn and refused as not run. The target is recalled from the registration after an agent's restart; lost history of the store is read again after a pause instead of at once.

--- a/components/gateway/src/bootstrap.rs
+++ b/components/gateway/src/bootstrap.rs
@@ -40,6 +40,7 @@
         name: host.info.name.to_string(),
         address: host.info.address.to_string(),
         failure_domain: host.info.failure_domain.to_string(),
+        target: None,
     });
     BootstrapReply {
         revision: in_force.as_ref().map_or(0, |config| config.revision),
--- a/components/gateway/src/configuration.rs
+++ b/components/gateway/src/configuration.rs
@@ -15,7 +15,10 @@
 const WATCH_WAIT_MS: u64 = 700;
 
 /// Pause after a failed call of the store, in milliseconds.
-const RETRY_MS: u64 = 150;
+const RETRY_MS: u64 = 300;
+
+/// Pause before the configuration is read again where it cannot be watched, in milliseconds.
+const REREAD_MS: u64 = 700;
 
 /// The configuration in force.
 #[derive(Debug)]
@@ -72,7 +75,10 @@
             .await;
         shared.metrics.note_store_call("watch", watched.is_ok());
         let watch = match watched {
-            Err(StoreFault::Missing) => return Ok(()),
+            Err(StoreFault::Missing) => {
+                monoio::time::sleep(Duration::from_millis(REREAD_MS)).await;
+                return Ok(());
+            }
             watched => watched?,
         };
         for change in &watch.changes {
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -13,6 +13,9 @@
 /// How long a watch waits for a change, in milliseconds.
 const WATCH_WAIT_MS: u64 = 5_000;
 
+/// Pause before the hosts are listed again after a change that was not told, in milliseconds.
+const RELIST_MS: u64 = 1_000;
+
 /// Pause after a failed call of the store, in milliseconds; entries of live hosts are to be back
 /// within two seconds of the store's return.
 const RETRY_MS: u64 = 500;
@@ -55,6 +58,7 @@
         }
         // A store that moved on without telling of a change may have missed some.
         if watch.changes.is_empty() && watch.revision != revision {
+            monoio::time::sleep(Duration::from_millis(RELIST_MS)).await;
             return Ok(());
         }
         revision = watch.revision;
--- a/components/hosting/src/host.rs
+++ b/components/hosting/src/host.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use model::{
-    HostView, News, NewsRequest, NotStarted, Orders, ProcessKey, Resources, RunEnd, RunEvent,
-    RunId, RunPermit, StartOrder, TaskRef,
+    HostView, MOST_URGENT, News, NewsRequest, NotStarted, Orders, ProcessKey, Resources, RunEnd,
+    RunEvent, RunId, RunPermit, StartOrder, TaskRef,
 };
 use rustc_hash::FxHashMap;
 
@@ -216,6 +216,14 @@
         is_changed
     }
 
+    /// Takes what an earlier agent knew of the target, until the target reports itself; another
+    /// life of the target is noticed by its answers.
+    pub fn recall(&mut self, report: TargetReport) {
+        if self.target.is_none() {
+            self.target = Some(report);
+        }
+    }
+
     /// Takes note that the target says goodbye; what it runs ends with it.
     pub fn target_left(&mut self, instance: &str) {
         let is_here = self.target.as_ref();
@@ -263,7 +271,11 @@
                 self.lose_all(now_ms);
                 self.give_back_waiting(NotStarted::NoTarget);
             }
-            HoldOutcome::OtherIncarnation | HoldOutcome::Unanswered => {}
+            HoldOutcome::OtherIncarnation => {
+                self.begin_life();
+                self.target = None;
+            }
+            HoldOutcome::Unanswered => {}
         }
         self.tick(now_ms, actions);
     }
@@ -366,6 +378,7 @@
                 estimate_ms: order.estimate_ms.max(1),
                 start_by_ms: now_ms + u64::from(order.slack_ms),
                 priority: order.priority,
+                is_begun: order.is_begun,
                 ordered_at_ms: now_ms,
                 state: RunState::Waiting {
                     give_up_at_ms: now_ms + u64::from(order.patience_ms),
@@ -906,8 +919,10 @@
             && (!is_single || self.runs.is_empty());
         let ahead = |run: &&Run| run.work_ahead_core_ms(speed_permille);
         let backlog: u64 = self.runs.values().map(|run| ahead(&run)).sum();
-        let waiting = self.runs.values().filter(|run| !run.occupies());
-        let waiting: u64 = waiting.map(|run| ahead(&run)).sum();
+        let waiting = || self.runs.values().filter(|run| !run.occupies());
+        let urgent = waiting().filter(|run| run.priority == MOST_URGENT);
+        let urgent: u64 = urgent.map(|run| ahead(&run)).sum();
+        let waiting: u64 = waiting().map(|run| ahead(&run)).sum();
         HostView {
             is_open,
             group: target.map_or_else(|| Rc::from(""), |target| Rc::clone(&target.group)),
@@ -916,6 +931,7 @@
             free: capacity.without(&self.used),
             backlog_core_ms: u32::try_from(backlog).unwrap_or(u32::MAX),
             waiting_core_ms: u32::try_from(waiting).unwrap_or(u32::MAX),
+            urgent_core_ms: u32::try_from(urgent).unwrap_or(u32::MAX),
             speed_permille,
         }
     }
--- a/components/hosting/src/run.rs
+++ b/components/hosting/src/run.rs
@@ -53,6 +53,7 @@
     pub(crate) estimate_ms: u32,
     pub(crate) start_by_ms: u64,
     pub(crate) priority: u8,
+    pub(crate) is_begun: bool,
     pub(crate) ordered_at_ms: u64,
     pub(crate) state: RunState,
 }
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -26,6 +26,7 @@
 };
 pub use roster::{AgentInfo, EntryInfo, Member, MemberState, ShardRecord, TargetInfo};
 pub use run::{
-    CALLER_ID_DIGITS, CallerId, HOSTS_PREFIX, HostRegistration, HostView, News, NewsRequest,
-    NotStarted, Orders, Resources, RunEnd, RunEvent, RunId, RunPermit, StartOrder, TaskRef,
+    CALLER_ID_DIGITS, CallerId, HOSTS_PREFIX, HostRegistration, HostView, MOST_URGENT, News,
+    NewsRequest, NotStarted, Orders, RegisteredTarget, Resources, RunEnd, RunEvent, RunId,
+    RunPermit, StartOrder, TaskRef,
 };
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -135,6 +135,8 @@
     pub patience_ms: u32,
     /// Urgency class of the queue; 0 comes first.
     pub priority: u8,
+    /// Whether other tasks of the job have started.
+    pub is_begun: bool,
 }
 
 /// Orders of an entry to an agent.
@@ -254,6 +256,8 @@
     pub backlog_core_ms: u32,
     /// Of the work ahead, what has not started, in core milliseconds.
     pub waiting_core_ms: u32,
+    /// Of what has not started, the part of the most urgent class, in core milliseconds.
+    pub urgent_core_ms: u32,
     /// Speed of the target compared with the estimates, in thousandths.
     pub speed_permille: u32,
 }
@@ -271,6 +275,9 @@
     pub events: Vec<(u64, RunId, RunEvent)>,
 }
 
+/// Urgency class of the queues that come before all others.
+pub const MOST_URGENT: u8 = 0;
+
 /// Beginning of the keys under which agents register in the platform's store.
 pub const HOSTS_PREFIX: &str = "shallotcross/hosts/";
 
@@ -283,4 +290,26 @@
     pub address: String,
     /// Failure domain of the host.
     pub failure_domain: String,
+    /// The last report of the target, for the next agent of the host.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target: Option<RegisteredTarget>,
+}
+
+/// What an agent registers about its target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegisteredTarget {
+    /// Identity of the target.
+    pub instance: String,
+    /// When this life of the target began, in milliseconds since the Unix epoch.
+    pub born_unix_ms: u64,
+    /// Number of the report.
+    pub sequence: u64,
+    /// Group of interchangeable targets.
+    pub group: String,
+    /// Labels: kind and rack.
+    pub labels: Vec<String>,
+    /// Everything that the target has.
+    pub capacity: Resources,
+    /// Whether the target is leaving.
+    pub is_draining: bool,
 }
--- a/components/runtime/src/line_sink.rs
+++ b/components/runtime/src/line_sink.rs
@@ -1,7 +1,6 @@
 //! Log lines on their way to a reader that may be slow.
 
 use std::collections::VecDeque;
-use std::fs::File;
 use std::io::Write;
 use std::os::fd::{AsFd, AsRawFd};
 
@@ -84,9 +83,13 @@
     }
 
     /// Writes as many lines as the reader takes without blocking.
-    pub fn flush_to(&mut self, output: &mut File) {
+    pub fn flush_to(&mut self, output: &mut (impl Write + AsFd)) {
         while let Some(batch) = self.next_batch() {
-            if !takes_more(output) || output.write_all(&batch).is_err() {
+            if !takes_more(output) {
+                return;
+            }
+            let written = output.write_all(&batch).and_then(|()| output.flush());
+            if written.is_err() {
                 return;
             }
             self.drop_written(batch.len());
@@ -116,7 +119,7 @@
     }
 }
 
-fn takes_more(output: &File) -> bool {
+fn takes_more(output: &impl AsFd) -> bool {
     let mut asked = [PollFd::new(output.as_fd().as_raw_fd(), PollFlags::POLLOUT)];
     let is_ready = poll(&mut asked, 0).is_ok_and(|count| count > 0);
     is_ready
--- a/components/runtime/src/logging.rs
+++ b/components/runtime/src/logging.rs
@@ -1,9 +1,7 @@
 //! Logging to standard error, or as bounded lines to standard output.
 
 use std::fmt::Arguments;
-use std::fs::File;
 use std::io;
-use std::os::fd::AsFd;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 
 use derive_more::{Display, Error, From};
@@ -131,12 +129,8 @@
     let Some(kept) = KEPT_LINES.get() else {
         return;
     };
-    // Without a standard output there is nobody to read the lines, and they stay bounded.
-    let Ok(output) = io::stdout().as_fd().try_clone_to_owned() else {
-        return;
-    };
     let mut sink = kept.lock().unwrap_or_else(PoisonError::into_inner);
-    sink.flush_to(&mut File::from(output));
+    sink.flush_to(&mut io::stdout().lock());
 }
 
 /// Returns what became of the lines of [`LogOutput::BoundedOutput`].
--- a/components/scheduling/src/placement.rs
+++ b/components/scheduling/src/placement.rs
@@ -4,7 +4,8 @@
 //! few hundred milliseconds old, of hosts that differ in speed and size, and of jobs that are
 //! worth the same whenever their answer is in time: a task goes where it will surely be in time
 //! on the slowest such host, which keeps the fast hosts for the work that needs them; what cannot
-//! surely be in time goes where it ends first.
+//! surely be in time goes where it ends first. The time that an answer may take grows with the
+//! real work, so that a wrong estimate costs little on a host of usual speed.
 
 use std::cmp::Ordering;
 use std::rc::Rc;
@@ -13,7 +14,7 @@
 
 use crate::host::HostSlot;
 
-/// Factor by which a task may exceed its estimate and still be in time on a host that counts as
+/// Factor by which the work and the wait may exceed their estimates on a host that counts as
 /// safe; declared run times are off by about as much.
 const SAFETY: f64 = 1.5;
 
@@ -37,6 +38,7 @@
     pub(crate) speed_permille: u32,
     pub(crate) backlog_core_ms: u64,
     pub(crate) waiting_core_ms: u64,
+    pub(crate) urgent_core_ms: u64,
     pub(crate) placed_here: u16,
 }
 
@@ -46,6 +48,8 @@
     pub(crate) needs: Resources,
     pub(crate) estimate_ms: u32,
     pub(crate) limit_ms: u64,
+    pub(crate) stretch: f64,
+    pub(crate) is_urgent: bool,
     pub(crate) required_label: Option<&'a Rc<str>>,
     pub(crate) preferred_label: Option<&'a Rc<str>>,
     pub(crate) far_factor: f64,
@@ -120,9 +124,16 @@
 
     /// Estimates how long a task waits for room, in milliseconds.
     ///
-    /// What runs ends evenly over twice its mean time left; what waits comes first.
-    fn wait_ms(&self, needs: &Resources) -> f64 {
-        if self.waiting_core_ms == 0 && self.free.holds(needs) {
+    /// What runs ends evenly over twice its mean time left; what waits comes first, unless the
+    /// task is of the most urgent class.
+    fn wait_ms(&self, wanted: &Wanted<'_>) -> f64 {
+        let needs = &wanted.needs;
+        let waiting_core_ms = if wanted.is_urgent {
+            self.urgent_core_ms
+        } else {
+            self.waiting_core_ms
+        };
+        if waiting_core_ms == 0 && self.free.holds(needs) {
             return 0.0;
         }
         let cores = f64::from(self.capacity.cpu_millis.max(1)) / 1_000.0;
@@ -130,15 +141,19 @@
         let missing_millis = needs.cpu_millis.saturating_sub(self.free.cpu_millis);
         let missing_cores = f64::from(missing_millis.max(1)) / 1_000.0;
         let first_end_ms = 2.0 * running_core_ms / cores * (missing_cores / cores);
-        first_end_ms + self.waiting_core_ms as f64 / cores
+        first_end_ms + waiting_core_ms as f64 / cores
     }
 
     fn rank(&self, wanted: &Wanted<'_>) -> (Rank, Choice) {
-        let wait_ms = self.wait_ms(&wanted.needs);
+        let wait_ms = self.wait_ms(wanted);
         let run_ms = self.run_ms(wanted);
         let finish_ms = wait_ms + run_ms + ROUND_TRIP_MS;
         let limit_ms = wanted.limit_ms as f64;
-        let is_safe = (wait_ms + run_ms) * SAFETY + ROUND_TRIP_MS <= limit_ms;
+        let is_in_time = finish_ms <= limit_ms;
+        let more_work_ms = f64::from(wanted.estimate_ms) * (SAFETY - 1.0);
+        let is_safe = is_in_time
+            && (wait_ms + run_ms) * SAFETY + ROUND_TRIP_MS
+                <= limit_ms + more_work_ms * wanted.stretch;
         let used_millis =
             self.capacity.cpu_millis - self.free.cpu_millis.min(self.capacity.cpu_millis);
         let rank = Rank {
@@ -171,6 +186,9 @@
             self.free = self.free.without(&wanted.needs);
         } else {
             self.waiting_core_ms += core_ms as u64;
+            if wanted.is_urgent {
+                self.urgent_core_ms += core_ms as u64;
+            }
         }
         self.backlog_core_ms += core_ms as u64;
         self.placed_here += 1;
--- a/components/scheduling/src/scheduler.rs
+++ b/components/scheduling/src/scheduler.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use model::{
-    CallerId, HostView, News, NewsRequest, NotStarted, Orders, ProcessKey, RunEnd, RunEvent, RunId,
-    StartOrder, TaskRef,
+    CallerId, HostView, MOST_URGENT, News, NewsRequest, NotStarted, Orders, ProcessKey, RunEnd,
+    RunEvent, RunId, StartOrder, TaskRef,
 };
 use rustc_hash::FxHashMap;
 use slotmap::SlotMap;
@@ -343,6 +343,8 @@
             needs: step.needs,
             estimate_ms: step.estimate_ms,
             limit_ms: job.objective_at_ms.saturating_sub(now_ms),
+            stretch: job.request.queue.stretch,
+            is_urgent: job.request.queue.priority == MOST_URGENT,
             required_label: step.required_label.as_ref(),
             preferred_label: step.preferred_label.as_ref(),
             far_factor: self.far_factor,
@@ -385,6 +387,7 @@
             backlog_core_ms: u64::from(view.backlog_core_ms) + pending_core_ms,
             waiting_core_ms: u64::from(view.waiting_core_ms)
                 + if fits { 0 } else { pending_core_ms },
+            urgent_core_ms: u64::from(view.urgent_core_ms),
             placed_here: 0,
         }
     }
@@ -457,6 +460,7 @@
             slack_ms: millis(latest_start_ms.saturating_sub(now_ms)),
             patience_ms: millis(patience_ms.min(job.deadline_ms.saturating_sub(now_ms))),
             priority: job.request.queue.priority,
+            is_begun: job.has_run,
         };
         let Some(record) = job.task_mut(task) else {
             return;
@@ -649,9 +653,12 @@
         }
         let mut candidates = self.candidates(now_ms, job);
         let finish_ms = self.outlook(now_ms, job, &mut candidates);
-        let time_left_ms = job.deadline_ms.saturating_sub(now_ms);
-        let is_hopeless = finish_ms.is_some_and(|finish_ms| finish_ms > time_left_ms as f64);
-        if is_hopeless && !job.has_run {
+        let objection = admission::objection(&Outlook {
+            finish_ms: finish_ms.map(|ms| ms + now_ms.saturating_sub(job.arrived_ms) as f64),
+            objective_ms: job.request.objective_ms(),
+            time_left_ms: job.request.time_left_ms,
+        });
+        if objection == Some(NotRunReason::Overload) && !job.has_run {
             self.withdraw(now_ms, slot, NotRunReason::Overload, actions);
             return;
         }
--- a/components/sidecar/src/registration.rs
+++ b/components/sidecar/src/registration.rs
@@ -1,9 +1,11 @@
 //! The agent's entry in the directory of hosts.
 
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
-use model::{HOSTS_PREFIX, HostRegistration};
+use hosting::TargetReport;
+use model::{HOSTS_PREFIX, HostRegistration, RegisteredTarget};
 use platform::StoreFault;
 use runtime::uptime_ms;
 
@@ -24,36 +26,61 @@
 
 /// Keeps the host registered.
 pub(crate) async fn keep(shared: Rc<Shared>) {
+    recall_target(&shared).await;
     let mut is_registered = true;
     loop {
-        let result = register(&shared).await;
-        let Err(fault) = result;
-        if is_registered {
+        let Err(fault) = register(&shared).await;
+        let is_reachable = fault == StoreFault::Missing;
+        if is_registered && !is_reachable {
             log::warn!(target: "sidecar", event = "store_lost", reason = fault.to_string();
                 "the host cannot be registered");
         }
-        is_registered = false;
+        is_registered = is_reachable;
         monoio::time::sleep(Duration::from_millis(RETRY_MS)).await;
-        if fault == StoreFault::Missing {
-            is_registered = true;
+    }
+}
+
+/// Takes over what the last agent of the host knew of the target, so that work can start before
+/// the target's next report.
+async fn recall_target(shared: &Rc<Shared>) {
+    let item = match shared.store.get(&key(shared), false).await {
+        Ok(item) => item,
+        Err(fault) => {
+            log::info!(target: "sidecar", event = "nothing_recalled", reason = fault.to_string();
+                "nothing is known of the target before its report");
+            return;
+        }
+    };
+    match serde_json::from_slice::<HostRegistration>(&item.value) {
+        Ok(registration) => {
+            if let Some(target) = registration.target {
+                log::info!(target: "sidecar", event = "target_recalled",
+                    instance = target.instance.as_str(), born_unix_ms = target.born_unix_ms;
+                    "the target is known from the last agent");
+                let report = recalled(target);
+                shared.decide(|host, _, _| host.recall(report));
+            }
+        }
+        Err(error) => {
+            log::warn!(target: "sidecar", event = "bad_registration", key = item.key.as_str(),
+                reason = error.to_string(); "the last agent's registration cannot be read");
         }
     }
 }
 
+fn key(shared: &Shared) -> String {
+    format!("{HOSTS_PREFIX}{}", shared.settings.name)
+}
+
 /// Registers the host and keeps it so; returns why it is not any more.
-async fn register(shared: &Rc<Shared>) -> Result<std::convert::Infallible, StoreFault> {
+async fn register(shared: &Rc<Shared>) -> Result<Infallible, StoreFault> {
     let store = &shared.store;
-    let key = format!("{HOSTS_PREFIX}{}", shared.settings.name);
-    let registration = HostRegistration {
-        name: shared.settings.name.clone(),
-        address: shared.settings.peer_address.to_string(),
-        failure_domain: shared.settings.failure_domain.clone(),
-    };
-    let value = serde_json::to_vec(&registration)
-        .map_err(|error| StoreFault::Unreadable(error.to_string()))?;
+    let key = key(shared);
     let lease = store.grant_lease(LEASE_TTL_MS).await?;
-    store.put(&key, &value, lease).await?;
-    log::info!(target: "sidecar", event = "registered", key = key.as_str(); "the host is registered");
+    let mut registered = registration(shared);
+    store.put(&key, &encode(&registered)?, lease).await?;
+    log::info!(target: "sidecar", event = "registered", key = key.as_str();
+        "the host is registered");
     let mut renewed_ms = uptime_ms();
     loop {
         monoio::time::sleep(Duration::from_millis(CHECK_MS)).await;
@@ -61,6 +88,61 @@
             store.keep_lease(lease).await?;
             renewed_ms = uptime_ms();
         }
-        store.get(&key, true).await?;
+        let current = registration(shared);
+        if is_other_target(&registered, &current) {
+            store.put(&key, &encode(&current)?, lease).await?;
+            registered = current;
+        } else {
+            store.get(&key, true).await?;
+        }
+    }
+}
+
+/// Tells whether the target has changed in more than the number of its report.
+fn is_other_target(registered: &HostRegistration, current: &HostRegistration) -> bool {
+    let without_number = |registration: &HostRegistration| {
+        registration.target.clone().map(|target| RegisteredTarget {
+            sequence: 0,
+            ..target
+        })
+    };
+    without_number(registered) != without_number(current)
+}
+
+fn encode(registration: &HostRegistration) -> Result<Vec<u8>, StoreFault> {
+    serde_json::to_vec(registration).map_err(|error| StoreFault::Unreadable(error.to_string()))
+}
+
+fn registration(shared: &Shared) -> HostRegistration {
+    let host = shared.host.borrow();
+    HostRegistration {
+        name: shared.settings.name.clone(),
+        address: shared.settings.peer_address.to_string(),
+        failure_domain: shared.settings.failure_domain.clone(),
+        target: host.target().map(registered),
+    }
+}
+
+fn registered(report: &TargetReport) -> RegisteredTarget {
+    RegisteredTarget {
+        instance: report.instance.to_string(),
+        born_unix_ms: report.born_unix_ms,
+        sequence: report.sequence,
+        group: report.group.to_string(),
+        labels: report.labels.iter().map(ToString::to_string).collect(),
+        capacity: report.capacity,
+        is_draining: report.is_draining,
+    }
+}
+
+fn recalled(target: RegisteredTarget) -> TargetReport {
+    TargetReport {
+        instance: Rc::from(target.instance),
+        born_unix_ms: target.born_unix_ms,
+        sequence: target.sequence,
+        group: Rc::from(target.group),
+        labels: target.labels.into_iter().map(Rc::from).collect(),
+        capacity: target.capacity,
+        is_draining: target.is_draining,
     }
 }
