Keep the target's clock when its first report follows the first answer

Cause: the first report counted as a new life and wiped the clock reading; each start was then given back, and the room it had taken in advance was never released, so that hosts stayed full for good. The faster first question made the order of report and answer common; it was possible before. Change: the life of a target is known from reports and answers alike; room is derived from the runs; a host opens once the clock is known; hosts tell entries at once when they open; first connections are given up after 100 ms.

--- a/components/gateway/src/links.rs
+++ b/components/gateway/src/links.rs
@@ -12,8 +12,12 @@
 
 use crate::process::Shared;
 
-/// How long a connection may take to be made, in milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 400;
+/// How long a connection may take to be made at first, in milliseconds: a host that is just
+/// starting does not answer the first packet, and the next comes after a second.
+const CONNECT_TIMEOUT_MS: u64 = 100;
+
+/// Longest time that a connection may take to be made, in milliseconds.
+const LONGEST_CONNECT_MS: u64 = 400;
 
 /// How long an answer to orders may take, in milliseconds.
 const ORDER_TIMEOUT_MS: u64 = 300;
@@ -31,7 +35,8 @@
     let waker = Rc::new(Notify::default());
     shared.wakers.borrow_mut().insert(slot, Rc::clone(&waker));
     while shared.addresses.borrow().get(&address) == Some(&slot) {
-        let deadline_us = monotonic_us() + CONNECT_TIMEOUT_MS * 1_000;
+        let limit_ms = (CONNECT_TIMEOUT_MS + pause_ms).min(LONGEST_CONNECT_MS);
+        let deadline_us = monotonic_us() + limit_ms * 1_000;
         let traffic = shared.traffic.clone();
         match HostLink::connect_host(&address, shared.key, deadline_us, traffic).await {
             Ok(link) => {
--- a/components/hosting/src/host.rs
+++ b/components/hosting/src/host.rs
@@ -58,7 +58,7 @@
     runs: BTreeMap<TaskRef, Run>,
     sessions: FxHashMap<ProcessKey, Session>,
     numbers: FxHashMap<TaskRef, LastNumber>,
-    used: Resources,
+    life_unix_ms: Option<u64>,
 }
 
 impl Host {
@@ -85,7 +85,7 @@
             runs: BTreeMap::new(),
             sessions: FxHashMap::default(),
             numbers: FxHashMap::default(),
-            used: Resources::default(),
+            life_unix_ms: None,
         }
     }
 
@@ -151,21 +151,26 @@
 
     /// Tells whether an entry's question should be answered now.
     #[must_use]
-    pub fn has_news(&self, from: ProcessKey, seen: u64) -> bool {
-        let session = self.sessions.get(&from);
-        session.is_some_and(|session| session.has_urgent(seen))
+    pub fn has_news(&self, now_ms: u64, from: ProcessKey, seen: u64) -> bool {
+        let Some(session) = self.sessions.get(&from) else {
+            return false;
+        };
+        session.has_urgent(seen) || session.told_open != Some(self.is_open(now_ms))
     }
 
     /// Returns the news for an entry.
-    #[must_use]
-    pub fn news(&self, now_ms: u64, to: ProcessKey) -> News {
+    pub fn news(&mut self, now_ms: u64, to: ProcessKey) -> News {
+        let view = self.view(now_ms);
+        if let Some(session) = self.sessions.get_mut(&to) {
+            session.told_open = Some(view.is_open);
+        }
         News {
             permit: RunPermit {
                 agent: self.key,
                 issued_ms: now_ms,
             },
             is_inheritance_clear: self.is_inheritance_clear,
-            view: self.view(now_ms),
+            view,
             events: self
                 .sessions
                 .get(&to)
@@ -200,9 +205,7 @@
                 return false;
             }
         }
-        if !is_same_life {
-            self.begin_life();
-        }
+        self.enter_life(report.born_unix_ms);
         let is_changed = !is_same_life
             || self.target.as_ref().is_some_and(|target| {
                 target.is_draining != report.is_draining || target.capacity != report.capacity
@@ -219,7 +222,8 @@
     /// Takes what an earlier agent knew of the target, until the target reports itself; another
     /// life of the target is noticed by its answers.
     pub fn recall(&mut self, report: TargetReport) {
-        if self.target.is_none() {
+        if self.target.is_none() && self.life_unix_ms.is_none_or(|ms| ms == report.born_unix_ms) {
+            self.enter_life(report.born_unix_ms);
             self.target = Some(report);
         }
     }
@@ -251,7 +255,12 @@
             lease_end_ms,
             token: self.token,
             acknowledged: self.acknowledged,
-            wait_ms: HOLD_WAIT_MS,
+            // A new agent first has to know what its predecessor left.
+            wait_ms: if self.is_inheritance_clear {
+                HOLD_WAIT_MS
+            } else {
+                0
+            },
         }
     }
 
@@ -271,10 +280,7 @@
                 self.lose_all(now_ms);
                 self.give_back_waiting(NotStarted::NoTarget);
             }
-            HoldOutcome::OtherIncarnation => {
-                self.begin_life();
-                self.target = None;
-            }
+            HoldOutcome::OtherIncarnation => self.target = None,
             HoldOutcome::Unanswered => {}
         }
         self.tick(now_ms, actions);
@@ -433,6 +439,7 @@
         let target = self.target.as_ref()?;
         let is_usable = !self.is_target_gone
             && self.is_inheritance_clear
+            && self.lease.has_clock()
             && !self.health.is_ejected(now_ms)
             && now_ms < self.heard_at_ms + crate::limits::LEASE_MS;
         is_usable.then_some(target)
@@ -535,15 +542,10 @@
         holding: &Holding,
         actions: &mut Vec<HostAction>,
     ) {
-        let born_unix_ms = self.target.as_ref().map(|target| target.born_unix_ms);
-        if born_unix_ms.is_some_and(|born_unix_ms| born_unix_ms != holding.born_unix_ms) {
-            // The report of the new life tells what it offers; until then nothing starts.
-            if born_unix_ms < Some(holding.born_unix_ms) {
-                self.begin_life();
-                self.target = None;
-            }
+        if self.life_unix_ms > Some(holding.born_unix_ms) {
             return;
         }
+        self.enter_life(holding.born_unix_ms);
         self.heard_at_ms = now_ms;
         self.is_target_gone = false;
         self.lease.read_clock(now_ms, holding.clock_ms);
@@ -770,7 +772,8 @@
         if target.is_draining {
             return;
         }
-        let capacity = target.capacity;
+        let mut free = target.capacity.without(&self.used());
+        let is_single = self.health.is_on_probation();
         let mut waiting: Vec<(Turn, TaskRef)> = self
             .runs
             .iter()
@@ -779,13 +782,13 @@
             .collect();
         waiting.sort_unstable();
         for (_, task) in waiting {
-            let is_single = self.health.is_on_probation() && self.used != Resources::default();
             let needs = self.runs[&task].needs;
-            if is_single || !capacity.without(&self.used).holds(&needs) {
+            let is_held_back = is_single && self.runs.values().any(Run::occupies);
+            if is_held_back || !free.holds(&needs) {
                 continue;
             }
             let last = self.numbers.get(&task).map_or(0, |last| last.number);
-            self.used = self.used.with(&needs);
+            free = free.without(&needs);
             self.send_start(now_ms, task, last + 1, actions);
         }
     }
@@ -818,14 +821,14 @@
 
     /// Removes a run that has not started and never will.
     fn give_back(&mut self, task: TaskRef, why: NotStarted) {
-        if let Some(run) = self.remove(task) {
+        if let Some(run) = self.runs.remove(&task) {
             self.tell(run.owner, run.id, RunEvent::NotStarted(why));
         }
     }
 
     /// Removes a run that has ended.
     fn end(&mut self, now_ms: u64, task: TaskRef, end: RunEnd) {
-        let Some(run) = self.remove(task) else {
+        let Some(run) = self.runs.remove(&task) else {
             return;
         };
         if let Some(number) = run.number() {
@@ -839,12 +842,10 @@
         self.tell(run.owner, run.id, RunEvent::Ended(end, ran_ms));
     }
 
-    fn remove(&mut self, task: TaskRef) -> Option<Run> {
-        let run = self.runs.remove(&task)?;
-        if run.occupies() {
-            self.used = self.used.without(&run.needs);
-        }
-        Some(run)
+    /// Returns what the runs at the target take up.
+    fn used(&self) -> Resources {
+        let occupying = self.runs.values().filter(|run| run.occupies());
+        occupying.fold(Resources::default(), |used, run| used.with(&run.needs))
     }
 
     fn tell(&mut self, owner: ProcessKey, id: RunId, event: RunEvent) {
@@ -872,7 +873,17 @@
         }
     }
 
-    fn begin_life(&mut self) {
+    /// Takes note of the life that the target is in; a new one knows nothing of the last.
+    fn enter_life(&mut self, born_unix_ms: u64) {
+        if self.life_unix_ms == Some(born_unix_ms) {
+            return;
+        }
+        let is_first = self.life_unix_ms.replace(born_unix_ms).is_none();
+        if is_first {
+            return;
+        }
+        // What the new life offers is told by its report; until then nothing starts.
+        self.target = None;
         let now_ms = self.heard_at_ms;
         self.lose_all(now_ms);
         self.lease.reset();
@@ -908,15 +919,21 @@
         }
     }
 
-    fn view(&self, now_ms: u64) -> HostView {
+    /// Tells whether entries may send tasks.
+    fn is_open(&self, now_ms: u64) -> bool {
+        let is_single = self.health.is_on_probation();
+        self.usable_target(now_ms)
+            .is_some_and(|target| !target.is_draining)
+            && !self.is_stopping
+            && (!is_single || self.runs.is_empty())
+    }
+
+    /// Returns what the host has to offer.
+    #[must_use]
+    pub fn view(&self, now_ms: u64) -> HostView {
         let speed_permille = self.pace.permille(now_ms).max(1);
         let target = self.target.as_ref();
-        let usable = self.usable_target(now_ms);
         let capacity = target.map_or_else(Resources::default, |target| target.capacity);
-        let is_single = self.health.is_on_probation();
-        let is_open = usable.is_some_and(|target| !target.is_draining)
-            && !self.is_stopping
-            && (!is_single || self.runs.is_empty());
         let ahead = |run: &&Run| run.work_ahead_core_ms(speed_permille);
         let backlog: u64 = self.runs.values().map(|run| ahead(&run)).sum();
         let waiting = || self.runs.values().filter(|run| !run.occupies());
@@ -924,11 +941,11 @@
         let urgent: u64 = urgent.map(|run| ahead(&run)).sum();
         let waiting: u64 = waiting().map(|run| ahead(&run)).sum();
         HostView {
-            is_open,
+            is_open: self.is_open(now_ms),
             group: target.map_or_else(|| Rc::from(""), |target| Rc::clone(&target.group)),
             labels: target.map_or_else(Vec::new, |target| target.labels.clone()),
             capacity,
-            free: capacity.without(&self.used),
+            free: capacity.without(&self.used()),
             backlog_core_ms: u32::try_from(backlog).unwrap_or(u32::MAX),
             waiting_core_ms: u32::try_from(waiting).unwrap_or(u32::MAX),
             urgent_core_ms: u32::try_from(urgent).unwrap_or(u32::MAX),
--- a/components/hosting/src/lease.rs
+++ b/components/hosting/src/lease.rs
@@ -41,6 +41,11 @@
         });
     }
 
+    /// Tells whether the target's clock is known.
+    pub(crate) fn has_clock(&self) -> bool {
+        self.reading.is_some()
+    }
+
     /// Forgets the clock of a target that has ended.
     pub(crate) fn reset(&mut self) {
         *self = Self::default();
--- a/components/hosting/src/limits.rs
+++ b/components/hosting/src/limits.rs
@@ -44,7 +44,7 @@
 
 /// How long a run may show no progress before it counts as stalled, in milliseconds; the target
 /// reports progress in percent.
-pub(crate) const STALL_MS: u64 = 300;
+pub(crate) const STALL_MS: u64 = 120;
 
 /// Pause after the target refused a run for want of room, in milliseconds: until the next list
 /// of what runs.
--- a/components/hosting/src/session.rs
+++ b/components/hosting/src/session.rs
@@ -14,6 +14,8 @@
     last_orders: u64,
     next_event: u64,
     events: VecDeque<(u64, RunId, RunEvent)>,
+    /// Whether the host was open in the last news.
+    pub(crate) told_open: Option<bool>,
 }
 
 impl Session {
--- /dev/null
+++ b/components/hosting/tests/host/harness.rs
@@ -0,0 +1,245 @@
+//! A host with a target that answers at once.
+
+use std::rc::Rc;
+
+use hosting::{
+    EndedRun, HoldOutcome, Holding, Host, HostAction, RunningRun, StartOutcome, TargetEnd,
+    TargetReport,
+};
+use model::{
+    CallerId, News, NewsRequest, Orders, ProcessKey, Resources, RunEvent, RunId, RunPermit,
+    StartOrder, TaskRef,
+};
+
+pub const AGENT: ProcessKey = ProcessKey(1);
+pub const ENTRY: ProcessKey = ProcessKey(7);
+pub const OTHER_ENTRY: ProcessKey = ProcessKey(8);
+pub const BORN: u64 = 1_000;
+
+pub fn job(number: u64) -> CallerId {
+    CallerId::parse(&format!("{number:016x}")).expect("sixteen digits")
+}
+
+pub fn task(number: u64) -> TaskRef {
+    TaskRef {
+        job: job(number),
+        step: 0,
+        index: 0,
+    }
+}
+
+pub fn report(born_unix_ms: u64, sequence: u64) -> TargetReport {
+    TargetReport {
+        instance: Rc::from("target"),
+        born_unix_ms,
+        sequence,
+        group: Rc::from("group"),
+        labels: Vec::new(),
+        capacity: Resources {
+            cpu_millis: 8_000,
+            memory_mib: 8_000,
+            gpus: 0,
+        },
+        is_draining: false,
+    }
+}
+
+/// An order for one task of two cores.
+pub fn order(number: u64) -> StartOrder {
+    StartOrder {
+        job: job(number),
+        step: 0,
+        tasks: vec![(0, 1)],
+        specification: Rc::from("spec"),
+        needs: Resources {
+            cpu_millis: 2_000,
+            memory_mib: 10,
+            gpus: 0,
+        },
+        estimate_ms: 100,
+        slack_ms: 100,
+        patience_ms: 60,
+        priority: 1,
+        is_begun: false,
+    }
+}
+
+pub struct Bench {
+    pub host: Host,
+    pub now_ms: u64,
+    pub actions: Vec<HostAction>,
+    pub running: Vec<RunningRun>,
+    pub ended: Vec<EndedRun>,
+    pub permit: Option<RunPermit>,
+    pub next_number: u64,
+    pub events: Vec<(RunId, RunEvent)>,
+    seen: u64,
+}
+
+impl Bench {
+    /// Creates a host whose target has reported and answered.
+    pub fn new() -> Self {
+        let mut bench = Self::silent();
+        bench.report(report(BORN, 1));
+        bench.hold();
+        bench.ask(ENTRY);
+        bench
+    }
+
+    /// Creates a host that knows nothing of its target.
+    pub fn silent() -> Self {
+        Self {
+            host: Host::new(AGENT, 5),
+            now_ms: 10_000,
+            actions: Vec::new(),
+            running: Vec::new(),
+            ended: Vec::new(),
+            permit: None,
+            next_number: 0,
+            events: Vec::new(),
+            seen: 0,
+        }
+    }
+
+    pub fn report(&mut self, report: TargetReport) {
+        self.host.report(self.now_ms, report, &mut self.actions);
+    }
+
+    pub fn holding(&self) -> Holding {
+        Holding {
+            born_unix_ms: BORN,
+            clock_ms: self.now_ms,
+            running: self.running.clone(),
+            ended: self.ended.clone(),
+            last_sequence: self.ended.iter().map(|end| end.sequence).max().unwrap_or(0),
+        }
+    }
+
+    pub fn hold(&mut self) {
+        let held = HoldOutcome::Held(self.holding());
+        self.host
+            .held(self.now_ms, self.now_ms, held, &mut self.actions);
+    }
+
+    pub fn ask(&mut self, from: ProcessKey) -> News {
+        let request = NewsRequest {
+            from,
+            permit: self.permit,
+            seen: self.seen,
+            wait_ms: 0,
+        };
+        self.host.question(self.now_ms, &request, &mut self.actions);
+        let news = self.host.news(self.now_ms, from);
+        self.take(&news);
+        news
+    }
+
+    pub fn take(&mut self, news: &News) {
+        self.permit = Some(news.permit);
+        for (number, run, event) in &news.events {
+            if *number > self.seen {
+                self.seen = *number;
+                self.events.push((*run, *event));
+            }
+        }
+    }
+
+    pub fn orders(&mut self, from: ProcessKey, starts: Vec<StartOrder>) -> Orders {
+        self.next_number += 1;
+        Orders {
+            from,
+            number: self.next_number,
+            permit: self.permit,
+            seen: self.seen,
+            starts,
+            stops: Vec::new(),
+        }
+    }
+
+    pub fn send(&mut self, orders: Orders) -> News {
+        let news = self.host.order(self.now_ms, orders, &mut self.actions);
+        self.take(&news);
+        news
+    }
+
+    pub fn start(&mut self, numbers: impl IntoIterator<Item = u64>) {
+        for number in numbers {
+            let orders = self.orders(ENTRY, vec![order(number)]);
+            self.send(orders);
+        }
+    }
+
+    /// Lets the target carry out every start.
+    pub fn run_starts(&mut self) -> Vec<(TaskRef, u32)> {
+        let mut started = Vec::new();
+        for action in std::mem::take(&mut self.actions) {
+            let HostAction::Start { task, number, .. } = action else {
+                self.actions.push(action);
+                continue;
+            };
+            self.running.push(RunningRun {
+                task,
+                number,
+                percent: 0,
+            });
+            self.host.started(
+                self.now_ms,
+                task,
+                number,
+                StartOutcome::Started,
+                &mut self.actions,
+            );
+            started.push((task, number));
+        }
+        started
+    }
+
+    pub fn end(&mut self, task: TaskRef, end: TargetEnd) {
+        let at = self.running.iter().position(|run| run.task == task);
+        let run = self.running.remove(at.expect("a running task"));
+        self.ended.push(EndedRun {
+            sequence: self.ended.len() as u64 + 1,
+            task,
+            number: run.number,
+            end,
+        });
+    }
+
+    pub fn stops(&mut self) -> Vec<TaskRef> {
+        let stops = self.actions.iter().filter_map(|action| match action {
+            HostAction::Stop { task, .. } => Some(*task),
+            HostAction::Start { .. } => None,
+        });
+        let stops = stops.collect();
+        self.actions.clear();
+        stops
+    }
+
+    /// Lets time pass while the entry keeps asking and the target keeps answering.
+    pub fn pass(&mut self, ms: u64) {
+        let until_ms = self.now_ms + ms;
+        while self.now_ms < until_ms {
+            self.now_ms = (self.now_ms + 50).min(until_ms);
+            self.ask(ENTRY);
+            self.hold();
+            self.host.tick(self.now_ms, &mut self.actions);
+        }
+    }
+
+    /// Lets time pass while only the target answers.
+    pub fn pass_without_entry(&mut self, ms: u64) {
+        let until_ms = self.now_ms + ms;
+        while self.now_ms < until_ms {
+            self.now_ms = (self.now_ms + 50).min(until_ms);
+            self.hold();
+            self.host.tick(self.now_ms, &mut self.actions);
+        }
+    }
+
+    pub fn outcome(&mut self, number: u64) -> Option<RunEvent> {
+        self.ask(ENTRY);
+        let of = |(run, _): &&(RunId, RunEvent)| run.task == task(number);
+        let last = self.events.iter().rev().find(of);
+        last.map(|(_, event)| *event)
+    }
+}
--- /dev/null
+++ b/components/hosting/tests/host/leases.rs
@@ -0,0 +1,144 @@
+//! How long the target may go on.
+
+use hosting::{
+    HoldOutcome, HostAction, LEASE_MS, PERMIT_TTL_MS, STOP_CONFIRM_MS, StartOutcome, StartRefusal,
+    TargetEnd,
+};
+use model::{RunEnd, RunEvent};
+
+use crate::harness::{Bench, task};
+
+#[test]
+fn the_lease_is_renewed_while_runs_go_on() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    bench.run_starts();
+    bench.pass(100);
+    let request = bench.host.hold_request(bench.now_ms, &mut bench.actions);
+    let end_ms = request.lease_end_ms.expect("a lease");
+    assert!(end_ms > bench.now_ms + LEASE_MS - 50, "{end_ms}");
+    assert!(end_ms <= bench.now_ms + LEASE_MS, "{end_ms}");
+}
+
+#[test]
+fn the_lease_runs_out_if_a_run_that_had_to_end_goes_on() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    bench.run_starts();
+    bench.pass_without_entry(PERMIT_TTL_MS + STOP_CONFIRM_MS - 50);
+    let renewed = bench.host.hold_request(bench.now_ms, &mut bench.actions);
+    assert!(renewed.lease_end_ms.is_some());
+    bench.pass_without_entry(50);
+    let withheld = bench.host.hold_request(bench.now_ms, &mut bench.actions);
+    assert_eq!(withheld.lease_end_ms, None);
+}
+
+#[test]
+fn a_stop_is_sent_until_it_is_answered_and_the_run_is_gone() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    bench.run_starts();
+    bench.pass_without_entry(PERMIT_TTL_MS);
+    assert_eq!(bench.stops(), [task(1)]);
+    bench.pass_without_entry(100);
+    assert_eq!(bench.stops(), [task(1)]);
+    bench.running.clear();
+    bench.pass_without_entry(50);
+    assert_eq!(bench.host.counts(), (0, 1), "no stop has been answered");
+    bench.host.stop_answered(bench.now_ms, task(1), 1);
+    bench.pass_without_entry(50);
+    assert_eq!(bench.host.counts(), (0, 0));
+}
+
+#[test]
+fn an_unanswered_start_is_sent_again_under_its_number() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    let starts = std::mem::take(&mut bench.actions);
+    let [HostAction::Start { number, .. }] = starts[..] else {
+        panic!("one start: {starts:?}");
+    };
+    let unanswered = StartOutcome::Unanswered;
+    bench.host.started(
+        bench.now_ms,
+        task(1),
+        number,
+        unanswered,
+        &mut bench.actions,
+    );
+    let again = std::mem::take(&mut bench.actions);
+    assert!(
+        matches!(again[..], [HostAction::Start { number: again, .. }] if again == number),
+        "{again:?}"
+    );
+}
+
+#[test]
+fn a_number_that_was_used_before_is_passed() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    bench.actions.clear();
+    let refused = StartOutcome::Refused(StartRefusal::OldNumber);
+    bench
+        .host
+        .started(bench.now_ms, task(1), 1, refused, &mut bench.actions);
+    let again = std::mem::take(&mut bench.actions);
+    assert!(
+        matches!(again[..], [HostAction::Start { number, .. }] if number > 1),
+        "{again:?}"
+    );
+}
+
+#[test]
+fn a_token_that_is_too_low_is_raised() {
+    let mut bench = Bench::new();
+    let before = bench.host.token();
+    let now_ms = bench.now_ms;
+    for _ in 0..3 {
+        let stale = HoldOutcome::StaleToken;
+        bench.host.held(now_ms, now_ms, stale, &mut bench.actions);
+    }
+    assert!(bench.host.token() > before + 3, "{}", bench.host.token());
+}
+
+#[test]
+fn the_runs_of_a_silent_target_count_as_lost_only_after_their_lease() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    bench.run_starts();
+    bench.pass(50);
+    let request = bench.host.hold_request(bench.now_ms, &mut bench.actions);
+    assert!(request.lease_end_ms.is_some());
+    let until_ms = bench.now_ms + LEASE_MS;
+    while bench.now_ms < until_ms {
+        bench.now_ms += 50;
+        bench.ask(crate::harness::ENTRY);
+        bench.host.tick(bench.now_ms, &mut bench.actions);
+        assert!(
+            !matches!(bench.outcome(1), Some(RunEvent::Ended(..))),
+            "lost after {} ms",
+            bench.now_ms + LEASE_MS - until_ms
+        );
+    }
+    bench.now_ms += 50;
+    bench.host.tick(bench.now_ms, &mut bench.actions);
+    assert!(matches!(
+        bench.outcome(1),
+        Some(RunEvent::Ended(RunEnd::Lost, _))
+    ));
+}
+
+#[test]
+fn ends_are_acknowledged_after_they_were_taken() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    bench.run_starts();
+    bench.end(task(1), TargetEnd::Done);
+    bench.pass(50);
+    let request = bench.host.hold_request(bench.now_ms, &mut bench.actions);
+    assert_eq!(request.acknowledged, 1);
+    assert!(matches!(
+        bench.outcome(1),
+        Some(RunEvent::Ended(RunEnd::Done, _))
+    ));
+}
--- /dev/null
+++ b/components/hosting/tests/host/queueing.rs
@@ -0,0 +1,122 @@
+//! What starts first, and where nothing starts.
+
+use hosting::TargetEnd;
+use model::{NotStarted, RunEvent, StartOrder};
+
+use crate::harness::{Bench, ENTRY, order, task};
+
+fn send(bench: &mut Bench, starts: Vec<StartOrder>) {
+    let orders = bench.orders(ENTRY, starts);
+    bench.send(orders);
+}
+
+fn full() -> Bench {
+    let mut bench = Bench::new();
+    bench.start(101..=104);
+    assert_eq!(bench.run_starts().len(), 4);
+    bench
+}
+
+#[test]
+fn no_more_starts_than_there_is_room() {
+    let mut bench = full();
+    bench.start([1]);
+    assert_eq!(bench.run_starts(), []);
+    bench.end(task(101), TargetEnd::Done);
+    bench.hold();
+    assert_eq!(bench.run_starts(), [(task(1), 1)]);
+}
+
+#[test]
+fn a_task_that_finds_no_room_in_time_is_given_back() {
+    let mut bench = full();
+    bench.start([1]);
+    bench.pass(100);
+    let refused = RunEvent::NotStarted(NotStarted::NoRoom);
+    assert_eq!(bench.outcome(1), Some(refused));
+}
+
+#[test]
+fn what_is_begun_comes_first_then_the_most_urgent_class_then_the_earliest_start() {
+    let mut bench = full();
+    let mut late = order(1);
+    late.slack_ms = 50;
+    let mut later = order(2);
+    later.slack_ms = 90;
+    let mut urgent = order(3);
+    urgent.priority = 0;
+    urgent.slack_ms = 200;
+    let mut begun = order(4);
+    begun.is_begun = true;
+    begun.slack_ms = 500;
+    send(&mut bench, vec![later, late, urgent, begun]);
+    for running in 101..=104 {
+        bench.end(task(running), TargetEnd::Done);
+    }
+    bench.hold();
+    let order: Vec<_> = bench.run_starts().iter().map(|run| run.0).collect();
+    assert_eq!(order, [task(4), task(3), task(1), task(2)]);
+}
+
+#[test]
+fn a_target_that_fails_different_jobs_gets_a_pause_and_then_one_task() {
+    let mut bench = Bench::new();
+    for number in 1..=3 {
+        bench.start([number]);
+        bench.run_starts();
+        bench.end(task(number), TargetEnd::Failed);
+        bench.hold();
+    }
+    assert!(!bench.host.view(bench.now_ms).is_open);
+    bench.pass(1_050);
+    assert!(bench.host.view(bench.now_ms).is_open);
+    bench.start([4]);
+    assert_eq!(bench.run_starts().len(), 1);
+    assert!(!bench.host.view(bench.now_ms).is_open);
+    bench.end(task(4), TargetEnd::Done);
+    bench.hold();
+    bench.start([5, 6]);
+    assert_eq!(bench.run_starts().len(), 2);
+}
+
+#[test]
+fn a_job_that_always_fails_does_not_make_its_target_suspect() {
+    let mut bench = Bench::new();
+    for attempt in 1..=8 {
+        let mut again = order(1);
+        again.tasks = vec![(0, attempt)];
+        send(&mut bench, vec![again]);
+        assert_eq!(bench.run_starts().len(), 1);
+        bench.end(task(1), TargetEnd::Failed);
+        bench.hold();
+    }
+    assert!(bench.host.view(bench.now_ms).is_open);
+}
+
+#[test]
+fn a_run_without_progress_is_reported_once() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    bench.run_starts();
+    bench.pass(400);
+    let stalls = bench.events.iter();
+    let stalls = stalls.filter(|(_, event)| *event == RunEvent::Stalled);
+    assert_eq!(stalls.count(), 1);
+}
+
+#[test]
+fn the_speed_of_a_target_is_learned_from_its_ends() {
+    let mut bench = Bench::new();
+    for number in 1..=12 {
+        bench.start([number]);
+        bench.run_starts();
+        for percent in 1..=9 {
+            bench.running[0].percent = percent * 10;
+            bench.pass(40);
+        }
+        bench.end(task(number), TargetEnd::Done);
+        bench.pass(40);
+    }
+    let speed = bench.host.view(bench.now_ms).speed_permille;
+    assert!((200..400).contains(&speed), "{speed}");
+}
--- a/components/sidecar/src/entries.rs
+++ b/components/sidecar/src/entries.rs
@@ -33,10 +33,11 @@
     shared.decide(|host, now_ms, actions| host.question(now_ms, &request, actions));
     let has_news = || {
         let host = shared.host.borrow();
-        host.has_news(request.from, request.seen).then_some(())
+        host.has_news(uptime_ms(), request.from, request.seen)
+            .then_some(())
     };
     let wait = Duration::from_millis(u64::from(request.wait_ms));
     // Without news the answer still brings the view and a permit.
     let _ = monoio::time::timeout(wait, shared.news.wait_until(has_news)).await;
-    shared.host.borrow().news(uptime_ms(), request.from)
+    shared.host.borrow_mut().news(uptime_ms(), request.from)
 }
--- a/components/sidecar/src/process.rs
+++ b/components/sidecar/src/process.rs
@@ -173,7 +173,6 @@
     fn state(&self) -> Value {
         let host = self.host.borrow();
         let (waiting, running) = host.counts();
-        let news = host.news(uptime_ms(), self.key);
         json!({
             "agent": self.key.to_string(),
             "is_draining": self.is_draining.get(),
@@ -181,7 +180,7 @@
             "token": host.token(),
             "waiting": waiting,
             "running": running,
-            "view": news.view,
+            "view": host.view(uptime_ms()),
         })
     }
 }
--- a/components/sim/src/agent.rs
+++ b/components/sim/src/agent.rs
@@ -328,7 +328,7 @@
         let ready: Vec<u64> = node
             .questions
             .iter()
-            .filter(|question| node.host.has_news(question.from, question.seen))
+            .filter(|question| node.host.has_news(now_ms, question.from, question.seen))
             .map(|question| question.call)
             .collect();
         if !ready.is_empty() {
@@ -344,7 +344,8 @@
                 self.agents[host].questions.push(question);
                 continue;
             }
-            let news = self.agents[host].host.news(self.now_ms(), question.from);
+            let now_ms = self.now_ms();
+            let news = self.agents[host].host.news(now_ms, question.from);
             self.send_news(
                 question.entry,
                 host,
