--- a/components/hosting/src/host.rs
+++ b/components/hosting/src/host.rs
@@ -304,7 +304,7 @@
                 StartOutcome::Started => self.mark_running(now_ms, task, number, 0),
                 StartOutcome::Unanswered => self.send_start(now_ms, task, number, actions),
                 StartOutcome::Refused(why) => {
-                    self.start_refused(now_ms, task, number, why, actions)
+                    self.start_refused(now_ms, task, number, why, actions);
                 }
             }
         }
