--- a/components/config/src/settings/sidecar.rs
+++ b/components/config/src/settings/sidecar.rs
@@ -15,6 +15,7 @@
     Key::required("target_address", Kind::Address),
     Key::required("reports_address", Kind::Address),
     Key::required("peer_address", Kind::Address),
+    Key::optional("advertised_peer_address", Kind::Address),
     Key::optional("metrics_address", Kind::Address),
     Key::required("store_address", Kind::Address),
     Key::integer("drain_timeout_ms", 0, 600_000),
@@ -34,6 +35,9 @@
     pub reports_address: SocketAddr,
     /// Address that entries connect to.
     pub peer_address: SocketAddr,
+    /// Address for entries as seen from other hosts, if it differs.
+    #[serde(default)]
+    pub advertised_peer_address: Option<SocketAddr>,
     /// Address of the metrics.
     #[serde(default)]
     pub metrics_address: Option<SocketAddr>,
@@ -65,4 +69,10 @@
     pub fn from_toml(file: &str, text: &str) -> Result<Self, SettingsError> {
         load::parse(file, text, KEYS, |_, _| Vec::new())
     }
+
+    /// Returns the address that entries use.
+    #[must_use]
+    pub fn advertised_peer_address(&self) -> SocketAddr {
+        self.advertised_peer_address.unwrap_or(self.peer_address)
+    }
 }
--- a/components/sidecar/src/registration.rs
+++ b/components/sidecar/src/registration.rs
@@ -117,7 +117,7 @@
     let host = shared.host.borrow();
     HostRegistration {
         name: shared.settings.name.clone(),
-        address: shared.settings.peer_address.to_string(),
+        address: shared.settings.advertised_peer_address().to_string(),
         failure_domain: shared.settings.failure_domain.clone(),
         target: host.target().map(registered),
     }
--- a/components/sim/src/agent.rs
+++ b/components/sim/src/agent.rs
@@ -290,24 +290,22 @@
                 self.schedule(wait_us, Event::HoldDue { host, call });
                 self.after_target(host);
             }
-            Event::HoldDue { host, call } => {
-                if self.agents[host]
-                    .open_hold
-                    .is_some_and(|open| open.0 == call)
-                {
-                    self.answer_hold(host);
-                }
+            Event::HoldDue { host, call } if self.is_open_hold(host, call) => {
+                self.answer_hold(host);
             }
-            Event::RunEnds { host } => {
-                if self.agents[host].target.is_up {
-                    self.settle_target(host);
-                    self.after_target(host);
-                }
+            Event::RunEnds { host } if self.agents[host].target.is_up => {
+                self.settle_target(host);
+                self.after_target(host);
             }
             _ => {}
         }
     }
 
+    fn is_open_hold(&self, host: usize, call: u64) -> bool {
+        let open = self.agents[host].open_hold;
+        open.is_some_and(|open| open.0 == call)
+    }
+
     fn is_agent(&self, host: usize, life: u32) -> bool {
         let node = &self.agents[host];
         node.is_up && node.life == life
@@ -322,7 +320,7 @@
         let mut actions = Vec::new();
         let result = event(&mut self.agents[host].host, now_ms, &mut actions);
         for action in actions {
-            self.call_target(host, action);
+            self.call_target(host, &action);
         }
         let node = &self.agents[host];
         let ready: Vec<u64> = node
@@ -381,14 +379,14 @@
         );
     }
 
-    fn call_target(&mut self, host: usize, action: HostAction) {
+    fn call_target(&mut self, host: usize, action: &HostAction) {
         let late_share = self.agents[host].late_share;
         let is_late = late_share > 0.0 && self.rng.random::<f64>() < late_share;
         let late_us = self.rng.random_range(LATE_US.0..=LATE_US.1);
         let delay_us = if is_late { late_us } else { LOCAL_US };
         let life = self.agents[host].life;
         let timeout_us = CALL_TIMEOUT_MS * 1_000;
-        match action {
+        match *action {
             HostAction::Start {
                 task,
                 number,
--- a/components/sim/src/entry.rs
+++ b/components/sim/src/entry.rs
@@ -86,10 +86,8 @@
                 self.perform(entry, actions);
                 self.schedule(TICK_US, Event::EntryTick { entry, life });
             }
-            Event::Connect { entry, host, life } => {
-                if self.is_life(entry, life) {
-                    self.connect(entry, host);
-                }
+            Event::Connect { entry, host, life } if self.is_life(entry, life) => {
+                self.connect(entry, host);
             }
             Event::CallTimeout {
                 entry,
--- a/components/sim/tests/promises.rs
+++ b/components/sim/tests/promises.rs
@@ -48,14 +48,14 @@
     Scenario {
         name: "faults",
         deployment: deployment(3, 5),
-        load: usual_load(5, if seed % 3 == 0 { 1.6 } else { 0.9 }),
+        load: usual_load(5, if seed.is_multiple_of(3) { 1.6 } else { 0.9 }),
         load_ms: 6_000,
         faults,
     }
 }
 
-fn assert_kept(seed: u64, faults: Vec<Fault>) {
-    let report = world(seed, faults.clone()).play(seed);
+fn assert_kept(seed: u64, faults: &[Fault]) {
+    let report = world(seed, faults.to_vec()).play(seed);
     assert!(
         report.violations.is_empty(),
         "seed {seed}, faults {faults:?}\n{report}"
@@ -70,7 +70,7 @@
             let seed = 100 + number as u64 * 10 + repeat;
             let mut rng = SmallRng::seed_from_u64(seed);
             let fault = draw_fault(&mut rng, kind, 3, 5);
-            assert_kept(seed, vec![fault]);
+            assert_kept(seed, &[fault]);
         }
     }
 }
@@ -81,11 +81,9 @@
         for (second, other) in KINDS.into_iter().enumerate() {
             let seed = 1_000 + first as u64 * 20 + second as u64;
             let mut rng = SmallRng::seed_from_u64(seed);
-            let faults = vec![
-                draw_fault(&mut rng, kind, 3, 5),
-                draw_fault(&mut rng, other, 3, 5),
-            ];
-            assert_kept(seed, faults);
+            let first = draw_fault(&mut rng, kind, 3, 5);
+            let second = draw_fault(&mut rng, other, 3, 5);
+            assert_kept(seed, &[first, second]);
         }
     }
 }
@@ -94,12 +92,12 @@
 fn many_faults_at_once_keep_the_promises() {
     for seed in 5_000..5_060 {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let faults = (0..rng.random_range(3..9))
+        let faults: Vec<Fault> = (0..rng.random_range(3..9))
             .map(|_| {
                 let kind = KINDS[rng.random_range(0..KINDS.len())];
                 draw_fault(&mut rng, kind, 3, 5)
             })
             .collect();
-        assert_kept(seed, faults);
+        assert_kept(seed, &faults);
     }
 }
