Send orders again after 25 ms, and ask twice at a time while answers are lost

Cause: a lost start cost 80 ms and a lost answer to a question 180 ms, which also made targets look slow, so that entries refused for overload. Change: starts and stops are given up after 25 ms, a second question runs beside the first for 5 s after a lost answer, and gaps teach no speed.

--- a/components/hosting/src/host.rs
+++ b/components/hosting/src/host.rs
@@ -13,7 +13,7 @@
 use crate::health::Health;
 use crate::lease::{HoldRequest, Lease};
 use crate::limits::{
-    HOLD_WAIT_MS, MAX_QUEUE, NUMBER_KEPT_MS, PERMIT_TTL_MS, ROOM_PAUSE_MS, STALL_MS,
+    DOUBT_MS, HOLD_WAIT_MS, MAX_QUEUE, NUMBER_KEPT_MS, PERMIT_TTL_MS, ROOM_PAUSE_MS, STALL_MS,
     STOP_CONFIRM_MS, STOP_RETRY_MS,
 };
 use crate::pace::Pace;
@@ -28,6 +28,10 @@
 /// milliseconds.
 const PACE_WINDOW_MS: u64 = 80;
 
+/// Time beyond the usual interval between two answers of the target after which they tell nothing
+/// of its speed, in milliseconds.
+const PACE_SLACK_MS: u64 = 40;
+
 /// Step by which a fencing token that is too low is raised at first; it doubles, up to the wall
 /// clock's resolution of a day.
 const TOKEN_STEP: u64 = 1_000;
@@ -52,6 +56,8 @@
     lease: Lease,
     acknowledged: u64,
     heard_at_ms: u64,
+    in_doubt_until_ms: u64,
+    has_gap: bool,
     pace: Pace,
     health: Health,
     no_room_until_ms: u64,
@@ -79,6 +85,8 @@
             lease: Lease::default(),
             acknowledged: 0,
             heard_at_ms: 0,
+            in_doubt_until_ms: 0,
+            has_gap: false,
             pace: Pace::default(),
             health: Health::default(),
             no_room_until_ms: 0,
@@ -264,6 +272,13 @@
         }
     }
 
+    /// Tells whether the target has left calls unanswered of late, so that a second question at
+    /// the same time is worth its cost.
+    #[must_use]
+    pub fn is_in_doubt(&self, now_ms: u64) -> bool {
+        now_ms < self.in_doubt_until_ms && !self.runs.is_empty()
+    }
+
     /// Takes the result of a question that was sent at `sent_at_ms`.
     pub fn held(
         &mut self,
@@ -281,7 +296,7 @@
                 self.give_back_waiting(NotStarted::NoTarget);
             }
             HoldOutcome::OtherIncarnation => self.target = None,
-            HoldOutcome::Unanswered => {}
+            HoldOutcome::Unanswered => self.in_doubt_until_ms = now_ms + DOUBT_MS,
         }
         self.tick(now_ms, actions);
     }
@@ -302,7 +317,10 @@
         if is_current {
             match outcome {
                 StartOutcome::Started => self.mark_running(now_ms, task, number, 0),
-                StartOutcome::Unanswered => self.send_start(now_ms, task, number, actions),
+                StartOutcome::Unanswered => {
+                    self.in_doubt_until_ms = now_ms + DOUBT_MS;
+                    self.send_start(now_ms, task, number, actions);
+                }
                 StartOutcome::Refused(why) => {
                     self.start_refused(now_ms, task, number, why, actions);
                 }
@@ -546,6 +564,9 @@
             return;
         }
         self.enter_life(holding.born_unix_ms);
+        // After a gap the time of what is learned now is not known well.
+        let usual_ms = HOLD_WAIT_MS + PACE_SLACK_MS;
+        self.has_gap = now_ms > self.heard_at_ms + usual_ms;
         self.heard_at_ms = now_ms;
         self.is_target_gone = false;
         self.lease.read_clock(now_ms, holding.clock_ms);
@@ -619,8 +640,10 @@
         if row.percent > *percent {
             if elapsed_ms >= PACE_WINDOW_MS {
                 let done = f64::from(row.percent - *percent) / 100.0;
-                self.pace
-                    .sample(now_ms, estimate_ms * done, elapsed_ms as f64);
+                if !self.has_gap {
+                    self.pace
+                        .sample(now_ms, estimate_ms * done, elapsed_ms as f64);
+                }
                 *percent = row.percent;
                 *progress_at_ms = now_ms;
             }
@@ -663,6 +686,9 @@
 
     fn learn_from_end(&mut self, now_ms: u64, task: TaskRef) {
         self.health.succeeded();
+        if self.has_gap {
+            return;
+        }
         let Some(run) = self.runs.get(&task) else {
             return;
         };
--- a/components/hosting/src/lib.rs
+++ b/components/hosting/src/lib.rs
@@ -19,7 +19,8 @@
 pub use host::Host;
 pub use lease::HoldRequest;
 pub use limits::{
-    CALL_TIMEOUT_MS, HOLD_WAIT_MS, LEASE_MS, LINK_GRACE_MS, PERMIT_TTL_MS, STOP_CONFIRM_MS,
+    CALL_TIMEOUT_MS, HOLD_WAIT_MS, LEASE_MS, LINK_GRACE_MS, ORDER_TIMEOUT_MS, PERMIT_TTL_MS,
+    STOP_CONFIRM_MS,
 };
 pub use target::{
     EndedRun, HoldOutcome, Holding, RunningRun, StartOutcome, StartRefusal, TargetEnd, TargetReport,
--- a/components/hosting/src/limits.rs
+++ b/components/hosting/src/limits.rs
@@ -21,13 +21,20 @@
 /// on the same host.
 pub const CALL_TIMEOUT_MS: u64 = 80;
 
+/// How long an answer to a start or a stop may take, in milliseconds; it is a matter of one or two
+/// on the same host, and sending one again does no harm.
+pub const ORDER_TIMEOUT_MS: u64 = 25;
+
+/// How long after the target left a call unanswered its runs are asked for twice at a time, in
+/// milliseconds.
+pub(crate) const DOUBT_MS: u64 = 5_000;
+
 /// How long after an entry has lost its authority its runs may take to end before the lease of
-/// the whole target is no longer renewed, in milliseconds: three stops, each given up after
-/// [`CALL_TIMEOUT_MS`].
+/// the whole target is no longer renewed, in milliseconds: five stops, sent every 50 ms.
 pub const STOP_CONFIRM_MS: u64 = 250;
 
 /// Interval between stops of the same run, in milliseconds; a stop takes up to 50 ms.
-pub(crate) const STOP_RETRY_MS: u64 = 80;
+pub(crate) const STOP_RETRY_MS: u64 = 50;
 
 /// How long the state of an entry that has gone is kept, in milliseconds.
 pub(crate) const SESSION_KEPT_MS: u64 = 10_000;
--- a/components/sidecar/src/calls.rs
+++ b/components/sidecar/src/calls.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hosting::{CALL_TIMEOUT_MS, HoldOutcome, HostAction};
+use hosting::{CALL_TIMEOUT_MS, HoldOutcome, HostAction, ORDER_TIMEOUT_MS};
 use runtime::uptime_ms;
 
 use crate::process::Shared;
@@ -45,7 +45,7 @@
     };
     let request =
         adapter::start_request(&instance, task, number, &specification, lease_end_ms, token);
-    let limit = Duration::from_millis(CALL_TIMEOUT_MS);
+    let limit = Duration::from_millis(ORDER_TIMEOUT_MS);
     let result = shared.target.call(&request, limit).await;
     let outcome = adapter::start_outcome(&result);
     shared.metrics.note_start(outcome);
@@ -70,7 +70,7 @@
         return;
     };
     let request = adapter::stop_request(&instance, task, number, token);
-    let limit = Duration::from_millis(CALL_TIMEOUT_MS);
+    let limit = Duration::from_millis(ORDER_TIMEOUT_MS);
     let result = shared.target.call(&request, limit).await;
     let is_answered = adapter::stop_is_answered(&result);
     shared.metrics.note_stop(is_answered);
@@ -85,14 +85,8 @@
 pub(crate) async fn hold(shared: Rc<Shared>) {
     let mut is_reachable = true;
     loop {
-        let request = shared.decide(|host, now_ms, actions| host.hold_request(now_ms, actions));
-        let instance = instance(&shared);
-        let limit = Duration::from_millis(request.wait_ms + CALL_TIMEOUT_MS);
         let sent_at_ms = uptime_ms();
-        let call = adapter::hold_request(instance.as_deref(), &request);
-        let result = shared.target.call(&call, limit).await;
-        let outcome = adapter::hold_outcome(&result);
-        shared.metrics.note_hold(&outcome);
+        let outcome = hold_once(&shared).await;
         let is_held = matches!(outcome, HoldOutcome::Held(_));
         if is_held != is_reachable {
             log_reachability(&outcome);
@@ -105,6 +99,32 @@
     }
 }
 
+/// Asks beside [`hold`] while answers of the target are lost.
+pub(crate) async fn hold_in_doubt(shared: Rc<Shared>) {
+    loop {
+        monoio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+        if !shared.host.borrow().is_in_doubt(uptime_ms()) {
+            continue;
+        }
+        let sent_at_ms = uptime_ms();
+        let outcome = hold_once(&shared).await;
+        if matches!(outcome, HoldOutcome::Held(_)) {
+            shared.decide(|host, now_ms, actions| host.held(now_ms, sent_at_ms, outcome, actions));
+        }
+    }
+}
+
+async fn hold_once(shared: &Rc<Shared>) -> HoldOutcome {
+    let request = shared.decide(|host, now_ms, actions| host.hold_request(now_ms, actions));
+    let instance = instance(shared);
+    let limit = Duration::from_millis(request.wait_ms + CALL_TIMEOUT_MS);
+    let call = adapter::hold_request(instance.as_deref(), &request);
+    let result = shared.target.call(&call, limit).await;
+    let outcome = adapter::hold_outcome(&result);
+    shared.metrics.note_hold(&outcome);
+    outcome
+}
+
 fn log_reachability(outcome: &HoldOutcome) {
     let reason = match outcome {
         HoldOutcome::Held(_) => {
--- a/components/sidecar/src/process.rs
+++ b/components/sidecar/src/process.rs
@@ -105,6 +105,7 @@
         }
         monoio::spawn(crate::registration::keep(Rc::clone(&shared)));
         monoio::spawn(crate::calls::hold(Rc::clone(&shared)));
+        monoio::spawn(crate::calls::hold_in_doubt(Rc::clone(&shared)));
         monoio::spawn(reload_on_signal(signals));
         monoio::spawn(turn(Rc::clone(&shared)));
         drain.stopped().await;
--- a/components/sim/src/agent.rs
+++ b/components/sim/src/agent.rs
@@ -1,7 +1,8 @@
 //! Agents and their targets.
 
 use hosting::{
-    CALL_TIMEOUT_MS, HoldOutcome, Host, HostAction, StartOutcome, StartRefusal, TargetReport,
+    CALL_TIMEOUT_MS, HoldOutcome, Host, HostAction, ORDER_TIMEOUT_MS, StartOutcome, StartRefusal,
+    TargetReport,
 };
 use model::{ProcessKey, TaskRef};
 use rand::Rng;
@@ -385,7 +386,7 @@
         let late_us = self.rng.random_range(LATE_US.0..=LATE_US.1);
         let delay_us = if is_late { late_us } else { LOCAL_US };
         let life = self.agents[host].life;
-        let timeout_us = CALL_TIMEOUT_MS * 1_000;
+        let timeout_us = ORDER_TIMEOUT_MS * 1_000;
         match *action {
             HostAction::Start {
                 task,
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod drain;
 mod dump;
+mod explain;
 mod gateway;
 mod job;
 mod publish;
@@ -43,6 +44,7 @@
     &status::COMMAND,
     &cancel::COMMAND,
     &dump::COMMAND,
+    &explain::COMMAND,
     &drain::COMMAND,
 ];
 
