--- a/components/scheduling/src/placement.rs
+++ b/components/scheduling/src/placement.rs
@@ -18,6 +18,10 @@
 /// safe; declared run times are off by about as much.
 const SAFETY: f64 = 1.5;
 
+/// Share of a host's processor that has to be left for it to count as safe: other entries place
+/// by views of the same age.
+const SPARE_SHARE: f64 = 0.2;
+
 /// Time that messages take on the way to a host and back, in milliseconds.
 const ROUND_TRIP_MS: f64 = 6.0;
 
@@ -151,7 +155,9 @@
         let limit_ms = wanted.limit_ms as f64;
         let is_in_time = finish_ms <= limit_ms;
         let more_work_ms = f64::from(wanted.estimate_ms) * (SAFETY - 1.0);
+        let spare_millis = self.free.without(&wanted.needs).cpu_millis;
         let is_safe = is_in_time
+            && f64::from(spare_millis) >= SPARE_SHARE * f64::from(self.capacity.cpu_millis)
             && (wait_ms + run_ms) * SAFETY + ROUND_TRIP_MS
                 <= limit_ms + more_work_ms * wanted.stretch;
         let used_millis =
