Rule out an earlier copy of a start before its refusal is passed on

Cause, by reading: a start that got no answer was sent again; when the second copy was refused, the entry was told that the task had not started, though the first copy could still be carried out within its lease. Change: such a run is stopped, and reported as lost once the stop is answered and the target does not list it. Test: a_refusal_after_an_unanswered_start_is_passed_on_only_after_a_stop.

--- a/components/hosting/src/host/orders.rs
+++ b/components/hosting/src/host/orders.rs
@@ -48,6 +48,7 @@
                 start_by_ms: now_ms + u64::from(order.slack_ms),
                 priority: order.priority,
                 is_begun: order.is_begun,
+                is_doubtful: false,
                 ordered_at_ms: now_ms,
                 state: RunState::Waiting {
                     give_up_at_ms: now_ms + u64::from(order.patience_ms),
--- a/components/hosting/src/host/starts.rs
+++ b/components/hosting/src/host/starts.rs
@@ -30,6 +30,9 @@
                 StartOutcome::Started => self.mark_running(now_ms, task, number, 0),
                 StartOutcome::Unanswered => {
                     self.in_doubt_until_ms = now_ms + DOUBT_MS;
+                    self.runs
+                        .entry(task)
+                        .and_modify(|run| run.is_doubtful = true);
                     self.send_start(now_ms, task, number, actions);
                 }
                 StartOutcome::Refused(why) => {
@@ -60,17 +63,35 @@
             StartRefusal::LeaseOver => self.send_start(now_ms, task, number, actions),
             StartRefusal::NoRoom => {
                 self.no_room_until_ms = now_ms + ROOM_PAUSE_MS;
-                self.give_back(task, NotStarted::NoRoom);
+                self.settle_refused(now_ms, task, NotStarted::NoRoom, actions);
+            }
+            StartRefusal::Malformed => {
+                self.settle_refused(now_ms, task, NotStarted::Malformed, actions);
             }
-            StartRefusal::Malformed => self.give_back(task, NotStarted::Malformed),
             StartRefusal::OtherIncarnation => self.give_back(task, NotStarted::NoTarget),
             StartRefusal::Unhealthy => {
                 self.health.failed(now_ms, task.job);
-                self.give_back(task, NotStarted::NoTarget);
+                self.settle_refused(now_ms, task, NotStarted::NoTarget, actions);
             }
         }
     }
 
+    /// Gives a refused start back, unless an earlier copy of it may still be carried out: then a
+    /// stop has to rule that out first.
+    fn settle_refused(
+        &mut self,
+        now_ms: u64,
+        task: TaskRef,
+        why: NotStarted,
+        actions: &mut Vec<HostAction>,
+    ) {
+        if self.runs.get(&task).is_some_and(|run| run.is_doubtful) {
+            self.send_stop(now_ms, task, None, actions);
+        } else {
+            self.give_back(task, why);
+        }
+    }
+
     pub(super) fn send_start(
         &mut self,
         now_ms: u64,
--- a/components/hosting/src/run.rs
+++ b/components/hosting/src/run.rs
@@ -54,6 +54,8 @@
     pub(crate) start_by_ms: u64,
     pub(crate) priority: u8,
     pub(crate) is_begun: bool,
+    /// Whether a start was left unanswered and may still be carried out.
+    pub(crate) is_doubtful: bool,
     pub(crate) ordered_at_ms: u64,
     pub(crate) state: RunState,
 }
--- a/components/hosting/tests/host/leases.rs
+++ b/components/hosting/tests/host/leases.rs
@@ -73,6 +73,30 @@
     );
 }
 
+// An earlier copy of the start may still be carried out when a later one is refused.
+#[test]
+fn a_refusal_after_an_unanswered_start_is_passed_on_only_after_a_stop() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    bench.actions.clear();
+    let now_ms = bench.now_ms;
+    let refused = StartOutcome::Refused(StartRefusal::NoRoom);
+    for outcome in [StartOutcome::Unanswered, refused] {
+        bench
+            .host
+            .started(now_ms, task(1), 1, outcome, &mut bench.actions);
+    }
+    assert_eq!(bench.stops(), [task(1)]);
+    bench.pass(50);
+    assert_eq!(bench.outcome(1), None);
+    bench.host.stop_answered(bench.now_ms, task(1), 1);
+    bench.pass(50);
+    assert!(matches!(
+        bench.outcome(1),
+        Some(RunEvent::Ended(RunEnd::Lost, _))
+    ));
+}
+
 #[test]
 fn a_number_that_was_used_before_is_passed() {
     let mut bench = Bench::new();
