Look at the permits before the result of a start is taken

Cause: an agent froze for 2.3 s while a start was under way; when it woke, the start counted as unanswered and was sent again with a new lease, before the tick that ends the runs of entries without authority. Ruled out: an order with an old permit (refused), a late order of the target (its lease end is over). Change: every result of a start first ends what has lost its authority. Test: an_agent_that_stood_still_does_not_send_a_start_again failed before, for four outcomes.

--- a/components/hosting/src/host/starts.rs
+++ b/components/hosting/src/host/starts.rs
@@ -21,6 +21,8 @@
         outcome: StartOutcome,
         actions: &mut Vec<HostAction>,
     ) {
+        // The agent may have stood still since it sent the start.
+        self.expire(now_ms, actions);
         let is_current = self
             .runs
             .get(&task)
--- a/components/hosting/tests/host/authority.rs
+++ b/components/hosting/tests/host/authority.rs
@@ -1,6 +1,6 @@
 //! Whose orders count.
 
-use hosting::{HostAction, LINK_GRACE_MS, PERMIT_TTL_MS};
+use hosting::{HostAction, LINK_GRACE_MS, PERMIT_TTL_MS, StartOutcome, StartRefusal};
 use model::{NotStarted, RunEvent};
 
 use crate::harness::{Bench, ENTRY, OTHER_ENTRY, order, task};
@@ -51,6 +51,30 @@
     );
 }
 
+// Found by a hunt on the own day `machines` (seed 584228248914): an agent froze while a start was
+// under way, and sent it again with a new lease when it woke.
+#[test]
+fn an_agent_that_stood_still_does_not_send_a_start_again() {
+    for outcome in [
+        StartOutcome::Unanswered,
+        StartOutcome::Refused(StartRefusal::LeaseOver),
+        StartOutcome::Refused(StartRefusal::StaleToken),
+        StartOutcome::Refused(StartRefusal::OldNumber),
+    ] {
+        let mut bench = Bench::new();
+        bench.start([1]);
+        bench.actions.clear();
+        bench.now_ms += 2_300;
+        let now_ms = bench.now_ms;
+        bench
+            .host
+            .started(now_ms, task(1), 1, outcome, &mut bench.actions);
+        let actions = std::mem::take(&mut bench.actions);
+        let is_start = |action: &HostAction| matches!(action, HostAction::Start { .. });
+        assert!(!actions.iter().any(is_start), "{outcome:?}: {actions:?}");
+    }
+}
+
 #[test]
 fn a_closed_connection_leaves_time_for_a_new_one() {
     let mut bench = Bench::new();
