--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -66,9 +66,9 @@
     ///
     /// Fails if a port cannot be opened or a metric cannot be registered.
     pub fn bind(settings: AgentSettings) -> Result<Self, Error> {
-        let (peers, peer_address) = open("peer_address", settings.peer_address)?;
+        let (peers, peer_address) = web::open_any("peer_address", settings.peer_address)?;
         let (announcements, announce_address) =
-            open("announce_address", settings.announce_address)?;
+            web::open_any("announce_address", settings.announce_address)?;
         let key = runtime::draw_process_key();
         let core = AgentBuilder::new(key)
             .max_queue_tasks(settings.limits.max_queue_tasks as usize)
@@ -162,25 +162,6 @@
         .build()
 }
 
-fn open(
-    key: &str,
-    address: std::net::SocketAddr,
-) -> Result<(TcpListener, std::net::SocketAddr), Error> {
-    let listener = web::bind(address);
-    let opened = listener.and_then(|listener| {
-        let address = listener.local_addr()?;
-        Ok((listener, address))
-    });
-    opened.map_err(|error| {
-        Error::new(
-            ExitCode::Unavailable,
-            format!("cannot listen on {address}: {error}"),
-        )
-        .at(key)
-        .with_remedy("free the port or name another one")
-    })
-}
-
 impl Shared {
     /// Runs the timers of the decisions until a planned stop is over.
     async fn turn(self: Rc<Self>, drain: &Stop) {
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -30,7 +30,7 @@
 };
 pub use settings::{
     AgentLimits, AgentSettings, EntryLimits, EntrySettings, GatewayLimits, GatewaySettings,
-    LogFormat, LogLevel, LogSettings, SettingsError, SidecarSettings,
+    LogFormat, LogLevel, LogSettings, SettingsError, SidecarSettings, read_settings,
 };
 pub use tenant::Tenant;
 pub use token::Token;
--- a/components/config/src/settings/entry.rs
+++ b/components/config/src/settings/entry.rs
@@ -114,7 +114,7 @@
     ///
     /// Returns every fault in the file.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        Self::from_toml(&path.display().to_string(), &load::read(path)?)
+        Self::from_toml(&path.display().to_string(), &load::read_settings(path)?)
     }
 
     /// Parses the settings from the text of a file.
--- a/components/config/src/settings/gateway.rs
+++ b/components/config/src/settings/gateway.rs
@@ -106,7 +106,7 @@
     ///
     /// Returns every fault in the file.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        Self::from_toml(&path.display().to_string(), &load::read(path)?)
+        Self::from_toml(&path.display().to_string(), &load::read_settings(path)?)
     }
 
     /// Parses the settings from the text of a file.
@@ -117,4 +117,13 @@
     pub fn from_toml(file: &str, text: &str) -> Result<Self, SettingsError> {
         load::parse(file, text, KEYS, |_, _| Vec::new())
     }
+
+    /// Takes over the settings that can be changed while the process runs; returns the names of
+    /// the others that differ, which hold from the next start on.
+    pub fn take_over(&mut self, newer: &Self) -> Vec<&'static str> {
+        self.seed_peers.clone_from(&newer.seed_peers);
+        self.drain_timeout_ms = newer.drain_timeout_ms;
+        self.limits.clone_from(&newer.limits);
+        load::differing(KEYS, self, newer)
+    }
 }
--- a/components/config/src/settings/load.rs
+++ b/components/config/src/settings/load.rs
@@ -6,6 +6,7 @@
 
 use derive_more::{Display, Error};
 use errors::ExitCode;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 use toml::Table;
 
@@ -34,8 +35,12 @@
     DRAIN_TIMEOUT_MS
 }
 
-/// Reads a file as text.
-pub(super) fn read(path: &Path) -> Result<String, SettingsError> {
+/// Reads a settings file as text.
+///
+/// # Errors
+///
+/// Fails if the file cannot be read.
+pub fn read_settings(path: &Path) -> Result<String, SettingsError> {
     fs::read_to_string(path).map_err(|error| {
         let file = path.display().to_string();
         let fault = Fault::error(&file, "", format!("cannot be read: {error}"))
@@ -84,6 +89,16 @@
     }
 }
 
+/// Returns the names of the settings that differ, in the order of `keys`.
+pub(super) fn differing<T: Serialize>(keys: &[Key], one: &T, other: &T) -> Vec<&'static str> {
+    let values = |settings: &T| Table::try_from(settings).unwrap_or_default();
+    let (one, other) = (values(one), values(other));
+    keys.iter()
+        .map(|key| key.name)
+        .filter(|name| one.get(*name) != other.get(*name))
+        .collect()
+}
+
 fn parse_into<T: DeserializeOwned>(
     file: &str,
     text: &str,
--- a/components/config/src/settings/mod.rs
+++ b/components/config/src/settings/mod.rs
@@ -10,6 +10,6 @@
 pub use agent::{AgentLimits, AgentSettings};
 pub use entry::{EntryLimits, EntrySettings};
 pub use gateway::{GatewayLimits, GatewaySettings};
-pub use load::SettingsError;
+pub use load::{SettingsError, read_settings};
 pub use log::{LogFormat, LogLevel, LogSettings};
 pub use sidecar::SidecarSettings;
--- a/components/config/src/settings/sidecar.rs
+++ b/components/config/src/settings/sidecar.rs
@@ -58,7 +58,7 @@
     ///
     /// Returns every fault in the file.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        Self::from_toml(&path.display().to_string(), &load::read(path)?)
+        Self::from_toml(&path.display().to_string(), &load::read_settings(path)?)
     }
 
     /// Parses the settings from the text of a file.
@@ -70,6 +70,13 @@
         load::parse(file, text, KEYS, |_, _| Vec::new())
     }
 
+    /// Takes over the settings that can be changed while the process runs; returns the names of
+    /// the others that differ, which hold from the next start on.
+    pub fn take_over(&mut self, newer: &Self) -> Vec<&'static str> {
+        self.drain_timeout_ms = newer.drain_timeout_ms;
+        load::differing(KEYS, self, newer)
+    }
+
     /// Returns the address that entries use.
     #[must_use]
     pub fn advertised_peer_address(&self) -> SocketAddr {
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -88,8 +88,8 @@
     ///
     /// Fails if a port cannot be opened or a metric cannot be registered.
     pub fn bind(settings: EntrySettings) -> Result<Self, Error> {
-        let (callers, listen_address) = open("listen_address", settings.listen_address)?;
-        let (peers, peer_address) = open("peer_address", settings.peer_address)?;
+        let (callers, listen_address) = web::open_any("listen_address", settings.listen_address)?;
+        let (peers, peer_address) = web::open_any("peer_address", settings.peer_address)?;
         let key = runtime::draw_process_key();
         let me = EntryInfo {
             key,
@@ -203,19 +203,6 @@
         .build()
 }
 
-fn open(key: &str, address: SocketAddr) -> Result<(TcpListener, SocketAddr), Error> {
-    let opened = web::bind(address).and_then(|listener| {
-        let address = listener.local_addr()?;
-        Ok((listener, address))
-    });
-    opened.map_err(|error| {
-        let message = format!("cannot listen on {address}: {error}");
-        Error::new(ExitCode::Unavailable, message)
-            .at(key)
-            .with_remedy("free the port or name another one")
-    })
-}
-
 impl Shared {
     /// Hands the shards over and ends once no request is in progress.
     async fn stop_gracefully(
--- a/components/gateway/src/bootstrap.rs
+++ b/components/gateway/src/bootstrap.rs
@@ -53,8 +53,9 @@
 pub(crate) async fn ask_others(shared: Rc<Shared>) {
     monoio::time::sleep(Duration::from_millis(PATIENCE_MS)).await;
     while needs_help(&shared) {
-        for peer in shared.settings.seed_peers.clone() {
-            if peer != shared.settings.peer_address && needs_help(&shared) {
+        let settings = shared.settings();
+        for &peer in &settings.seed_peers {
+            if peer != settings.peer_address && needs_help(&shared) {
                 ask(&shared, &peer.to_string()).await;
             }
         }
--- a/components/gateway/src/callers.rs
+++ b/components/gateway/src/callers.rs
@@ -7,7 +7,7 @@
 use model::CallerId;
 use monoio::net::TcpListener;
 use scheduling::{Decision, JobRequest, JobSlot, Route, Submission, Verdict};
-use web::{HeaderValue, Request, Response, ServerLimits, Stop};
+use web::{HeaderValue, Request, Response, Stop};
 
 use crate::process::Shared;
 
@@ -20,15 +20,7 @@
 
 /// Serves callers until the stop, and then until the requests in progress have been answered.
 pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener, stop: Stop) {
-    let limits = &shared.settings.limits;
-    let limits = ServerLimits::builder()
-        .max_connections(limits.max_connections as usize)
-        .max_body_bytes(limits.max_body_bytes as usize)
-        .max_header_bytes(limits.max_header_bytes as usize)
-        .read_timeout_ms(limits.read_timeout_ms)
-        .idle_timeout_ms(limits.idle_timeout_ms)
-        .drops_abandoned(true)
-        .build();
+    let limits = shared.limits.clone();
     let counters = Rc::clone(&shared.web);
     web::serve(listener, limits, counters, stop, move |request, _| {
         handle(Rc::clone(&shared), request)
--- a/components/gateway/src/configuration.rs
+++ b/components/gateway/src/configuration.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use adapter::{CONFIGURATION_KEY, StoreItem, WatchedChange};
+use adapter::{CONFIGURATION_KEY, CallerLimits, StoreItem, WatchedChange};
 use platform::StoreFault;
 use scheduling::RouteTable;
 use web::Bytes;
@@ -29,6 +29,8 @@
     pub(crate) version: u64,
     /// The queues.
     pub(crate) routes: RouteTable,
+    /// The operators' limits on callers.
+    pub(crate) limits: CallerLimits,
     /// The configuration as published, for other entries.
     pub(crate) published: Bytes,
 }
@@ -125,6 +127,8 @@
         revision,
         version: decoded.version,
         routes: RouteTable::new(decoded.routes),
+        limits: decoded.limits,
         published: published.clone(),
     }));
+    shared.refresh_limits();
 }
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -1,10 +1,13 @@
 //! Which hosts there are, from the store.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
+use adapter::{StoreItem, WatchedChange};
 use model::{HOSTS_PREFIX, HostRegistration};
 use platform::StoreFault;
+use runtime::uptime_ms;
 use scheduling::HostInfo;
 
 use crate::links;
@@ -20,10 +23,14 @@
 /// within two seconds of the store's return.
 const RETRY_MS: u64 = 500;
 
+/// Registered hosts: their addresses by the keys of the store.
+type Registered = BTreeMap<String, String>;
+
 /// Keeps the hosts in step with the store; goes on with those it knows while the store is away.
 pub(crate) async fn follow(shared: Rc<Shared>) {
+    let mut registered = Registered::new();
     loop {
-        match follow_once(&shared).await {
+        match follow_once(&shared, &mut registered).await {
             Ok(()) => {}
             Err(fault) => {
                 log::info!(target: "gateway", event = "directory_unavailable",
@@ -35,12 +42,13 @@
 }
 
 /// Lists the hosts, then waits for a change.
-async fn follow_once(shared: &Rc<Shared>) -> Result<(), StoreFault> {
+async fn follow_once(shared: &Rc<Shared>, registered: &mut Registered) -> Result<(), StoreFault> {
     let listed = shared.store.list(HOSTS_PREFIX, false).await;
     shared.metrics.note_store_call("list", listed.is_ok());
     let list = listed?;
+    registered.clear();
     for item in &list.items {
-        add(shared, &item.key, &item.value);
+        add(shared, item, registered);
     }
     let mut revision = list.revision;
     loop {
@@ -51,11 +59,14 @@
         shared.metrics.note_store_call("watch", watched.is_ok());
         let watch = watched?;
         for change in &watch.changes {
-            // A key that goes says nothing of its host: connections tell who lives.
-            if let adapter::WatchedChange::Put(item) = change {
-                add(shared, &item.key, &item.value);
+            match change {
+                WatchedChange::Put(item) => add(shared, item, registered),
+                WatchedChange::Deleted { key } => {
+                    registered.remove(key);
+                }
             }
         }
+        forget_gone(shared, registered);
         // A store that moved on without telling of a change may have missed some.
         if watch.changes.is_empty() && watch.revision != revision {
             monoio::time::sleep(Duration::from_millis(RELIST_MS)).await;
@@ -65,11 +76,14 @@
     }
 }
 
-fn add(shared: &Rc<Shared>, key: &str, value: &[u8]) {
-    match serde_json::from_slice::<HostRegistration>(value) {
-        Ok(registration) => add_host(shared, &registration),
+fn add(shared: &Rc<Shared>, item: &StoreItem, registered: &mut Registered) {
+    match serde_json::from_slice::<HostRegistration>(&item.value) {
+        Ok(registration) => {
+            registered.insert(item.key.clone(), registration.address.clone());
+            add_host(shared, &registration);
+        }
         Err(error) => {
-            log::warn!(target: "gateway", event = "bad_registration", key = key,
+            log::warn!(target: "gateway", event = "bad_registration", key = item.key.as_str(),
                 reason = error.to_string(); "a host's registration cannot be read");
         }
     }
@@ -81,11 +95,12 @@
     if addresses.contains_key(&registration.address) {
         return;
     }
-    let slot = shared.scheduler.borrow_mut().add_host(HostInfo {
+    let info = HostInfo {
         name: Rc::from(registration.name.as_str()),
         address: Rc::from(registration.address.as_str()),
         failure_domain: Rc::from(registration.failure_domain.as_str()),
-    });
+    };
+    let slot = shared.scheduler.borrow_mut().add_host(uptime_ms(), info);
     addresses.insert(registration.address.clone(), slot);
     log::info!(target: "gateway", event = "host_known", host = registration.name.as_str(),
         address = registration.address.as_str(),
@@ -93,3 +108,19 @@
     let address = registration.address.clone();
     monoio::spawn(links::keep(Rc::clone(shared), slot, address));
 }
+
+/// Forgets hosts that are not registered any more and have been silent for long.
+///
+/// A key that goes says little by itself, since connections tell who lives.
+fn forget_gone(shared: &Shared, registered: &Registered) {
+    let is_registered = |address: &String| registered.values().any(|other| other == address);
+    let mut scheduler = shared.scheduler.borrow_mut();
+    shared.addresses.borrow_mut().retain(|address, slot| {
+        let is_gone = !is_registered(address) && scheduler.forget_host(uptime_ms(), *slot);
+        if is_gone {
+            log::info!(target: "gateway", event = "host_forgotten", address = address.as_str();
+                "a host is gone for good");
+        }
+        !is_gone
+    });
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -6,9 +6,10 @@
 mod callers;
 mod configuration;
 mod directory;
+mod limits;
 mod links;
 mod metrics;
-mod ports;
 mod process;
+mod readiness;
 
 pub use process::GatewayProcess;
--- /dev/null
+++ b/components/gateway/src/limits.rs
@@ -0,0 +1,32 @@
+//! Limits on what callers may send.
+
+use adapter::CallerLimits;
+use config::GatewayLimits;
+use web::ServerLimits;
+
+/// Returns the limits on callers: those of the host, and those of the operators where they are
+/// tighter.
+pub(crate) fn caller_limits(
+    of_host: &GatewayLimits,
+    of_operators: Option<&CallerLimits>,
+) -> ServerLimits {
+    let host = ServerLimits::builder()
+        .max_connections(of_host.max_connections as usize)
+        .max_body_bytes(of_host.max_body_bytes as usize)
+        .max_header_bytes(of_host.max_header_bytes as usize)
+        .header_timeout_ms(of_host.read_timeout_ms)
+        .read_timeout_ms(of_host.read_timeout_ms)
+        .idle_timeout_ms(of_host.idle_timeout_ms)
+        .drops_abandoned(true)
+        .build();
+    let Some(operators) = of_operators else {
+        return host;
+    };
+    ServerLimits {
+        max_body_bytes: host.max_body_bytes.min(operators.max_body_bytes),
+        max_header_bytes: host.max_header_bytes.min(operators.max_header_bytes),
+        header_timeout_ms: host.header_timeout_ms.min(operators.header_timeout_ms),
+        idle_timeout_ms: host.idle_timeout_ms.min(operators.idle_timeout_ms),
+        ..host
+    }
+}
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -11,16 +11,16 @@
 use monoio::net::TcpListener;
 use platform::Store;
 use protocol::{LinkCounters, Traffic};
-use runtime::{Signals, Stop, uptime_ms};
+use runtime::{Stop, uptime_ms};
 use rustc_hash::FxHashMap;
 use scheduling::{HostSlot, JobSlot, Scheduler, SchedulerAction, Verdict};
 use serde_json::{Value, json};
 use slotmap::SecondaryMap;
-use web::{Notify, ServerCounters};
+use web::{CurrentLimits, Notify, ServerCounters};
 
 use crate::configuration::InForce;
+use crate::limits::caller_limits;
 use crate::metrics::GatewayMetrics;
-use crate::ports;
 
 /// Interval of the timers of the decisions, in milliseconds: a small part of the shortest tasks.
 const TICK_MS: u64 = 20;
@@ -42,7 +42,8 @@
 
 /// What the tasks of the process share.
 pub(crate) struct Shared {
-    pub(crate) settings: GatewaySettings,
+    settings: RefCell<Rc<GatewaySettings>>,
+    pub(crate) limits: CurrentLimits,
     pub(crate) key: ProcessKey,
     pub(crate) scheduler: RefCell<Scheduler>,
     pub(crate) waiters: RefCell<FxHashMap<JobSlot, Vec<oneshot::Sender<Verdict>>>>,
@@ -75,12 +76,12 @@
     ///
     /// Fails if a port cannot be opened or a metric cannot be registered.
     pub fn bind(settings: GatewaySettings) -> Result<Self, Error> {
-        let callers = ports::open("callers_address", settings.callers_address)?;
-        let readiness = ports::open("readiness_address", settings.readiness_address)?;
-        let peers = ports::open("peer_address", settings.peer_address)?;
+        let callers = web::open("callers_address", settings.callers_address)?;
+        let readiness = web::open("readiness_address", settings.readiness_address)?;
+        let peers = web::open("peer_address", settings.peer_address)?;
         let metrics = settings
             .metrics_address
-            .map(|address| ports::open("metrics_address", address));
+            .map(|address| web::open("metrics_address", address));
         let metrics = metrics.transpose()?;
         let key = runtime::draw_process_key();
         let far_factor = settings.far_factor_percent as f64 / 100.0;
@@ -100,7 +101,8 @@
             web: Rc::default(),
             last_turn_ms: Cell::new(uptime_ms()),
             resumed_until_ms: Cell::new(0),
-            settings,
+            limits: caller_limits(&settings.limits, None).into(),
+            settings: RefCell::new(Rc::new(settings)),
         };
         Ok(Self {
             shared: Rc::new(shared),
@@ -117,27 +119,36 @@
         move || shared.state()
     }
 
+    /// Returns a closure that puts changed settings into force, and returns the names of those
+    /// that hold from the next start on.
+    pub fn reload(&self) -> impl Fn(&GatewaySettings) -> Vec<&'static str> + use<> {
+        let shared = Rc::clone(&self.shared);
+        move |newer| shared.reload(newer)
+    }
+
     /// Runs until `drain` is stopped and the requests in progress have their answers.
-    pub async fn run(self, drain: Stop, signals: Signals) {
+    pub async fn run(self, drain: Stop) {
         let shared = self.shared;
+        let settings = shared.settings();
         log::info!(target: "gateway", event = "started", entry = shared.key.to_string(),
-            host = shared.settings.name.as_str(),
-            failure_domain = shared.settings.failure_domain.as_str(); "entry started");
+            host = settings.name.as_str(),
+            failure_domain = settings.failure_domain.as_str(); "entry started");
         let web_stop = web::Stop::new();
         let callers = monoio::spawn(crate::callers::serve(
             Rc::clone(&shared),
             self.callers,
             web_stop.clone(),
         ));
-        monoio::spawn(ports::serve_readiness(Rc::clone(&shared), self.readiness));
+        monoio::spawn(crate::readiness::serve(Rc::clone(&shared), self.readiness));
         monoio::spawn(crate::bootstrap::serve(Rc::clone(&shared), self.peers));
         if let Some(listener) = self.metrics {
-            monoio::spawn(ports::serve_metrics(Rc::clone(&shared), listener));
+            let shared = Rc::clone(&shared);
+            let encode = move || shared.metrics.encode(&shared);
+            monoio::spawn(web::serve_metrics(listener, encode));
         }
         monoio::spawn(crate::configuration::follow(Rc::clone(&shared)));
         monoio::spawn(crate::directory::follow(Rc::clone(&shared)));
         monoio::spawn(crate::bootstrap::ask_others(Rc::clone(&shared)));
-        monoio::spawn(reload_on_signal(signals));
         monoio::spawn(turn(Rc::clone(&shared)));
         drain.stopped().await;
         shared.is_draining.set(true);
@@ -145,7 +156,7 @@
             jobs = shared.scheduler.borrow().job_count(); "planned stop began");
         monoio::time::sleep(Duration::from_millis(LINGER_MS)).await;
         web_stop.stop();
-        let left_ms = shared.settings.drain_timeout_ms.saturating_sub(LINGER_MS);
+        let left_ms = shared.settings().drain_timeout_ms.saturating_sub(LINGER_MS);
         let is_done = monoio::time::timeout(Duration::from_millis(left_ms), callers).await;
         log::info!(target: "gateway", event = "stopped", is_complete = is_done.is_ok(),
             jobs = shared.scheduler.borrow().job_count(); "entry stopped");
@@ -164,18 +175,28 @@
     }
 }
 
-async fn reload_on_signal(signals: Signals) {
-    loop {
-        if signals.take_reload_request() {
-            // What the settings hold is bound at the start; limits come with the configuration.
-            log::info!(target: "gateway", event = "reload",
-                is_changed = false; "settings are read at the next start");
-        }
-        monoio::time::sleep(Duration::from_millis(runtime::SIGNAL_POLL_MS)).await;
+impl Shared {
+    /// Returns the settings in force.
+    pub(crate) fn settings(&self) -> Rc<GatewaySettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Puts the limits of the settings and of the configuration into force.
+    pub(crate) fn refresh_limits(&self) {
+        let in_force = self.in_force.borrow();
+        let of_operators = in_force.as_ref().map(|config| &config.limits);
+        let limits = caller_limits(&self.settings.borrow().limits, of_operators);
+        self.limits.set(limits);
+    }
+
+    fn reload(&self, newer: &GatewaySettings) -> Vec<&'static str> {
+        let mut in_force = (*self.settings()).clone();
+        let held_back = in_force.take_over(newer);
+        self.settings.replace(Rc::new(in_force));
+        self.refresh_limits();
+        held_back
     }
-}
 
-impl Shared {
     /// Returns the time, after giving up what a suspension of the host has made doubtful.
     pub(crate) fn now_ms(&self) -> u64 {
         let now_ms = uptime_ms();
--- a/components/platform/src/store.rs
+++ b/components/platform/src/store.rs
@@ -127,16 +127,6 @@
         settle(StoreCodec::written(&response))
     }
 
-    /// Removes a key.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the store does not answer.
-    pub async fn remove(&self, key: &str) -> Result<(), StoreFault> {
-        let response = self.write(&StoreCodec::remove(key)).await?;
-        settle(StoreCodec::written(&response)).map(|_| ())
-    }
-
     /// Asks for a lease.
     ///
     /// # Errors
--- a/components/protocol/src/agent_link.rs
+++ b/components/protocol/src/agent_link.rs
@@ -2,7 +2,6 @@
 
 use model::{AgentEnvelope, OwnerEnvelope, ProcessKey};
 
-use crate::connect::{hello_for, open};
 use crate::error::LinkError;
 use crate::hello::Service;
 use crate::link::Link;
@@ -26,19 +25,8 @@
         expected: Option<ProcessKey>,
         deadline_us: u64,
     ) -> Result<Self, LinkError> {
-        Self::connect_counted(address, own, expected, deadline_us, Traffic::default()).await
-    }
-
-    pub(crate) async fn connect_counted(
-        address: &str,
-        own: ProcessKey,
-        expected: Option<ProcessKey>,
-        deadline_us: u64,
-        traffic: Traffic,
-    ) -> Result<Self, LinkError> {
-        let hello = hello_for(Service::Agent, own, expected);
-        let (stream, peer) = open(address, hello, deadline_us).await?;
-        Ok(Self::start(stream, peer, traffic))
+        let traffic = Traffic::default();
+        Self::connect_to(Service::Agent, address, own, expected, deadline_us, traffic).await
     }
 
     /// Sends messages of an owner and returns the agent's immediate answers.
--- a/components/protocol/src/bootstrap_link.rs
+++ b/components/protocol/src/bootstrap_link.rs
@@ -6,7 +6,6 @@
 use monoio::net::TcpListener;
 use tarpc::context::Context;
 
-use crate::connect::{hello_for, open};
 use crate::error::LinkError;
 use crate::hello::Service;
 use crate::link::Link;
@@ -32,9 +31,7 @@
         deadline_us: u64,
         traffic: Traffic,
     ) -> Result<Self, LinkError> {
-        let hello = hello_for(Service::Bootstrap, own, None);
-        let (stream, peer) = open(address, hello, deadline_us).await?;
-        Ok(Self::start(stream, peer, traffic))
+        Self::connect_to(Service::Bootstrap, address, own, None, deadline_us, traffic).await
     }
 
     /// Asks for what the entry knows beyond the configuration of `known_revision`.
--- a/components/protocol/src/entry_link.rs
+++ b/components/protocol/src/entry_link.rs
@@ -2,7 +2,6 @@
 
 use model::{AgentEnvelope, AgentInfo, JobKey, JobSpec, OwnerEnvelope, ProcessKey};
 
-use crate::connect::{hello_for, open};
 use crate::error::{LinkError, LinkFault};
 use crate::hello::Service;
 use crate::link::Link;
@@ -30,19 +29,8 @@
         expected: Option<ProcessKey>,
         deadline_us: u64,
     ) -> Result<Self, LinkError> {
-        Self::connect_counted(address, own, expected, deadline_us, Traffic::default()).await
-    }
-
-    pub(crate) async fn connect_counted(
-        address: &str,
-        own: ProcessKey,
-        expected: Option<ProcessKey>,
-        deadline_us: u64,
-        traffic: Traffic,
-    ) -> Result<Self, LinkError> {
-        let hello = hello_for(Service::Entry, own, expected);
-        let (stream, peer) = open(address, hello, deadline_us).await?;
-        Ok(Self::start(stream, peer, traffic))
+        let traffic = Traffic::default();
+        Self::connect_to(Service::Entry, address, own, expected, deadline_us, traffic).await
     }
 
     /// Announces an agent that knows the configuration up to a revision.
--- a/components/protocol/src/host_link.rs
+++ b/components/protocol/src/host_link.rs
@@ -7,7 +7,6 @@
 use monoio::net::TcpListener;
 use tarpc::context::Context;
 
-use crate::connect::{hello_for, open};
 use crate::error::{LinkError, LinkFault};
 use crate::hello::Service;
 use crate::link::Link;
@@ -32,9 +31,7 @@
         deadline_us: u64,
         traffic: Traffic,
     ) -> Result<Self, LinkError> {
-        let hello = hello_for(Service::Host, own, None);
-        let (stream, peer) = open(address, hello, deadline_us).await?;
-        Ok(Self::start(stream, peer, traffic))
+        Self::connect_to(Service::Host, address, own, None, deadline_us, traffic).await
     }
 
     /// Sends orders and returns the agent's immediate answer.
--- a/components/protocol/src/link.rs
+++ b/components/protocol/src/link.rs
@@ -14,8 +14,9 @@
 use tarpc::context;
 
 use crate::codec::client_transport;
-use crate::connect::time_left;
+use crate::connect::{hello_for, open, time_left};
 use crate::error::{LinkError, LinkFault};
+use crate::hello::Service;
 use crate::traffic::Traffic;
 
 const MAX_CALLS_IN_FLIGHT: usize = 65_536;
@@ -63,7 +64,21 @@
     Req: RequestName + Serialize + 'static,
     Resp: DeserializeOwned + 'static,
 {
-    pub(crate) fn start(stream: TcpStream, peer: ProcessKey, traffic: Traffic) -> Self {
+    /// Connects to a service of the process at `address`, an `ip:port`.
+    pub(crate) async fn connect_to(
+        service: Service,
+        address: &str,
+        own: ProcessKey,
+        expected: Option<ProcessKey>,
+        deadline_us: u64,
+        traffic: Traffic,
+    ) -> Result<Self, LinkError> {
+        let hello = hello_for(service, own, expected);
+        let (stream, peer) = open(address, hello, deadline_us).await?;
+        Ok(Self::start(stream, peer, traffic))
+    }
+
+    fn start(stream: TcpStream, peer: ProcessKey, traffic: Traffic) -> Self {
         let transport = client_transport(stream, traffic);
         let NewClient { client, dispatch } = tarpc::client::new(config(), transport);
         let closed = Stop::new();
--- a/components/protocol/src/pool.rs
+++ b/components/protocol/src/pool.rs
@@ -8,6 +8,7 @@
 use crate::agent_link::AgentLink;
 use crate::entry_link::EntryLink;
 use crate::error::LinkError;
+use crate::hello::Service;
 use crate::link::Link;
 use crate::service::{
     AgentServiceRequest, AgentServiceResponse, EntryServiceRequest, EntryServiceResponse,
@@ -96,7 +97,8 @@
             return Ok(link);
         }
         let deadline_us = runtime::monotonic_us() + CONNECT_US;
-        let link = AgentLink::connect_counted(
+        let link = AgentLink::connect_to(
+            Service::Agent,
             address,
             self.own,
             expected,
@@ -124,7 +126,8 @@
             return Ok(link);
         }
         let deadline_us = runtime::monotonic_us() + CONNECT_US;
-        let link = EntryLink::connect_counted(
+        let link = EntryLink::connect_to(
+            Service::Entry,
             address,
             self.own,
             expected,
--- a/components/scheduling/src/host.rs
+++ b/components/scheduling/src/host.rs
@@ -5,7 +5,7 @@
 use model::{HostView, News, Orders, ProcessKey, Resources, RunId, RunPermit, StartOrder};
 use slotmap::new_key_type;
 
-use crate::limits::{RUN_OVER_MS, VIEW_MAX_AGE_MS};
+use crate::limits::{HOST_KEPT_MS, RUN_OVER_MS, VIEW_MAX_AGE_MS};
 
 new_key_type! {
     /// Key of a host in the scheduler.
@@ -54,12 +54,14 @@
     in_flight: Option<Orders>,
     next_number: u64,
     replaced_permit_at_ms: u64,
+    added_at_ms: u64,
 }
 
 impl HostRecord {
-    pub(crate) fn new(info: HostInfo) -> Self {
+    pub(crate) fn new(now_ms: u64, info: HostInfo) -> Self {
         Self {
             info,
+            added_at_ms: now_ms,
             agent: None,
             is_connected: false,
             is_inheritance_clear: false,
@@ -136,6 +138,12 @@
             || is_silent && now_ms >= self.last_permit_of(agent) + RUN_OVER_MS
     }
 
+    /// Tells whether the host has been silent for so long that it counts as gone.
+    pub(crate) fn is_gone(&self, now_ms: u64) -> bool {
+        let last_sign_ms = self.permit_at_ms.max(self.added_at_ms);
+        !self.is_connected && now_ms >= last_sign_ms + HOST_KEPT_MS
+    }
+
     /// Tells whether tasks may be placed on the host.
     pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
         self.is_connected
--- a/components/scheduling/src/lib.rs
+++ b/components/scheduling/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use host::{HostInfo, HostSlot, HostStatus};
 pub use job::JobSlot;
-pub use limits::{NEWS_TIMEOUT_MS, NEWS_WAIT_MS, RESEND_MS, RUN_OVER_MS};
+pub use limits::{HOST_KEPT_MS, NEWS_TIMEOUT_MS, NEWS_WAIT_MS, RESEND_MS, RUN_OVER_MS};
 pub use request::{JobRequest, QueueRules, StepRequest};
 pub use routes::{Route, RouteTable};
 pub use scheduler::{Decision, Scheduler, SchedulerAction, Submission};
--- a/components/scheduling/src/limits.rs
+++ b/components/scheduling/src/limits.rs
@@ -21,6 +21,10 @@
 /// milliseconds; from the callers' interface.
 pub const RESEND_MS: u64 = 1_300;
 
+/// How long a host is kept after its last news, in milliseconds: the lease of its registration
+/// (60,000), which it renews for as long as it lives.
+pub const HOST_KEPT_MS: u64 = 60_000;
+
 /// How long an answered id is remembered, in milliseconds; copies of a request arrive for a few
 /// seconds.
 pub(crate) const ANSWERED_KEPT_MS: u64 = 10_000;
--- a/components/scheduling/src/scheduler/mod.rs
+++ b/components/scheduling/src/scheduler/mod.rs
@@ -115,8 +115,17 @@
     }
 
     /// Adds a host.
-    pub fn add_host(&mut self, info: HostInfo) -> HostSlot {
-        self.hosts.insert(HostRecord::new(info))
+    pub fn add_host(&mut self, now_ms: u64, info: HostInfo) -> HostSlot {
+        self.hosts.insert(HostRecord::new(now_ms, info))
+    }
+
+    /// Forgets a host if it counts as gone; tells whether it is forgotten.
+    pub fn forget_host(&mut self, now_ms: u64, slot: HostSlot) -> bool {
+        let is_gone = |host: &HostRecord| host.is_gone(now_ms);
+        if self.hosts.get(slot).is_some_and(is_gone) {
+            self.hosts.remove(slot);
+        }
+        !self.hosts.contains_key(slot)
     }
 
     /// Returns the state of every host.
@@ -164,7 +173,8 @@
         }
         let job = Job::new(now_ms, request);
         let mut candidates = self.candidates(now_ms, &job);
-        let finish_ms = self.outlook(now_ms, &job, &mut candidates);
+        let plan = self.plan(now_ms, &job, &mut candidates);
+        let finish_ms = plan.finish_ms();
         let decision = Decision {
             usable_hosts: candidates.len(),
             oldest_view_ms: self.oldest_view_ms(now_ms, &candidates),
@@ -185,7 +195,7 @@
         let id = job.id();
         let slot = self.jobs.insert(job);
         self.by_id.insert(id, slot);
-        self.place(now_ms, slot, actions);
+        self.carry_out(now_ms, slot, plan, actions);
         Submission::Admitted(slot, decision)
     }
 
--- a/components/scheduling/src/scheduler/placing.rs
+++ b/components/scheduling/src/scheduler/placing.rs
@@ -12,24 +12,30 @@
 use crate::placement::{self, Candidate, Choice, Wanted};
 use crate::verdict::NotRunReason;
 
+/// Places for the tasks of a job that are due, chosen together.
+#[derive(Debug)]
+pub(super) struct Plan {
+    choices: Vec<(TaskRef, Option<Choice>)>,
+    finish_ms: Option<f64>,
+}
+
+impl Plan {
+    /// Returns the time until the job's answer, in milliseconds; nothing if a task finds no host.
+    pub(super) fn finish_ms(&self) -> Option<f64> {
+        self.finish_ms
+    }
+}
+
 impl Scheduler {
-    /// Returns the time until a job's answer if all its tasks were placed now.
-    pub(super) fn outlook(
-        &self,
-        now_ms: u64,
-        job: &Job,
-        candidates: &mut [Candidate],
-    ) -> Option<f64> {
-        let mut finish_ms: f64 = 0.0;
-        let mut first_estimate_ms = 0;
-        for task in job.placeable(now_ms) {
-            let choice = self.choose(now_ms, job, task, candidates)?;
-            finish_ms = finish_ms.max(choice.finish_ms);
-            let step = &job.request.steps[usize::from(task.step)];
-            first_estimate_ms = first_estimate_ms.max(u64::from(step.estimate_ms));
-        }
-        let later_ms = job.request.chain_ms().saturating_sub(first_estimate_ms);
-        Some(finish_ms + later_ms as f64)
+    /// Chooses places for the tasks of a job that are due.
+    pub(super) fn plan(&self, now_ms: u64, job: &Job, candidates: &mut [Candidate]) -> Plan {
+        let choices: Vec<(TaskRef, Option<Choice>)> = job
+            .placeable(now_ms)
+            .into_iter()
+            .map(|task| (task, self.choose(now_ms, job, task, candidates)))
+            .collect();
+        let finish_ms = finish_ms(job, &choices);
+        Plan { choices, finish_ms }
     }
 
     pub(super) fn choose(
@@ -107,22 +113,30 @@
 
     /// Places the tasks of a job that are due.
     pub(super) fn place(&mut self, now_ms: u64, slot: JobSlot, actions: &mut Vec<SchedulerAction>) {
-        let Some(job) = self.jobs.get(slot) else {
-            return;
-        };
-        if job.withdrawal.is_some() {
-            return;
+        if let Some(plan) = self.plan_due(now_ms, slot) {
+            self.carry_out(now_ms, slot, plan, actions);
         }
-        let tasks = job.placeable(now_ms);
-        if tasks.is_empty() {
-            return;
+    }
+
+    /// Plans the tasks of a job that are due, unless there are none.
+    fn plan_due(&self, now_ms: u64, slot: JobSlot) -> Option<Plan> {
+        let job = self.jobs.get(slot)?;
+        if job.withdrawal.is_some() || job.placeable(now_ms).is_empty() {
+            return None;
         }
         let mut candidates = self.candidates(now_ms, job);
-        let choices: Vec<(TaskRef, Option<Choice>)> = tasks
-            .into_iter()
-            .map(|task| (task, self.choose(now_ms, job, task, &mut candidates)))
-            .collect();
-        for (task, choice) in choices {
+        Some(self.plan(now_ms, job, &mut candidates))
+    }
+
+    /// Sends the tasks of a job to the places of a plan.
+    pub(super) fn carry_out(
+        &mut self,
+        now_ms: u64,
+        slot: JobSlot,
+        plan: Plan,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        for (task, choice) in plan.choices {
             match choice {
                 Some(choice) => self.send(now_ms, slot, task, choice, actions),
                 None => self.postpone(slot, task, now_ms + PLACE_AGAIN_MS),
@@ -198,16 +212,13 @@
         slot: JobSlot,
         actions: &mut Vec<SchedulerAction>,
     ) {
-        let Some(job) = self.jobs.get(slot) else {
+        let Some(plan) = self.plan_due(now_ms, slot) else {
             return;
         };
-        if job.withdrawal.is_some() || job.placeable(now_ms).is_empty() {
-            return;
-        }
-        let mut candidates = self.candidates(now_ms, job);
-        let finish_ms = self.outlook(now_ms, job, &mut candidates);
+        let job = &self.jobs[slot];
+        let age_ms = now_ms.saturating_sub(job.arrived_ms) as f64;
         let objection = admission::objection(&Outlook {
-            finish_ms: finish_ms.map(|ms| ms + now_ms.saturating_sub(job.arrived_ms) as f64),
+            finish_ms: plan.finish_ms().map(|ms| ms + age_ms),
             objective_ms: job.request.objective_ms(),
             time_left_ms: job.request.time_left_ms,
         });
@@ -215,6 +226,19 @@
             self.withdraw(now_ms, slot, NotRunReason::Overload, actions);
             return;
         }
-        self.place(now_ms, slot, actions);
+        self.carry_out(now_ms, slot, plan, actions);
+    }
+}
+
+/// Returns the time until a job's answer, in milliseconds, if its due tasks go to these places.
+fn finish_ms(job: &Job, choices: &[(TaskRef, Option<Choice>)]) -> Option<f64> {
+    let mut finish_ms: f64 = 0.0;
+    let mut first_estimate_ms = 0;
+    for (task, choice) in choices {
+        finish_ms = finish_ms.max((*choice)?.finish_ms);
+        let step = &job.request.steps[usize::from(task.step)];
+        first_estimate_ms = first_estimate_ms.max(u64::from(step.estimate_ms));
     }
+    let later_ms = job.request.chain_ms().saturating_sub(first_estimate_ms);
+    Some(finish_ms + later_ms as f64)
 }
--- a/components/scheduling/tests/scheduler.rs
+++ b/components/scheduling/tests/scheduler.rs
@@ -7,8 +7,8 @@
     RunPermit,
 };
 use scheduling::{
-    HostInfo, HostSlot, JobRequest, NotRunReason, QueueRules, RUN_OVER_MS, Route, RouteTable,
-    Scheduler, SchedulerAction, StepRequest, Submission, Verdict,
+    HOST_KEPT_MS, HostInfo, HostSlot, JobRequest, NotRunReason, QueueRules, RUN_OVER_MS, Route,
+    RouteTable, Scheduler, SchedulerAction, StepRequest, Submission, Verdict,
 };
 
 const ENTRY: ProcessKey = ProcessKey(7);
@@ -78,6 +78,8 @@
     }
 }
 
+const START_MS: u64 = 10_000;
+
 struct Bench {
     scheduler: Scheduler,
     slots: Vec<HostSlot>,
@@ -91,17 +93,18 @@
         let mut scheduler = Scheduler::new(ENTRY, "domain", 1.0);
         let slots: Vec<HostSlot> = (0..hosts)
             .map(|host| {
-                scheduler.add_host(HostInfo {
+                let info = HostInfo {
                     name: Rc::from(format!("host-{host}")),
                     address: Rc::from(format!("host-{host}")),
                     failure_domain: Rc::from("domain"),
-                })
+                };
+                scheduler.add_host(START_MS, info)
             })
             .collect();
         let mut bench = Self {
             scheduler,
             slots,
-            now_ms: 10_000,
+            now_ms: START_MS,
             actions: Vec::new(),
             events: 0,
         };
@@ -504,3 +507,19 @@
     assert_eq!(found("other.example", "/a/1"), None);
     assert_eq!(found("host.example", "/c/1"), None);
 }
+
+#[test]
+fn a_host_is_forgotten_only_after_it_has_been_silent_for_long() {
+    let mut bench = Bench::new(1);
+    let slot = bench.slots[0];
+    let forget = |bench: &mut Bench| bench.scheduler.forget_host(bench.now_ms, slot);
+    bench.tick(HOST_KEPT_MS + 1);
+    assert!(!forget(&mut bench), "it is connected");
+    bench.hear(0, &[]);
+    bench.scheduler.host_disconnected(slot);
+    bench.tick(HOST_KEPT_MS - 1);
+    assert!(!forget(&mut bench), "it may come back");
+    bench.tick(1);
+    assert!(forget(&mut bench));
+    assert_eq!(bench.scheduler.hosts(bench.now_ms), []);
+}
--- a/components/sidecar/src/metrics.rs
+++ b/components/sidecar/src/metrics.rs
@@ -1,12 +1,8 @@
 //! Metrics of an agent.
 
-use std::rc::Rc;
-
 use hosting::{HoldOutcome, StartOutcome};
-use monoio::net::TcpListener;
 use runtime::prometheus::{IntCounterVec, IntGauge};
 use runtime::{Metrics, MetricsError};
-use web::{Response, ServerLimits, Stop};
 
 use crate::process::Shared;
 
@@ -73,7 +69,12 @@
         self.target_calls.with_label_values(&["hold", result]).inc();
     }
 
-    fn encode(&self, shared: &Shared) -> Result<String, MetricsError> {
+    /// Returns all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric cannot be encoded.
+    pub(crate) fn encode(&self, shared: &Shared) -> Result<String, MetricsError> {
         let (waiting, running) = shared.host.borrow().counts();
         self.waiting.set(waiting as i64);
         self.running.set(running as i64);
@@ -83,16 +84,3 @@
         self.metrics.encode()
     }
 }
-
-/// Serves the metrics.
-pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
-    let limits = ServerLimits::builder().max_connections(16).build();
-    web::serve(listener, limits, Rc::default(), Stop::new(), move |_, _| {
-        let response = match shared.metrics.encode(&shared) {
-            Ok(text) => Response::text(200, text),
-            Err(error) => Response::error(500, &error.to_string()),
-        };
-        async move { response }
-    })
-    .await;
-}
--- a/components/sidecar/src/process.rs
+++ b/components/sidecar/src/process.rs
@@ -1,7 +1,6 @@
 //! The process: its ports, its loop, and its planned stop.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,7 +11,7 @@
 use monoio::net::TcpListener;
 use platform::Store;
 use protocol::{LinkCounters, Traffic};
-use runtime::{Signals, Stop, monotonic_us, unix_ms, uptime_ms};
+use runtime::{Stop, monotonic_us, unix_ms, uptime_ms};
 use serde_json::{Value, json};
 use web::{Client, Notify};
 
@@ -29,7 +28,7 @@
 
 /// What the tasks of the process share.
 pub(crate) struct Shared {
-    pub(crate) settings: SidecarSettings,
+    settings: RefCell<Rc<SidecarSettings>>,
     pub(crate) key: ProcessKey,
     pub(crate) host: RefCell<Host>,
     pub(crate) target: Client,
@@ -56,11 +55,11 @@
     ///
     /// Fails if a port cannot be opened or a metric cannot be registered.
     pub fn bind(settings: SidecarSettings) -> Result<Self, Error> {
-        let reports = open("reports_address", settings.reports_address)?;
-        let entries = open("peer_address", settings.peer_address)?;
+        let reports = web::open("reports_address", settings.reports_address)?;
+        let entries = web::open("peer_address", settings.peer_address)?;
         let metrics = settings
             .metrics_address
-            .map(|address| open("metrics_address", address));
+            .map(|address| web::open("metrics_address", address));
         let metrics = metrics.transpose()?;
         let key = runtime::draw_process_key();
         let shared = Shared {
@@ -76,7 +75,7 @@
                 .map_err(|error| Error::new(ExitCode::Failure, error.to_string()))?,
             links: LinkCounters::default(),
             traffic: Traffic::default(),
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
         };
         Ok(Self {
             shared: Rc::new(shared),
@@ -92,21 +91,35 @@
         move || shared.state()
     }
 
+    /// Returns a closure that puts changed settings into force, and returns the names of those
+    /// that hold from the next start on.
+    pub fn reload(&self) -> impl Fn(&SidecarSettings) -> Vec<&'static str> + use<> {
+        let shared = Rc::clone(&self.shared);
+        move |newer| {
+            let mut in_force = (*shared.settings()).clone();
+            let held_back = in_force.take_over(newer);
+            shared.settings.replace(Rc::new(in_force));
+            held_back
+        }
+    }
+
     /// Runs until `drain` is stopped and the runs have ended.
-    pub async fn run(self, drain: Stop, signals: Signals) {
+    pub async fn run(self, drain: Stop) {
         let shared = self.shared;
+        let settings = shared.settings();
         log::info!(target: "sidecar", event = "started", agent = shared.key.to_string(),
-            host = shared.settings.name.as_str(),
-            failure_domain = shared.settings.failure_domain.as_str(); "agent started");
+            host = settings.name.as_str(),
+            failure_domain = settings.failure_domain.as_str(); "agent started");
         monoio::spawn(crate::reports::serve(Rc::clone(&shared), self.reports));
         monoio::spawn(crate::entries::serve(Rc::clone(&shared), self.entries));
         if let Some(listener) = self.metrics {
-            monoio::spawn(crate::metrics::serve(Rc::clone(&shared), listener));
+            let shared = Rc::clone(&shared);
+            let encode = move || shared.metrics.encode(&shared);
+            monoio::spawn(web::serve_metrics(listener, encode));
         }
         monoio::spawn(crate::registration::keep(Rc::clone(&shared)));
         monoio::spawn(crate::calls::hold(Rc::clone(&shared)));
         monoio::spawn(crate::calls::hold_in_doubt(Rc::clone(&shared)));
-        monoio::spawn(reload_on_signal(signals));
         monoio::spawn(turn(Rc::clone(&shared)));
         drain.stopped().await;
         shared.is_draining.set(true);
@@ -114,7 +127,7 @@
         log::info!(target: "sidecar", event = "draining", waiting = waiting, running = running;
             "planned stop began");
         shared.decide(|host, now_ms, actions| host.stop(now_ms, actions));
-        let until_us = monotonic_us() + shared.settings.drain_timeout_ms * 1_000;
+        let until_us = monotonic_us() + shared.settings().drain_timeout_ms * 1_000;
         while !shared.host.borrow().is_idle() && monotonic_us() < until_us {
             monoio::time::sleep(Duration::from_millis(TICK_MS)).await;
         }
@@ -126,17 +139,6 @@
     }
 }
 
-fn open(key: &str, address: SocketAddr) -> Result<TcpListener, Error> {
-    web::bind(address).map_err(|error| {
-        Error::new(
-            ExitCode::Unavailable,
-            format!("cannot listen on {address}: {error}"),
-        )
-        .at(key)
-        .with_remedy("free the port or name another one")
-    })
-}
-
 async fn turn(shared: Rc<Shared>) {
     loop {
         shared.decide(|host, now_ms, actions| host.tick(now_ms, actions));
@@ -145,18 +147,12 @@
     }
 }
 
-async fn reload_on_signal(signals: Signals) {
-    loop {
-        if signals.take_reload_request() {
-            // What the settings hold is bound at the start.
-            log::info!(target: "sidecar", event = "reload",
-                is_changed = false; "settings are read at the next start");
-        }
-        monoio::time::sleep(Duration::from_millis(runtime::SIGNAL_POLL_MS)).await;
+impl Shared {
+    /// Returns the settings in force.
+    pub(crate) fn settings(&self) -> Rc<SidecarSettings> {
+        Rc::clone(&self.settings.borrow())
     }
-}
 
-impl Shared {
     /// Lets the decisions take an event and performs what they ask for.
     pub(crate) fn decide<T>(
         self: &Rc<Self>,
--- a/components/sidecar/src/registration.rs
+++ b/components/sidecar/src/registration.rs
@@ -69,7 +69,7 @@
 }
 
 fn key(shared: &Shared) -> String {
-    format!("{HOSTS_PREFIX}{}", shared.settings.name)
+    format!("{HOSTS_PREFIX}{}", shared.settings().name)
 }
 
 /// Registers the host and keeps it so; returns why it is not any more.
@@ -116,9 +116,9 @@
 fn registration(shared: &Shared) -> HostRegistration {
     let host = shared.host.borrow();
     HostRegistration {
-        name: shared.settings.name.clone(),
-        address: shared.settings.advertised_peer_address().to_string(),
-        failure_domain: shared.settings.failure_domain.clone(),
+        name: shared.settings().name.clone(),
+        address: shared.settings().advertised_peer_address().to_string(),
+        failure_domain: shared.settings().failure_domain.clone(),
         target: host.target().map(registered),
     }
 }
--- a/components/sidecar/src/reports.rs
+++ b/components/sidecar/src/reports.rs
@@ -39,7 +39,7 @@
             if is_news {
                 log::info!(target: "sidecar", event = "target", instance = &*call.report.instance,
                     born_unix_ms = call.report.born_unix_ms, sequence = call.report.sequence,
-                    is_draining = call.report.is_draining,
+                    is_draining = call.report.is_draining, leaves_in_ms = call.leaves_in_ms,
                     cpu_millis = call.report.capacity.cpu_millis; "the target reported a change");
             }
             adapter::report_answer()
--- a/components/sim/src/entry.rs
+++ b/components/sim/src/entry.rs
@@ -44,11 +44,12 @@
         let hosts = 0..self.deployment.targets.len();
         let slots: Vec<HostSlot> = hosts
             .map(|host| {
-                scheduler.add_host(HostInfo {
+                let info = HostInfo {
                     name: Rc::from(format!("host-{host}")),
                     address: Rc::from(format!("host-{host}")),
                     failure_domain: Rc::from("domain"),
-                })
+                };
+                scheduler.add_host(self.now_ms(), info)
             })
             .collect();
         let node = EntryNode {
--- a/components/web/src/connection.rs
+++ b/components/web/src/connection.rs
@@ -26,6 +26,9 @@
     /// The peer closed or broke the connection within a message.
     #[display("connection broken: {_0}")]
     Broken(String),
+    /// The message takes too long to arrive.
+    #[display("message too slow")]
+    Slow,
     /// The message exceeds a limit.
     #[display("message too large")]
     TooLarge,
--- a/components/web/src/exchange.rs
+++ b/components/web/src/exchange.rs
@@ -149,7 +149,9 @@
 
 pub(crate) fn read_fault(error: &ReadError) -> CallFault {
     match error {
-        ReadError::Closed | ReadError::Broken(_) => CallFault::Broken(error.to_string()),
+        ReadError::Closed | ReadError::Broken(_) | ReadError::Slow => {
+            CallFault::Broken(error.to_string())
+        }
         ReadError::TooLarge | ReadError::Malformed(_) => {
             CallFault::InvalidResponse(error.to_string())
         }
--- a/components/web/src/limits.rs
+++ b/components/web/src/limits.rs
@@ -1,5 +1,8 @@
 //! Limits of a server against slow, oversized and excessive input.
 
+use std::cell::Cell;
+use std::rc::Rc;
+
 /// Limits of one server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerLimits {
@@ -11,6 +14,8 @@
     pub max_connections: usize,
     /// How long a connection may stay without a request, in milliseconds.
     pub idle_timeout_ms: u64,
+    /// How long the head of a request may take to arrive, in milliseconds.
+    pub header_timeout_ms: u64,
     /// How long a request may take to arrive, in milliseconds.
     pub read_timeout_ms: u64,
     /// How long the client may take to read a response or one line of a stream, in milliseconds.
@@ -29,6 +34,7 @@
             max_header_bytes: 16 * 1024,
             max_connections: 4_096,
             idle_timeout_ms: 60_000,
+            header_timeout_ms: 10_000,
             read_timeout_ms: 10_000,
             write_timeout_ms: 10_000,
             drops_abandoned: false,
@@ -77,6 +83,13 @@
         self
     }
 
+    /// Sets the timeout for reading the head of a request, in milliseconds.
+    #[must_use]
+    pub fn header_timeout_ms(mut self, value: u64) -> Self {
+        self.0.header_timeout_ms = value;
+        self
+    }
+
     /// Sets the timeout for reading a request, in milliseconds.
     #[must_use]
     pub fn read_timeout_ms(mut self, value: u64) -> Self {
@@ -104,3 +117,28 @@
         self.0
     }
 }
+
+/// Limits that may change while their server runs.
+///
+/// Clones share the limits. A change holds for requests that begin after it.
+#[derive(Debug, Clone)]
+pub struct CurrentLimits(Rc<Cell<ServerLimits>>);
+
+impl CurrentLimits {
+    /// Returns the limits in force.
+    #[must_use]
+    pub fn get(&self) -> ServerLimits {
+        self.0.get()
+    }
+
+    /// Changes the limits.
+    pub fn set(&self, limits: ServerLimits) {
+        self.0.set(limits);
+    }
+}
+
+impl From<ServerLimits> for CurrentLimits {
+    fn from(limits: ServerLimits) -> Self {
+        Self(Rc::new(Cell::new(limits)))
+    }
+}
--- a/components/web/src/request_reader.rs
+++ b/components/web/src/request_reader.rs
@@ -1,8 +1,11 @@
 //! Reads requests from a connection.
 
+use std::time::Duration;
+
 use http::header::{CONNECTION, EXPECT};
 use http::{HeaderMap, Version};
 use monoio::io::AsyncWriteRentExt;
+use monoio::time::timeout;
 use monoio_http::common::request::RequestHead;
 use monoio_http::h1::codec::decoder::RequestHeadDecoder;
 
@@ -24,9 +27,10 @@
     limits: &ServerLimits,
 ) -> Result<ReadRequest, ReadError> {
     check_first_byte(connection.buffered())?;
-    let head = connection
-        .read_head(&mut RequestHeadDecoder, limits.max_header_bytes)
-        .await?;
+    let limit = Duration::from_millis(limits.header_timeout_ms);
+    let mut decoder = RequestHeadDecoder;
+    let head = connection.read_head(&mut decoder, limits.max_header_bytes);
+    let head = timeout(limit, head).await.unwrap_or(Err(ReadError::Slow))?;
     let length = body_length(&head.headers)?;
     if matches!(length, BodyLength::Fixed(bytes) if bytes > limits.max_body_bytes) {
         return Err(ReadError::TooLarge);
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use errors::{Error, ExitCode};
 use futures::future::{Either, select};
 use http::Method;
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
@@ -15,7 +16,7 @@
 
 use crate::connection::{Connection, ReadError};
 use crate::counters::{ServerCounters, increment};
-use crate::limits::ServerLimits;
+use crate::limits::CurrentLimits;
 use crate::line_channel::LineReceiver;
 use crate::message::{Delivery, Request, Response};
 use crate::notify::Notify;
@@ -26,6 +27,8 @@
 /// Pause after a failed accept, for instance for want of file descriptors.
 const ACCEPT_PAUSE_MS: u64 = 20;
 
+const SLOW: &str = "the request took too long to arrive";
+
 /// How long an idle connection may still bring a request after the stop.
 const DRAIN_GRACE_MS: u64 = 50;
 
@@ -33,7 +36,7 @@
 const MAX_REFUSALS: usize = 64;
 
 struct Server<H> {
-    limits: ServerLimits,
+    limits: CurrentLimits,
     counters: Rc<ServerCounters>,
     stop: Stop,
     handler: H,
@@ -54,6 +57,33 @@
     TcpListener::bind_with_config(address, &options)
 }
 
+/// Opens the port that the setting `key` names.
+///
+/// # Errors
+///
+/// Fails if the address is in use or not one of this host.
+pub fn open(key: &str, address: SocketAddr) -> Result<TcpListener, Error> {
+    bind(address).map_err(|error| {
+        let message = format!("cannot listen on {address}: {error}");
+        Error::new(ExitCode::Unavailable, message)
+            .at(key)
+            .with_remedy("free the port or name another one")
+    })
+}
+
+/// Opens a port as [`open`] does, and returns the address that it got as well.
+///
+/// # Errors
+///
+/// Fails if the address is in use or not one of this host.
+pub fn open_any(key: &str, address: SocketAddr) -> Result<(TcpListener, SocketAddr), Error> {
+    let listener = open(key, address)?;
+    let address = listener
+        .local_addr()
+        .map_err(|error| Error::new(ExitCode::Failure, error.to_string()).at(key))?;
+    Ok((listener, address))
+}
+
 /// Serves requests until `stop` is set and the requests in progress have been answered.
 ///
 /// Malformed, oversized and slow requests get an error response with a JSON body and
@@ -63,7 +93,7 @@
 /// A response that asks for it closes its connection.
 pub async fn serve<H, F>(
     listener: TcpListener,
-    limits: ServerLimits,
+    limits: impl Into<CurrentLimits>,
     counters: Rc<ServerCounters>,
     stop: Stop,
     handler: H,
@@ -72,7 +102,7 @@
     F: Future<Output = Response> + 'static,
 {
     let server = Rc::new(Server {
-        limits,
+        limits: limits.into(),
         counters,
         stop,
         handler,
@@ -115,7 +145,7 @@
 
     fn admit(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr) {
         let _ = stream.set_nodelay(true);
-        if self.open.get() >= self.limits.max_connections {
+        if self.open.get() >= self.limits.get().max_connections {
             self.refuse(stream);
             return;
         }
@@ -151,7 +181,7 @@
     }
 
     async fn reject(&self, stream: &mut TcpStream, response: Response) {
-        let limit_ms = self.limits.write_timeout_ms;
+        let limit_ms = self.limits.get().write_timeout_ms;
         if write_response(stream, response, false, limit_ms)
             .await
             .is_ok()
@@ -203,7 +233,7 @@
         peer: SocketAddr,
     ) -> Option<Response> {
         let response = (self.handler)(request, peer);
-        if !self.limits.drops_abandoned {
+        if !self.limits.get().drops_abandoned {
             return Some(response.await);
         }
         let response = pin!(response);
@@ -219,7 +249,7 @@
         if !connection.buffered().is_empty() {
             return true;
         }
-        let idle_limit = Duration::from_millis(self.limits.idle_timeout_ms);
+        let idle_limit = Duration::from_millis(self.limits.get().idle_timeout_ms);
         let first = {
             let fill = pin!(timeout(idle_limit, connection.fill()));
             let stopped = pin!(self.stop.stopped());
@@ -244,13 +274,11 @@
 
     /// Reads a request, or returns the response that refuses it, if any.
     async fn read(&self, connection: &mut Connection) -> Result<ReadRequest, Option<Response>> {
-        let limit = Duration::from_millis(self.limits.read_timeout_ms);
-        let Ok(read) = timeout(limit, read_request(connection, &self.limits)).await else {
+        let limits = self.limits.get();
+        let limit = Duration::from_millis(limits.read_timeout_ms);
+        let Ok(read) = timeout(limit, read_request(connection, &limits)).await else {
             increment(&self.counters.timed_out);
-            return Err(Some(Response::error(
-                408,
-                "the request took too long to arrive",
-            )));
+            return Err(Some(Response::error(408, SLOW)));
         };
         read.map_err(|error| self.refusal(&error))
     }
@@ -266,6 +294,10 @@
                 increment(&self.counters.oversized);
                 Some(Response::error(413, "the request is too large"))
             }
+            ReadError::Slow => {
+                increment(&self.counters.timed_out);
+                Some(Response::error(408, SLOW))
+            }
             ReadError::Malformed(_) => {
                 increment(&self.counters.malformed);
                 Some(Response::error(400, &error.to_string()))
@@ -274,7 +306,7 @@
     }
 
     async fn stream(&self, stream: TcpStream, response: &Response, lines: LineReceiver) {
-        let limit_ms = self.limits.write_timeout_ms;
+        let limit_ms = self.limits.get().write_timeout_ms;
         let result = write_stream(stream, response, lines, limit_ms, &self.stop).await;
         self.count_write(result);
     }
@@ -286,7 +318,7 @@
         response: Response,
         keep_alive: bool,
     ) -> bool {
-        let limit_ms = self.limits.write_timeout_ms;
+        let limit_ms = self.limits.get().write_timeout_ms;
         let stream = &mut connection.stream;
         let result = write_response(stream, response, keep_alive, limit_ms).await;
         self.count_write(result);
--- a/components/web/tests/server.rs
+++ b/components/web/tests/server.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use monoio::io::{AsyncReadRent, AsyncReadRentExt, AsyncWriteRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
@@ -272,3 +273,25 @@
         gone.stopped().await;
     });
 }
+
+#[test]
+fn a_head_that_takes_too_long_gets_408_though_the_request_may_take_longer() {
+    run(async {
+        let served = start_echo(
+            ServerLimits::builder()
+                .header_timeout_ms(100)
+                .read_timeout_ms(5_000),
+        );
+        let mut slow_head = open(&served).await;
+        write(&mut slow_head, "POST / HTTP/1.1\r\nContent-").await;
+        let answer = read_to_end(&mut slow_head).await;
+        assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+        let mut slow_body = open(&served).await;
+        let head = "POST / HTTP/1.1\r\nContent-Length: 1\r\nConnection: close\r\n\r\n";
+        write(&mut slow_body, head).await;
+        monoio::time::sleep(Duration::from_millis(200)).await;
+        write(&mut slow_body, "x").await;
+        let answer = read_to_end(&mut slow_body).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    });
+}
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -7,6 +7,7 @@
 
 use crate::cli::{Command, Usage};
 use crate::process::{serve_on_platform, settings_path};
+use crate::settings_file::SettingsFile;
 
 /// The command.
 pub(super) const COMMAND: Command = Command {
@@ -20,11 +21,13 @@
     let Some(arguments) = usage().parse(args)? else {
         return Ok(ExitCode::Ok);
     };
-    let settings = GatewaySettings::load(&settings_path(arguments.text("settings"))?)?;
+    let path = settings_path(arguments.text("settings"))?;
+    let file = SettingsFile::read(path, GatewaySettings::from_toml)?;
+    let settings = file.settings().clone();
     let log = settings.log.clone();
-    serve_on_platform("gateway", &log, |drain, signals| {
+    serve_on_platform("gateway", &log, file, |drain| {
         let process = GatewayProcess::bind(settings)?;
-        Ok((process.state(), process.run(drain, signals)))
+        Ok((process.state(), process.reload(), process.run(drain)))
     })
 }
 
@@ -32,6 +35,7 @@
     let mut options = Options::new();
     options.optopt("s", "settings", "settings of the entry, in TOML", "FILE");
     let summary = "Runs an entry on the users' platform. Without --settings the path is taken from \
-                   SHALLOTCROSS_CONFIG.\nSIGTERM drains it, SIGUSR1 dumps its state.";
+                   SHALLOTCROSS_CONFIG.\nSIGTERM drains it, SIGUSR1 dumps its state. \
+                   Changed settings are read on SIGHUP and every second.";
     Usage::new("shallotcross gateway", &[], summary, options)
 }
--- a/src/cmd/sidecar.rs
+++ b/src/cmd/sidecar.rs
@@ -7,6 +7,7 @@
 
 use crate::cli::Usage;
 use crate::process::{serve_on_platform, settings_path};
+use crate::settings_file::SettingsFile;
 
 /// Name of the command.
 pub(super) const NAME: &str = "sidecar";
@@ -16,11 +17,13 @@
     let Some(arguments) = usage().parse(args)? else {
         return Ok(ExitCode::Ok);
     };
-    let settings = SidecarSettings::load(&settings_path(arguments.text("settings"))?)?;
+    let path = settings_path(arguments.text("settings"))?;
+    let file = SettingsFile::read(path, SidecarSettings::from_toml)?;
+    let settings = file.settings().clone();
     let log = settings.log.clone();
-    serve_on_platform("sidecar", &log, |drain, signals| {
+    serve_on_platform("sidecar", &log, file, |drain| {
         let process = SidecarProcess::bind(settings)?;
-        Ok((process.state(), process.run(drain, signals)))
+        Ok((process.state(), process.reload(), process.run(drain)))
     })
 }
 
@@ -29,6 +32,6 @@
     options.optopt("s", "settings", "settings of the agent, in TOML", "FILE");
     let summary = "Runs the agent beside a target of the users' platform. Without --settings the \
                    path is taken\nfrom SHALLOTCROSS_CONFIG. SIGTERM drains it, SIGUSR1 dumps its \
-                   state.";
+                   state.\nChanged settings are read on SIGHUP and every second.";
     Usage::new("shallotcross-agent sidecar", &[], summary, options)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 mod process;
 mod publication;
 mod resubmission;
+mod settings_file;
 mod submission;
 
 pub use cli::{Program, run_program};
--- a/src/process.rs
+++ b/src/process.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::path::PathBuf;
 
+use crate::settings_file::SettingsFile;
 use config::{LogFormat, LogSettings};
 use errors::{Error, ExitCode, Result};
 use runtime::{LogOptions, LogOutput, Signals, Stop};
@@ -28,28 +29,32 @@
     S: Fn() -> Value + 'static,
     W: Future<Output = ()>,
 {
-    run_served(
-        part,
-        log_options(log, LogOutput::StandardError),
-        |drain, _| bind(drain),
-    )
+    let options = log_options(log, LogOutput::StandardError);
+    run_served(part, options, |drain, _| bind(drain))
 }
 
-/// Runs a process as [`serve`] does, with bounded logs on standard output; `bind` also gets the
-/// signals.
-pub(crate) fn serve_on_platform<S, W>(
-    part: &str,
+/// Runs a process as [`serve`] does, with bounded logs on standard output; `bind` also returns
+/// what puts changed settings into force.
+pub(crate) fn serve_on_platform<S, W, T, R>(
+    part: &'static str,
     log: &LogSettings,
-    bind: impl FnOnce(Stop, Signals) -> Result<(S, W)>,
+    file: SettingsFile<T>,
+    bind: impl FnOnce(Stop) -> Result<(S, R, W)>,
 ) -> Result<ExitCode>
 where
     S: Fn() -> Value + 'static,
     W: Future<Output = ()>,
+    T: PartialEq + 'static,
+    R: Fn(&T) -> Vec<&'static str> + 'static,
 {
     let output = LogOutput::BoundedOutput {
         lines_per_s: LINES_PER_S,
     };
-    run_served(part, log_options(log, output), bind)
+    run_served(part, log_options(log, output), |drain, signals| {
+        let (state, take_over, work) = bind(drain)?;
+        monoio::spawn(file.follow(part, signals, take_over));
+        Ok((state, work))
+    })
 }
 
 /// Returns the path of the settings: that of the option, or that of the environment.
