Keep room for an urgent task, and number events on after a long silence

Change 1: a task that is not of the most urgent class and has more than 40 ms left until its latest start leaves room for one more of its size; entries expect it to. Tasks above a sixth of the host do not, and begun jobs do not.

Cause 2, found by reading: an agent forgets an entry that has been silent for 10 s and then numbers events from one, while the entry goes on from the last number that it saw. Every event was taken for an old one, so tasks started and ended unseen until the numbers had caught up. Change 2: events are numbered above what the entry has seen. A new test fails without it.

--- a/components/hosting/src/host/starts.rs
+++ b/components/hosting/src/host/starts.rs
@@ -2,11 +2,11 @@
 
 use std::rc::Rc;
 
-use model::{NotStarted, TaskRef};
+use model::{NotStarted, Resources, TaskRef, wanted_room};
 
 use super::Host;
 use crate::action::HostAction;
-use crate::limits::{DOUBT_MS, ROOM_PAUSE_MS};
+use crate::limits::{DOUBT_MS, RESERVE_SLACK_MS, ROOM_PAUSE_MS};
 use crate::queue::Turn;
 use crate::run::{Run, RunState};
 use crate::target::{StartOutcome, StartRefusal};
@@ -129,7 +129,8 @@
         if target.is_draining {
             return;
         }
-        let mut free = target.capacity.without(&self.used());
+        let capacity = target.capacity;
+        let mut free = capacity.without(&self.used());
         let is_single = self.health.is_on_probation();
         let mut waiting: Vec<(Turn, TaskRef)> = self
             .runs
@@ -139,9 +140,10 @@
             .collect();
         waiting.sort_unstable();
         for (_, task) in waiting {
-            let needs = self.runs[&task].needs;
+            let run = &self.runs[&task];
+            let needs = run.needs;
             let is_held_back = is_single && self.runs.values().any(Run::occupies);
-            if is_held_back || !free.holds(&needs) {
+            if is_held_back || !free.holds(&room_for(run, now_ms, &capacity)) {
                 continue;
             }
             let last = self.numbers.get(&task).map_or(0, |last| last.number);
@@ -150,3 +152,11 @@
         }
     }
 }
+
+/// Returns the room that has to be free for a waiting task to start.
+fn room_for(run: &Run, now_ms: u64, capacity: &Resources) -> Resources {
+    if run.is_begun || run.start_by_ms <= now_ms + RESERVE_SLACK_MS {
+        return run.needs;
+    }
+    wanted_room(&run.needs, run.priority, capacity)
+}
--- a/components/hosting/src/limits.rs
+++ b/components/hosting/src/limits.rs
@@ -53,6 +53,10 @@
 /// reports progress in percent.
 pub(crate) const STALL_MS: u64 = 120;
 
+/// Time before its latest start from which on a task takes room that is kept for urgent ones, in
+/// milliseconds: half of the longest time that it waits at one host.
+pub(crate) const RESERVE_SLACK_MS: u64 = 40;
+
 /// Pause after the target refused a run for want of room, in milliseconds: until the next list
 /// of what runs.
 pub(crate) const ROOM_PAUSE_MS: u64 = 20;
--- a/components/hosting/src/queue.rs
+++ b/components/hosting/src/queue.rs
@@ -4,7 +4,8 @@
 //! among the others what has to start first comes first, so that small jobs pass long plans that
 //! can wait, and a plan that has waited is not passed for ever. Tasks that are too late to be in
 //! time come after those that are not. What is begun is finished before all else, since a job
-//! with a task missing is worth nothing.
+//! with a task missing is worth nothing. A task that can wait leaves room for one more, since a
+//! wide urgent job is as late as the last of its tasks (`Host::start_waiting`).
 
 use model::MOST_URGENT;
 
--- a/components/hosting/src/session.rs
+++ b/components/hosting/src/session.rs
@@ -65,8 +65,10 @@
         is_new
     }
 
-    /// Forgets the events up to a number.
+    /// Forgets the events up to a number; later ones are numbered above it, also if this agent
+    /// has forgotten the entry since.
     pub(crate) fn acknowledge(&mut self, seen: u64) {
+        self.next_event = self.next_event.max(seen);
         while self
             .events
             .front()
--- a/components/hosting/tests/host/authority.rs
+++ b/components/hosting/tests/host/authority.rs
@@ -1,7 +1,7 @@
 //! Whose orders count.
 
-use hosting::{HostAction, LINK_GRACE_MS, PERMIT_TTL_MS, StartOutcome, StartRefusal};
-use model::{NotStarted, RunEvent};
+use hosting::{HostAction, LINK_GRACE_MS, PERMIT_TTL_MS, StartOutcome, StartRefusal, TargetEnd};
+use model::{NotStarted, RunEnd, RunEvent};
 
 use crate::harness::{Bench, ENTRY, OTHER_ENTRY, order, task};
 
@@ -127,3 +127,21 @@
     let refused = RunEvent::NotStarted(NotStarted::PermitExpired);
     assert_eq!(bench.outcome(5), Some(refused));
 }
+
+// Found by reading: entries that were cut off for 12 s heard of no task for a while afterwards.
+#[test]
+fn events_after_a_long_silence_are_new_to_the_entry() {
+    let mut bench = Bench::new();
+    let run = |bench: &mut Bench, number| {
+        bench.start([number]);
+        bench.run_starts();
+        bench.end(task(number), TargetEnd::Done);
+        bench.hold();
+        bench.outcome(number)
+    };
+    let is_done = |event| matches!(event, Some(RunEvent::Ended(RunEnd::Done, _)));
+    assert!(is_done(run(&mut bench, 1)));
+    bench.pass_without_entry(15_000);
+    bench.ask(ENTRY);
+    assert!(is_done(run(&mut bench, 2)));
+}
--- a/components/hosting/tests/host/queueing.rs
+++ b/components/hosting/tests/host/queueing.rs
@@ -120,3 +120,35 @@
     let speed = bench.host.view(bench.now_ms).speed_permille;
     assert!((200..400).contains(&speed), "{speed}");
 }
+
+/// An order for a task of one core, an eighth of the host.
+fn small_order(number: u64, priority: u8) -> StartOrder {
+    let mut small = order(number);
+    small.needs.cpu_millis = 1_000;
+    small.priority = priority;
+    small
+}
+
+#[test]
+fn tasks_that_can_wait_leave_room_for_an_urgent_one() {
+    let mut bench = Bench::new();
+    let patient = (1..=8).map(|number| small_order(number, 1)).collect();
+    send(&mut bench, patient);
+    assert_eq!(bench.run_starts().len(), 7);
+    send(&mut bench, vec![small_order(9, 0)]);
+    assert_eq!(bench.run_starts(), [(task(9), 1)]);
+}
+
+#[test]
+fn a_task_that_cannot_wait_any_longer_takes_the_room_that_is_left() {
+    let mut bench = Bench::new();
+    let mut patient: Vec<StartOrder> = (1..=8).map(|number| small_order(number, 1)).collect();
+    patient[7].slack_ms = 110;
+    patient[7].patience_ms = 200;
+    send(&mut bench, patient);
+    assert_eq!(bench.run_starts().len(), 7);
+    bench.pass(50);
+    assert_eq!(bench.run_starts(), []);
+    bench.pass(30);
+    assert_eq!(bench.run_starts(), [(task(8), 1)]);
+}
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -28,5 +28,5 @@
 pub use run::{
     CALLER_ID_DIGITS, CallerId, HOSTS_PREFIX, HostRegistration, HostView, MOST_URGENT, News,
     NewsRequest, NotStarted, Orders, RegisteredTarget, Resources, RunEnd, RunEvent, RunId,
-    RunPermit, StartOrder, TaskRef,
+    RunPermit, StartOrder, TaskRef, wanted_room,
 };
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -105,6 +105,25 @@
     }
 }
 
+/// Part of a host, as a divisor, up to which a task leaves room for another of its size: above
+/// it a tenth of the host or more would stand idle for want of an urgent task.
+const RESERVE_DIVISOR: u32 = 6;
+
+/// Returns the room that a task should find free before it starts.
+///
+/// Tasks that are not of the most urgent class leave room for one more, so that an urgent one
+/// need not wait for an end; large ones do not, since that would cost too much of the host.
+#[must_use]
+pub fn wanted_room(needs: &Resources, priority: u8, capacity: &Resources) -> Resources {
+    let is_small = needs.cpu_millis <= capacity.cpu_millis / RESERVE_DIVISOR
+        && needs.memory_mib <= capacity.memory_mib / RESERVE_DIVISOR
+        && needs.gpus == 0;
+    if priority == MOST_URGENT || !is_small {
+        return *needs;
+    }
+    needs.with(needs)
+}
+
 /// An agent's consent to orders; it expires by the agent's own clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunPermit {
--- a/components/scheduling/src/placement.rs
+++ b/components/scheduling/src/placement.rs
@@ -10,7 +10,7 @@
 use std::cmp::Ordering;
 use std::rc::Rc;
 
-use model::Resources;
+use model::{MOST_URGENT, Resources, wanted_room};
 
 use crate::host::HostSlot;
 
@@ -53,7 +53,7 @@
     pub(crate) estimate_ms: u32,
     pub(crate) limit_ms: u64,
     pub(crate) stretch: f64,
-    pub(crate) is_urgent: bool,
+    pub(crate) priority: u8,
     pub(crate) required_label: Option<&'a Rc<str>>,
     pub(crate) preferred_label: Option<&'a Rc<str>>,
     pub(crate) far_factor: f64,
@@ -129,20 +129,21 @@
     /// Estimates how long a task waits for room, in milliseconds.
     ///
     /// What runs ends evenly over twice its mean time left; what waits comes first, unless the
-    /// task is of the most urgent class.
+    /// task is of the most urgent class. Others leave room for an urgent task.
     fn wait_ms(&self, wanted: &Wanted<'_>) -> f64 {
-        let needs = &wanted.needs;
-        let waiting_core_ms = if wanted.is_urgent {
+        let is_urgent = wanted.priority == MOST_URGENT;
+        let waiting_core_ms = if is_urgent {
             self.urgent_core_ms
         } else {
             self.waiting_core_ms
         };
-        if waiting_core_ms == 0 && self.free.holds(needs) {
+        let room = wanted_room(&wanted.needs, wanted.priority, &self.capacity);
+        if waiting_core_ms == 0 && self.free.holds(&room) {
             return 0.0;
         }
         let cores = f64::from(self.capacity.cpu_millis.max(1)) / 1_000.0;
         let running_core_ms = self.backlog_core_ms.saturating_sub(self.waiting_core_ms) as f64;
-        let missing_millis = needs.cpu_millis.saturating_sub(self.free.cpu_millis);
+        let missing_millis = room.cpu_millis.saturating_sub(self.free.cpu_millis);
         let missing_cores = f64::from(missing_millis.max(1)) / 1_000.0;
         let first_end_ms = 2.0 * running_core_ms / cores * (missing_cores / cores);
         first_end_ms + waiting_core_ms as f64 / cores
@@ -192,7 +193,7 @@
             self.free = self.free.without(&wanted.needs);
         } else {
             self.waiting_core_ms += core_ms as u64;
-            if wanted.is_urgent {
+            if wanted.priority == MOST_URGENT {
                 self.urgent_core_ms += core_ms as u64;
             }
         }
--- a/components/scheduling/src/scheduler/placing.rs
+++ b/components/scheduling/src/scheduler/placing.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use model::{HostView, MOST_URGENT, RunId, StartOrder, TaskRef};
+use model::{HostView, RunId, StartOrder, TaskRef};
 
 use super::{Scheduler, SchedulerAction, millis};
 use crate::admission::{self, Outlook};
@@ -52,7 +52,7 @@
             estimate_ms: step.estimate_ms,
             limit_ms: job.objective_at_ms.saturating_sub(now_ms),
             stretch: job.request.queue.stretch,
-            is_urgent: job.request.queue.priority == MOST_URGENT,
+            priority: job.request.queue.priority,
             required_label: step.required_label.as_ref(),
             preferred_label: step.preferred_label.as_ref(),
             far_factor: self.far_factor,
--- a/components/scheduling/tests/scheduler.rs
+++ b/components/scheduling/tests/scheduler.rs
@@ -523,3 +523,16 @@
     assert!(forget(&mut bench));
     assert_eq!(bench.scheduler.hosts(bench.now_ms), []);
 }
+
+#[test]
+fn a_host_with_room_for_an_urgent_task_besides_is_chosen() {
+    let mut bench = Bench::new(2);
+    let mut nearly_full = view(1_000);
+    nearly_full.speed_permille = 1_200;
+    nearly_full.backlog_core_ms = 2_000;
+    bench.hear_view(0, nearly_full, &[]);
+    bench.hear_view(1, view(2_000), &[]);
+    bench.submit(job(1, 1));
+    assert!(bench.orders(0).is_none());
+    assert!(bench.orders(1).is_some());
+}
