--- a/components/gateway/src/actions.rs
+++ b/components/gateway/src/actions.rs
@@ -7,7 +7,7 @@
 /// Carries out one action.
 pub(crate) fn perform(shared: &Shared, action: SchedulerAction) {
     match action {
-        SchedulerAction::SendOrders(host) => {
+        SchedulerAction::SendOrders(host) | SchedulerAction::LinkChanged(host) => {
             if let Some(waker) = shared.wakers.borrow().get(host) {
                 waker.notify_all();
             }
--- a/components/gateway/src/callers.rs
+++ b/components/gateway/src/callers.rs
@@ -234,6 +234,7 @@
         queue = &*route.queue.name, hosts = decision.usable_hosts,
         oldest_view_ms = decision.oldest_view_ms,
         expected_ms = decision.finish_ms.unwrap_or(-1.0), objective_ms = decision.objective_ms,
+        time_left_ms = decision.time_left_ms,
         configuration_version = version; "job admitted");
 }
 
@@ -250,5 +251,6 @@
         queue = &*route.queue.name, reason = reason_of(verdict), hosts = decision.usable_hosts,
         oldest_view_ms = decision.oldest_view_ms,
         expected_ms = decision.finish_ms.unwrap_or(-1.0), objective_ms = decision.objective_ms,
+        time_left_ms = decision.time_left_ms,
         configuration_version = version; "job refused on arrival");
 }
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -120,6 +120,9 @@
         if is_gone {
             log::info!(target: "gateway", event = "host_forgotten", address = address.as_str();
                 "a host is gone for good");
+            if let Some(waker) = shared.wakers.borrow().get(*slot) {
+                waker.notify_all();
+            }
         }
         !is_gone
     });
--- a/components/gateway/src/links.rs
+++ b/components/gateway/src/links.rs
@@ -29,12 +29,19 @@
 /// Longest pause between two tries to connect, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 500;
 
-/// Keeps a connection to the agent of a host for as long as the host is known.
+/// Keeps a connection to the agent of a host while the host is wanted, until it is forgotten.
 pub(crate) async fn keep(shared: Rc<Shared>, slot: HostSlot, address: String) {
     let mut pause_ms = FIRST_PAUSE_MS;
     let waker = Rc::new(Notify::default());
     shared.wakers.borrow_mut().insert(slot, Rc::clone(&waker));
-    while shared.addresses.borrow().get(&address) == Some(&slot) {
+    let is_known = || shared.addresses.borrow().get(&address) == Some(&slot);
+    while is_known() {
+        if !shared.scheduler.borrow().is_wanted(slot) {
+            let wanted = || shared.scheduler.borrow().is_wanted(slot) || !is_known();
+            waker.wait_until(|| wanted().then_some(())).await;
+            pause_ms = FIRST_PAUSE_MS;
+            continue;
+        }
         let limit_ms = (CONNECT_TIMEOUT_MS + pause_ms).min(LONGEST_CONNECT_MS);
         let deadline_us = monotonic_us() + limit_ms * 1_000;
         let traffic = shared.traffic.clone();
@@ -71,8 +78,18 @@
         agent = link.peer().to_string(); "connected to an agent");
     let orders = pin!(send_orders(shared, slot, link, waker));
     let news = pin!(ask_news(shared, slot, link));
-    let error = match select(orders, news).await {
-        Either::Left((error, _)) | Either::Right((error, _)) => error,
+    let calls = select(orders, news);
+    let unwanted = || (!shared.scheduler.borrow().is_wanted(slot)).then_some(());
+    let released = pin!(waker.wait_until(unwanted));
+    let error = match select(calls, released).await {
+        Either::Left((Either::Left((error, _)) | Either::Right((error, _)), _)) => error,
+        Either::Right(_) => {
+            shared.scheduler.borrow_mut().host_disconnected(slot);
+            shared.metrics.note_link("released");
+            log::info!(target: "gateway", event = "link_released", address = address;
+                "fewer hosts are needed");
+            return;
+        }
     };
     shared.scheduler.borrow_mut().host_disconnected(slot);
     shared.metrics.note_link("lost");
--- a/components/scheduling/src/host.rs
+++ b/components/scheduling/src/host.rs
@@ -5,7 +5,7 @@
 use model::{HostView, News, Orders, ProcessKey, Resources, RunId, RunPermit, StartOrder};
 use slotmap::new_key_type;
 
-use crate::limits::{HOST_KEPT_MS, RUN_OVER_MS, VIEW_MAX_AGE_MS};
+use crate::limits::{FIRST_VIEW_MS, HOST_KEPT_MS, RUN_OVER_MS, VIEW_MAX_AGE_MS};
 
 new_key_type! {
     /// Key of a host in the scheduler.
@@ -55,13 +55,22 @@
     next_number: u64,
     replaced_permit_at_ms: u64,
     added_at_ms: u64,
+    /// Weight of the host for this entry.
+    pub(crate) weight: u64,
+    /// Whether the entry should be connected to it.
+    pub(crate) is_wanted: bool,
+    /// When that changed, in milliseconds.
+    pub(crate) wanted_at_ms: u64,
 }
 
 impl HostRecord {
-    pub(crate) fn new(now_ms: u64, info: HostInfo) -> Self {
+    pub(crate) fn new(now_ms: u64, info: HostInfo, weight: u64) -> Self {
         Self {
             info,
             added_at_ms: now_ms,
+            weight,
+            is_wanted: false,
+            wanted_at_ms: now_ms,
             agent: None,
             is_connected: false,
             is_inheritance_clear: false,
@@ -144,9 +153,16 @@
         !self.is_connected && now_ms >= last_sign_ms + HOST_KEPT_MS
     }
 
+    /// Tells whether the host counts among those that are followed: it can be used, or is just
+    /// being connected to.
+    pub(crate) fn counts(&self, now_ms: u64) -> bool {
+        self.is_usable(now_ms) || now_ms < self.wanted_at_ms + FIRST_VIEW_MS
+    }
+
     /// Tells whether tasks may be placed on the host.
     pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
         self.is_connected
+            && self.is_wanted
             && now_ms < self.permit_at_ms + VIEW_MAX_AGE_MS
             && self.view.as_ref().is_some_and(|view| view.is_open)
     }
--- a/components/scheduling/src/lib.rs
+++ b/components/scheduling/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod admission;
 mod answered;
+mod baseline;
+mod circle;
 mod host;
 mod job;
 mod limits;
@@ -15,6 +17,8 @@
 mod scheduler;
 mod verdict;
 
+pub use baseline::PlacementRule;
+pub use circle::FEWEST_HOSTS;
 pub use host::{HostInfo, HostSlot, HostStatus};
 pub use job::JobSlot;
 pub use limits::{HOST_KEPT_MS, NEWS_TIMEOUT_MS, NEWS_WAIT_MS, RESEND_MS, RUN_OVER_MS};
--- a/components/scheduling/src/limits.rs
+++ b/components/scheduling/src/limits.rs
@@ -21,6 +21,10 @@
 /// milliseconds; from the callers' interface.
 pub const RESEND_MS: u64 = 1_300;
 
+/// How long a host may take to show its first view after the entry began to connect to it, in
+/// milliseconds: some tries to connect and a round trip.
+pub(crate) const FIRST_VIEW_MS: u64 = 500;
+
 /// How long a host is kept after its last news, in milliseconds: the lease of its registration
 /// (60,000), which it renews for as long as it lives.
 pub const HOST_KEPT_MS: u64 = 60_000;
--- a/components/scheduling/src/placement.rs
+++ b/components/scheduling/src/placement.rs
@@ -12,6 +12,7 @@
 
 use model::{MOST_URGENT, Resources, wanted_room};
 
+use crate::baseline::{self, PlacementRule};
 use crate::host::HostSlot;
 
 /// Factor by which the work and the wait may exceed their estimates on a host that counts as
@@ -67,6 +68,7 @@
     pub(crate) host: HostSlot,
     pub(crate) wait_ms: f64,
     pub(crate) finish_ms: f64,
+    pub(crate) is_safe: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
@@ -80,8 +82,20 @@
 }
 
 /// Chooses a host for a task and takes the task into account for the next choice.
-pub(crate) fn choose(candidates: &mut [Candidate], wanted: &Wanted<'_>) -> Option<Choice> {
-    let best = pick(candidates, wanted, true).or_else(|| pick(candidates, wanted, false));
+///
+/// `number` tells apart the choices of rules that draw.
+pub(crate) fn choose(
+    candidates: &mut [Candidate],
+    wanted: &Wanted<'_>,
+    rule: PlacementRule,
+    number: u64,
+) -> Option<Choice> {
+    let best = match rule {
+        PlacementRule::SafeOnSlow => {
+            pick(candidates, wanted, true).or_else(|| pick(candidates, wanted, false))
+        }
+        _ => baseline::pick(rule, candidates, wanted, number),
+    };
     let (at, choice) = best?;
     candidates[at].take(wanted);
     Some(choice)
@@ -109,7 +123,7 @@
 }
 
 impl Candidate {
-    fn is_fit(&self, wanted: &Wanted<'_>) -> bool {
+    pub(crate) fn is_fit(&self, wanted: &Wanted<'_>) -> bool {
         let has_label = |label: &Rc<str>| self.labels.contains(label);
         self.capacity.holds(&wanted.needs)
             && wanted.required_label.is_none_or(has_label)
@@ -130,7 +144,7 @@
     ///
     /// What runs ends evenly over twice its mean time left; what waits comes first, unless the
     /// task is of the most urgent class. Others leave room for an urgent task.
-    fn wait_ms(&self, wanted: &Wanted<'_>) -> f64 {
+    pub(crate) fn wait_ms(&self, wanted: &Wanted<'_>) -> f64 {
         let is_urgent = wanted.priority == MOST_URGENT;
         let waiting_core_ms = if is_urgent {
             self.urgent_core_ms
@@ -149,6 +163,11 @@
         first_end_ms + waiting_core_ms as f64 / cores
     }
 
+    /// Returns the task's place on this host.
+    pub(crate) fn choice(&self, wanted: &Wanted<'_>) -> Choice {
+        self.rank(wanted).1
+    }
+
     fn rank(&self, wanted: &Wanted<'_>) -> (Rank, Choice) {
         let wait_ms = self.wait_ms(wanted);
         let run_ms = self.run_ms(wanted);
@@ -183,6 +202,7 @@
             host: self.slot,
             wait_ms,
             finish_ms,
+            is_safe,
         };
         (rank, choice)
     }
--- a/components/scheduling/src/scheduler/mod.rs
+++ b/components/scheduling/src/scheduler/mod.rs
@@ -2,9 +2,11 @@
 
 mod answers;
 mod events;
+mod links;
 mod losses;
 mod placing;
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use model::{CallerId, News, NewsRequest, Orders, ProcessKey, RunEvent, RunId};
@@ -13,7 +15,9 @@
 
 use crate::admission;
 use crate::answered::Answered;
-use crate::host::{HostInfo, HostRecord, HostSlot, HostStatus};
+use crate::baseline::PlacementRule;
+use crate::circle::{Circle, FEWEST_HOSTS};
+use crate::host::{HostRecord, HostSlot, HostStatus};
 use crate::job::{Job, JobSlot};
 use crate::limits::NEWS_WAIT_MS;
 use crate::request::JobRequest;
@@ -30,6 +34,8 @@
     pub finish_ms: Option<f64>,
     /// Time that the answer may take to be in time, in milliseconds.
     pub objective_ms: u64,
+    /// Time that the caller waits, in milliseconds.
+    pub time_left_ms: u64,
 }
 
 /// What becomes of a job that is handed in.
@@ -50,6 +56,8 @@
 pub enum SchedulerAction {
     /// Send the orders of a host.
     SendOrders(HostSlot),
+    /// Connect to a host that is wanted now, or close the connection to one that is not.
+    LinkChanged(HostSlot),
     /// Answer a job; the key is not valid any more.
     Answer {
         /// Key that the job had.
@@ -95,6 +103,12 @@
     jobs: SlotMap<JobSlot, Job>,
     by_id: FxHashMap<CallerId, JobSlot>,
     answered: Answered,
+    /// The hosts in the order of their weights for this entry.
+    ranked: Vec<HostSlot>,
+    circle: Circle,
+    reviewed_at_ms: u64,
+    rule: PlacementRule,
+    choices: Cell<u64>,
 }
 
 impl Scheduler {
@@ -111,21 +125,26 @@
             jobs: SlotMap::with_key(),
             by_id: FxHashMap::default(),
             answered: Answered::default(),
+            ranked: Vec::new(),
+            circle: Circle::new(FEWEST_HOSTS),
+            reviewed_at_ms: 0,
+            rule: PlacementRule::default(),
+            choices: Cell::new(0),
         }
     }
 
-    /// Adds a host.
-    pub fn add_host(&mut self, now_ms: u64, info: HostInfo) -> HostSlot {
-        self.hosts.insert(HostRecord::new(now_ms, info))
+    /// Places tasks by a rule.
+    #[must_use]
+    pub fn placing_by(mut self, rule: PlacementRule) -> Self {
+        self.rule = rule;
+        self
     }
 
-    /// Forgets a host if it counts as gone; tells whether it is forgotten.
-    pub fn forget_host(&mut self, now_ms: u64, slot: HostSlot) -> bool {
-        let is_gone = |host: &HostRecord| host.is_gone(now_ms);
-        if self.hosts.get(slot).is_some_and(is_gone) {
-            self.hosts.remove(slot);
-        }
-        !self.hosts.contains_key(slot)
+    /// Follows `fewest` hosts at least.
+    #[must_use]
+    pub fn following(mut self, fewest: usize) -> Self {
+        self.circle = Circle::new(fewest);
+        self
     }
 
     /// Returns the state of every host.
@@ -175,11 +194,13 @@
         let mut candidates = self.candidates(now_ms, &job);
         let plan = self.plan(now_ms, &job, &mut candidates);
         let finish_ms = plan.finish_ms();
+        self.circle.note_placement(plan.is_safe());
         let decision = Decision {
             usable_hosts: candidates.len(),
             oldest_view_ms: self.oldest_view_ms(now_ms, &candidates),
             finish_ms,
             objective_ms: job.request.objective_ms(),
+            time_left_ms: job.request.time_left_ms,
         };
         if let Some(why) = self.refusal(&job, &candidates, finish_ms) {
             let ahead_ms = finish_ms.unwrap_or(0.0) - decision.objective_ms as f64;
@@ -282,8 +303,9 @@
         }
     }
 
-    /// Ends what has run out of time and places what waits.
+    /// Ends what has run out of time, places what waits, and chooses the hosts to follow.
     pub fn tick(&mut self, now_ms: u64, actions: &mut Vec<SchedulerAction>) {
+        self.review_links(now_ms, actions);
         let slots: Vec<JobSlot> = self.jobs.keys().collect();
         for slot in slots {
             self.recover_lost(now_ms, slot, actions);
--- a/components/scheduling/src/scheduler/placing.rs
+++ b/components/scheduling/src/scheduler/placing.rs
@@ -24,6 +24,12 @@
     pub(super) fn finish_ms(&self) -> Option<f64> {
         self.finish_ms
     }
+
+    /// Tells whether every task has a place where it will surely be in time.
+    pub(super) fn is_safe(&self) -> bool {
+        let mut choices = self.choices.iter();
+        choices.all(|(_, choice)| choice.is_some_and(|choice| choice.is_safe))
+    }
 }
 
 impl Scheduler {
@@ -59,7 +65,9 @@
             max_per_host: step.max_per_host,
             avoided: &record.avoided,
         };
-        placement::choose(candidates, &wanted)
+        let number = self.choices.get();
+        self.choices.set(number + 1);
+        placement::choose(candidates, &wanted, self.rule, number)
     }
 
     pub(super) fn candidates(&self, now_ms: u64, job: &Job) -> Vec<Candidate> {
--- a/components/scheduling/tests/scheduler.rs
+++ b/components/scheduling/tests/scheduler.rs
@@ -7,8 +7,8 @@
     RunPermit,
 };
 use scheduling::{
-    HOST_KEPT_MS, HostInfo, HostSlot, JobRequest, NotRunReason, QueueRules, RUN_OVER_MS, Route,
-    RouteTable, Scheduler, SchedulerAction, StepRequest, Submission, Verdict,
+    FEWEST_HOSTS, HOST_KEPT_MS, HostInfo, HostSlot, JobRequest, NotRunReason, QueueRules,
+    RUN_OVER_MS, Route, RouteTable, Scheduler, SchedulerAction, StepRequest, Submission, Verdict,
 };
 
 const ENTRY: ProcessKey = ProcessKey(7);
@@ -108,6 +108,7 @@
             actions: Vec::new(),
             events: 0,
         };
+        bench.tick(0);
         for host in 0..hosts {
             bench.connect(host);
             bench.hear(host, &[]);
@@ -536,3 +537,47 @@
     assert!(bench.orders(0).is_none());
     assert!(bench.orders(1).is_some());
 }
+
+fn wanted(bench: &Bench) -> usize {
+    let slots = bench.slots.iter();
+    slots
+        .filter(|slot| bench.scheduler.is_wanted(**slot))
+        .count()
+}
+
+#[test]
+fn an_entry_follows_a_part_of_a_large_fleet() {
+    let mut bench = Bench::new(100);
+    assert_eq!(wanted(&bench), FEWEST_HOSTS);
+    // Hosts that cannot be used are made up for.
+    for host in 0..100 {
+        bench.scheduler.host_disconnected(bench.slots[host]);
+    }
+    for _ in 0..5 {
+        bench.tick(600);
+    }
+    assert_eq!(wanted(&bench), 100);
+}
+
+#[test]
+fn more_hosts_are_followed_while_tasks_find_no_safe_place() {
+    let mut bench = Bench::new(100);
+    for number in 1..=20 {
+        for host in 0..100 {
+            bench.hear_view(host, view(500), &[]);
+        }
+        bench.submit(job(number, 2));
+        bench.tick(100);
+    }
+    let most = wanted(&bench);
+    assert!(most > 2 * FEWEST_HOSTS, "{most}");
+    for _ in 0..400 {
+        for host in 0..100 {
+            bench.hear(host, &[]);
+        }
+        bench.tick(100);
+    }
+    // Hosts with work of the entry stay as long as it lasts.
+    let fewest = wanted(&bench);
+    assert!(fewest < most && fewest >= FEWEST_HOSTS, "{fewest}");
+}
--- a/components/sim/src/entry.rs
+++ b/components/sim/src/entry.rs
@@ -17,6 +17,9 @@
 /// Pause before an entry connects again, in microseconds.
 const RECONNECT_US: u64 = 30_000;
 
+/// How long a connection takes to be made, in microseconds.
+const CONNECT_US: u64 = 5_000;
+
 /// How long an entry waits for the answer to orders, in microseconds.
 const ORDER_TIMEOUT_US: u64 = 300_000;
 
@@ -40,7 +43,7 @@
     pub(crate) fn create_entry(&mut self, entry: usize) {
         let life = self.entries.get(entry).map_or(1, |node| node.life + 1);
         let key = ProcessKey(1_000_000 + entry as u64 * 1_000 + u64::from(life));
-        let mut scheduler = Scheduler::new(key, "domain", 1.0);
+        let mut scheduler = Scheduler::new(key, "domain", 1.0).placing_by(self.deployment.rule);
         let hosts = 0..self.deployment.targets.len();
         let slots: Vec<HostSlot> = hosts
             .map(|host| {
@@ -131,8 +134,26 @@
         }
     }
 
+    /// Connects to a host that is wanted now, or closes the connection to one that is not.
+    fn change_link(&mut self, entry: usize, slot: HostSlot) {
+        let node = &self.entries[entry];
+        let Some(host) = node.slots.iter().position(|at| *at == slot) else {
+            return;
+        };
+        if node.scheduler.is_wanted(slot) {
+            let life = node.life;
+            self.schedule(CONNECT_US, Event::Connect { entry, host, life });
+        } else {
+            self.disconnect(entry, host);
+        }
+    }
+
     fn connect(&mut self, entry: usize, host: usize) {
-        let life = self.entries[entry].life;
+        let node = &self.entries[entry];
+        if !node.scheduler.is_wanted(node.slots[host]) || self.links[entry][host].is_connected {
+            return;
+        }
+        let life = node.life;
         let is_reachable = !self.is_cut(entry, host)
             && self.agents[host].is_up
             && self.agents[host].frozen_until_us <= self.now_us;
@@ -286,6 +307,7 @@
                         self.answered(at, verdict);
                     }
                 }
+                SchedulerAction::LinkChanged(slot) => self.change_link(entry, slot),
                 SchedulerAction::Noted { .. } | SchedulerAction::Placed { .. } => {}
             }
         }
--- a/components/sim/src/scenario.rs
+++ b/components/sim/src/scenario.rs
@@ -1,6 +1,7 @@
 //! Patterns of load, each with the deployment that it strikes.
 
 use model::Resources;
+use scheduling::PlacementRule;
 
 use crate::client::{Burst, JobKind, Load};
 use crate::fault::{Fault, FaultKind};
@@ -61,6 +62,7 @@
     Deployment {
         entries,
         targets: targets.collect(),
+        rule: PlacementRule::default(),
         delay_us: (300, 1_600),
     }
 }
--- a/components/sim/src/world.rs
+++ b/components/sim/src/world.rs
@@ -6,6 +6,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rustc_hash::FxHashMap;
+use scheduling::PlacementRule;
 
 use crate::agent::AgentNode;
 use crate::client::{ClientJob, Load, draw_job};
@@ -30,6 +31,8 @@
     pub targets: Vec<TargetSpec>,
     /// One-way delay between processes, in microseconds: least and most.
     pub delay_us: (u64, u64),
+    /// By which rule entries place tasks.
+    pub rule: PlacementRule,
 }
 
 /// A link from an entry to a host.
--- /dev/null
+++ b/tests/platform_support/mod.rs
@@ -0,0 +1,104 @@
+//! An entry and an agent on the users' platform, as processes beside its stand-ins.
+
+#![allow(dead_code, reason = "each test program uses its own part")]
+
+#[path = "../support/mod.rs"]
+pub mod support;
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+use serde_json::Value;
+use support::{Process, call};
+use web::{HeaderValue, Method, Request};
+
+/// Host name of the queue of the tests.
+pub const HOST: &str = "callers.example";
+
+/// Path of the queue of the tests.
+pub const PREFIX: &str = "/q/";
+
+/// Pool of the targets.
+pub const POOL: &str = "pool";
+
+/// An entry, with its settings.
+pub struct Entry {
+    pub process: Process,
+    pub settings: PathBuf,
+    pub text: String,
+    callers: SocketAddr,
+}
+
+/// Returns an address that was free a moment ago.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+fn spawn(program: &str, command: &str, settings: &Path, text: &str) -> Process {
+    std::fs::write(settings, text).expect("the file is written");
+    let mut process = Command::new(program);
+    process.arg(command).arg("--settings").arg(settings);
+    let mut process = Process::spawn(&mut process, true);
+    process.wait_for_line("\"started\"");
+    process
+}
+
+/// Starts an entry; `level` is what it logs.
+pub fn start_entry(folder: &Path, store: SocketAddr, level: &str) -> Entry {
+    let callers = free_address();
+    let text = format!(
+        "name = \"entry\"\nfailure_domain = \"domain\"\ncallers_address = \"{callers}\"\n\
+         readiness_address = \"{}\"\npeer_address = \"{}\"\nstore_address = \"{store}\"\n\
+         log = {{ format = \"json\", level = \"{level}\" }}\n",
+        free_address(),
+        free_address(),
+    );
+    let settings = folder.join("entry.toml");
+    let program = env!("CARGO_BIN_EXE_shallotcross");
+    Entry {
+        process: spawn(program, "gateway", &settings, &text),
+        settings,
+        text,
+        callers,
+    }
+}
+
+/// Starts an agent beside a target.
+pub fn start_agent(
+    folder: &Path,
+    store: SocketAddr,
+    target: SocketAddr,
+    reports: SocketAddr,
+    level: &str,
+) -> Process {
+    let text = format!(
+        "name = \"host\"\nfailure_domain = \"domain\"\ntarget_address = \"{target}\"\n\
+         reports_address = \"{reports}\"\npeer_address = \"{}\"\nstore_address = \"{store}\"\n\
+         log = {{ format = \"json\", level = \"{level}\" }}\n",
+        free_address(),
+    );
+    let program = env!("CARGO_BIN_EXE_shallotcross-agent");
+    spawn(program, "sidecar", &folder.join("agent.toml"), &text)
+}
+
+impl Entry {
+    /// Changes the settings file.
+    pub fn write(&self, text: &str) {
+        std::fs::write(&self.settings, text).expect("the file is written");
+    }
+
+    /// Hands a job in and returns the status of the answer.
+    pub async fn status_of(&self, id: &str, body: &Value) -> Option<u16> {
+        let mut request = Request::post_json(format!("{PREFIX}{id}"), body);
+        request.method = Method::POST;
+        let host = HeaderValue::from_static(HOST);
+        request.headers.insert("host", host);
+        let id = HeaderValue::from_str(&format!("request-{id}")).expect("a header");
+        request.headers.insert("request-id", id);
+        call(self.callers, &request)
+            .await
+            .map(|response| response.status)
+    }
+}
