--- a/components/scheduling/src/scheduler/mod.rs
+++ b/components/scheduling/src/scheduler/mod.rs
@@ -108,7 +108,7 @@
     circle: Circle,
     reviewed_at_ms: u64,
     rule: PlacementRule,
-    choices: Cell<u64>,
+    choice_count: Cell<u64>,
 }
 
 impl Scheduler {
@@ -129,7 +129,7 @@
             circle: Circle::new(FEWEST_HOSTS),
             reviewed_at_ms: 0,
             rule: PlacementRule::default(),
-            choices: Cell::new(0),
+            choice_count: Cell::new(0),
         }
     }
 
--- a/components/scheduling/src/scheduler/placing.rs
+++ b/components/scheduling/src/scheduler/placing.rs
@@ -65,8 +65,8 @@
             max_per_host: step.max_per_host,
             avoided: &record.avoided,
         };
-        let number = self.choices.get();
-        self.choices.set(number + 1);
+        let number = self.choice_count.get();
+        self.choice_count.set(number + 1);
         placement::choose(candidates, &wanted, self.rule, number)
     }
 
