--- a/src/process.rs
+++ b/src/process.rs
@@ -3,12 +3,13 @@
 use std::future::Future;
 use std::path::PathBuf;
 
-use crate::settings_file::SettingsFile;
 use config::{LogFormat, LogSettings};
 use errors::{Error, ExitCode, Result};
 use runtime::{LogOptions, LogOutput, Signals, Stop};
 use serde_json::Value;
 
+use crate::settings_file::SettingsFile;
+
 /// Log lines of a process on the users' platform, in a second at most: several for each request
 /// that fails under the worst load, at a few percent of the processor.
 const LINES_PER_S: u64 = 300;
