Make one piece of what stands twice, and drop what nobody reads

Found by reading the whole change once more: - the finalizer of SplitMix64 stood in dispatch and scheduling: `model::scramble` serves both. The weight of a host mixes less and keeps its own, since the order of hosts would change. - the links of agents and entries were taken from their pools by two copies: `Pool::link_to`. - the soak and the tests each drew free addresses: `platform_standins::free_address`. - the model brought the result of a question to an agent in five places: `end_hold`; what faults do to the world now stands with the faults. - the sidecar matched each action twice; the gateway read the headers of a request up to three times. - whether a host is registered was looked for along the whole list for each host, and the hosts with work were collected ten times a second though only hosts that would be let go of are asked about. - unread: results of `connected`, `take_news` and `failed`, the id of an answered job, the loading of two kinds of settings, `with_faults`, and `is_handing_over`, which was `!is_released`.

Behaviour stays as it is.

--- a/components/config/src/settings/sidecar.rs
+++ b/components/config/src/settings/sidecar.rs
@@ -1,7 +1,6 @@
 //! Settings of an agent on the users' platform.
 
 use std::net::SocketAddr;
-use std::path::Path;
 
 use serde::{Deserialize, Serialize};
 
@@ -52,15 +51,6 @@
 }
 
 impl SidecarSettings {
-    /// Loads the settings from a file.
-    ///
-    /// # Errors
-    ///
-    /// Returns every fault in the file.
-    pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        Self::from_toml(&path.display().to_string(), &load::read_settings(path)?)
-    }
-
     /// Parses the settings from the text of a file.
     ///
     /// # Errors
--- a/components/dispatch/src/claims.rs
+++ b/components/dispatch/src/claims.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use model::{EntryInfo, FirmKey, Generation, Member, ProcessKey, ShardKey, ShardRecord};
+use model::{EntryInfo, FirmKey, Generation, Member, ProcessKey, ShardKey, ShardRecord, scramble};
 
 /// Silence of an owner whose host refuses connections before it is replaced, in microseconds.
 ///
@@ -225,8 +225,5 @@
 
 /// Weight of an entry for a shard (rendezvous hashing, Thaler and Ravishankar 1998).
 fn weight(shard: ShardKey, entry: ProcessKey) -> u64 {
-    let mut value = entry.0 ^ (u64::from(shard.firm.0) << 16) ^ u64::from(shard.index);
-    value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
+    scramble(entry.0 ^ (u64::from(shard.firm.0) << 16) ^ u64::from(shard.index))
 }
--- a/components/dispatch/src/transfer.rs
+++ b/components/dispatch/src/transfer.rs
@@ -77,12 +77,6 @@
         self.is_idle() && (self.is_released() || !self.has_successor(now_us))
     }
 
-    /// Tells whether shards are still owned, or tables still on their way.
-    #[must_use]
-    pub fn is_handing_over(&self) -> bool {
-        !self.is_released()
-    }
-
     /// Tells whether another entry can take a shard that this entry owns.
     #[must_use]
     pub fn has_successor(&self, now_us: u64) -> bool {
--- a/components/dispatch/tests/take_over.rs
+++ b/components/dispatch/tests/take_over.rs
@@ -493,8 +493,8 @@
         .dispatcher
         .swap_done(SHARD, &done, now_us, unix_ms, &mut harness.actions);
     harness.pass(1_100_000);
-    assert!(harness.dispatcher.is_handing_over());
+    assert!(!harness.dispatcher.is_released());
     let now_us = harness.now_us;
     harness.dispatcher.handed_over(SHARD, true, now_us);
-    assert!(!harness.dispatcher.is_handing_over());
+    assert!(harness.dispatcher.is_released());
 }
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -239,7 +239,7 @@
 
     fn holds_shards_to_hand_over(&self) -> bool {
         let has_peers = !self.known_entries.borrow().is_empty();
-        has_peers && self.core.borrow().is_handing_over()
+        has_peers && !self.core.borrow().is_released()
     }
 
     fn is_drained(&self) -> bool {
--- a/components/gateway/src/callers.rs
+++ b/components/gateway/src/callers.rs
@@ -82,7 +82,13 @@
     if shared.is_resuming(now_ms) {
         return refuse(shared, request, "resuming", NOT_READY_RETRY_MS);
     }
-    let (_, time_left_ms) = adapter::request_id(request);
+    let (request_id, time_left_ms) = adapter::request_id(request);
+    let asked = Asked {
+        request_id,
+        id,
+        route,
+        version,
+    };
     let job = job_request(id, submitted, route, time_left_ms);
     let mut actions = Vec::new();
     let submission = shared
@@ -91,7 +97,7 @@
         .submit(now_ms, job, &mut actions);
     let slot = match submission {
         Submission::Admitted(slot, decision) => {
-            log_admission(request, id, route, &decision, version);
+            log_admission(&asked, &decision);
             slot
         }
         Submission::Joined(slot) => {
@@ -105,7 +111,7 @@
             return response_to(verdict);
         }
         Submission::Refused(verdict, decision) => {
-            log_refused(request, id, route, &decision, verdict, version);
+            log_refused(&asked, &decision, verdict);
             shared
                 .metrics
                 .note_answer(verdict.name(), reason_of(verdict), 0);
@@ -116,7 +122,7 @@
     shared.perform(actions);
     let outcome = waiting.outcome().await;
     let took_ms = shared.now_ms().saturating_sub(now_ms);
-    log_answer(request, id, outcome, took_ms);
+    log_answer(&asked, outcome, took_ms);
     let verdict = outcome.verdict;
     let reason = reason_of(verdict);
     shared.metrics.note_answer(verdict.name(), reason, took_ms);
@@ -138,6 +144,15 @@
     }
 }
 
+/// A request for a job, as its log lines name it.
+struct Asked<'a> {
+    request_id: &'a str,
+    id: CallerId,
+    route: &'a Route,
+    /// Version of the configuration in force.
+    version: u64,
+}
+
 /// A caller that waits for the answer to a job; dropping it means that the caller has left.
 struct Waiting {
     shared: Rc<Shared>,
@@ -232,24 +247,16 @@
         "request refused");
 }
 
-fn log_admission(
-    request: &Request,
-    id: CallerId,
-    route: &Route,
-    decision: &Decision,
-    version: u64,
-) {
-    let (request_id, _) = adapter::request_id(request);
-    log::debug!(target: "gateway", event = "admitted", id = id.as_str(), request = request_id,
-        queue = &*route.queue.name, hosts = decision.usable_hosts,
+fn log_admission(asked: &Asked<'_>, decision: &Decision) {
+    log::debug!(target: "gateway", event = "admitted", id = asked.id.as_str(),
+        request = asked.request_id, queue = &*asked.route.queue.name, hosts = decision.usable_hosts,
         oldest_view_ms = decision.oldest_view_ms,
         expected_ms = decision.finish_ms.unwrap_or(-1.0), objective_ms = decision.objective_ms,
         time_left_ms = decision.time_left_ms,
-        configuration_version = version; "job admitted");
+        configuration_version = asked.version; "job admitted");
 }
 
-fn log_answer(request: &Request, id: CallerId, outcome: Outcome, took_ms: u64) {
-    let (request_id, _) = adapter::request_id(request);
+fn log_answer(asked: &Asked<'_>, outcome: Outcome, took_ms: u64) {
     let verdict = outcome.verdict;
     let is_usual = verdict == Verdict::Completed && !outcome.is_late;
     let level = if is_usual {
@@ -261,24 +268,16 @@
         Verdict::NotRun { retry_after_ms, .. } => Some(retry_after_ms),
         _ => None,
     };
-    log::log!(target: "gateway", level, event = "answered", id = id.as_str(), request = request_id,
-        outcome = verdict.name(), reason = reason_of(verdict), retry_after_ms = retry_after_ms,
+    log::log!(target: "gateway", level, event = "answered", id = asked.id.as_str(),
+        request = asked.request_id, outcome = verdict.name(), reason = reason_of(verdict), retry_after_ms = retry_after_ms,
         is_late = outcome.is_late, took_ms = took_ms; "job answered");
 }
 
-fn log_refused(
-    request: &Request,
-    id: CallerId,
-    route: &Route,
-    decision: &Decision,
-    verdict: Verdict,
-    version: u64,
-) {
-    let (request_id, _) = adapter::request_id(request);
-    log::info!(target: "gateway", event = "refused", id = id.as_str(), request = request_id,
-        queue = &*route.queue.name, reason = reason_of(verdict), hosts = decision.usable_hosts,
+fn log_refused(asked: &Asked<'_>, decision: &Decision, verdict: Verdict) {
+    log::info!(target: "gateway", event = "refused", id = asked.id.as_str(),
+        request = asked.request_id, queue = &*asked.route.queue.name, reason = reason_of(verdict), hosts = decision.usable_hosts,
         oldest_view_ms = decision.oldest_view_ms,
         expected_ms = decision.finish_ms.unwrap_or(-1.0), objective_ms = decision.objective_ms,
         time_left_ms = decision.time_left_ms,
-        configuration_version = version; "job refused on arrival");
+        configuration_version = asked.version; "job refused on arrival");
 }
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -8,6 +8,7 @@
 use model::{HOSTS_PREFIX, HostRegistration};
 use platform::StoreFault;
 use runtime::uptime_ms;
+use rustc_hash::FxHashSet;
 use scheduling::HostInfo;
 
 use crate::links;
@@ -113,10 +114,10 @@
 ///
 /// A key that goes says little by itself, since connections tell who lives.
 fn forget_gone(shared: &Shared, registered: &Registered) {
-    let is_registered = |address: &String| registered.values().any(|other| other == address);
+    let registered: FxHashSet<&String> = registered.values().collect();
     let mut scheduler = shared.scheduler.borrow_mut();
     shared.addresses.borrow_mut().retain(|address, slot| {
-        let is_gone = !is_registered(address) && scheduler.forget_host(uptime_ms(), *slot);
+        let is_gone = !registered.contains(address) && scheduler.forget_host(uptime_ms(), *slot);
         if is_gone {
             log::info!(target: "gateway", event = "host_forgotten", address = address.as_str();
                 "a host is gone for good");
--- a/components/hosting/src/health.rs
+++ b/components/hosting/src/health.rs
@@ -19,19 +19,18 @@
         self.is_on_probation = false;
     }
 
-    /// Takes note of a run that failed or stalled; tells whether the target is ejected by it.
-    pub(crate) fn failed(&mut self, now_ms: u64, job: CallerId) -> bool {
+    /// Takes note of a run that failed or stalled; one too many ejects the target for a while.
+    pub(crate) fn failed(&mut self, now_ms: u64, job: CallerId) {
         if !self.failed_jobs.contains(&job) {
             self.failed_jobs.push(job);
         }
         let is_failing = self.failed_jobs.len() >= FAILURES_IN_A_ROW || self.is_on_probation;
         if !is_failing || now_ms < self.ejected_until_ms {
-            return false;
+            return;
         }
         self.failed_jobs.clear();
         self.ejected_until_ms = now_ms + EJECTION_MS;
         self.is_on_probation = true;
-        true
     }
 
     /// Tells whether the target gets no work.
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -8,6 +8,7 @@
 mod message;
 mod roster;
 mod run;
+mod scramble;
 
 pub use answer::{Answer, Failure, FailureKind, FailureReason};
 pub use job::{JobMeta, JobSpec, TaskSpec};
@@ -30,3 +31,4 @@
     NewsRequest, NotStarted, Orders, RegisteredTarget, Resources, RunEnd, RunEvent, RunId,
     RunPermit, StartOrder, TaskRef, wanted_room,
 };
+pub use scramble::scramble;
--- a/components/protocol/src/pool.rs
+++ b/components/protocol/src/pool.rs
@@ -4,6 +4,9 @@
 use std::collections::HashMap;
 
 use model::ProcessKey;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tarpc::RequestName;
 
 use crate::agent_link::AgentLink;
 use crate::entry_link::EntryLink;
@@ -82,6 +85,29 @@
     }
 }
 
+impl<Req, Resp> Pool<Req, Resp>
+where
+    Req: RequestName + Serialize + 'static,
+    Resp: DeserializeOwned + 'static,
+{
+    async fn link_to(
+        &self,
+        service: Service,
+        address: &str,
+        expected: Option<ProcessKey>,
+    ) -> Result<Link<Req, Resp>, LinkError> {
+        if let Some(link) = self.open_link(address, expected) {
+            return Ok(link);
+        }
+        let deadline_us = runtime::monotonic_us() + CONNECT_US;
+        let traffic = self.traffic.clone();
+        let link =
+            Link::connect_to(service, address, self.own, expected, deadline_us, traffic).await?;
+        self.keep(address, &link);
+        Ok(link)
+    }
+}
+
 impl AgentPool {
     /// Returns a connection to the agent at `address`, of the incarnation `expected` if given.
     ///
@@ -93,21 +119,7 @@
         address: &str,
         expected: Option<ProcessKey>,
     ) -> Result<AgentLink, LinkError> {
-        if let Some(link) = self.open_link(address, expected) {
-            return Ok(link);
-        }
-        let deadline_us = runtime::monotonic_us() + CONNECT_US;
-        let link = AgentLink::connect_to(
-            Service::Agent,
-            address,
-            self.own,
-            expected,
-            deadline_us,
-            self.traffic.clone(),
-        )
-        .await?;
-        self.keep(address, &link);
-        Ok(link)
+        self.link_to(Service::Agent, address, expected).await
     }
 }
 
@@ -122,20 +134,6 @@
         address: &str,
         expected: Option<ProcessKey>,
     ) -> Result<EntryLink, LinkError> {
-        if let Some(link) = self.open_link(address, expected) {
-            return Ok(link);
-        }
-        let deadline_us = runtime::monotonic_us() + CONNECT_US;
-        let link = EntryLink::connect_to(
-            Service::Entry,
-            address,
-            self.own,
-            expected,
-            deadline_us,
-            self.traffic.clone(),
-        )
-        .await?;
-        self.keep(address, &link);
-        Ok(link)
+        self.link_to(Service::Entry, address, expected).await
     }
 }
--- a/components/scheduling/src/baseline.rs
+++ b/components/scheduling/src/baseline.rs
@@ -1,5 +1,6 @@
 //! Simple rules of placement, against which the chosen one is compared.
 
+use model::scramble;
 use strum::{EnumIter, IntoStaticStr};
 
 use crate::placement::{Candidate, Choice, Wanted};
@@ -36,10 +37,10 @@
     let at = |number: u64| fitting[(number % fitting.len() as u64) as usize];
     let (position, candidate) = match rule {
         PlacementRule::SafeOnSlow => return None,
-        PlacementRule::Random => at(scramble(number)),
+        PlacementRule::Random => at(draw(number)),
         PlacementRule::RoundRobin => at(number),
         PlacementRule::TwoChoices => {
-            let (one, other) = (at(scramble(number)), at(scramble(!number)));
+            let (one, other) = (at(draw(number)), at(draw(!number)));
             if one.1.wait_ms(wanted) <= other.1.wait_ms(wanted) {
                 one
             } else {
@@ -50,10 +51,7 @@
     Some((position, candidate.choice(wanted)))
 }
 
-/// Returns a number that tells nothing of the next (SplitMix64, Steele and others 2014).
-fn scramble(number: u64) -> u64 {
-    let value = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
+/// Returns a number that looks drawn, by the number of the choice.
+fn draw(number: u64) -> u64 {
+    scramble(number.wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
--- a/components/scheduling/src/host.rs
+++ b/components/scheduling/src/host.rs
@@ -86,12 +86,10 @@
         }
     }
 
-    /// Takes note that the agent `agent` has answered on a new connection; tells whether it is
-    /// another one than before.
-    pub(crate) fn connected(&mut self, agent: ProcessKey) -> bool {
+    /// Takes note that the agent `agent` has answered on a new connection.
+    pub(crate) fn connected(&mut self, agent: ProcessKey) {
         self.is_connected = true;
-        let is_other = self.agent != Some(agent);
-        if is_other {
+        if self.agent != Some(agent) {
             self.agent = Some(agent);
             self.replaced_permit_at_ms = self.permit_at_ms;
             self.is_inheritance_clear = false;
@@ -102,11 +100,10 @@
             self.stops.clear();
             self.in_flight = None;
         }
-        is_other
     }
 
-    /// Takes the permit and the view out of news; tells whether they are the newest.
-    pub(crate) fn take_news(&mut self, now_ms: u64, news: &News) -> bool {
+    /// Takes the permit and the view out of news, if they are the newest.
+    pub(crate) fn take_news(&mut self, now_ms: u64, news: &News) {
         let is_newest = self
             .permit
             .is_none_or(|permit| permit.issued_ms <= news.permit.issued_ms);
@@ -116,7 +113,6 @@
             self.is_inheritance_clear = news.is_inheritance_clear;
             self.view = Some(news.view.clone());
         }
-        is_newest
     }
 
     /// Returns the newest permit.
--- a/components/scheduling/src/job.rs
+++ b/components/scheduling/src/job.rs
@@ -124,6 +124,12 @@
         placed
     }
 
+    /// Tells whether a run of this job may be at a host.
+    pub(crate) fn is_placed_at(&self, host: HostSlot) -> bool {
+        let mut tasks = self.steps.iter().flatten();
+        tasks.any(|task| matches!(task.state, TaskState::Placed(place) if place.host == host))
+    }
+
     /// Returns every task.
     pub(crate) fn tasks(&self) -> impl Iterator<Item = (TaskRef, &Task)> {
         let job = self.id();
--- a/components/scheduling/src/scheduler/answers.rs
+++ b/components/scheduling/src/scheduler/answers.rs
@@ -105,7 +105,6 @@
         self.answered.remember(now_ms, job.id(), verdict);
         actions.push(SchedulerAction::Answer {
             job: slot,
-            id: job.id(),
             verdict,
             is_late: now_ms > job.objective_at_ms,
         });
--- a/components/scheduling/src/scheduler/links.rs
+++ b/components/scheduling/src/scheduler/links.rs
@@ -1,7 +1,5 @@
 //! Hosts that the entry is connected to.
 
-use rustc_hash::FxHashSet;
-
 use super::{Scheduler, SchedulerAction};
 use crate::host::{HostInfo, HostRecord, HostSlot};
 
@@ -44,12 +42,12 @@
         }
         self.reviewed_at_ms = now_ms;
         let size = self.circle.size(now_ms, self.ranked.len());
-        let in_use = self.hosts_in_use();
         let mut counted = 0;
         for &slot in &self.ranked {
             let host = &mut self.hosts[slot];
             let is_in = counted < size;
-            let is_kept = host.is_wanted && (in_use.contains(&slot) || host.has_orders());
+            let has_work = || self.jobs.values().any(|job| job.is_placed_at(slot));
+            let is_kept = !is_in && host.is_wanted && (host.has_orders() || has_work());
             if (is_in || is_kept) != host.is_wanted {
                 host.is_wanted = is_in;
                 host.wanted_at_ms = now_ms;
@@ -58,10 +56,4 @@
             counted += usize::from(host.is_wanted && host.counts(now_ms));
         }
     }
-
-    fn hosts_in_use(&self) -> FxHashSet<HostSlot> {
-        let jobs = self.jobs.values();
-        jobs.flat_map(|job| job.placed().into_iter().map(|(_, place)| place.host))
-            .collect()
-    }
 }
--- a/components/scheduling/src/scheduler/mod.rs
+++ b/components/scheduling/src/scheduler/mod.rs
@@ -62,8 +62,6 @@
     Answer {
         /// Key that the job had.
         job: JobSlot,
-        /// Id of the job.
-        id: CallerId,
         /// The answer.
         verdict: Verdict,
         /// Whether the answer is later than its objective.
--- a/components/sidecar/src/calls.rs
+++ b/components/sidecar/src/calls.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use hosting::{CALL_TIMEOUT_MS, HoldOutcome, HostAction, ORDER_TIMEOUT_MS};
+use model::TaskRef;
 use runtime::uptime_ms;
+use web::Request;
 
 use crate::process::Shared;
 
@@ -15,11 +17,36 @@
 pub(crate) fn perform(shared: &Rc<Shared>, action: HostAction) {
     let shared = Rc::clone(shared);
     match action {
-        HostAction::Start { .. } => {
-            monoio::spawn(start(shared, action));
+        HostAction::Start {
+            task,
+            number,
+            specification,
+            lease_end_ms,
+            token,
+        } => {
+            let Some(instance) = instance(&shared) else {
+                return;
+            };
+            let request = adapter::start_request(
+                &instance,
+                task,
+                number,
+                &specification,
+                lease_end_ms,
+                token,
+            );
+            monoio::spawn(start(shared, request, task, number));
         }
-        HostAction::Stop { .. } => {
-            monoio::spawn(stop(shared, action));
+        HostAction::Stop {
+            task,
+            number,
+            token,
+        } => {
+            let Some(instance) = instance(&shared) else {
+                return;
+            };
+            let request = adapter::stop_request(&instance, task, number, token);
+            monoio::spawn(stop(shared, request, task, number));
         }
     }
 }
@@ -29,22 +56,7 @@
     host.target().map(|target| Rc::clone(&target.instance))
 }
 
-async fn start(shared: Rc<Shared>, action: HostAction) {
-    let HostAction::Start {
-        task,
-        number,
-        specification,
-        lease_end_ms,
-        token,
-    } = action
-    else {
-        return;
-    };
-    let Some(instance) = instance(&shared) else {
-        return;
-    };
-    let request =
-        adapter::start_request(&instance, task, number, &specification, lease_end_ms, token);
+async fn start(shared: Rc<Shared>, request: Request, task: TaskRef, number: u32) {
     let limit = Duration::from_millis(ORDER_TIMEOUT_MS);
     let result = shared.target.call(&request, limit).await;
     let outcome = adapter::start_outcome(&result);
@@ -57,19 +69,7 @@
     shared.decide(|host, now_ms, actions| host.started(now_ms, task, number, outcome, actions));
 }
 
-async fn stop(shared: Rc<Shared>, action: HostAction) {
-    let HostAction::Stop {
-        task,
-        number,
-        token,
-    } = action
-    else {
-        return;
-    };
-    let Some(instance) = instance(&shared) else {
-        return;
-    };
-    let request = adapter::stop_request(&instance, task, number, token);
+async fn stop(shared: Rc<Shared>, request: Request, task: TaskRef, number: u32) {
     let limit = Duration::from_millis(ORDER_TIMEOUT_MS);
     let result = shared.target.call(&request, limit).await;
     let is_answered = adapter::stop_is_answered(&result);
--- a/components/sim/src/agent.rs
+++ b/components/sim/src/agent.rs
@@ -9,7 +9,6 @@
 use std::rc::Rc;
 
 use crate::event::Event;
-use crate::fault::{Fault, FaultKind};
 use crate::target::{Target, TargetStart};
 use crate::world::World;
 
@@ -41,6 +40,14 @@
     seen: u64,
 }
 
+/// A question of an agent to its target.
+#[derive(Debug, Clone, Copy)]
+struct HoldCall {
+    life: u32,
+    call: u64,
+    sent_ms: u64,
+}
+
 /// An agent and its target.
 pub(crate) struct AgentNode {
     pub(crate) key: ProcessKey,
@@ -51,9 +58,9 @@
     pub(crate) host: Host,
     pub(crate) target: Target,
     pub(crate) late_share: f64,
-    questions: Vec<OpenQuestion>,
+    pub(crate) questions: Vec<OpenQuestion>,
     hold_call: u64,
-    open_hold: Option<(u64, u32, u64)>,
+    open_hold: Option<HoldCall>,
     reports: u64,
 }
 
@@ -85,7 +92,7 @@
         self.schedule(LOCAL_US, Event::Hold { host, life });
     }
 
-    fn restart_agent(&mut self, host: usize) {
+    pub(crate) fn restart_agent(&mut self, host: usize) {
         let node = &mut self.agents[host];
         node.life += 1;
         node.key = agent_key(host, node.life);
@@ -258,15 +265,15 @@
             } => {
                 if !self.agents[host].target.is_up {
                     let outcome = HoldOutcome::NobodyListens;
-                    self.schedule(
-                        LOCAL_US,
-                        Event::HoldResult {
-                            host,
+                    self.end_hold(
+                        host,
+                        HoldCall {
                             life,
                             call,
                             sent_ms,
-                            outcome,
                         },
+                        outcome,
+                        LOCAL_US,
                     );
                     return;
                 }
@@ -274,19 +281,23 @@
                 let now_us = self.now_us;
                 if !self.agents[host].target.asked(now_us, &request) {
                     let outcome = HoldOutcome::StaleToken;
-                    self.schedule(
-                        LOCAL_US,
-                        Event::HoldResult {
-                            host,
+                    self.end_hold(
+                        host,
+                        HoldCall {
                             life,
                             call,
                             sent_ms,
-                            outcome,
                         },
+                        outcome,
+                        LOCAL_US,
                     );
                     return;
                 }
-                self.agents[host].open_hold = Some((call, life, sent_ms));
+                self.agents[host].open_hold = Some(HoldCall {
+                    life,
+                    call,
+                    sent_ms,
+                });
                 let wait_us = request.wait_ms * 1_000;
                 self.schedule(wait_us, Event::HoldDue { host, call });
                 self.after_target(host);
@@ -304,7 +315,7 @@
 
     fn is_open_hold(&self, host: usize, call: u64) -> bool {
         let open = self.agents[host].open_hold;
-        open.is_some_and(|open| open.0 == call)
+        open.is_some_and(|open| open.call == call)
     }
 
     fn is_agent(&self, host: usize, life: u32) -> bool {
@@ -463,15 +474,24 @@
             };
             self.schedule(LOCAL_US, arrives);
         }
-        let outcome = HoldOutcome::Unanswered;
-        let given_up = Event::HoldResult {
-            host,
+        let hold = HoldCall {
             life,
             call,
             sent_ms,
+        };
+        self.end_hold(host, hold, HoldOutcome::Unanswered, limit_us);
+    }
+
+    /// Brings the result of a question to the agent after a time.
+    fn end_hold(&mut self, host: usize, hold: HoldCall, outcome: HoldOutcome, after_us: u64) {
+        let result = Event::HoldResult {
+            host,
+            life: hold.life,
+            call: hold.call,
+            sent_ms: hold.sent_ms,
             outcome,
         };
-        self.schedule(limit_us, given_up);
+        self.schedule(after_us, result);
     }
 
     fn held(&mut self, host: usize, life: u32, call: u64, sent_ms: u64, outcome: HoldOutcome) {
@@ -488,18 +508,11 @@
     }
 
     fn answer_hold(&mut self, host: usize) {
-        let Some((call, life, sent_ms)) = self.agents[host].open_hold.take() else {
+        let Some(hold) = self.agents[host].open_hold.take() else {
             return;
         };
         let outcome = self.agents[host].target.answer(self.now_us);
-        let result = Event::HoldResult {
-            host,
-            life,
-            call,
-            sent_ms,
-            outcome,
-        };
-        self.schedule(LOCAL_US, result);
+        self.end_hold(host, hold, outcome, LOCAL_US);
     }
 
     fn settle_target(&mut self, host: usize) {
@@ -513,7 +526,7 @@
         }
     }
 
-    fn after_target(&mut self, host: usize) {
+    pub(crate) fn after_target(&mut self, host: usize) {
         let gone: Vec<TaskRef> = self
             .running
             .iter()
@@ -617,103 +630,6 @@
             host.report(now_ms, report, actions);
         });
     }
-
-    pub(crate) fn begin_fault(&mut self, fault: &Fault) {
-        let until_us = self.now_us + fault.for_ms * 1_000;
-        let place = fault.place;
-        match fault.kind {
-            FaultKind::KillEntry => self.end_entry(place, true),
-            FaultKind::PowerOffEntry => self.end_entry(place, false),
-            FaultKind::FreezeEntry => self.entries[place].frozen_until_us = until_us,
-            FaultKind::KillAgent => self.kill_agent(place),
-            FaultKind::FreezeAgent => self.agents[place].frozen_until_us = until_us,
-            FaultKind::CutEntry => self.entries[place].cut_until_us = until_us,
-            FaultKind::CutHost => self.agents[place].cut_until_us = until_us,
-            FaultKind::ResetHost => {
-                for entry in 0..self.entries.len() {
-                    self.disconnect(entry, place);
-                }
-            }
-            FaultKind::CrashTarget => {
-                self.agents[place].target.crash();
-                self.after_target(place);
-            }
-            FaultKind::HangTarget => self.agents[place].target.hangs = true,
-            FaultKind::FailTarget => self.agents[place].target.fails = true,
-            FaultKind::SlowTarget => self.agents[place].target.slowdown = fault.strength,
-            FaultKind::LateOrders => self.agents[place].late_share = fault.strength,
-        }
-    }
-
-    pub(crate) fn end_fault(&mut self, fault: &Fault) {
-        let place = fault.place;
-        let now_us = self.now_us;
-        match fault.kind {
-            FaultKind::KillEntry | FaultKind::PowerOffEntry => {
-                if !self.entries[place].is_up {
-                    self.create_entry(place);
-                }
-            }
-            FaultKind::KillAgent => {
-                if !self.agents[place].is_up {
-                    self.restart_agent(place);
-                }
-            }
-            FaultKind::CrashTarget => {
-                if !self.agents[place].target.is_up {
-                    self.agents[place].target.restart(now_us);
-                }
-            }
-            FaultKind::HangTarget => self.agents[place].target.hangs = false,
-            FaultKind::FailTarget => self.agents[place].target.fails = false,
-            FaultKind::SlowTarget => self.agents[place].target.slowdown = 1.0,
-            FaultKind::LateOrders => self.agents[place].late_share = 0.0,
-            FaultKind::FreezeEntry
-            | FaultKind::FreezeAgent
-            | FaultKind::CutEntry
-            | FaultKind::CutHost
-            | FaultKind::ResetHost => {}
-        }
-    }
-
-    /// Ends an entry; clients hear of it only if its host lives.
-    fn end_entry(&mut self, entry: usize, is_heard: bool) {
-        if !self.entries[entry].is_up {
-            return;
-        }
-        self.entries[entry].is_up = false;
-        let waiting = std::mem::take(&mut self.entries[entry].waiting);
-        for host in 0..self.agents.len() {
-            self.links[entry][host].is_connected = false;
-            self.links[entry][host].epoch += 1;
-            if is_heard {
-                self.tell_closed(entry, host);
-            }
-        }
-        let mut jobs: Vec<usize> = waiting.into_values().collect();
-        jobs.sort_unstable();
-        for job in jobs {
-            // Without a reset the client learns of the loss by its own time limit.
-            self.jobs[job].entry = None;
-            if is_heard {
-                self.lost_copy(job);
-            }
-        }
-    }
-
-    fn kill_agent(&mut self, host: usize) {
-        if !self.agents[host].is_up {
-            return;
-        }
-        self.agents[host].is_up = false;
-        self.agents[host].questions.clear();
-        for entry in 0..self.entries.len() {
-            let is_up = self.entries[entry].is_up;
-            if is_up && !self.is_cut(entry, host) {
-                self.disconnect(entry, host);
-            }
-        }
-    }
 }
 
 fn agent_key(host: usize, life: u32) -> ProcessKey {
--- a/components/sim/src/scenario.rs
+++ b/components/sim/src/scenario.rs
@@ -36,13 +36,6 @@
         );
         world.run(&self.faults)
     }
-
-    /// Returns the scenario with other faults.
-    #[must_use]
-    pub fn with_faults(mut self, faults: Vec<Fault>) -> Self {
-        self.faults = faults;
-        self
-    }
 }
 
 /// Returns a deployment of `entries` entries and `hosts` hosts of mixed speed and size.
--- a/components/soak/src/process.rs
+++ b/components/soak/src/process.rs
@@ -2,7 +2,6 @@
 
 use std::fs;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
@@ -113,8 +112,3 @@
         }
     }
 }
-
-/// Returns an address of the loopback interface that was free a moment ago.
-pub(crate) fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?.local_addr()
-}
--- a/components/soak/src/soak.rs
+++ b/components/soak/src/soak.rs
@@ -9,6 +9,7 @@
 use monoio::time::sleep;
 use platform_standins::{
     CONFIGURATION_KEY, SharedLedger, StoreServer, TargetServer, TargetSettings, configuration,
+    free_address,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -16,7 +17,7 @@
 
 use crate::clients::{Tally, submit};
 use crate::faults::{FaultKind, draw, inject};
-use crate::process::{Process, Programs, free_address};
+use crate::process::{Process, Programs};
 use crate::proxy::Proxy;
 
 /// Jobs in a second.
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -5,7 +5,7 @@
 #[path = "../support/mod.rs"]
 pub mod support;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
@@ -32,8 +32,7 @@
 
 /// Returns an address that was free a moment ago.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
-    listener.local_addr().expect("an address")
+    platform_standins::free_address().expect("a port")
 }
 
 fn spawn(program: &str, command: &str, settings: &Path, text: &str) -> Process {
