Stop the subset of hosts from growing when many suitable hosts are busy

The subset is a sample of the fleet; what is as busy brings no room.

Ruled out: a fixed limit, since hosts of other groups, without the wanted label or out of reach would count towards it.

Change: an unsafe placement enlarges the subset only while fewer than 32 usable hosts have the labels that the job requires or prefers.

--- a/components/scheduling/src/scheduler/mod.rs
+++ b/components/scheduling/src/scheduler/mod.rs
@@ -22,6 +22,7 @@
 use crate::request::JobRequest;
 use crate::subset::{MIN_CONNECTED_HOSTS, SubsetSize};
 use crate::verdict::Verdict;
+use planning::suitable_host_count;
 
 /// Inputs of the admission decision about a job.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -193,7 +194,9 @@
         let mut candidates = self.candidates(now_ms, &job);
         let plan = self.plan(now_ms, &job, &mut candidates);
         let finish_ms = plan.finish_ms();
-        self.subset_size.record_placement(plan.is_safe());
+        let suitable_hosts = suitable_host_count(&job, &candidates);
+        self.subset_size
+            .record_placement(plan.is_safe(), suitable_hosts);
         let inputs = AdmissionInputs {
             usable_hosts: candidates.len(),
             oldest_view_ms: self.oldest_view_ms(now_ms, &candidates),
--- a/components/scheduling/src/scheduler/planning.rs
+++ b/components/scheduling/src/scheduler/planning.rs
@@ -10,6 +10,7 @@
 use crate::job::{Job, JobSlot, RunPlacement, TaskState};
 use crate::limits::{MIN_QUEUE_TIMEOUT_MS, PLACEMENT_RETRY_MS, QUEUE_WAIT_FACTOR};
 use crate::placement::{self, Candidate, Choice, Requirements};
+use crate::request::StepRequest;
 use crate::verdict::NotRunReason;
 
 /// Hosts for the due tasks of a job, chosen together.
@@ -248,6 +249,18 @@
     }
 }
 
+/// Returns the number of candidates that have the labels which the tasks of a job require or prefer,
+/// for the step that the fewest suit.
+pub(super) fn suitable_host_count(job: &Job, candidates: &[Candidate]) -> usize {
+    let suitable = |step: &StepRequest| {
+        let labels = || step.required_label.iter().chain(&step.preferred_label);
+        let is_suitable =
+            |candidate: &&Candidate| labels().all(|label| candidate.labels.contains(label));
+        candidates.iter().filter(is_suitable).count()
+    };
+    job.request.steps.iter().map(suitable).min().unwrap_or(0)
+}
+
 /// Returns the openings of a view, less the resources of orders that it does not include yet.
 ///
 /// The times are not reduced by the age of the view: room that opened since it was made is likely to
--- a/components/scheduling/src/subset.rs
+++ b/components/scheduling/src/subset.rs
@@ -2,8 +2,8 @@
 //!
 //! In a large fleet, an entry does not connect to every host: the cost of host views grows with
 //! entries times hosts, while a few dozen hosts offer as good a placement as all of them. An entry
-//! starts with a small subset, enlarges it when tasks find no safe placement, and shrinks it after
-//! some seconds without such placements. Each entry ranks the hosts by rendezvous hashing with its
+//! starts with a small subset, enlarges it when tasks find no safe placement among few suitable hosts,
+//! and shrinks it after some seconds without such placements. Each entry ranks the hosts by rendezvous hashing with its
 //! own key, so that the subsets spread over the fleet.
 
 use std::hash::Hasher;
@@ -15,6 +15,11 @@
 /// with four others on average, and about one host in a hundred is in no subset.
 pub const MIN_CONNECTED_HOSTS: usize = 24;
 
+/// Number of usable hosts that suit a job from which on its unsafe placements do not enlarge the
+/// subset. With 35 entries and 160 hosts under overload, larger subsets serve no more jobs, and the
+/// host views take most of the processor time of small entries and agents.
+const MAX_SUITABLE_HOSTS: usize = 32;
+
 /// Pressure from which on the subset grows: the number of unsafe placements, less
 /// `SAFE_WEIGHT` for each safe one.
 const GROWTH_PRESSURE: f64 = 3.0;
@@ -61,8 +66,15 @@
         }
     }
 
-    /// Records whether all tasks of a job found a safe placement.
-    pub(crate) fn record_placement(&mut self, is_safe: bool) {
+    /// Records whether all tasks of a job found a safe placement, and how many of the connected
+    /// hosts suit the job.
+    ///
+    /// An unsafe placement among enough hosts does not count: they are a sample of the fleet, so
+    /// that others are as busy.
+    pub(crate) fn record_placement(&mut self, is_safe: bool, suitable_hosts: usize) {
+        if !is_safe && suitable_hosts >= MAX_SUITABLE_HOSTS {
+            return;
+        }
         let pressure_change = if is_safe { -SAFE_WEIGHT } else { 1.0 };
         self.pressure = (self.pressure + pressure_change).clamp(0.0, 2.0 * GROWTH_PRESSURE);
     }
