--- a/components/gateway/src/bootstrap.rs
+++ b/components/gateway/src/bootstrap.rs
@@ -38,7 +38,8 @@
     let newer = active_configuration
         .as_ref()
         .filter(|config| config.revision > known_revision);
-    let hosts = shared.scheduler.borrow().hosts(shared.advance_clock());
+    let now_ms = shared.advance_clock();
+    let hosts = shared.scheduler.borrow().hosts(now_ms);
     let agents = hosts.iter().map(|host| HostRegistration {
         name: host.info.name.to_string(),
         address: host.info.address.to_string(),
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -241,13 +241,12 @@
 
     /// Returns whether the balancer should send new connections to this entry.
     pub(crate) fn is_ready(&self) -> bool {
+        // Reading the clock may change the scheduler, which must not be borrowed then.
+        let now_ms = self.advance_clock();
         let has_configuration = self.active_configuration.borrow().is_some();
         !self.is_draining.get()
             && has_configuration
-            && self
-                .scheduler
-                .borrow()
-                .has_usable_host(self.advance_clock())
+            && self.scheduler.borrow().has_usable_host(now_ms)
     }
 
     /// Executes the actions that the scheduler returned.
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -28,6 +28,7 @@
     pub settings: PathBuf,
     pub text: String,
     callers: SocketAddr,
+    pub readiness: SocketAddr,
 }
 
 /// Returns a loopback address with a port that is free at the time of the call.
@@ -47,12 +48,12 @@
 /// Starts an entry that logs at the given level.
 pub fn start_entry(folder: &Path, store: SocketAddr, level: &str) -> Entry {
     let callers = free_address();
+    let readiness = free_address();
     let text = format!(
         "name = \"entry\"\nfailure_domain = \"domain\"\ncallers_address = \"{callers}\"\n\
-         readiness_address = \"{}\"\npeer_address = \"{}\"\nstore_address = \"{store}\"\n\
+         readiness_address = \"{readiness}\"\npeer_address = \"{}\"\nstore_address = \"{store}\"\n\
          log = {{ format = \"json\", level = \"{level}\" }}\n",
         free_address(),
-        free_address(),
     );
     let settings = folder.join("entry.toml");
     let program = env!("CARGO_BIN_EXE_shallotcross");
@@ -61,6 +62,7 @@
         settings,
         text,
         callers,
+        readiness,
     }
 }
 
