--- a/components/hosting/src/forecast.rs
+++ b/components/hosting/src/forecast.rs
@@ -2,7 +2,7 @@
 //!
 //! Under load, many entries place tasks on the same hosts, and a host has less room than their views
 //! said. The agent knows its queue and the progress of its runs: the forecast tells entries when a
-//! further task could start, and finds the queued tasks that would wait in vain, so that they go
+//! further task could start, and finds the queued tasks that will not start in time, so that they go
 //! to another host at once instead of when their time in the queue is over.
 
 use std::cmp::Reverse;
--- a/components/hosting/src/host/outlook.rs
+++ b/components/hosting/src/host/outlook.rs
@@ -1,4 +1,4 @@
-//! What the agent expects of its queue: when room opens, and which tasks wait in vain.
+//! What the agent expects of its queue: when room opens, and which tasks will not start in time.
 
 use model::{NotStartedReason, Opening, Resources, TaskRef};
 
@@ -56,7 +56,7 @@
         waiting.into_iter().map(|(_, task)| task).collect()
     }
 
-    /// Returns the forecast of the room without the queued tasks; `None` without a target.
+    /// Returns the forecast of the room, without the queued tasks; `None` without a target.
     fn forecast(&self, now_ms: u64) -> Option<Forecast> {
         let capacity = self.target.as_ref()?.capacity;
         let speed_permille = self.speed_estimate.permille(now_ms);
--- a/components/hosting/src/limits.rs
+++ b/components/hosting/src/limits.rs
@@ -31,9 +31,8 @@
 /// How long after an unanswered call the agent polls the target in parallel, in milliseconds.
 pub(crate) const PARALLEL_POLL_MS: u64 = 5_000;
 
-/// Number of parallel polls of a target that leaves calls unanswered. An end is reported late only
-/// if all of them are lost: with one call in twenty lost and a busy target, two are blocked for 7 %
-/// of the time, three for 0.1 %.
+/// Number of parallel polls of a target that leaves calls unanswered. The agent learns of an end late
+/// only if all of them are lost.
 pub const MAX_PARALLEL_POLLS: usize = 3;
 
 /// How long each parallel poll waits at the target for the end of a run, in milliseconds; a lost
@@ -66,7 +65,7 @@
 pub(crate) const MIN_STALL_MS: u64 = 120;
 
 /// Time before its latest start from which a task may use the resources reserved for urgent ones,
-/// in milliseconds: half of the longest time that it waits at one host.
+/// in milliseconds.
 pub(crate) const RESERVATION_SLACK_MS: u64 = 40;
 
 /// Pause between starts after the target refused one for lack of resources, in milliseconds. The
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -284,7 +284,7 @@
     /// Speed of the target relative to the estimates, in thousandths.
     pub speed_permille: u32,
     /// Resources expected to be free for a further task, in the order of time; the first is the
-    /// state once all queued tasks have started. Empty if that takes too many ends of runs.
+    /// state once all queued tasks have started. Empty without a target.
     pub openings: Vec<Opening>,
     /// The same for a task of the most urgent class, which waits only for queued ones of its class.
     pub urgent_openings: Vec<Opening>,
--- a/components/scheduling/src/subset.rs
+++ b/components/scheduling/src/subset.rs
@@ -16,8 +16,8 @@
 pub const MIN_CONNECTED_HOSTS: usize = 24;
 
 /// Number of usable hosts that suit a job from which on its unsafe placements do not enlarge the
-/// subset. With 35 entries and 160 hosts under overload, larger subsets serve no more jobs, and the
-/// host views take most of the processor time of small entries and agents.
+/// subset. When a whole fleet is busy, larger subsets serve hardly more jobs and double the messages
+/// a task.
 const MAX_SUITABLE_HOSTS: usize = 32;
 
 /// Pressure from which on the subset grows: the number of unsafe placements, less
--- a/components/scheduling/tests/scheduler.rs
+++ b/components/scheduling/tests/scheduler.rs
@@ -663,8 +663,8 @@
     assert!(fewest < most && fewest >= MIN_CONNECTED_HOSTS, "{fewest}");
 }
 
-// In a fleet of 160 hosts, entries connected to all of them under overload, although these were as
-// busy as the first ones; the views took the processor time of small entries and agents.
+// Under overload, entries connected to all hosts of a large fleet, although these were as busy as
+// the first ones.
 #[test]
 fn subset_does_not_grow_when_many_suitable_hosts_are_busy() {
     let mut bench = Bench::new(160);
