--- a/components/protocol/tests/refusals.rs
+++ b/components/protocol/tests/refusals.rs
@@ -81,11 +81,8 @@
         };
         let error = error.err().unwrap();
         assert_eq!(error, LinkError::NotSent(LinkFault::Refused(refusal)));
-        assert!(
-            error
-                .to_string()
-                .contains("version 9, this process version 1")
-        );
+        let versions = format!("version 9, this process version {VERSION}");
+        assert!(error.to_string().contains(&versions), "{error}");
         peer.await;
     })
     .unwrap();
