Wait for the configuration by its limit in the test of a suspension

The test slept for a fixed time before it blocked the thread that serves the store; it now sees that the configuration is in force by a refused body.

--- a/tests/platform_suspension.rs
+++ b/tests/platform_suspension.rs
@@ -6,8 +6,15 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-use platform_standins::{CONFIGURATION_KEY, StoreServer, configuration};
+use platform_standins::{CONFIGURATION_KEY, StoreServer, configuration, job, limit_bodies};
+use platform_support::support::wait_until;
 use platform_support::{GROUP, HOST, PREFIX, start_entry};
+use serde_json::Value;
+
+const ID: &str = "5c0e7a21d94b36f8";
+
+/// Limit of the configuration by which the test sees that it is in force.
+const MAX_BODY_BYTES: usize = 512;
 
 /// Duration of a suspension: above the gap from which on an entry abandons its jobs.
 const SUSPENSION: Duration = Duration::from_millis(700);
@@ -41,12 +48,16 @@
     let folder = tempfile::tempdir().expect("a folder");
     let run = runtime::run(async {
         let store = StoreServer::start().expect("a store");
-        let body = configuration(1, HOST, PREFIX, GROUP);
+        let mut body = configuration(1, HOST, PREFIX, GROUP);
+        limit_bodies(&mut body, MAX_BODY_BYTES);
         store.put(CONFIGURATION_KEY, body.to_string().as_bytes());
-        let mut entry = start_entry(folder.path(), store.address(), "info");
-        // The store is served by this thread.
-        monoio::time::sleep(SUSPENSION).await;
-        entry.process.wait_for_line("\"configuration\"");
+        let entry = start_entry(folder.path(), store.address(), "info");
+        let mut too_large = job(1, 50);
+        too_large["specification"] = Value::from("x".repeat(MAX_BODY_BYTES));
+        wait_until("the configuration is in force", async || {
+            entry.status_of(ID, &too_large).await == Some(413)
+        })
+        .await;
         for _ in 0..SUSPENSIONS {
             entry.process.signal("STOP");
             let checks: Vec<_> = (0..HEALTH_CHECKS)
