--- a/components/gateway/src/actions.rs
+++ b/components/gateway/src/actions.rs
@@ -30,6 +30,7 @@
             age_ms,
             event,
         } => shared.metrics.record_run_event(run, &host, age_ms, event),
+        SchedulerAction::RecordForecast(outcome) => shared.metrics.record_forecast(&outcome),
         SchedulerAction::LogPlacement {
             run,
             host,
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use model::{RunEvent, RunId};
 use runtime::prometheus::{HistogramVec, IntCounterVec, IntGauge};
 use runtime::{Metrics, MetricsError, uptime_ms};
+use scheduling::ForecastOutcome;
 
 use crate::process::Shared;
 
@@ -11,12 +12,17 @@
     0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 1.5, 2.5, 5.0,
 ];
 
+/// Histogram bounds of actual over expected durations.
+const FORECAST_RATIO_BUCKETS: [f64; 10] = [0.25, 0.5, 0.67, 0.8, 0.9, 1.1, 1.25, 1.5, 2.0, 4.0];
+
 /// The metrics of an entry.
 pub(crate) struct GatewayMetrics {
     metrics: Metrics,
     answers: IntCounterVec,
     response_s: HistogramVec,
     expected_wait_s: HistogramVec,
+    forecast_ratio: HistogramVec,
+    forecast_bands: IntCounterVec,
     run_events: IntCounterVec,
     store_calls: IntCounterVec,
     link_events: IntCounterVec,
@@ -55,6 +61,17 @@
                 &[],
                 &RESPONSE_BUCKETS_S,
             )?,
+            forecast_ratio: metrics.histogram_vec(
+                "shallotcross_gateway_forecast_ratio",
+                "Actual over expected duration by stage.",
+                &["stage"],
+                &FORECAST_RATIO_BUCKETS,
+            )?,
+            forecast_bands: metrics.counter_vec(
+                "shallotcross_gateway_forecast_bands_total",
+                "Durations inside and outside the 10% to 90% band of their forecast by stage.",
+                &["stage", "band"],
+            )?,
             run_events: metrics.counter_vec(
                 "shallotcross_gateway_run_events_total",
                 "Events of runs on hosts by kind.",
@@ -111,6 +128,17 @@
         expected_wait_s.observe(wait_ms as f64 / 1_000.0);
     }
 
+    /// Counts how well a duration was forecast.
+    pub(crate) fn record_forecast(&self, outcome: &ForecastOutcome) {
+        let stage: &str = outcome.stage.into();
+        let ratio = self.forecast_ratio.with_label_values(&[stage]);
+        ratio.observe(outcome.ratio());
+        if let Some(is_in_band) = outcome.is_in_band {
+            let band = if is_in_band { "inside" } else { "outside" };
+            self.forecast_bands.with_label_values(&[stage, band]).inc();
+        }
+    }
+
     /// Counts an event of a run, and logs it; starts and successful ends at debug level only.
     pub(crate) fn record_run_event(&self, run: RunId, host: &str, age_ms: u64, event: RunEvent) {
         let name = match event {
--- a/components/hosting/src/host/ends.rs
+++ b/components/hosting/src/host/ends.rs
@@ -1,6 +1,6 @@
 //! Stops of runs, and removal of ended and rejected ones.
 
-use model::{NotStartedReason, RunEnd, RunEvent, TaskRef};
+use model::{NotStartedReason, RunDurations, RunEnd, RunEvent, TaskRef};
 
 use super::Host;
 use crate::action::TargetCall;
@@ -120,11 +120,18 @@
         if let Some(number) = run.number() {
             self.record_run_number(now_ms, task, number);
         }
-        let since_ms = match run.state {
+        let started_at_ms = match run.state {
             RunState::Running { started_at_ms, .. } => started_at_ms,
             _ => run.ordered_at_ms,
         };
-        let ran_ms = u32::try_from(now_ms.saturating_sub(since_ms)).unwrap_or(u32::MAX);
-        self.push_event(run.owner, run.id, RunEvent::Ended(end, ran_ms));
+        let durations = RunDurations {
+            waited_ms: saturating_u32(started_at_ms.saturating_sub(run.ordered_at_ms)),
+            ran_ms: saturating_u32(now_ms.saturating_sub(started_at_ms)),
+        };
+        self.push_event(run.owner, run.id, RunEvent::Ended(end, durations));
     }
 }
+
+fn saturating_u32(ms: u64) -> u32 {
+    u32::try_from(ms).unwrap_or(u32::MAX)
+}
--- a/components/hosting/src/host/incarnations.rs
+++ b/components/hosting/src/host/incarnations.rs
@@ -1,11 +1,11 @@
 //! Status reports of the target, and changes of its incarnation.
 
 use model::NotStartedReason;
+use run_times::HostSpeed;
 
 use super::Host;
 use crate::action::TargetCall;
 use crate::health::Health;
-use crate::speed::SpeedEstimate;
 use crate::target::TargetReport;
 
 impl Host {
@@ -84,7 +84,7 @@
         self.end_all_as_lost(now_ms);
         self.lease.reset();
         self.acknowledged = 0;
-        self.speed_estimate = SpeedEstimate::default();
+        self.speed = HostSpeed::default();
         self.health = Health::default();
         self.last_run_numbers.clear();
         self.starts_paused_until_ms = 0;
--- a/components/hosting/src/host/mod.rs
+++ b/components/hosting/src/host/mod.rs
@@ -14,6 +14,7 @@
     HostUpdate, HostUpdateRequest, HostView, MOST_URGENT, NotStartedReason, Orders, ProcessKey,
     Resources, RunEvent, RunId, RunPermit, TaskRef,
 };
+use run_times::HostSpeed;
 use rustc_hash::FxHashMap;
 
 use crate::action::TargetCall;
@@ -22,7 +23,6 @@
 use crate::limits::{MAX_RUNS, PERMIT_TTL_MS, RUN_NUMBER_RETENTION_MS};
 use crate::run::Run;
 use crate::session::Session;
-use crate::speed::SpeedEstimate;
 use crate::target::TargetReport;
 
 /// Shortest time between two progress values that yield a sample of the target's speed, in
@@ -66,7 +66,7 @@
     parallel_poll_until_ms: u64,
     /// Whether the last answer came too late after the one before to yield samples of the speed.
     has_polling_gap: bool,
-    speed_estimate: SpeedEstimate,
+    speed: HostSpeed,
     health: Health,
     starts_paused_until_ms: u64,
     runs: BTreeMap<TaskRef, Run>,
@@ -96,7 +96,7 @@
             last_answer_at_ms: 0,
             parallel_poll_until_ms: 0,
             has_polling_gap: false,
-            speed_estimate: SpeedEstimate::default(),
+            speed: HostSpeed::default(),
             health: Health::default(),
             starts_paused_until_ms: 0,
             runs: BTreeMap::new(),
@@ -302,7 +302,7 @@
     /// Returns the view of the host that entries get: capacity, load and speed.
     #[must_use]
     pub fn view(&self, now_ms: u64) -> HostView {
-        let speed_permille = self.speed_estimate.permille(now_ms).max(1);
+        let speed_permille = self.speed.permille(now_ms).max(1);
         let target = self.target.as_ref();
         let capacity = target.map_or_else(Resources::default, |target| target.capacity);
         let remaining = |run: &&Run| run.remaining_work_core_ms(speed_permille);
@@ -321,6 +321,7 @@
             waiting_core_ms: u32::try_from(waiting).unwrap_or(u32::MAX),
             urgent_core_ms: u32::try_from(urgent).unwrap_or(u32::MAX),
             speed_permille,
+            speed_log_deviation_permille: (self.speed.log_deviation(now_ms) * 1_000.0) as u16,
             openings: self.openings(now_ms, |_| true),
             urgent_openings: self.openings(now_ms, |run| run.priority == MOST_URGENT),
         }
--- a/components/hosting/src/host/orders.rs
+++ b/components/hosting/src/host/orders.rs
@@ -49,6 +49,8 @@
                 specification: Rc::clone(&order.specification),
                 needs: order.needs,
                 estimate_ms: order.estimate_ms.max(1),
+                log_deviation: f64::from(order.log_deviation_permille) / 1_000.0,
+                sampled_weight: 0.0,
                 start_by_ms: now_ms + u64::from(order.slack_ms),
                 priority: order.priority,
                 has_started_tasks: order.has_started_tasks,
--- a/components/hosting/src/host/outlook.rs
+++ b/components/hosting/src/host/outlook.rs
@@ -59,7 +59,7 @@
     /// Returns the forecast of the room, without the queued tasks; `None` without a target.
     fn forecast(&self, now_ms: u64) -> Option<Forecast> {
         let capacity = self.target.as_ref()?.capacity;
-        let speed_permille = self.speed_estimate.permille(now_ms);
+        let speed_permille = self.speed.permille(now_ms);
         let free = capacity.saturating_sub(&self.used_resources());
         let mut forecast = Forecast::new(now_ms, free);
         for run in self.runs.values() {
@@ -71,7 +71,7 @@
     }
 
     fn place(&self, now_ms: u64, run: &Run, forecast: &mut Forecast) {
-        let speed_permille = self.speed_estimate.permille(now_ms).max(1);
+        let speed_permille = self.speed.permille(now_ms).max(1);
         let run_ms = u64::from(run.estimate_ms) * 1_000 / u64::from(speed_permille);
         forecast.place(run.needs, &self.required(now_ms, run), run_ms);
     }
--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -158,7 +158,6 @@
         let Some(run) = self.runs.get_mut(&listed_run.task) else {
             return;
         };
-        let estimate_ms = f64::from(run.estimate_ms);
         let stall_ms = MIN_STALL_MS.max(u64::from(run.estimate_ms) / 5);
         let (id, owner) = (run.id, run.owner);
         let RunState::Running {
@@ -173,13 +172,13 @@
         let elapsed_ms = now_ms.saturating_sub(*progress_at_ms);
         if listed_run.percent > *percent {
             if elapsed_ms >= MIN_SPEED_SAMPLE_MS {
-                let done = f64::from(listed_run.percent - *percent) / 100.0;
-                if !self.has_polling_gap {
-                    self.speed_estimate
-                        .add_sample(now_ms, estimate_ms * done, elapsed_ms as f64);
-                }
+                let done_share = f64::from(listed_run.percent - *percent) / 100.0;
                 *percent = listed_run.percent;
                 *progress_at_ms = now_ms;
+                if !self.has_polling_gap {
+                    let sample = run.sample_speed(done_share, elapsed_ms as f64);
+                    self.speed.add_sample(now_ms, &sample);
+                }
             }
             return;
         }
@@ -225,7 +224,7 @@
         if self.has_polling_gap {
             return;
         }
-        let Some(run) = self.runs.get(&task) else {
+        let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
         if let RunState::Running {
@@ -234,11 +233,10 @@
             ..
         } = run.state
         {
-            let left = f64::from(100 - percent.min(100)) / 100.0;
+            let left_share = f64::from(100 - percent.min(100)) / 100.0;
             let elapsed_ms = now_ms.saturating_sub(progress_at_ms) as f64;
-            let expected_ms = f64::from(run.estimate_ms) * left;
-            self.speed_estimate
-                .add_sample(now_ms, expected_ms, elapsed_ms);
+            let sample = run.sample_speed(left_share, elapsed_ms);
+            self.speed.add_sample(now_ms, &sample);
         }
     }
 
--- a/components/hosting/src/lib.rs
+++ b/components/hosting/src/lib.rs
@@ -15,7 +15,6 @@
 mod queue;
 mod run;
 mod session;
-mod speed;
 mod target;
 
 pub use action::TargetCall;
--- a/components/hosting/src/run.rs
+++ b/components/hosting/src/run.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use model::{ProcessKey, Resources, RunId};
+use run_times::SpeedSample;
 
 /// Progress from which on the end of a run is extrapolated from it; declared run times are off by
 /// more.
@@ -64,6 +65,10 @@
     pub(crate) needs: Resources,
     /// Expected run time on a target of normal speed, in milliseconds.
     pub(crate) estimate_ms: u32,
+    /// Standard deviation of the logarithm of the expected run time.
+    pub(crate) log_deviation: f64,
+    /// Weight of the samples of the target's speed that the run has yielded; one at most.
+    pub(crate) sampled_weight: f64,
     /// Latest start for the task to end by the response time objective of its job, in milliseconds.
     pub(crate) start_by_ms: u64,
     pub(crate) priority: u8,
@@ -118,6 +123,22 @@
         }
     }
 
+    /// Returns the sample of the target's speed that a part of the run yields, and counts its weight.
+    ///
+    /// `done_share` is the part of the run's work that was done in `elapsed_ms`.
+    pub(crate) fn sample_speed(&mut self, done_share: f64, elapsed_ms: f64) -> SpeedSample {
+        let estimate_ms = f64::from(self.estimate_ms);
+        let observed_share = done_share.max(elapsed_ms / estimate_ms);
+        let weight = observed_share.min(1.0 - self.sampled_weight);
+        self.sampled_weight += weight;
+        SpeedSample {
+            expected_ms: estimate_ms * done_share,
+            elapsed_ms,
+            weight,
+            log_deviation: self.log_deviation,
+        }
+    }
+
     /// Returns the remaining work in core milliseconds, at a speed in thousandths.
     pub(crate) fn remaining_work_core_ms(&self, speed_permille: u32) -> u64 {
         let remaining_percent = match self.state {
--- a/components/hosting/tests/host/harness.rs
+++ b/components/hosting/tests/host/harness.rs
@@ -57,6 +57,7 @@
             gpus: 0,
         },
         estimate_ms: 100,
+        log_deviation_permille: 400,
         slack_ms: 100,
         queue_timeout_ms: 60,
         priority: 1,
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -29,6 +29,6 @@
 pub use roster::{AgentInfo, EntryInfo, Member, MemberState, ShardRecord, TargetInfo};
 pub use run::{
     HOSTS_PREFIX, HostRegistration, HostUpdate, HostUpdateRequest, HostView, JOB_ID_DIGITS, JobId,
-    MOST_URGENT, NotStartedReason, Opening, Orders, RegisteredTarget, Resources, RunEnd, RunEvent,
-    RunId, RunPermit, StartOrder, TaskRef, required_free_resources,
+    MOST_URGENT, NotStartedReason, Opening, Orders, RegisteredTarget, Resources, RunDurations,
+    RunEnd, RunEvent, RunId, RunPermit, StartOrder, TaskRef, required_free_resources,
 };
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -152,6 +152,8 @@
     pub needs: Resources,
     /// Expected run time on a target of speed 1, in milliseconds.
     pub estimate_ms: u32,
+    /// Standard deviation of the logarithm of the expected run time, in thousandths.
+    pub log_deviation_permille: u16,
     /// Time by which the tasks should start to meet the job's deadline, in milliseconds from now.
     pub slack_ms: u32,
     /// Maximum time that the tasks may be queued at the host, in milliseconds.
@@ -248,13 +250,22 @@
     Occupied,
 }
 
+/// How long a run was queued at its host and how long it ran there.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunDurations {
+    /// Time from the order to the start, in milliseconds.
+    pub waited_ms: u32,
+    /// Time from the start to the end, in milliseconds.
+    pub ran_ms: u32,
+}
+
 /// Event of a run that an entry ordered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunEvent {
     /// The run has started.
     Started,
-    /// The run has ended; contains the run time in milliseconds.
-    Ended(RunEnd, u32),
+    /// The run has ended.
+    Ended(RunEnd, RunDurations),
     /// The run was not started and never will be.
     NotStarted(NotStartedReason),
     /// The run makes no progress.
@@ -283,6 +294,8 @@
     pub urgent_core_ms: u32,
     /// Speed of the target relative to the estimates, in thousandths.
     pub speed_permille: u32,
+    /// Standard deviation of the logarithm of that speed, in thousandths.
+    pub speed_log_deviation_permille: u16,
     /// Resources expected to be free for a further task, in the order of time; the first is the
     /// state once all queued tasks have started. Empty without a target.
     pub openings: Vec<Opening>,
--- a/components/scheduling/src/job.rs
+++ b/components/scheduling/src/job.rs
@@ -1,10 +1,11 @@
 //! Jobs in progress and the states of their tasks.
 
 use model::{JobId, ProcessKey, RunId, TaskRef};
+use run_times::{KindSlot, RunTime};
 use slotmap::new_key_type;
 
 use crate::host::HostSlot;
-use crate::request::JobRequest;
+use crate::request::{JobRequest, StepRequest};
 use crate::verdict::NotRunReason;
 
 new_key_type! {
@@ -13,7 +14,7 @@
 }
 
 /// State of a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum TaskState {
     /// Waits for earlier steps, or for a placement.
     Waiting {
@@ -27,12 +28,28 @@
 }
 
 /// Host and agent at which a run of a task was ordered.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct RunPlacement {
     pub(crate) host: HostSlot,
     pub(crate) agent: ProcessKey,
     pub(crate) attempt: u32,
     pub(crate) has_started: bool,
+    /// Expected wait in the queue of the host, in milliseconds.
+    pub(crate) wait_ms: f64,
+    /// Expected run time on the host.
+    pub(crate) run_time: RunTime,
+}
+
+/// What is expected of the tasks of a step.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StepForecast {
+    pub(crate) kind: Option<KindSlot>,
+    /// Run time of a task on a host of speed 1.
+    pub(crate) run_time: RunTime,
+    /// Run time of a task on a usual host, in milliseconds: the work by which the objective counts.
+    pub(crate) work_ms: f64,
+    /// Work of the longest chain of steps that depend on this one, in milliseconds.
+    pub(crate) later_work_ms: f64,
 }
 
 /// A task of a job.
@@ -58,6 +75,11 @@
     pub(crate) arrived_ms: u64,
     pub(crate) deadline_ms: u64,
     pub(crate) objective_at_ms: u64,
+    pub(crate) forecasts: Vec<StepForecast>,
+    /// Speed of the usual host when the job arrived, in thousandths.
+    pub(crate) usual_speed_permille: f64,
+    /// Time from the arrival to the answer as expected on admission, in milliseconds.
+    pub(crate) expected_ms: f64,
     pub(crate) waiters: u32,
     /// Whether a task has started, or may have.
     pub(crate) has_started_tasks: bool,
@@ -66,7 +88,36 @@
 }
 
 impl Job {
-    pub(crate) fn new(now_ms: u64, request: JobRequest) -> Self {
+    /// Creates a job; `forecast` returns the kind and the run time of a step's tasks on a host of
+    /// speed 1, `usual_speed_permille` is the speed of the hosts by which its objective counts.
+    pub(crate) fn new(
+        now_ms: u64,
+        request: JobRequest,
+        usual_speed_permille: f64,
+        mut forecast: impl FnMut(u16, &StepRequest) -> (Option<KindSlot>, RunTime),
+    ) -> Self {
+        let steps = request.steps.iter().zip(0..);
+        let run_times: Vec<(Option<KindSlot>, RunTime)> =
+            steps.map(|(step, at)| forecast(at, step)).collect();
+        let work_ms: Vec<f64> = run_times
+            .iter()
+            .map(|(_, run_time)| run_time.median_ms * 1_000.0 / usual_speed_permille.max(1.0))
+            .collect();
+        let later_ms = request.later_steps_ms(&work_ms);
+        let forecasts: Vec<StepForecast> = (0..request.steps.len())
+            .map(|at| StepForecast {
+                kind: run_times[at].0,
+                run_time: run_times[at].1,
+                work_ms: work_ms[at],
+                later_work_ms: later_ms[at],
+            })
+            .collect();
+        let chains_ms = forecasts
+            .iter()
+            .map(|step| step.work_ms + step.later_work_ms);
+        let critical_path_ms = chains_ms.fold(0.0, f64::max);
+        let objective_ms =
+            (critical_path_ms * request.queue.stretch) as u64 + request.queue.allowance_ms;
         let task = Task {
             state: TaskState::Waiting { not_before_ms: 0 },
             attempts: 0,
@@ -81,7 +132,10 @@
         Self {
             arrived_ms: now_ms,
             deadline_ms: now_ms + request.time_left_ms,
-            objective_at_ms: now_ms + request.objective_ms(),
+            objective_at_ms: now_ms + objective_ms,
+            forecasts,
+            usual_speed_permille,
+            expected_ms: 0.0,
             waiters: 1,
             has_started_tasks: false,
             steps,
@@ -94,6 +148,25 @@
         self.request.id
     }
 
+    /// Returns the response time objective, in milliseconds from the arrival.
+    pub(crate) fn objective_ms(&self) -> u64 {
+        self.objective_at_ms - self.arrived_ms
+    }
+
+    /// Returns what is expected of the tasks of a step.
+    pub(crate) fn forecast(&self, step: u16) -> &StepForecast {
+        &self.forecasts[usize::from(step)]
+    }
+
+    /// Returns the time from now until the objective of a task of a step if it had no work, in
+    /// milliseconds, with the later steps taken off; negative if it has passed.
+    pub(crate) fn allowance_ms(&self, now_ms: u64, step: u16) -> f64 {
+        let forecast = self.forecast(step);
+        let to_objective_ms = self.objective_at_ms as f64 - now_ms as f64;
+        let own_stretched_ms = forecast.work_ms * self.request.queue.stretch;
+        to_objective_ms - own_stretched_ms - forecast.later_work_ms
+    }
+
     pub(crate) fn task(&self, task: TaskRef) -> Option<&Task> {
         let step = self.steps.get(usize::from(task.step))?;
         step.get(usize::from(task.index))
--- a/components/scheduling/src/lib.rs
+++ b/components/scheduling/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod answer_cache;
 mod baseline;
+mod forecast;
 mod host;
 mod job;
 mod limits;
@@ -20,6 +21,7 @@
 mod verdict;
 
 pub use baseline::PlacementRule;
+pub use forecast::{ForecastOutcome, ForecastStage};
 pub use host::{HostInfo, HostSlot, HostStatus};
 pub use job::JobSlot;
 pub use limits::{
--- a/components/scheduling/src/placement.rs
+++ b/components/scheduling/src/placement.rs
@@ -2,31 +2,34 @@
 //!
 //! Many entries place tasks on the same hosts, with views that are up to a few hundred milliseconds
 //! old. Hosts differ in speed and size, and an answer has the same value at any time before its
-//! objective. A placement is safe if the task finishes in time even when its work and wait exceed
-//! their estimates by `SAFETY_FACTOR`, and leaves a share of the host's CPU free. A task goes to the
+//! objective. A placement is safe if the task is likely to finish in time even when its wait exceeds
+//! the forecast by `WAIT_MARGIN_FACTOR`, and leaves a share of the host's CPU free. A task goes to the
 //! slowest host with a safe placement, which keeps the fast hosts for the tasks that need them. A
-//! task without a safe placement goes to the host where it finishes first. The safety check extends
-//! the time to the objective by the excess work times the queue's `stretch`, since the objective
-//! grows with the work; so a wrong estimate costs little on a host of usual speed.
+//! task without a safe placement goes to the host where it finishes first. How likely a task is in
+//! time follows from the observed error of the forecasts for its kind (`run_times`); the objective
+//! grows with the work, so that a wrong forecast costs little on a host of usual speed.
 
 use std::cmp::Ordering;
 use std::rc::Rc;
 
 use model::{MOST_URGENT, Opening, Resources, required_free_resources};
+use run_times::{Race, RunTime, chance_in_time};
 
 use crate::baseline::{self, PlacementRule};
 use crate::host::HostSlot;
 
-/// Factor by which work and wait may exceed their estimates in a safe placement; declared run
-/// times are off by about as much.
-const SAFETY_FACTOR: f64 = 1.5;
+/// Factor by which the wait may exceed its forecast in a safe placement.
+const WAIT_MARGIN_FACTOR: f64 = 1.5;
+
+/// Probability of being in time from which on a placement is safe.
+const SAFE_CHANCE: f64 = 0.97;
 
 /// Share of a host's CPU that must stay free after a safe placement, because other entries place
 /// tasks on the host at the same time with views of the same age.
 const SPARE_CPU_SHARE: f64 = 0.2;
 
 /// Round-trip time of messages to a host, in milliseconds.
-const ROUND_TRIP_MS: f64 = 6.0;
+pub(crate) const ROUND_TRIP_MS: f64 = 6.0;
 
 /// Width of the speed classes; hosts of one class rank as equally fast, in thousandths.
 const SPEED_CLASS_PERMILLE: u32 = 200;
@@ -43,6 +46,8 @@
     pub(crate) capacity: Resources,
     pub(crate) free: Resources,
     pub(crate) speed_permille: u32,
+    /// Standard deviation of the logarithm of the speed.
+    pub(crate) speed_log_deviation: f64,
     pub(crate) backlog_core_ms: u64,
     pub(crate) waiting_core_ms: u64,
     pub(crate) urgent_core_ms: u64,
@@ -55,9 +60,15 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Requirements<'a> {
     pub(crate) needs: Resources,
-    pub(crate) estimate_ms: u32,
-    /// Time left until the response time objective of the job.
-    pub(crate) time_to_objective_ms: u64,
+    /// Expected run time on a host of speed 1.
+    pub(crate) run_time: RunTime,
+    /// Speed of the hosts by which the objective counts, in thousandths.
+    pub(crate) usual_speed_permille: f64,
+    /// Time until the objective of the task if it had no work, in milliseconds; negative if that
+    /// time has passed.
+    pub(crate) allowance_ms: f64,
+    /// Time left for the task until the caller stops waiting, in milliseconds.
+    pub(crate) time_left_ms: f64,
     pub(crate) stretch: f64,
     pub(crate) priority: u8,
     pub(crate) required_label: Option<&'a Rc<str>>,
@@ -73,7 +84,15 @@
     pub(crate) host: HostSlot,
     pub(crate) wait_ms: f64,
     pub(crate) finish_ms: f64,
+    /// Expected run time on the host.
+    pub(crate) run_time: RunTime,
+    /// Probability that the task ends before its objective.
+    pub(crate) chance_in_time: f64,
+    /// Probability that the task ends before the caller stops waiting.
+    pub(crate) chance_served: f64,
     pub(crate) is_safe: bool,
+    /// Whether the task starts at once and leaves room for tasks of other entries.
+    pub(crate) is_room_idle: bool,
 }
 
 /// Sort key of a candidate, compared field by field; the smallest is chosen.
@@ -142,17 +161,41 @@
                 .is_none_or(|most| self.placed_tasks < most)
     }
 
-    fn run_ms(&self, requirements: &Requirements<'_>) -> f64 {
+    /// Returns the expected run time on this host.
+    fn run_time(&self, requirements: &Requirements<'_>) -> RunTime {
+        let run_time = requirements.run_time.at_speed(self.speed_permille);
+        RunTime {
+            median_ms: run_time.median_ms * self.remote_factor(requirements),
+            ..run_time
+        }
+    }
+
+    /// Returns the run of a task that waits that long against its objective.
+    fn race(&self, requirements: &Requirements<'_>, wait_ms: f64) -> Race {
+        let usual_speed = requirements.usual_speed_permille.max(1.0);
+        Race {
+            run_time: RunTime {
+                median_ms: requirements.run_time.median_ms * 1_000.0 / usual_speed,
+                ..requirements.run_time
+            },
+            allowance_ms: requirements.allowance_ms,
+            stretch: requirements.stretch,
+            wait_ms: wait_ms + ROUND_TRIP_MS,
+            slowness: usual_speed / f64::from(self.speed_permille.max(1))
+                * self.remote_factor(requirements),
+        }
+    }
+
+    /// Returns the factor by which the task runs longer if its data is elsewhere.
+    fn remote_factor(&self, requirements: &Requirements<'_>) -> f64 {
         let is_data_remote = requirements
             .preferred_label
             .is_some_and(|label| !self.labels.contains(label));
-        let factor = if is_data_remote {
+        if is_data_remote {
             requirements.remote_data_factor
         } else {
             1.0
-        };
-        f64::from(requirements.estimate_ms) * factor * 1_000.0
-            / f64::from(self.speed_permille.max(1))
+        }
     }
 
     /// Estimates how long a task waits for free resources, in milliseconds, by the agent's forecast
@@ -199,16 +242,23 @@
 
     fn rank(&self, requirements: &Requirements<'_>) -> (Rank, Choice) {
         let wait_ms = self.wait_ms(requirements);
-        let run_ms = self.run_ms(requirements);
-        let finish_ms = wait_ms + run_ms + ROUND_TRIP_MS;
-        let time_to_objective_ms = requirements.time_to_objective_ms as f64;
-        let is_in_time = finish_ms <= time_to_objective_ms;
-        let excess_work_ms = f64::from(requirements.estimate_ms) * (SAFETY_FACTOR - 1.0);
+        let run_time = self.run_time(requirements);
+        let finish_ms = wait_ms + run_time.median_ms + ROUND_TRIP_MS;
         let spare_millis = self.free.saturating_sub(&requirements.needs).cpu_millis;
-        let is_safe = is_in_time
-            && f64::from(spare_millis) >= SPARE_CPU_SHARE * f64::from(self.capacity.cpu_millis)
-            && (wait_ms + run_ms) * SAFETY_FACTOR + ROUND_TRIP_MS
-                <= time_to_objective_ms + excess_work_ms * requirements.stretch;
+        let leaves_room =
+            f64::from(spare_millis) >= SPARE_CPU_SHARE * f64::from(self.capacity.cpu_millis);
+        let expected = self.race(requirements, wait_ms);
+        let cautious = Race {
+            wait_ms: wait_ms * WAIT_MARGIN_FACTOR + ROUND_TRIP_MS,
+            slowness: expected.slowness * (self.speed_log_deviation * 2.0).exp(),
+            ..expected
+        };
+        let until_caller_leaves = Race {
+            allowance_ms: requirements.time_left_ms,
+            stretch: 0.0,
+            ..expected
+        };
+        let is_safe = leaves_room && chance_in_time(&cautious) >= SAFE_CHANCE;
         let used_millis =
             self.capacity.cpu_millis - self.free.cpu_millis.min(self.capacity.cpu_millis);
         let rank = Rank {
@@ -231,7 +281,11 @@
             host: self.slot,
             wait_ms,
             finish_ms,
+            run_time,
+            chance_in_time: chance_in_time(&expected),
+            chance_served: chance_in_time(&until_caller_leaves),
             is_safe,
+            is_room_idle: leaves_room && wait_ms < 1.0,
         };
         (rank, choice)
     }
@@ -242,8 +296,9 @@
         for opening in openings.filter(|opening| f64::from(opening.in_ms) >= wait_ms) {
             opening.free = opening.free.saturating_sub(&requirements.needs);
         }
-        let core_ms =
-            f64::from(requirements.needs.cpu_millis) * self.run_ms(requirements) / 1_000.0;
+        let core_ms = f64::from(requirements.needs.cpu_millis)
+            * self.run_time(requirements).median_ms
+            / 1_000.0;
         if self.free.can_fit(&requirements.needs) {
             self.free = self.free.saturating_sub(&requirements.needs);
         } else {
--- a/components/scheduling/src/request.rs
+++ b/components/scheduling/src/request.rs
@@ -30,8 +30,8 @@
     pub count: u16,
     /// Resources that each task takes up.
     pub needs: Resources,
-    /// Expected run time of a task on a target of speed 1, in milliseconds.
-    pub estimate_ms: u32,
+    /// Run time of a task as the caller declares it, in milliseconds; it may be wrong by any factor.
+    pub declared_ms: u32,
     /// Indexes of the earlier steps that must be done before this one starts.
     pub after: Vec<u16>,
     /// Label that a host must have.
@@ -64,25 +64,19 @@
         self.steps.iter().map(|step| usize::from(step.count)).sum()
     }
 
-    /// Returns the expected run time of the longest chain of dependent steps, in milliseconds.
+    /// Returns, for each step, the duration of the longest chain of steps that depend on it, given
+    /// the duration of each step in milliseconds.
     #[must_use]
-    pub fn critical_path_ms(&self) -> u64 {
-        let mut ends_ms: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
-            let earlier = step
-                .after
-                .iter()
-                .filter_map(|at| ends_ms.get(usize::from(*at)));
-            let start_ms = earlier.copied().max().unwrap_or(0);
-            ends_ms.push(start_ms + u64::from(step.estimate_ms));
+    pub fn later_steps_ms(&self, durations_ms: &[f64]) -> Vec<f64> {
+        let mut later_ms = vec![0.0_f64; self.steps.len()];
+        for (at, step) in self.steps.iter().enumerate().rev() {
+            let chain_ms = durations_ms[at] + later_ms[at];
+            for earlier in &step.after {
+                if let Some(later_ms) = later_ms.get_mut(usize::from(*earlier)) {
+                    *later_ms = later_ms.max(chain_ms);
+                }
+            }
         }
-        ends_ms.into_iter().max().unwrap_or(0)
-    }
-
-    /// Returns the response time objective, in milliseconds.
-    #[must_use]
-    pub fn objective_ms(&self) -> u64 {
-        let work_ms = self.critical_path_ms() as f64 * self.queue.stretch;
-        work_ms as u64 + self.queue.allowance_ms
+        later_ms
     }
 }
--- a/components/scheduling/src/scheduler/answers.rs
+++ b/components/scheduling/src/scheduler/answers.rs
@@ -1,7 +1,7 @@
 //! Refusals, withdrawals and answers of jobs.
 
-use super::{Scheduler, SchedulerAction};
-use crate::admission::{self, Forecast};
+use super::{Scheduler, SchedulerAction, forecasts};
+use crate::admission::{self, Prospect};
 use crate::job::{Job, JobSlot, TaskState, Withdrawal};
 use crate::limits::{MAX_JOBS, MAX_TASKS, WITHDRAWAL_TIMEOUT_MS};
 use crate::placement::Candidate;
@@ -13,7 +13,7 @@
         &self,
         job: &Job,
         candidates: &[Candidate],
-        finish_ms: Option<f64>,
+        prospect: Option<&Prospect>,
     ) -> Option<NotRunReason> {
         let tasks = job.request.task_count();
         if tasks == 0 || tasks > MAX_TASKS {
@@ -25,11 +25,7 @@
         if candidates.is_empty() {
             return Some(NotRunReason::NoHosts);
         }
-        admission::refusal_reason(&Forecast {
-            finish_ms,
-            objective_ms: job.request.objective_ms(),
-            time_left_ms: job.request.time_left_ms,
-        })
+        admission::refusal_reason(prospect, job.request.time_left_ms)
     }
 
     /// Withdraws a job of which no task is known to have started: cancels its unsent orders and
@@ -105,6 +101,10 @@
             return;
         };
         self.answers.insert(now_ms, job.id(), verdict);
+        if verdict == Verdict::Completed {
+            let outcome = forecasts::job_outcome(now_ms, &job);
+            actions.push(SchedulerAction::RecordForecast(outcome));
+        }
         actions.push(SchedulerAction::Answer {
             job: slot,
             verdict,
--- a/components/scheduling/src/scheduler/events.rs
+++ b/components/scheduling/src/scheduler/events.rs
@@ -45,7 +45,10 @@
         });
         match event {
             RunEvent::Started => self.mark_started(slot, run),
-            RunEvent::Ended(RunEnd::Done, _) => self.handle_done(now_ms, slot, run, actions),
+            RunEvent::Ended(RunEnd::Done, durations) => {
+                self.record_run(slot, run, durations, actions);
+                self.handle_done(now_ms, slot, run, actions);
+            }
             RunEvent::Ended(RunEnd::Failed, _) => self.handle_failed(now_ms, slot, run, actions),
             RunEvent::Ended(RunEnd::Stopped | RunEnd::Lost, _) => {
                 // A lost run may not have started; it counts as started.
@@ -188,9 +191,8 @@
         let Some(job) = self.jobs.get_mut(slot) else {
             return;
         };
-        let step = &job.request.steps[usize::from(run.task.step)];
         let time_left_ms = job.deadline_ms.saturating_sub(now_ms);
-        if time_left_ms < u64::from(step.estimate_ms) {
+        if time_left_ms < job.forecast(run.task.step).work_ms as u64 {
             return;
         }
         let Some((_, place)) = job.current_run(run) else {
--- a/components/scheduling/src/scheduler/mod.rs
+++ b/components/scheduling/src/scheduler/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod connections;
 mod events;
+mod forecasts;
 mod planning;
 mod recovery;
 
@@ -10,15 +11,18 @@
 use std::rc::Rc;
 
 use model::{HostUpdate, HostUpdateRequest, JobId, Orders, ProcessKey, RunEvent, RunId};
+use run_times::Kinds;
 use rustc_hash::FxHashMap;
 use slotmap::SlotMap;
 
 use crate::admission;
 use crate::answer_cache::AnswerCache;
 use crate::baseline::PlacementRule;
+use crate::forecast::ForecastOutcome;
 use crate::host::{HostRecord, HostSlot, HostStatus};
 use crate::job::{Job, JobSlot};
 use crate::limits::UPDATE_WAIT_MS;
+use crate::placement::Candidate;
 use crate::request::JobRequest;
 use crate::subset::{MIN_CONNECTED_HOSTS, SubsetSize};
 use crate::verdict::Verdict;
@@ -33,6 +37,8 @@
     pub oldest_view_ms: u64,
     /// Expected time until the answer, in milliseconds; `None` if a task finds no host.
     pub finish_ms: Option<f64>,
+    /// Probability that the answer comes before the objective.
+    pub chance_in_time: f64,
     /// Response time objective, in milliseconds.
     pub objective_ms: u64,
     /// Time until the caller stops waiting, in milliseconds.
@@ -79,6 +85,8 @@
         /// What happened.
         event: RunEvent,
     },
+    /// Record how well a duration was forecast.
+    RecordForecast(ForecastOutcome),
     /// Log the placement of a task.
     LogPlacement {
         /// The run.
@@ -108,6 +116,7 @@
     connections_updated_at_ms: u64,
     placement_rule: PlacementRule,
     choice_count: Cell<u64>,
+    kinds: Kinds,
 }
 
 impl Scheduler {
@@ -130,6 +139,7 @@
             connections_updated_at_ms: 0,
             placement_rule: PlacementRule::default(),
             choice_count: Cell::new(0),
+            kinds: Kinds::default(),
         }
     }
 
@@ -190,10 +200,11 @@
             self.jobs[slot].waiters += 1;
             return SubmitOutcome::Joined(slot);
         }
-        let job = Job::new(now_ms, request);
-        let mut candidates = self.candidates(now_ms, &job);
+        let mut candidates = self.candidates(now_ms, &request.queue.group);
+        let job = self.new_job(now_ms, request, &candidates);
         let plan = self.plan(now_ms, &job, &mut candidates);
-        let finish_ms = plan.finish_ms();
+        let prospect = plan.prospect();
+        let finish_ms = prospect.map(|prospect| prospect.finish_ms);
         let suitable_hosts = suitable_host_count(&job, &candidates);
         self.subset_size
             .record_placement(plan.is_safe(), suitable_hosts);
@@ -201,10 +212,11 @@
             usable_hosts: candidates.len(),
             oldest_view_ms: self.oldest_view_ms(now_ms, &candidates),
             finish_ms,
-            objective_ms: job.request.objective_ms(),
+            chance_in_time: prospect.map_or(0.0, |prospect| prospect.chance_in_time),
+            objective_ms: job.objective_ms(),
             time_left_ms: job.request.time_left_ms,
         };
-        if let Some(reason) = self.refusal_reason(&job, &candidates, finish_ms) {
+        if let Some(reason) = self.refusal_reason(&job, &candidates, prospect) {
             let backlog_ms = finish_ms.unwrap_or(0.0) - inputs.objective_ms as f64;
             let retry_after_ms = admission::retry_after_ms(job.id(), backlog_ms);
             return SubmitOutcome::Refused(
@@ -216,12 +228,27 @@
             );
         }
         let id = job.id();
-        let slot = self.jobs.insert(job);
+        let slot = self.jobs.insert(Job {
+            expected_ms: finish_ms.unwrap_or(0.0),
+            ..job
+        });
         self.by_id.insert(id, slot);
         self.apply_plan(now_ms, slot, plan, actions);
         SubmitOutcome::Admitted(slot, inputs)
     }
 
+    /// Creates a job, with the run times expected of its steps.
+    fn new_job(&mut self, now_ms: u64, request: JobRequest, candidates: &[Candidate]) -> Job {
+        let speeds = candidates.iter().map(|candidate| candidate.speed_permille);
+        let usual_speed_permille = run_times::reference_speed(&mut speeds.collect::<Vec<u32>>());
+        let queue = Rc::clone(&request.queue.name);
+        let kinds = &mut self.kinds;
+        Job::new(now_ms, request, usual_speed_permille, |at, step| {
+            let kind = kinds.slot(now_ms, &queue, at);
+            (kind, kinds.forecast(kind, step.declared_ms))
+        })
+    }
+
     /// Records that a caller has disconnected; without any waiting caller, the job is stopped.
     pub fn caller_disconnected(&mut self, slot: JobSlot, actions: &mut Vec<SchedulerAction>) {
         let Some(job) = self.jobs.get_mut(slot) else {
--- a/components/scheduling/src/scheduler/planning.rs
+++ b/components/scheduling/src/scheduler/planning.rs
@@ -5,7 +5,7 @@
 use model::{HostView, Opening, Resources, RunId, StartOrder, TaskRef};
 
 use super::{Scheduler, SchedulerAction, saturating_u32};
-use crate::admission::{self, Forecast};
+use crate::admission::{self, Prospect};
 use crate::host::{HostRecord, HostSlot};
 use crate::job::{Job, JobSlot, RunPlacement, TaskState};
 use crate::limits::{MIN_QUEUE_TIMEOUT_MS, PLACEMENT_RETRY_MS, QUEUE_WAIT_FACTOR};
@@ -17,14 +17,13 @@
 #[derive(Debug)]
 pub(super) struct Plan {
     choices: Vec<(TaskRef, Option<Choice>)>,
-    finish_ms: Option<f64>,
+    prospect: Option<Prospect>,
 }
 
 impl Plan {
-    /// Returns the expected time until the job's answer, in milliseconds; `None` if a task finds
-    /// no host.
-    pub(super) fn finish_ms(&self) -> Option<f64> {
-        self.finish_ms
+    /// Returns what is expected of the job; `None` if a task finds no host.
+    pub(super) fn prospect(&self) -> Option<&Prospect> {
+        self.prospect.as_ref()
     }
 
     /// Returns whether every task has a safe placement (see `placement`).
@@ -42,8 +41,8 @@
             .into_iter()
             .map(|task| (task, self.choose_host(now_ms, job, task, candidates)))
             .collect();
-        let finish_ms = finish_ms(job, &choices);
-        Plan { choices, finish_ms }
+        let prospect = prospect(job, &choices);
+        Plan { choices, prospect }
     }
 
     pub(super) fn choose_host(
@@ -57,8 +56,11 @@
         let record = job.task(task)?;
         let requirements = Requirements {
             needs: step.needs,
-            estimate_ms: step.estimate_ms,
-            time_to_objective_ms: job.objective_at_ms.saturating_sub(now_ms),
+            run_time: job.forecast(task.step).run_time,
+            usual_speed_permille: job.usual_speed_permille,
+            allowance_ms: job.allowance_ms(now_ms, task.step),
+            time_left_ms: job.deadline_ms.saturating_sub(now_ms) as f64
+                - job.forecast(task.step).later_work_ms,
             stretch: job.request.queue.stretch,
             priority: job.request.queue.priority,
             required_label: step.required_label.as_ref(),
@@ -72,18 +74,25 @@
         placement::choose(candidates, &requirements, self.placement_rule, number)
     }
 
-    pub(super) fn candidates(&self, now_ms: u64, job: &Job) -> Vec<Candidate> {
+    /// Returns the usable hosts of a group.
+    pub(super) fn candidates(&self, now_ms: u64, group: &Rc<str>) -> Vec<Candidate> {
         let usable = self.hosts.iter().filter(|(_, host)| host.is_usable(now_ms));
         let mut candidates = Vec::new();
         for (slot, host) in usable {
             let Some(view) = &host.view else {
                 continue;
             };
-            if view.group != job.request.queue.group {
+            if view.group != *group {
                 continue;
             }
             candidates.push(self.candidate(slot, host, view));
         }
+        candidates
+    }
+
+    /// Returns the usable hosts for a job in progress, with its tasks that are placed there.
+    fn candidates_for(&self, now_ms: u64, job: &Job) -> Vec<Candidate> {
+        let mut candidates = self.candidates(now_ms, &job.request.queue.group);
         for (_, place) in job.placed_runs() {
             if let Some(at) = candidates.iter_mut().find(|at| at.slot == place.host) {
                 at.placed_tasks += 1;
@@ -107,6 +116,7 @@
             capacity: view.capacity,
             free: view.free.saturating_sub(&pending),
             speed_permille: view.speed_permille,
+            speed_log_deviation: f64::from(view.speed_log_deviation_permille) / 1_000.0,
             backlog_core_ms: u64::from(view.backlog_core_ms) + pending_core_ms,
             waiting_core_ms: u64::from(view.waiting_core_ms)
                 + if fits { 0 } else { pending_core_ms },
@@ -141,7 +151,7 @@
         if job.withdrawal.is_some() || job.placeable_tasks(now_ms).is_empty() {
             return None;
         }
-        let mut candidates = self.candidates(now_ms, job);
+        let mut candidates = self.candidates_for(now_ms, job);
         Some(self.plan(now_ms, job, &mut candidates))
     }
 
@@ -183,9 +193,9 @@
             return;
         };
         let step = &job.request.steps[usize::from(task.step)];
-        let latest_start_ms = job
-            .objective_at_ms
-            .saturating_sub(u64::from(step.estimate_ms));
+        let forecast = *job.forecast(task.step);
+        let remaining_work_ms = (forecast.work_ms + forecast.later_work_ms) as u64;
+        let latest_start_ms = job.objective_at_ms.saturating_sub(remaining_work_ms);
         let queue_timeout_ms = MIN_QUEUE_TIMEOUT_MS + (QUEUE_WAIT_FACTOR * choice.wait_ms) as u64;
         let mut order = StartOrder {
             job: job.request.id,
@@ -193,7 +203,8 @@
             tasks: Vec::new(),
             specification: Rc::clone(&job.request.specification),
             needs: step.needs,
-            estimate_ms: step.estimate_ms,
+            estimate_ms: (forecast.run_time.median_ms.round() as u32).max(1),
+            log_deviation_permille: (forecast.run_time.log_deviation * 1_000.0) as u16,
             slack_ms: saturating_u32(latest_start_ms.saturating_sub(now_ms)),
             queue_timeout_ms: saturating_u32(
                 queue_timeout_ms.min(job.deadline_ms.saturating_sub(now_ms)),
@@ -211,6 +222,8 @@
             agent,
             attempt,
             has_started: false,
+            wait_ms: choice.wait_ms,
+            run_time: choice.run_time,
         });
         order.tasks.push((task.index, attempt));
         host.push_start(order);
@@ -235,12 +248,8 @@
             return;
         };
         let job = &self.jobs[slot];
-        let age_ms = now_ms.saturating_sub(job.arrived_ms) as f64;
-        let refusal_reason = admission::refusal_reason(&Forecast {
-            finish_ms: plan.finish_ms().map(|ms| ms + age_ms),
-            objective_ms: job.request.objective_ms(),
-            time_left_ms: job.request.time_left_ms,
-        });
+        let time_left_ms = job.deadline_ms.saturating_sub(now_ms);
+        let refusal_reason = admission::refusal_reason(plan.prospect(), time_left_ms);
         if refusal_reason == Some(NotRunReason::Overload) && !job.has_started_tasks {
             self.withdraw(now_ms, slot, NotRunReason::Overload, actions);
             return;
@@ -273,19 +282,25 @@
     openings.iter().map(after).collect()
 }
 
-/// Returns the expected time until a job's answer, in milliseconds, for these choices of its due
-/// tasks; `None` if a task has no host.
-fn finish_ms(job: &Job, choices: &[(TaskRef, Option<Choice>)]) -> Option<f64> {
-    let mut finish_ms: f64 = 0.0;
-    let mut first_estimate_ms = 0;
+/// Returns what is expected of a job with these choices for its due tasks; `None` if a task has no
+/// host.
+///
+/// Tasks of a job have a common error of the declared run time, so that the job is about as likely in
+/// time as the task with the smallest chance.
+fn prospect(job: &Job, choices: &[(TaskRef, Option<Choice>)]) -> Option<Prospect> {
+    let mut prospect = Prospect {
+        finish_ms: 0.0,
+        chance_in_time: 1.0,
+        chance_served: 1.0,
+        is_room_idle: true,
+    };
     for (task, choice) in choices {
-        finish_ms = finish_ms.max((*choice)?.finish_ms);
-        let step = &job.request.steps[usize::from(task.step)];
-        first_estimate_ms = first_estimate_ms.max(u64::from(step.estimate_ms));
+        let choice = (*choice)?;
+        let finish_ms = choice.finish_ms + job.forecast(task.step).later_work_ms;
+        prospect.finish_ms = prospect.finish_ms.max(finish_ms);
+        prospect.chance_in_time = prospect.chance_in_time.min(choice.chance_in_time);
+        prospect.chance_served = prospect.chance_served.min(choice.chance_served);
+        prospect.is_room_idle &= choice.is_room_idle;
     }
-    let later_ms = job
-        .request
-        .critical_path_ms()
-        .saturating_sub(first_estimate_ms);
-    Some(finish_ms + later_ms as f64)
+    Some(prospect)
 }
--- a/components/scheduling/src/scheduler/recovery.rs
+++ b/components/scheduling/src/scheduler/recovery.rs
@@ -45,9 +45,8 @@
             if is_unreachable
                 && now_ms >= permit_received_at_ms + (MAX_RUN_AFTER_PERMIT_MS - CALLER_RETRY_MS)
             {
-                let step = &job.request.steps[usize::from(run.task.step)];
-                let repeated_end_ms =
-                    permit_received_at_ms + MAX_RUN_AFTER_PERMIT_MS + u64::from(step.estimate_ms);
+                let run_ms = job.forecast(run.task.step).work_ms as u64;
+                let repeated_end_ms = permit_received_at_ms + MAX_RUN_AFTER_PERMIT_MS + run_ms;
                 is_lost |= repeated_end_ms > job.deadline_ms;
             }
         }
--- a/components/scheduling/tests/scheduler/jobs.rs
+++ b/components/scheduling/tests/scheduler/jobs.rs
@@ -2,210 +2,13 @@
 
 use std::rc::Rc;
 
-use model::{
-    HostUpdate, HostView, JobId, NotStartedReason, Opening, Orders, ProcessKey, Resources, RunEnd,
-    RunEvent, RunId, RunPermit,
-};
+use crate::support::*;
+use model::{NotStartedReason, ProcessKey, RunEnd, RunEvent};
 use scheduling::{
-    HOST_RETENTION_MS, HostInfo, HostSlot, JobRequest, MAX_RUN_AFTER_PERMIT_MS,
-    MIN_CONNECTED_HOSTS, NotRunReason, QueueRules, Route, RouteTable, Scheduler, SchedulerAction,
-    StepRequest, SubmitOutcome, Verdict,
+    HOST_RETENTION_MS, MAX_RUN_AFTER_PERMIT_MS, MIN_CONNECTED_HOSTS, NotRunReason, QueueRules,
+    Route, RouteTable, SubmitOutcome, Verdict,
 };
 
-const ENTRY: ProcessKey = ProcessKey(7);
-const ESTIMATE_MS: u32 = 100;
-
-fn id(number: u64) -> JobId {
-    JobId::parse(&format!("{number:016x}")).expect("sixteen digits")
-}
-
-fn agent(host: usize) -> ProcessKey {
-    ProcessKey(100 + host as u64)
-}
-
-fn queue(priority: u8) -> Rc<QueueRules> {
-    Rc::new(QueueRules {
-        name: Rc::from("queue"),
-        group: Rc::from("group"),
-        priority,
-        max_failures: 2,
-        stretch: 1.6,
-        allowance_ms: 60,
-        timeout_ms: 1_500,
-    })
-}
-
-fn job(number: u64, tasks: u16) -> JobRequest {
-    JobRequest {
-        id: id(number),
-        queue: queue(1),
-        specification: Rc::from("spec"),
-        steps: vec![StepRequest {
-            count: tasks,
-            needs: Resources {
-                cpu_millis: 1_000,
-                memory_mib: 1,
-                gpus: 0,
-            },
-            estimate_ms: ESTIMATE_MS,
-            after: Vec::new(),
-            required_label: None,
-            preferred_label: None,
-            max_per_host: None,
-        }],
-        time_left_ms: 1_500,
-    }
-}
-
-fn view(free_millis: u32) -> HostView {
-    HostView {
-        is_open: true,
-        group: Rc::from("group"),
-        labels: vec![Rc::from("a")],
-        capacity: Resources {
-            cpu_millis: 8_000,
-            memory_mib: 1_000,
-            gpus: 0,
-        },
-        free: Resources {
-            cpu_millis: free_millis,
-            memory_mib: 1_000,
-            gpus: 0,
-        },
-        backlog_core_ms: 0,
-        waiting_core_ms: 0,
-        urgent_core_ms: 0,
-        speed_permille: 1_000,
-        openings: vec![opening(0, free_millis)],
-        urgent_openings: vec![opening(0, free_millis)],
-    }
-}
-
-fn opening(in_ms: u32, free_millis: u32) -> Opening {
-    Opening {
-        in_ms,
-        free: Resources {
-            cpu_millis: free_millis,
-            memory_mib: 1_000,
-            gpus: 0,
-        },
-    }
-}
-
-const START_MS: u64 = 10_000;
-
-struct Bench {
-    scheduler: Scheduler,
-    slots: Vec<HostSlot>,
-    now_ms: u64,
-    actions: Vec<SchedulerAction>,
-    events: u64,
-}
-
-impl Bench {
-    fn new(hosts: usize) -> Self {
-        let mut scheduler = Scheduler::new(ENTRY, "domain", 1.0);
-        let slots: Vec<HostSlot> = (0..hosts)
-            .map(|host| {
-                let info = HostInfo {
-                    name: Rc::from(format!("host-{host}")),
-                    address: Rc::from(format!("host-{host}")),
-                    failure_domain: Rc::from("domain"),
-                };
-                scheduler.add_host(START_MS, info)
-            })
-            .collect();
-        let mut bench = Self {
-            scheduler,
-            slots,
-            now_ms: START_MS,
-            actions: Vec::new(),
-            events: 0,
-        };
-        bench.tick(0);
-        for host in 0..hosts {
-            bench.connect(host);
-            bench.report(host, &[]);
-        }
-        bench
-    }
-
-    fn connect(&mut self, host: usize) {
-        self.scheduler.host_connected(self.slots[host], agent(host));
-    }
-
-    fn host_update(&self, host: usize, view: HostView) -> HostUpdate {
-        HostUpdate {
-            permit: RunPermit {
-                agent: agent(host),
-                issued_ms: self.now_ms,
-            },
-            has_no_earlier_runs: true,
-            view,
-            events: Vec::new(),
-        }
-    }
-
-    fn report(&mut self, host: usize, events: &[(RunId, RunEvent)]) {
-        self.report_view(host, view(8_000), events);
-    }
-
-    fn report_view(&mut self, host: usize, view: HostView, events: &[(RunId, RunEvent)]) {
-        let mut update = self.host_update(host, view);
-        for (run, event) in events {
-            self.events += 1;
-            update.events.push((self.events, *run, *event));
-        }
-        let slot = self.slots[host];
-        self.scheduler
-            .handle_update(self.now_ms, slot, None, &update, &mut self.actions);
-    }
-
-    fn submit(&mut self, request: JobRequest) -> SubmitOutcome {
-        self.scheduler
-            .submit(self.now_ms, request, &mut self.actions)
-    }
-
-    fn orders(&mut self, host: usize) -> Option<Orders> {
-        self.scheduler.take_orders(self.slots[host])
-    }
-
-    fn answer_orders(&mut self, host: usize, orders: &Orders) {
-        let update = self.host_update(host, view(8_000));
-        let slot = self.slots[host];
-        let number = Some(orders.number);
-        self.scheduler
-            .handle_update(self.now_ms, slot, number, &update, &mut self.actions);
-    }
-
-    fn runs(orders: &Orders) -> Vec<RunId> {
-        let runs = orders.starts.iter().flat_map(|start| {
-            start.tasks.iter().map(|(index, attempt)| RunId {
-                task: model::TaskRef {
-                    job: start.job,
-                    step: start.step,
-                    index: *index,
-                },
-                attempt: *attempt,
-            })
-        });
-        runs.collect()
-    }
-
-    fn tick(&mut self, ms: u64) {
-        self.now_ms += ms;
-        self.scheduler.tick(self.now_ms, &mut self.actions);
-    }
-
-    fn verdict(&mut self) -> Option<Verdict> {
-        let mut verdicts = self.actions.iter().rev().filter_map(|action| match action {
-            SchedulerAction::Answer { verdict, .. } => Some(*verdict),
-            _ => None,
-        });
-        verdicts.next()
-    }
-}
-
 #[test]
 fn job_is_completed_when_its_last_task_is_done() {
     let mut bench = Bench::new(1);
@@ -215,9 +18,9 @@
     ));
     let runs = Bench::runs(&bench.orders(0).expect("orders"));
     assert_eq!(runs.len(), 2);
-    bench.report(0, &[(runs[0], RunEvent::Ended(RunEnd::Done, 100))]);
+    bench.report(0, &[(runs[0], ended(RunEnd::Done, 100))]);
     assert_eq!(bench.verdict(), None);
-    bench.report(0, &[(runs[1], RunEvent::Ended(RunEnd::Done, 100))]);
+    bench.report(0, &[(runs[1], ended(RunEnd::Done, 100))]);
     assert_eq!(bench.verdict(), Some(Verdict::Completed));
 }
 
@@ -226,7 +29,7 @@
     let mut bench = Bench::new(1);
     bench.submit(job(1, 1));
     let runs = Bench::runs(&bench.orders(0).expect("orders"));
-    bench.report(0, &[(runs[0], RunEvent::Ended(RunEnd::Done, 100))]);
+    bench.report(0, &[(runs[0], ended(RunEnd::Done, 100))]);
     assert_eq!(
         bench.submit(job(1, 1)),
         SubmitOutcome::AlreadyAnswered(Verdict::Completed)
@@ -279,11 +82,11 @@
     let first = first.expect("a host");
     let run = Bench::runs(&bench.orders(first).expect("orders"))[0];
     bench.report(first, &[(run, RunEvent::Started)]);
-    bench.report(first, &[(run, RunEvent::Ended(RunEnd::Failed, 10))]);
+    bench.report(first, &[(run, ended(RunEnd::Failed, 10))]);
     let second = 1 - first;
     let retried = Bench::runs(&bench.orders(second).expect("orders"))[0];
     assert!(retried.attempt > run.attempt);
-    bench.report(second, &[(retried, RunEvent::Ended(RunEnd::Failed, 10))]);
+    bench.report(second, &[(retried, ended(RunEnd::Failed, 10))]);
     assert_eq!(bench.verdict(), Some(Verdict::Failed));
 }
 
@@ -321,7 +124,7 @@
     let no_room = RunEvent::NotStarted(NotStartedReason::NoRoom);
     bench.report_view(0, busy, &[(runs[0], no_room)]);
     bench.report(0, &[(runs[1], RunEvent::Started)]);
-    bench.report(0, &[(runs[1], RunEvent::Ended(RunEnd::Stopped, 5))]);
+    bench.report(0, &[(runs[1], ended(RunEnd::Stopped, 5))]);
     assert_eq!(bench.verdict(), Some(Verdict::Expired));
 }
 
@@ -455,7 +258,7 @@
     let runs = Bench::runs(&orders);
     assert_eq!(runs.len(), 1);
     bench.answer_orders(0, &orders);
-    bench.report(0, &[(runs[0], RunEvent::Ended(RunEnd::Done, 100))]);
+    bench.report(0, &[(runs[0], ended(RunEnd::Done, 100))]);
     let runs = Bench::runs(&bench.orders(0).expect("orders"));
     assert_eq!((runs.len(), runs[0].task.step), (1, 1));
 }
@@ -584,7 +387,7 @@
     full.openings = vec![opening(0, 0), opening(wait_ms, 8_000)];
     bench.report_view(0, full, &[]);
     let mut long = job(1, 1);
-    long.steps[0].estimate_ms = 900;
+    long.steps[0].declared_ms = 900;
     bench.submit(long);
     let orders = bench.orders(0).expect("orders");
     assert!(orders.starts[0].queue_timeout_ms > wait_ms, "{orders:?}");
--- /dev/null
+++ b/components/scheduling/tests/scheduler/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the scheduler of an entry.
+
+mod forecasts;
+mod jobs;
+mod support;
--- a/components/sim/src/client.rs
+++ b/components/sim/src/client.rs
@@ -46,6 +46,10 @@
     pub kinds: Vec<JobKind>,
     /// Standard deviation of the logarithm of run times and sizes.
     pub spread: f64,
+    /// Standard deviation of the logarithm of declared over mean run times of a job.
+    pub declared_deviation: f64,
+    /// Standard deviation of the logarithm of the run times of a job's tasks.
+    pub task_deviation: f64,
     /// Share of the clients that disconnect early.
     pub early_leave_share: f64,
     /// Delay before a client retries a job whose answer was lost, in milliseconds.
@@ -101,7 +105,7 @@
         .clamp(1.0, 32.0) as u16;
     let mean_ms = sample(rng, job_kind.task_ms, load.spread).max(5.0);
     let work_us: Vec<u64> = (0..width)
-        .map(|_| (sample(rng, mean_ms, 0.15) * 1_000.0) as u64)
+        .map(|_| (sample(rng, mean_ms, load.task_deviation) * 1_000.0) as u64)
         .collect();
     let longest_ms = work_us.iter().copied().max().unwrap_or(0) / 1_000;
     let objective_ms = (longest_ms as f64 * STRETCH) as u64 + ALLOWANCE_MS;
@@ -123,7 +127,7 @@
             memory_mib: 64,
             gpus: 0,
         },
-        estimate_ms: sample(rng, mean_ms, 0.4).max(1.0) as u32,
+        declared_ms: sample(rng, mean_ms, load.declared_deviation).max(1.0) as u32,
         after: Vec::new(),
         required_label: None,
         preferred_label: None,
--- a/components/sim/src/entry.rs
+++ b/components/sim/src/entry.rs
@@ -362,6 +362,7 @@
                     let is_turned_back = event == RunEvent::NotStarted(NotStartedReason::NoRoom);
                     self.report.turned_back += u64::from(is_turned_back);
                 }
+                SchedulerAction::RecordForecast(outcome) => self.report.forecasts.record(&outcome),
                 SchedulerAction::LogPlacement { .. } => {}
             }
         }
--- a/components/sim/src/lib.rs
+++ b/components/sim/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use client::{Burst, JobKind, Load};
 pub use fault::{Fault, FaultKind};
-pub use report::{KindReport, Report, Violation};
+pub use report::{ForecastReport, KindReport, Report, StageReport, Violation};
 pub use scenario::{Scenario, deployment, patterns, usual_load};
 pub use target::TargetSpec;
 pub use world::{Deployment, World};
--- a/components/sim/src/report.rs
+++ b/components/sim/src/report.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use scheduling::{ForecastOutcome, ForecastStage};
+
 /// A violation of a safety guarantee.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Violation {
@@ -32,6 +34,66 @@
     pub longest_refusal_ms: u64,
 }
 
+/// How well the durations of one stage were forecast.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct StageReport {
+    /// Number of forecasts.
+    pub forecasts: u64,
+    /// Number of durations within the 10% to 90% band of the forecast.
+    pub in_band: u64,
+    /// Sum of the logarithms of actual over expected durations.
+    pub log_ratio_sum: f64,
+    /// Sum of their squares.
+    pub log_ratio_square_sum: f64,
+}
+
+impl StageReport {
+    /// Returns the share of durations within the 10% to 90% band of the forecast.
+    #[must_use]
+    pub fn band_share(&self) -> f64 {
+        self.in_band as f64 / self.forecasts.max(1) as f64
+    }
+
+    /// Returns the mean logarithm of actual over expected durations: the bias.
+    #[must_use]
+    pub fn bias(&self) -> f64 {
+        self.log_ratio_sum / self.forecasts.max(1) as f64
+    }
+
+    /// Returns the standard deviation of the logarithm of actual over expected durations.
+    #[must_use]
+    pub fn deviation(&self) -> f64 {
+        let mean_square = self.log_ratio_square_sum / self.forecasts.max(1) as f64;
+        (mean_square - self.bias().powi(2)).max(0.0).sqrt()
+    }
+}
+
+/// How well durations were forecast.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ForecastReport {
+    /// Waits of tasks.
+    pub wait: StageReport,
+    /// Runs of tasks.
+    pub run: StageReport,
+    /// Whole jobs.
+    pub job: StageReport,
+}
+
+impl ForecastReport {
+    pub(crate) fn record(&mut self, outcome: &ForecastOutcome) {
+        let stage = match outcome.stage {
+            ForecastStage::Wait => &mut self.wait,
+            ForecastStage::Run => &mut self.run,
+            ForecastStage::Job => &mut self.job,
+        };
+        let log_ratio = outcome.ratio().max(1e-3).ln();
+        stage.forecasts += 1;
+        stage.in_band += u64::from(outcome.is_in_band == Some(true));
+        stage.log_ratio_sum += log_ratio;
+        stage.log_ratio_square_sum += log_ratio * log_ratio;
+    }
+}
+
 /// Results of a simulation run.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Report {
@@ -53,6 +115,8 @@
     pub messages: u64,
     /// Tasks started.
     pub starts: u64,
+    /// Accuracy of the entries' forecasts.
+    pub forecasts: ForecastReport,
 }
 
 impl KindReport {
--- a/components/sim/src/scenario.rs
+++ b/components/sim/src/scenario.rs
@@ -84,6 +84,8 @@
             kind("small", 100.0, 2, 200.0, 1, 0.01),
         ],
         spread: 0.4,
+        declared_deviation: 0.4,
+        task_deviation: 0.15,
         early_leave_share: 0.0,
         retry_delay_ms: scheduling::CALLER_RETRY_MS,
     }
