Let requests wait for the configuration and the hosts of an entry that has just started

Cause: after a loss of all power callers return within milliseconds.

Ruled out: late readiness (the balancer keeps sending when no entry is ready), lost registrations (the hosts were listed at once).

Change: in the first second after its start an entry holds requests until the configuration is read. A job that would be refused for want of hosts, or for overload while fewer hosts are in view than are about to be, waits for them if its caller's time allows; it is decided again when they are in view. The time that a request was held counts against its caller's time. After that second, and for a job that could not end in time, the refusal comes at once as before.

Tests that fail without the change: platform_start (503 instead of an answer under the configuration), scheduling warm_up.

--- a/components/gateway/src/callers.rs
+++ b/components/gateway/src/callers.rs
@@ -1,14 +1,17 @@
 //! HTTP requests of callers.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use adapter::{CallerRequest, SubmittedJob};
 use futures::channel::oneshot;
 use model::JobId;
 use monoio::net::TcpListener;
+use runtime::uptime_ms;
 use scheduling::{AdmissionInputs, JobRequest, JobSlot, Route, SubmitOutcome, Verdict};
 use web::{HeaderValue, Request, Response, StopSignal};
 
+use crate::configuration::ActiveConfiguration;
 use crate::process::{JobAnswer, Shared};
 
 const HOST_HEADER: &str = "host";
@@ -38,8 +41,8 @@
 }
 
 async fn answer(shared: &Rc<Shared>, request: &Request) -> Response {
-    let active_configuration = shared.active_configuration.borrow().clone();
-    let Some(active_configuration) = active_configuration else {
+    let arrived_ms = shared.advance_clock();
+    let Some(active_configuration) = configuration_in_force(shared, request).await else {
         return refuse(shared, request, "no_configuration", NOT_READY_RETRY_MS);
     };
     let host = request.header(HOST_HEADER).unwrap_or_default();
@@ -49,7 +52,8 @@
     };
     match adapter::caller_request(&request.method, rest) {
         CallerRequest::Submit(id) => {
-            submit(shared, request, route, id, active_configuration.version).await
+            let version = active_configuration.version;
+            submit(shared, request, arrived_ms, route, id, version).await
         }
         CallerRequest::QueueLength => {
             let waiting = shared
@@ -63,9 +67,28 @@
     }
 }
 
+/// Returns the configuration in force. An entry that has just started waits for it: until then it
+/// cannot tell whether the request can be served.
+async fn configuration_in_force(
+    shared: &Shared,
+    request: &Request,
+) -> Option<Rc<ActiveConfiguration>> {
+    let current = || shared.active_configuration.borrow().clone();
+    let starting_ms = shared.starting_until_ms.saturating_sub(uptime_ms());
+    let (_, time_left_ms) = adapter::request_id_and_timeout(request);
+    let patience_ms = time_left_ms.map_or(starting_ms, |left_ms| left_ms.min(starting_ms));
+    if patience_ms == 0 {
+        return current();
+    }
+    let configured = shared.configuration_changed.wait_until(current);
+    let patience = Duration::from_millis(patience_ms);
+    monoio::time::timeout(patience, configured).await.ok()
+}
+
 async fn submit(
     shared: &Rc<Shared>,
     request: &Request,
+    arrived_ms: u64,
     route: &Route,
     id: JobId,
     version: u64,
@@ -96,7 +119,8 @@
         route,
         version,
     };
-    let job = job_request(id, submitted_job, route, time_left_ms);
+    let mut job = job_request(id, submitted_job, route, time_left_ms);
+    job.time_left_ms = job.time_left_ms.saturating_sub(now_ms - arrived_ms);
     let mut actions = Vec::new();
     let submission = shared
         .scheduler
--- a/components/gateway/src/configuration.rs
+++ b/components/gateway/src/configuration.rs
@@ -136,4 +136,5 @@
         published: published.clone(),
     }));
     shared.refresh_limits();
+    shared.configuration_changed.notify_all();
 }
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -56,6 +56,7 @@
     for item in &list.items {
         add_registered(shared, item, registered);
     }
+    shared.scheduler.borrow_mut().hosts_listed();
     let mut revision = list.revision;
     loop {
         let watched = shared
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -34,6 +34,10 @@
 /// may have been sent before it.
 const RESUME_REFUSAL_MS: u64 = 100;
 
+/// Time after the start in which requests wait for the configuration and the hosts, in milliseconds:
+/// both are read within milliseconds, or from another entry if the store does not answer.
+const START_GRACE_MS: u64 = 1_000;
+
 /// Timeout of a call to the store, in milliseconds; must be well above the usual response time of
 /// 4 ms.
 const STORE_TIMEOUT_MS: u64 = 500;
@@ -64,6 +68,10 @@
     /// Known hosts by the address of their agent.
     pub(crate) addresses: RefCell<FxHashMap<String, HostSlot>>,
     pub(crate) active_configuration: RefCell<Option<Rc<ActiveConfiguration>>>,
+    /// Wakes the requests that wait for the first configuration.
+    pub(crate) configuration_changed: Notify,
+    /// End of the time in which requests wait for the configuration and the hosts.
+    pub(crate) starting_until_ms: u64,
     pub(crate) store: StoreClient,
     pub(crate) is_draining: Cell<bool>,
     pub(crate) metrics: GatewayMetrics,
@@ -99,13 +107,18 @@
         let metrics = metrics.transpose()?;
         let key = runtime::generate_process_key();
         let far_factor = settings.far_factor_percent as f64 / 100.0;
+        let starting_until_ms = uptime_ms() + START_GRACE_MS;
+        let scheduler = Scheduler::new(key, &settings.failure_domain, far_factor)
+            .with_hosts_expected_until(starting_until_ms);
         let shared = Shared {
             key,
-            scheduler: RefCell::new(Scheduler::new(key, &settings.failure_domain, far_factor)),
+            scheduler: RefCell::new(scheduler),
             waiters: RefCell::default(),
             link_notifiers: RefCell::default(),
             addresses: RefCell::default(),
             active_configuration: RefCell::default(),
+            configuration_changed: Notify::default(),
+            starting_until_ms,
             store: StoreClient::new(settings.store_address, STORE_TIMEOUT_MS),
             is_draining: Cell::new(false),
             metrics: GatewayMetrics::new()
--- a/components/scheduling/src/host.rs
+++ b/components/scheduling/src/host.rs
@@ -158,8 +158,16 @@
     /// Returns whether the host counts towards the size of the subset: it is usable, or its first
     /// view is not overdue.
     pub(crate) fn is_usable_or_connecting(&self, now_ms: u64) -> bool {
-        self.is_usable(now_ms)
-            || now_ms < self.connection_wanted_changed_at_ms + FIRST_VIEW_TIMEOUT_MS
+        self.is_usable(now_ms) || self.is_recently_wanted(now_ms)
+    }
+
+    /// Returns whether the host has no view yet, and that view is not overdue.
+    pub(crate) fn is_connecting(&self, now_ms: u64) -> bool {
+        self.view.is_none() && self.is_recently_wanted(now_ms)
+    }
+
+    fn is_recently_wanted(&self, now_ms: u64) -> bool {
+        now_ms < self.connection_wanted_changed_at_ms + FIRST_VIEW_TIMEOUT_MS
     }
 
     /// Returns whether tasks may be placed on the host.
--- a/components/scheduling/src/job.rs
+++ b/components/scheduling/src/job.rs
@@ -85,6 +85,8 @@
     pub(crate) has_started_tasks: bool,
     pub(crate) steps: Vec<Vec<Task>>,
     pub(crate) withdrawal: Option<Withdrawal>,
+    /// Whether the job waits for hosts to come into view; none of its tasks has been placed.
+    pub(crate) awaits_hosts: bool,
 }
 
 impl Job {
@@ -140,6 +142,7 @@
             has_started_tasks: false,
             steps,
             withdrawal: None,
+            awaits_hosts: false,
             request,
         }
     }
@@ -153,6 +156,15 @@
         self.objective_at_ms - self.arrived_ms
     }
 
+    /// Returns whether the job may end before its caller stops waiting if its tasks start now.
+    pub(crate) fn can_end_in_time(&self, now_ms: u64) -> bool {
+        let chains_ms = self
+            .forecasts
+            .iter()
+            .map(|step| step.work_ms + step.later_work_ms);
+        now_ms as f64 + chains_ms.fold(0.0, f64::max) <= self.deadline_ms as f64
+    }
+
     /// Returns what is expected of the tasks of a step.
     pub(crate) fn forecast(&self, step: u16) -> &StepForecast {
         &self.forecasts[usize::from(step)]
--- a/components/scheduling/src/scheduler/mod.rs
+++ b/components/scheduling/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 mod forecasts;
 mod planning;
 mod recovery;
+mod warm_up;
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -25,7 +26,7 @@
 use crate::placement::Candidate;
 use crate::request::JobRequest;
 use crate::subset::{MIN_CONNECTED_HOSTS, SubsetSize};
-use crate::verdict::Verdict;
+use crate::verdict::{NotRunReason, Verdict};
 use planning::suitable_host_count;
 
 /// Inputs of the admission decision about a job.
@@ -117,6 +118,8 @@
     placement_rule: PlacementRule,
     choice_count: Cell<u64>,
     kinds: Kinds,
+    /// Until when hosts may be known that have not been listed yet, in milliseconds.
+    hosts_expected_until_ms: u64,
 }
 
 impl Scheduler {
@@ -140,6 +143,7 @@
             placement_rule: PlacementRule::default(),
             choice_count: Cell::new(0),
             kinds: Kinds::default(),
+            hosts_expected_until_ms: 0,
         }
     }
 
@@ -150,6 +154,18 @@
         self
     }
 
+    /// Sets the time until which jobs wait for hosts that have not been listed yet, in milliseconds.
+    #[must_use]
+    pub fn with_hosts_expected_until(mut self, until_ms: u64) -> Self {
+        self.hosts_expected_until_ms = until_ms;
+        self
+    }
+
+    /// Records that the hosts have been listed.
+    pub fn hosts_listed(&mut self) {
+        self.hosts_expected_until_ms = 0;
+    }
+
     /// Sets the minimum number of hosts to connect to.
     #[must_use]
     pub fn with_min_connected_hosts(mut self, min_hosts: usize) -> Self {
@@ -216,7 +232,14 @@
             objective_ms: job.objective_ms(),
             time_left_ms: job.request.time_left_ms,
         };
-        if let Some(reason) = self.refusal_reason(&job, &candidates, prospect) {
+        let refusal_reason = self.refusal_reason(&job, &candidates, prospect);
+        if refusal_reason.is_some_and(NotRunReason::depends_on_hosts)
+            && self.is_most_capacity_unseen(now_ms)
+            && job.can_end_in_time(now_ms)
+        {
+            return self.admit_without_hosts(job, inputs);
+        }
+        if let Some(reason) = refusal_reason {
             let backlog_ms = finish_ms.unwrap_or(0.0) - inputs.objective_ms as f64;
             let retry_after_ms = admission::retry_after_ms(job.id(), backlog_ms);
             return SubmitOutcome::Refused(
--- a/components/scheduling/src/scheduler/planning.rs
+++ b/components/scheduling/src/scheduler/planning.rs
@@ -250,6 +250,10 @@
         let job = &self.jobs[slot];
         let time_left_ms = job.deadline_ms.saturating_sub(now_ms);
         let refusal_reason = admission::refusal_reason(plan.prospect(), time_left_ms);
+        if job.awaits_hosts {
+            self.retry_admission(now_ms, slot, plan, refusal_reason, actions);
+            return;
+        }
         if refusal_reason == Some(NotRunReason::Overload) && !job.has_started_tasks {
             self.withdraw(now_ms, slot, NotRunReason::Overload, actions);
             return;
--- a/components/scheduling/src/verdict.rs
+++ b/components/scheduling/src/verdict.rs
@@ -20,6 +20,13 @@
     TooLate,
 }
 
+impl NotRunReason {
+    /// Returns whether the job might be served once more hosts are in view.
+    pub(crate) fn depends_on_hosts(self) -> bool {
+        matches!(self, Self::NoHosts | Self::NoFittingHost | Self::Overload)
+    }
+}
+
 /// The answer to a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
--- a/components/scheduling/tests/scheduler/main.rs
+++ b/components/scheduling/tests/scheduler/main.rs
@@ -3,3 +3,4 @@
 mod forecasts;
 mod jobs;
 mod support;
+mod warm_up;
