Let hosts take short tasks while their agent drains

Cause: a host is out of reach from the stop order to the first view of the next agent.

Ruled out: registration and connecting (0.15 s); the pause of the platform between exit and start (0.5 s) is not ours.

Change: a draining agent takes tasks that are expected to end before its longest run, and tells entries when it closes; waiting tasks that cannot end by then go back at once. Once it is idle it closes for good, since the process ends a few milliseconds later and would cut a task accepted in between.

Tests that fail without the change: hosting drain, scheduling forecasts (closing host).

--- a/components/hosting/src/host/mod.rs
+++ b/components/hosting/src/host/mod.rs
@@ -1,5 +1,6 @@
 //! State of a host: its target, its runs, and the entries that ordered them.
 
+mod drain;
 mod ends;
 mod incarnations;
 mod orders;
@@ -11,8 +12,8 @@
 use std::rc::Rc;
 
 use model::{
-    HostUpdate, HostUpdateRequest, HostView, MOST_URGENT, NotStartedReason, Orders, ProcessKey,
-    Resources, RunEvent, RunId, RunPermit, TaskRef,
+    HostUpdate, HostUpdateRequest, HostView, MOST_URGENT, Orders, ProcessKey, Resources, RunEvent,
+    RunId, RunPermit, TaskRef,
 };
 use run_times::HostSpeed;
 use rustc_hash::FxHashMap;
@@ -54,7 +55,8 @@
     token_step: u64,
     target: Option<TargetReport>,
     is_target_gone: bool,
-    is_draining: bool,
+    /// When the runs must have ended because the agent shuts down, in milliseconds.
+    closes_at_ms: Option<u64>,
     /// Whether all runs that an earlier agent started at the target have ended; nothing starts
     /// before.
     has_no_earlier_runs: bool,
@@ -89,7 +91,7 @@
             token_step: FIRST_TOKEN_STEP,
             target: None,
             is_target_gone: false,
-            is_draining: false,
+            closes_at_ms: None,
             has_no_earlier_runs: false,
             lease: Lease::default(),
             acknowledged: 0,
@@ -135,13 +137,6 @@
         (self.runs.len() - running, running)
     }
 
-    /// Begins to drain: rejects further orders and the waiting runs.
-    pub fn drain(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
-        self.is_draining = true;
-        self.reject_waiting(NotStartedReason::Draining);
-        self.tick(now_ms, actions);
-    }
-
     /// Processes the orders of an entry, duplicates excepted, and returns the update for it.
     pub fn handle_orders(
         &mut self,
@@ -162,6 +157,7 @@
         for start in orders.starts {
             self.accept_order(now_ms, orders.from, &start, has_authority, actions);
         }
+        self.reject_unfinished(now_ms);
         self.start_waiting(now_ms, actions);
         self.turn_back_waiting(now_ms);
         self.update_for(now_ms, orders.from)
@@ -188,14 +184,15 @@
             return false;
         };
         session.has_urgent_event(last_seen_event)
-            || session.last_reported_open != Some(self.is_open(now_ms))
+            || session.last_reported != Some(self.availability(now_ms))
     }
 
     /// Returns the update for an entry: a new permit, the view, and the unacknowledged events.
     pub fn update_for(&mut self, now_ms: u64, to: ProcessKey) -> HostUpdate {
         let view = self.view(now_ms);
+        let availability = self.availability(now_ms);
         if let Some(session) = self.sessions.get_mut(&to) {
-            session.last_reported_open = Some(view.is_open);
+            session.last_reported = Some(availability);
         }
         HostUpdate {
             permit: RunPermit {
@@ -224,6 +221,7 @@
         self.end_lapsed(now_ms);
         self.retry_stops(now_ms, actions);
         self.reject_overdue(now_ms);
+        self.reject_unfinished(now_ms);
         self.start_waiting(now_ms, actions);
         self.remove_expired(now_ms);
     }
@@ -295,7 +293,7 @@
         let has_single_slot = self.health.is_on_probation();
         self.usable_target(now_ms)
             .is_some_and(|target| !target.is_draining)
-            && !self.is_draining
+            && !self.is_closed(now_ms)
             && (!has_single_slot || self.runs.is_empty())
     }
 
@@ -313,6 +311,7 @@
         let waiting: u64 = waiting().map(|run| remaining(&run)).sum();
         HostView {
             is_open: self.is_open(now_ms),
+            closes_in_ms: self.closes_in_ms(now_ms),
             group: target.map_or_else(|| Rc::from(""), |target| Rc::clone(&target.group)),
             labels: target.map_or_else(Vec::new, |target| target.labels.clone()),
             capacity,
--- a/components/hosting/src/host/orders.rs
+++ b/components/hosting/src/host/orders.rs
@@ -77,7 +77,7 @@
         let Some(target) = self.usable_target(now_ms) else {
             return Some(NotStartedReason::NoTarget);
         };
-        if self.is_draining || target.is_draining {
+        if target.is_draining || !self.can_end(now_ms, order.estimate_ms) {
             return Some(NotStartedReason::Draining);
         }
         let is_full = self.runs.len() >= MAX_RUNS || !target.capacity.can_fit(&order.needs);
--- a/components/hosting/src/host/outlook.rs
+++ b/components/hosting/src/host/outlook.rs
@@ -25,7 +25,7 @@
     }
 
     /// Rejects the queued tasks that are not expected to start before their time in the queue is
-    /// over.
+    /// over, or in time to end before the agent closes.
     pub(super) fn turn_back_waiting(&mut self, now_ms: u64) {
         let Some(mut forecast) = self.forecast(now_ms) else {
             return;
@@ -36,10 +36,13 @@
                 continue;
             };
             let start_ms = forecast.free_at_ms(&self.required(now_ms, run));
-            if start_ms.is_some_and(|start_ms| start_ms <= queue_deadline_ms) {
-                self.place(now_ms, run, &mut forecast);
-            } else {
+            let is_by = |latest_ms| start_ms.is_some_and(|start_ms| start_ms <= latest_ms);
+            if !is_by(queue_deadline_ms) {
                 self.reject(task, NotStartedReason::NoRoom);
+            } else if !is_by(self.latest_start_ms(now_ms, run.estimate_ms)) {
+                self.reject(task, NotStartedReason::Draining);
+            } else {
+                self.place(now_ms, run, &mut forecast);
             }
         }
     }
--- a/components/hosting/src/host/starts.rs
+++ b/components/hosting/src/host/starts.rs
@@ -126,7 +126,7 @@
 
     /// Starts waiting tasks in the order of [`QueuePosition`], as far as they fit.
     pub(super) fn start_waiting(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
-        if now_ms < self.starts_paused_until_ms || self.is_draining {
+        if now_ms < self.starts_paused_until_ms {
             return;
         }
         let Some(target) = self.usable_target(now_ms) else {
--- a/components/hosting/src/session.rs
+++ b/components/hosting/src/session.rs
@@ -6,6 +6,14 @@
 
 use crate::limits::{MAX_EVENTS, PERMIT_TTL_MS, RECONNECT_GRACE_MS, SESSION_RETENTION_MS};
 
+/// Whether a host takes tasks. A change is worth an update at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Availability {
+    pub(crate) is_open: bool,
+    /// When the runs must have ended because the agent shuts down, in milliseconds.
+    pub(crate) closes_at_ms: Option<u64>,
+}
+
 /// State of one entry.
 #[derive(Debug, Default)]
 pub(crate) struct Session {
@@ -15,8 +23,8 @@
     last_orders_number: u64,
     last_event_number: u64,
     events: VecDeque<(u64, RunId, RunEvent)>,
-    /// Whether the host was open in the last update sent.
-    pub(crate) last_reported_open: Option<bool>,
+    /// Availability of the host in the last update sent.
+    pub(crate) last_reported: Option<Availability>,
 }
 
 impl Session {
--- a/components/hosting/tests/host/main.rs
+++ b/components/hosting/tests/host/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions of an agent.
 
 mod authority;
+mod drain;
 mod harness;
 mod incarnations;
 mod leases;
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -277,6 +277,9 @@
 pub struct HostView {
     /// Whether the host accepts tasks.
     pub is_open: bool,
+    /// Time in which tasks must have ended because the agent shuts down, in milliseconds; `None` if
+    /// it does not.
+    pub closes_in_ms: Option<u32>,
     /// Group of interchangeable targets that the host belongs to, as the configuration names it.
     pub group: Rc<str>,
     /// Labels of the target: its kind and its rack.
--- a/components/scheduling/src/placement.rs
+++ b/components/scheduling/src/placement.rs
@@ -54,6 +54,9 @@
     pub(crate) openings: Vec<Opening>,
     pub(crate) urgent_openings: Vec<Opening>,
     pub(crate) placed_tasks: u16,
+    /// Time in which a task must end because the agent shuts down, in milliseconds; infinite if it
+    /// does not.
+    pub(crate) closes_in_ms: f64,
 }
 
 /// Requirements of a task for its host.
@@ -159,6 +162,16 @@
             && requirements
                 .max_per_host
                 .is_none_or(|most| self.placed_tasks < most)
+            && self.can_end(requirements)
+    }
+
+    /// Returns whether the task is expected to end before the agent shuts down.
+    fn can_end(&self, requirements: &Requirements<'_>) -> bool {
+        if self.closes_in_ms.is_infinite() {
+            return true;
+        }
+        let run_ms = self.run_time(requirements).median_ms;
+        self.wait_ms(requirements) + run_ms + ROUND_TRIP_MS <= self.closes_in_ms
     }
 
     /// Returns the expected run time on this host.
--- a/components/scheduling/src/scheduler/planning.rs
+++ b/components/scheduling/src/scheduler/planning.rs
@@ -85,7 +85,7 @@
             if view.group != *group {
                 continue;
             }
-            candidates.push(self.candidate(slot, host, view));
+            candidates.push(self.candidate(now_ms, slot, host, view));
         }
         candidates
     }
@@ -103,12 +103,14 @@
 
     pub(super) fn candidate(
         &self,
+        now_ms: u64,
         slot: HostSlot,
         host: &HostRecord,
         view: &HostView,
     ) -> Candidate {
         let (pending, pending_core_ms) = host.pending_load(view.speed_permille);
         let fits = view.free.can_fit(&pending);
+        let view_age_ms = now_ms.saturating_sub(host.permit_received_at_ms()) as f64;
         Candidate {
             slot,
             labels: view.labels.clone(),
@@ -124,6 +126,9 @@
             openings: openings_after(&view.openings, &pending),
             urgent_openings: openings_after(&view.urgent_openings, &pending),
             placed_tasks: 0,
+            closes_in_ms: view
+                .closes_in_ms
+                .map_or(f64::INFINITY, |ms| f64::from(ms) - view_age_ms),
         }
     }
 
--- a/components/scheduling/tests/scheduler/forecasts.rs
+++ b/components/scheduling/tests/scheduler/forecasts.rs
@@ -30,6 +30,18 @@
     assert!(start.log_deviation_permille < 200, "{start:?}");
 }
 
+#[test]
+fn a_task_is_placed_on_a_closing_host_only_if_it_ends_before_that() {
+    for (closes_in_ms, is_placed) in [(300, true), (50, false)] {
+        let mut bench = Bench::new(1);
+        let mut closing = view(8_000);
+        closing.closes_in_ms = Some(closes_in_ms);
+        bench.report_view(0, closing, &[]);
+        bench.submit(job(1, 1));
+        assert_eq!(bench.orders(0).is_some(), is_placed, "{closes_in_ms}");
+    }
+}
+
 /// Returns the view of a host on which a declared second takes about 2.5 s, with the label `b`.
 fn slow_view(waits_ms: u32) -> HostView {
     let mut slow = view(if waits_ms == 0 { 8_000 } else { 0 });
--- a/components/scheduling/tests/scheduler/support.rs
+++ b/components/scheduling/tests/scheduler/support.rs
@@ -59,6 +59,7 @@
 pub fn view(free_millis: u32) -> HostView {
     HostView {
         is_open: true,
+        closes_in_ms: None,
         group: Rc::from("group"),
         labels: vec![Rc::from("a")],
         capacity: Resources {
--- a/components/sidecar/src/process.rs
+++ b/components/sidecar/src/process.rs
@@ -133,7 +133,7 @@
             "graceful shutdown started");
         shared.update(|host, now_ms, actions| host.drain(now_ms, actions));
         let until_us = monotonic_us() + shared.settings().drain_timeout_ms * 1_000;
-        while !shared.host.borrow().is_idle() && monotonic_us() < until_us {
+        while !shared.close_if_idle() && monotonic_us() < until_us {
             monoio::time::sleep(Duration::from_millis(TICK_INTERVAL_MS)).await;
         }
         // Gives the entries time to fetch the last ends of runs.
@@ -173,6 +173,10 @@
         result
     }
 
+    fn close_if_idle(self: &Rc<Self>) -> bool {
+        self.update(|host, now_ms, _| host.close_if_idle(now_ms))
+    }
+
     fn state(&self) -> Value {
         let host = self.host.borrow();
         let (waiting, running) = host.run_counts();
