--- a/components/gateway/src/callers.rs
+++ b/components/gateway/src/callers.rs
@@ -290,6 +290,7 @@
         hosts = inputs.usable_hosts,
         oldest_view_ms = inputs.oldest_view_ms,
         expected_ms = inputs.finish_ms.unwrap_or(-1.0), objective_ms = inputs.objective_ms,
+        chance_in_time = inputs.chance_in_time,
         time_left_ms = inputs.time_left_ms,
         configuration_version = context.version; "job admitted");
 }
@@ -318,6 +319,7 @@
         reason = reason_of(verdict), hosts = inputs.usable_hosts,
         oldest_view_ms = inputs.oldest_view_ms,
         expected_ms = inputs.finish_ms.unwrap_or(-1.0), objective_ms = inputs.objective_ms,
+        chance_in_time = inputs.chance_in_time,
         time_left_ms = inputs.time_left_ms,
         configuration_version = context.version; "job refused on arrival");
 }
