--- a/components/scheduling/src/baseline.rs
+++ b/components/scheduling/src/baseline.rs
@@ -3,7 +3,7 @@
 use model::mix64;
 use strum::{EnumIter, IntoStaticStr};
 
-use crate::placement::{Candidate, Choice, Requirements};
+use crate::placement::{Candidate, Requirements};
 
 /// Rule by which a host is chosen for a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, EnumIter, IntoStaticStr)]
@@ -29,7 +29,7 @@
     candidates: &[Candidate],
     requirements: &Requirements<'_>,
     number: u64,
-) -> Option<(usize, Choice)> {
+) -> Option<usize> {
     let eligible = candidates.iter().enumerate();
     let eligible: Vec<(usize, &Candidate)> = eligible
         .filter(|(_, candidate)| candidate.is_eligible(requirements))
@@ -38,7 +38,7 @@
         return None;
     }
     let at = |number: u64| eligible[(number % eligible.len() as u64) as usize];
-    let (position, candidate) = match rule {
+    let (position, _) = match rule {
         PlacementRule::SafeOnSlow => return None,
         PlacementRule::Random => at(pseudo_random(number)),
         PlacementRule::RoundRobin => at(number),
@@ -51,7 +51,7 @@
             }
         }
     };
-    Some((position, candidate.choice(requirements)))
+    Some(position)
 }
 
 /// Returns a pseudo-random number that depends only on the number of the choice.
--- a/components/scheduling/src/job.rs
+++ b/components/scheduling/src/job.rs
@@ -96,30 +96,11 @@
         now_ms: u64,
         request: JobRequest,
         usual_speed_permille: f64,
-        mut forecast: impl FnMut(u16, &StepRequest) -> (Option<KindSlot>, RunTime),
+        forecast: impl FnMut(u16, &StepRequest) -> (Option<KindSlot>, RunTime),
     ) -> Self {
-        let steps = request.steps.iter().zip(0..);
-        let run_times: Vec<(Option<KindSlot>, RunTime)> =
-            steps.map(|(step, at)| forecast(at, step)).collect();
-        let work_ms: Vec<f64> = run_times
-            .iter()
-            .map(|(_, run_time)| run_time.median_ms * 1_000.0 / usual_speed_permille.max(1.0))
-            .collect();
-        let later_ms = request.later_steps_ms(&work_ms);
-        let forecasts: Vec<StepForecast> = (0..request.steps.len())
-            .map(|at| StepForecast {
-                kind: run_times[at].0,
-                run_time: run_times[at].1,
-                work_ms: work_ms[at],
-                later_work_ms: later_ms[at],
-            })
-            .collect();
-        let chains_ms = forecasts
-            .iter()
-            .map(|step| step.work_ms + step.later_work_ms);
-        let critical_path_ms = chains_ms.fold(0.0, f64::max);
-        let objective_ms =
-            (critical_path_ms * request.queue.stretch) as u64 + request.queue.allowance_ms;
+        let forecasts = step_forecasts(&request, usual_speed_permille, forecast);
+        let work_ms = critical_path_ms(&forecasts) * request.queue.stretch;
+        let objective_ms = work_ms as u64 + request.queue.allowance_ms;
         let task = Task {
             state: TaskState::Waiting { not_before_ms: 0 },
             attempts: 0,
@@ -158,11 +139,7 @@
 
     /// Returns whether the job may end before its caller stops waiting if its tasks start now.
     pub(crate) fn can_end_in_time(&self, now_ms: u64) -> bool {
-        let chains_ms = self
-            .forecasts
-            .iter()
-            .map(|step| step.work_ms + step.later_work_ms);
-        now_ms as f64 + chains_ms.fold(0.0, f64::max) <= self.deadline_ms as f64
+        now_ms as f64 + critical_path_ms(&self.forecasts) <= self.deadline_ms as f64
     }
 
     /// Returns what is expected of the tasks of a step.
@@ -256,3 +233,37 @@
             .collect()
     }
 }
+
+/// Returns what is expected of the tasks of each step.
+fn step_forecasts(
+    request: &JobRequest,
+    usual_speed_permille: f64,
+    mut forecast: impl FnMut(u16, &StepRequest) -> (Option<KindSlot>, RunTime),
+) -> Vec<StepForecast> {
+    let mut forecasts: Vec<StepForecast> = (0..)
+        .zip(&request.steps)
+        .map(|(at, step)| {
+            let (kind, run_time) = forecast(at, step);
+            StepForecast {
+                kind,
+                run_time,
+                work_ms: run_time.median_ms * 1_000.0 / usual_speed_permille.max(1.0),
+                later_work_ms: 0.0,
+            }
+        })
+        .collect();
+    let work_ms: Vec<f64> = forecasts.iter().map(|step| step.work_ms).collect();
+    let later_ms = request.later_steps_ms(&work_ms);
+    for (forecast, later_ms) in forecasts.iter_mut().zip(later_ms) {
+        forecast.later_work_ms = later_ms;
+    }
+    forecasts
+}
+
+/// Returns the expected work of the longest chain of dependent steps, in milliseconds.
+fn critical_path_ms(forecasts: &[StepForecast]) -> f64 {
+    let chains_ms = forecasts
+        .iter()
+        .map(|step| step.work_ms + step.later_work_ms);
+    chains_ms.fold(0.0, f64::max)
+}
--- a/components/scheduling/src/placement.rs
+++ b/components/scheduling/src/placement.rs
@@ -21,6 +21,9 @@
 /// Factor by which the wait may exceed its forecast in a safe placement.
 const WAIT_MARGIN_FACTOR: f64 = 1.5;
 
+/// Factor on the uncertainty of a host's speed by which the host may be slower in a safe placement.
+const SPEED_MARGIN_DEVIATIONS: f64 = 2.0;
+
 /// Probability of being in time from which on a placement is safe.
 const SAFE_CHANCE: f64 = 0.97;
 
@@ -98,6 +101,17 @@
     pub(crate) is_room_idle: bool,
 }
 
+/// What is expected of a task on a host.
+#[derive(Debug, Clone, Copy)]
+struct Outlook {
+    wait_ms: f64,
+    run_time: RunTime,
+    finish_ms: f64,
+    /// Whether a share of the host's CPU stays free.
+    leaves_room: bool,
+    is_safe: bool,
+}
+
 /// Sort key of a candidate, compared field by field; the smallest is chosen.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 struct Rank {
@@ -125,33 +139,34 @@
             .or_else(|| best_candidate(candidates, requirements, false)),
         _ => baseline::choose(rule, candidates, requirements, number),
     };
-    let (at, choice) = best?;
-    candidates[at].reserve(requirements);
+    let chosen = &mut candidates[best?];
+    let choice = chosen.choice(requirements);
+    chosen.reserve(requirements);
     Some(choice)
 }
 
-/// Returns the eligible candidate with the smallest rank, and its position.
+/// Returns the position of the eligible candidate with the smallest rank.
 fn best_candidate(
     candidates: &[Candidate],
     requirements: &Requirements<'_>,
     excludes_avoided: bool,
-) -> Option<(usize, Choice)> {
-    let mut best: Option<(Rank, usize, Choice)> = None;
+) -> Option<usize> {
+    let mut best: Option<(Rank, usize)> = None;
     for (at, candidate) in candidates.iter().enumerate() {
         if !candidate.is_eligible(requirements)
             || excludes_avoided && requirements.avoided_hosts.contains(&candidate.slot)
         {
             continue;
         }
-        let (rank, choice) = candidate.rank(requirements);
+        let rank = candidate.rank(&candidate.outlook(requirements));
         let is_better = best
             .as_ref()
-            .is_none_or(|(best, ..)| rank.partial_cmp(best) == Some(Ordering::Less));
+            .is_none_or(|(best, _)| rank.partial_cmp(best) == Some(Ordering::Less));
         if is_better {
-            best = Some((rank, at, choice));
+            best = Some((rank, at));
         }
     }
-    best.map(|(_, at, choice)| (at, choice))
+    best.map(|(_, at)| at)
 }
 
 impl Candidate {
@@ -250,31 +265,59 @@
 
     /// Returns the choice of this host for a task.
     pub(crate) fn choice(&self, requirements: &Requirements<'_>) -> Choice {
-        self.rank(requirements).1
+        let outlook = self.outlook(requirements);
+        let until_objective = self.race(requirements, outlook.wait_ms);
+        let until_caller_leaves = Race {
+            allowance_ms: requirements.time_left_ms,
+            stretch: 0.0,
+            ..until_objective
+        };
+        Choice {
+            host: self.slot,
+            wait_ms: outlook.wait_ms,
+            finish_ms: outlook.finish_ms,
+            run_time: outlook.run_time,
+            chance_in_time: chance_in_time(&until_objective),
+            chance_served: chance_in_time(&until_caller_leaves),
+            is_safe: outlook.is_safe,
+            is_room_idle: outlook.leaves_room && outlook.wait_ms < 1.0,
+        }
     }
 
-    fn rank(&self, requirements: &Requirements<'_>) -> (Rank, Choice) {
+    /// Returns what is expected of a task on this host.
+    fn outlook(&self, requirements: &Requirements<'_>) -> Outlook {
         let wait_ms = self.wait_ms(requirements);
         let run_time = self.run_time(requirements);
-        let finish_ms = wait_ms + run_time.median_ms + ROUND_TRIP_MS;
         let spare_millis = self.free.saturating_sub(&requirements.needs).cpu_millis;
         let leaves_room =
             f64::from(spare_millis) >= SPARE_CPU_SHARE * f64::from(self.capacity.cpu_millis);
-        let expected = self.race(requirements, wait_ms);
+        Outlook {
+            wait_ms,
+            run_time,
+            finish_ms: wait_ms + run_time.median_ms + ROUND_TRIP_MS,
+            leaves_room,
+            is_safe: leaves_room && self.is_in_time_with_margins(requirements, wait_ms),
+        }
+    }
+
+    /// Returns whether the task is very likely in time even if it waits longer than expected, and the
+    /// host is slower.
+    fn is_in_time_with_margins(&self, requirements: &Requirements<'_>, wait_ms: f64) -> bool {
+        let expected = self.race(requirements, wait_ms * WAIT_MARGIN_FACTOR);
+        let speed_margin = (self.speed_log_deviation * SPEED_MARGIN_DEVIATIONS).exp();
         let cautious = Race {
-            wait_ms: wait_ms * WAIT_MARGIN_FACTOR + ROUND_TRIP_MS,
-            slowness: expected.slowness * (self.speed_log_deviation * 2.0).exp(),
-            ..expected
-        };
-        let until_caller_leaves = Race {
-            allowance_ms: requirements.time_left_ms,
-            stretch: 0.0,
+            slowness: expected.slowness * speed_margin,
             ..expected
         };
-        let is_safe = leaves_room && chance_in_time(&cautious) >= SAFE_CHANCE;
+        chance_in_time(&cautious) >= SAFE_CHANCE
+    }
+
+    /// Returns the rank of this host for a task that expects this outlook.
+    fn rank(&self, outlook: &Outlook) -> Rank {
         let used_millis =
             self.capacity.cpu_millis - self.free.cpu_millis.min(self.capacity.cpu_millis);
-        let rank = Rank {
+        let is_safe = outlook.is_safe;
+        Rank {
             tier: u8::from(!is_safe),
             speed_class: if is_safe {
                 self.speed_permille / SPEED_CLASS_PERMILLE
@@ -282,25 +325,14 @@
                 0
             },
             time_class: if is_safe {
-                (wait_ms / TIME_CLASS_MS).floor()
+                (outlook.wait_ms / TIME_CLASS_MS).floor()
             } else {
-                (finish_ms / TIME_CLASS_MS).floor()
+                (outlook.finish_ms / TIME_CLASS_MS).floor()
             },
             is_other_domain: !self.is_same_domain,
             used_share: f64::from(used_millis) / f64::from(self.capacity.cpu_millis.max(1)),
-            finish_ms,
-        };
-        let choice = Choice {
-            host: self.slot,
-            wait_ms,
-            finish_ms,
-            run_time,
-            chance_in_time: chance_in_time(&expected),
-            chance_served: chance_in_time(&until_caller_leaves),
-            is_safe,
-            is_room_idle: leaves_room && wait_ms < 1.0,
-        };
-        (rank, choice)
+            finish_ms: outlook.finish_ms,
+        }
     }
 
     fn reserve(&mut self, requirements: &Requirements<'_>) {
