Refuse a request that was read before a suspension, however long it has waited

Cause, found by reading: a request may now wait up to a second for the first configuration. An entry suspended meanwhile refused requests for 100 ms after it resumed; one that waited longer was served, though its caller may have sent it elsewhere.

Change: the check goes by the time at which the request was read.

--- a/components/gateway/src/callers.rs
+++ b/components/gateway/src/callers.rs
@@ -109,7 +109,7 @@
         return adapter::not_run("jobs of this kind are not served", None);
     }
     let now_ms = shared.advance_clock();
-    if shared.is_resuming(now_ms) {
+    if shared.is_from_before_suspension(arrived_ms) {
         return refuse(shared, request, "resuming", NOT_READY_RETRY_MS);
     }
     let (request_id, time_left_ms) = adapter::request_id_and_timeout(request);
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -11,7 +11,7 @@
 use monoio::net::TcpListener;
 use platform::StoreClient;
 use protocol::{LinkCounters, Traffic};
-use runtime::{StopSignal, uptime_ms};
+use runtime::{StopSignal, SuspensionWatch, uptime_ms};
 use rustc_hash::FxHashMap;
 use scheduling::{HostSlot, JobSlot, Scheduler, SchedulerAction, Verdict};
 use serde_json::{Value, json};
@@ -78,8 +78,7 @@
     pub(crate) link_counters: LinkCounters,
     pub(crate) traffic: Traffic,
     pub(crate) web: Rc<ServerCounters>,
-    last_clock_read_ms: Cell<u64>,
-    refuse_until_ms: Cell<u64>,
+    suspension_watch: SuspensionWatch,
 }
 
 /// An entry that has opened its ports.
@@ -126,8 +125,11 @@
             link_counters: LinkCounters::default(),
             traffic: Traffic::default(),
             web: Rc::default(),
-            last_clock_read_ms: Cell::new(uptime_ms()),
-            refuse_until_ms: Cell::new(0),
+            suspension_watch: SuspensionWatch::new(
+                uptime_ms(),
+                SUSPENSION_GAP_MS,
+                RESUME_REFUSAL_MS,
+            ),
             limits: caller_limits(&settings.limits, None).into(),
             settings: RefCell::new(Rc::new(settings)),
         };
@@ -233,11 +235,9 @@
     /// callers may have sent their requests to other entries by now.
     pub(crate) fn advance_clock(&self) -> u64 {
         let now_ms = uptime_ms();
-        let gap_ms = now_ms.saturating_sub(self.last_clock_read_ms.replace(now_ms));
-        if gap_ms >= SUSPENSION_GAP_MS {
+        if let Some(gap_ms) = self.suspension_watch.record_reading(now_ms) {
             log::warn!(target: "gateway", event = "suspended", gap_ms = gap_ms;
                 "process was suspended; jobs in progress are abandoned");
-            self.refuse_until_ms.set(now_ms + RESUME_REFUSAL_MS);
             let mut actions = Vec::new();
             self.scheduler
                 .borrow_mut()
@@ -247,9 +247,10 @@
         now_ms
     }
 
-    /// Returns whether requests that are read now may have been sent before a suspension.
-    pub(crate) fn is_resuming(&self, now_ms: u64) -> bool {
-        now_ms < self.refuse_until_ms.get()
+    /// Returns whether a request that was read at this time may have been sent before the end of a
+    /// suspension.
+    pub(crate) fn is_from_before_suspension(&self, read_ms: u64) -> bool {
+        self.suspension_watch.is_from_before(read_ms)
     }
 
     /// Returns whether the balancer should send new connections to this entry.
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -9,6 +9,7 @@
 mod process;
 mod signals;
 mod stop;
+mod suspension;
 
 pub use clock::{
     clock_drift_ms, format_rfc3339_ms, instant_at, monotonic_us, resample_clock, unix_ms, uptime_ms,
@@ -24,5 +25,6 @@
 pub use process::generate_process_key;
 pub use signals::{SIGNAL_POLL_MS, Signals};
 pub use stop::{StopSignal, Stopped};
+pub use suspension::SuspensionWatch;
 
 pub use prometheus;
