Count repeated log lines of runs turned back, and pause the entry's loops by one policy

Hosts that turned tasks back in a burst gave 4,600 lines in ten seconds, which hid others. The first event of a reason is logged at once and further ones once a second with their count; each is still logged at level debug, and the counter of events stays exact.

The entry's loops for links, configuration and directory use Backoff with their previous first and longest pauses; jitter only shortens them.

--- a/components/gateway/src/configuration.rs
+++ b/components/gateway/src/configuration.rs
@@ -5,6 +5,7 @@
 
 use adapter::{CONFIGURATION_KEY, CallerLimits, StoreItem, WatchedChange};
 use platform::StoreError;
+use runtime::{Backoff, pause_after_failure};
 use scheduling::RouteTable;
 use web::Bytes;
 
@@ -41,6 +42,9 @@
 /// Applies each change of the configuration; never returns.
 pub(crate) async fn follow(shared: Rc<Shared>) {
     let mut is_store_lost = false;
+    let mut backoff = Backoff::builder(RETRY_PAUSE_MS, RETRY_PAUSE_MS)
+        .seed(shared.key.0)
+        .build();
     loop {
         let error = match read_and_watch(&shared).await {
             Ok(()) => continue,
@@ -51,10 +55,11 @@
                 "configuration cannot be read from the store; the last one stays in force");
         }
         is_store_lost = true;
-        monoio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+        pause_after_failure(&mut backoff).await;
         if shared.store.get(CONFIGURATION_KEY, false).await.is_ok() {
             log::info!(target: "gateway", event = "store_regained"; "the store answers again");
             is_store_lost = false;
+            backoff.record_success();
         }
     }
 }
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -7,7 +7,7 @@
 use adapter::{StoreItem, WatchedChange};
 use model::{HOSTS_PREFIX, HostRegistration};
 use platform::StoreError;
-use runtime::uptime_ms;
+use runtime::{Backoff, pause_after_failure, uptime_ms};
 use rustc_hash::FxHashSet;
 use scheduling::HostInfo;
 
@@ -31,14 +31,17 @@
 /// stay in use.
 pub(crate) async fn follow(shared: Rc<Shared>) {
     let mut registered = RegisteredAddresses::new();
+    let mut backoff = Backoff::builder(RETRY_PAUSE_MS, RETRY_PAUSE_MS)
+        .seed(shared.key.0)
+        .build();
     loop {
         match list_and_watch(&shared, &mut registered).await {
-            Ok(()) => {}
+            Ok(()) => backoff.record_success(),
             Err(error) => {
                 log::info!(target: "gateway", event = "directory_unavailable",
                     reason = error.to_string();
                     "hosts cannot be read from the store; the known ones stay in use");
-                monoio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+                pause_after_failure(&mut backoff).await;
             }
         }
     }
--- a/components/gateway/src/links.rs
+++ b/components/gateway/src/links.rs
@@ -2,12 +2,12 @@
 
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 use futures::future::{Either, select};
 use protocol::{HostLink, LinkError};
-use runtime::monotonic_us;
+use runtime::{Backoff, monotonic_us, pause_after_failure};
 use scheduling::{HostSlot, UPDATE_TIMEOUT_MS};
+use slotmap::Key;
 use web::Notify;
 
 use crate::process::Shared;
@@ -37,7 +37,9 @@
 /// Keeps a connection to the agent of a host while the scheduler needs one; returns when the host
 /// has been removed.
 pub(crate) async fn maintain(shared: Rc<Shared>, slot: HostSlot, address: String) {
-    let mut pause_ms = MIN_RECONNECT_PAUSE_MS;
+    let mut backoff = Backoff::builder(MIN_RECONNECT_PAUSE_MS, MAX_RECONNECT_PAUSE_MS)
+        .seed(shared.key.0 ^ slot.data().as_ffi())
+        .build();
     let link_notifier = Rc::new(Notify::default());
     shared
         .link_notifiers
@@ -48,26 +50,26 @@
         if !shared.scheduler.borrow().is_connection_wanted(slot) {
             let wanted = || shared.scheduler.borrow().is_connection_wanted(slot) || !is_known();
             link_notifier.wait_until(|| wanted().then_some(())).await;
-            pause_ms = MIN_RECONNECT_PAUSE_MS;
+            backoff.record_success();
             continue;
         }
-        let limit_ms = (BASE_CONNECT_TIMEOUT_MS + pause_ms).min(MAX_CONNECT_TIMEOUT_MS);
+        let limit_ms =
+            (BASE_CONNECT_TIMEOUT_MS + backoff.next_pause_ms()).min(MAX_CONNECT_TIMEOUT_MS);
         let deadline_us = monotonic_us() + limit_ms * 1_000;
         let traffic = shared.traffic.clone();
         match HostLink::connect(&address, shared.key, deadline_us, traffic).await {
             Ok(link) => {
-                pause_ms = MIN_RECONNECT_PAUSE_MS;
+                backoff.record_success();
                 serve(&shared, slot, &address, &link, &link_notifier).await;
             }
             Err(error) => {
                 shared.metrics.record_link_event("connect_failed");
                 log::debug!(target: "gateway", event = "connect_failed", address = address.as_str(),
-                    reason = error.to_string(), pause_ms = pause_ms;
+                    reason = error.to_string(), pause_ms = backoff.next_pause_ms();
                     "connection to an agent failed; retrying after a pause");
             }
         }
-        monoio::time::sleep(Duration::from_millis(pause_ms)).await;
-        pause_ms = (pause_ms * 2).min(MAX_RECONNECT_PAUSE_MS);
+        pause_after_failure(&mut backoff).await;
     }
     shared.link_notifiers.borrow_mut().remove(slot);
 }
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -1,8 +1,10 @@
 //! Metrics of an entry.
 
+use std::cell::RefCell;
+
 use model::{RunEvent, RunId};
 use runtime::prometheus::{HistogramVec, IntCounterVec, IntGauge};
-use runtime::{Metrics, MetricsError, uptime_ms};
+use runtime::{Metrics, MetricsError, RepeatedLines, uptime_ms};
 use scheduling::ForecastOutcome;
 
 use crate::process::Shared;
@@ -33,6 +35,8 @@
     oldest_view_ms: IntGauge,
     configuration_version: IntGauge,
     dropped_log_lines: IntGauge,
+    /// Runs that hosts turned back, by reason.
+    turned_back: RefCell<RepeatedLines<&'static str>>,
 }
 
 impl GatewayMetrics {
@@ -110,6 +114,7 @@
                 "shallotcross_gateway_log_lines_left_out",
                 "Log lines dropped by the rate limit or because the log reader is slow.",
             )?,
+            turned_back: RefCell::default(),
             metrics,
         })
     }
@@ -139,7 +144,8 @@
         }
     }
 
-    /// Counts an event of a run, and logs it; starts and successful ends at debug level only.
+    /// Counts an event of a run, and logs it; starts and successful ends at debug level only, and
+    /// runs turned back for one reason once a second with their count.
     pub(crate) fn record_run_event(&self, run: RunId, host: &str, age_ms: u64, event: RunEvent) {
         let name = match event {
             RunEvent::Started => "started",
@@ -148,13 +154,27 @@
             RunEvent::Stalled => "stalled",
         };
         self.run_events.with_label_values(&[name]).inc();
+        let mut count = 1;
         let level = match event {
             RunEvent::Started | RunEvent::Ended(model::RunEnd::Done, _) => log::Level::Debug,
+            RunEvent::NotStarted(_) => {
+                let due = self.turned_back.borrow_mut().record(uptime_ms(), name);
+                count = due.unwrap_or(1);
+                due.map_or(log::Level::Debug, |_| log::Level::Info)
+            }
             _ => log::Level::Info,
         };
         log::log!(target: "gateway", level, event = "run", id = run.task.job.as_str(),
             step = run.task.step, task = run.task.index, attempt = run.attempt, host = host,
-            age_ms = age_ms, outcome = name; "event of a run on a host");
+            age_ms = age_ms, outcome = name, count = count; "event of a run on a host");
+    }
+
+    /// Logs the runs that hosts turned back and that have been counted for a second.
+    pub(crate) fn log_turned_back(&self) {
+        for (reason, count) in self.turned_back.borrow_mut().take_due(uptime_ms()) {
+            log::info!(target: "gateway", event = "runs", outcome = reason, count = count;
+                "hosts turned back further runs; their tasks are placed again");
+        }
     }
 
     /// Counts a call to the store.
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -202,6 +202,7 @@
         let mut actions = Vec::new();
         shared.scheduler.borrow_mut().tick(now_ms, &mut actions);
         shared.perform(actions);
+        shared.metrics.log_turned_back();
         runtime::flush_log();
         monoio::time::sleep(Duration::from_millis(TICK_INTERVAL_MS)).await;
     }
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -8,7 +8,9 @@
 mod line_sink;
 mod logging;
 mod metrics;
+mod pause;
 mod process;
+mod repeated_lines;
 mod signals;
 mod stop;
 mod suspension;
@@ -25,7 +27,9 @@
     log_counts,
 };
 pub use metrics::{Metrics, MetricsError};
+pub use pause::pause_after_failure;
 pub use process::generate_process_key;
+pub use repeated_lines::RepeatedLines;
 pub use signals::{SIGNAL_POLL_MS, Signals};
 pub use stop::{StopSignal, Stopped};
 pub use suspension::SuspensionWatch;
