Tell starts that did not arrive from those that may have, and pause their repeats

A start whose connection was refused or reset ended as Unanswered after half a millisecond and was sent again at once, a thousand times and more for one run. Starts refused for token, number or lease were sent again without a limit, until numbers overflowed.

The HTTP client reports a refused connection as an error of its own, and StartOutcome has variants for refused and failed calls. A refused start gives the run back as not started and closes the host until a poll or a report succeeds. One that may have arrived is never given back as not started: two cases claimed that or began a second run under a higher number. Repeats of starts, stops and polls follow Backoff; a start is repeated at most 20 times, and the first two repeats after a time-out stay immediate. A report of the target ends the pause of polls. The line for a failed start is written at once and then once a second with its count.

--- a/components/hosting/src/host/ends.rs
+++ b/components/hosting/src/host/ends.rs
@@ -4,7 +4,7 @@
 
 use super::Host;
 use crate::action::TargetCall;
-use crate::limits::STOP_RETRY_MS;
+use crate::repeats::Repeats;
 use crate::run::RunState;
 
 impl Host {
@@ -34,6 +34,7 @@
         must_end_by_ms: Option<u64>,
         actions: &mut Vec<TargetCall>,
     ) {
+        let seed = self.jitter_seed(task);
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
@@ -43,9 +44,10 @@
         if matches!(run.state, RunState::Stopping { .. }) && must_end_by_ms.is_none() {
             return;
         }
+        run.repeats = Repeats::of_stop(seed);
         run.state = RunState::Stopping {
             number,
-            retry_at_ms: now_ms + STOP_RETRY_MS,
+            retry_at_ms: run.repeats.next_stop_ms(now_ms),
             accepted_at_ms: None,
             must_end_by_ms,
         };
@@ -66,7 +68,7 @@
             } = &mut run.state
                 && *retry_at_ms <= now_ms
             {
-                *retry_at_ms = now_ms + STOP_RETRY_MS;
+                *retry_at_ms = run.repeats.next_stop_ms(now_ms);
                 actions.push(TargetCall::Stop {
                     task: run.id.task,
                     number: *number,
--- a/components/hosting/src/host/incarnations.rs
+++ b/components/hosting/src/host/incarnations.rs
@@ -6,6 +6,7 @@
 use super::Host;
 use crate::action::TargetCall;
 use crate::health::Health;
+use crate::limits::MAX_TOKEN_STEP;
 use crate::target::TargetReport;
 
 impl Host {
@@ -36,6 +37,8 @@
                 target.is_draining != report.is_draining || target.capacity != report.capacity
             });
         self.is_target_gone = false;
+        self.poll_backoff.record_peer_start();
+        self.next_poll_at_ms = now_ms;
         if report.is_draining {
             self.reject_waiting(NotStartedReason::Draining);
         }
@@ -92,7 +95,7 @@
 
     /// Raises the fencing token after the target rejected it as stale.
     pub(super) fn raise_token(&mut self) {
-        self.token += self.token_step;
-        self.token_step = self.token_step.saturating_mul(2);
+        self.token = self.token.saturating_add(self.token_step);
+        self.token_step = self.token_step.saturating_mul(2).min(MAX_TOKEN_STEP);
     }
 }
--- a/components/hosting/src/host/mod.rs
+++ b/components/hosting/src/host/mod.rs
@@ -16,12 +16,15 @@
     RunId, RunPermit, TaskRef,
 };
 use run_times::HostSpeed;
+use runtime::Backoff;
 use rustc_hash::FxHashMap;
 
 use crate::action::TargetCall;
 use crate::health::Health;
 use crate::lease::Lease;
-use crate::limits::{MAX_RUNS, PERMIT_TTL_MS, RUN_NUMBER_RETENTION_MS};
+use crate::limits::{
+    MAX_POLL_PAUSE_MS, MAX_RUNS, MIN_POLL_PAUSE_MS, PERMIT_TTL_MS, RUN_NUMBER_RETENTION_MS,
+};
 use crate::run::Run;
 use crate::session::Session;
 use crate::target::TargetReport;
@@ -66,6 +69,8 @@
     /// When the target last answered a poll, in milliseconds.
     last_answer_at_ms: u64,
     parallel_poll_until_ms: u64,
+    poll_backoff: Backoff,
+    next_poll_at_ms: u64,
     /// Whether the last answer came too late after the one before to yield samples of the speed.
     has_polling_gap: bool,
     speed: HostSpeed,
@@ -97,6 +102,10 @@
             acknowledged: 0,
             last_answer_at_ms: 0,
             parallel_poll_until_ms: 0,
+            poll_backoff: Backoff::builder(MIN_POLL_PAUSE_MS, MAX_POLL_PAUSE_MS)
+                .seed(key.0)
+                .build(),
+            next_poll_at_ms: 0,
             has_polling_gap: false,
             speed: HostSpeed::default(),
             health: Health::default(),
@@ -220,6 +229,7 @@
         self.end_unauthorized(now_ms, actions);
         self.end_lapsed(now_ms);
         self.retry_stops(now_ms, actions);
+        self.repeat_starts(now_ms, actions);
         self.reject_overdue(now_ms);
         self.reject_unfinished(now_ms);
         self.start_waiting(now_ms, actions);
@@ -261,6 +271,11 @@
         })
     }
 
+    /// Returns the seed of the jitter of a task's repeated orders.
+    fn jitter_seed(&self, task: TaskRef) -> u64 {
+        self.key.0 ^ u64::from(task.index)
+    }
+
     /// Adds an event for the entry that ordered a run.
     fn push_event(&mut self, owner: ProcessKey, id: RunId, event: RunEvent) {
         self.sessions.entry(owner).or_default().push(id, event);
--- a/components/hosting/src/host/orders.rs
+++ b/components/hosting/src/host/orders.rs
@@ -7,7 +7,8 @@
 
 use super::Host;
 use crate::action::TargetCall;
-use crate::limits::{MAX_RUNS, STOP_CONFIRM_MS};
+use crate::limits::{MAX_RUNS, STOP_CONFIRM_MS, STOP_RETRY_MS};
+use crate::repeats::Repeats;
 use crate::run::{Run, RunState};
 use crate::session::Session;
 
@@ -55,6 +56,7 @@
                 priority: order.priority,
                 has_started_tasks: order.has_started_tasks,
                 has_unanswered_start: false,
+                repeats: Repeats::of_start(self.jitter_seed(task)),
                 ordered_at_ms: now_ms,
                 state: RunState::Waiting {
                     queue_deadline_ms: now_ms + u64::from(order.queue_timeout_ms),
@@ -143,8 +145,12 @@
                 }
                 Some(RunState::Stopping {
                     must_end_by_ms: by_ms @ None,
+                    retry_at_ms,
                     ..
-                }) => *by_ms = Some(must_end_by_ms),
+                }) => {
+                    *by_ms = Some(must_end_by_ms);
+                    *retry_at_ms = (*retry_at_ms).min(now_ms + STOP_RETRY_MS);
+                }
                 Some(RunState::Stopping { .. }) | None => {}
                 Some(_) => self.send_stop(now_ms, task, Some(must_end_by_ms), actions),
             }
--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -9,7 +9,7 @@
 use crate::action::TargetCall;
 use crate::lease::TargetPoll;
 use crate::limits::{
-    MAX_PARALLEL_POLLS, MIN_STALL_MS, PARALLEL_POLL_MS, PARALLEL_POLL_WAIT_MS,
+    MAX_PARALLEL_POLLS, MIN_POLL_PAUSE_MS, MIN_STALL_MS, PARALLEL_POLL_MS, PARALLEL_POLL_WAIT_MS,
     TARGET_CALL_TIMEOUT_MS, TARGET_POLL_TIMEOUT_MS, TARGET_POLL_WAIT_MS,
 };
 use crate::run::RunState;
@@ -62,6 +62,7 @@
         outcome: TargetPollOutcome,
         actions: &mut Vec<TargetCall>,
     ) {
+        self.schedule_poll(now_ms, sent_at_ms, &outcome);
         match outcome {
             TargetPollOutcome::Answered(target_runs) => {
                 self.apply_target_runs(now_ms, sent_at_ms, &target_runs, actions);
@@ -73,13 +74,41 @@
                 self.reject_waiting(NotStartedReason::NoTarget);
             }
             TargetPollOutcome::OtherIncarnation => self.target = None,
-            TargetPollOutcome::Unanswered => {
+            TargetPollOutcome::Failed | TargetPollOutcome::Unanswered => {
                 self.parallel_poll_until_ms = now_ms + PARALLEL_POLL_MS;
             }
         }
         self.tick(now_ms, actions);
     }
 
+    /// Returns the time from which on the target may be polled, in milliseconds; a report of the
+    /// target ends a pause.
+    #[must_use]
+    pub fn next_poll_at_ms(&self) -> u64 {
+        self.next_poll_at_ms
+    }
+
+    /// Sets the time of the next poll: after a pause if the last one failed immediately, since the
+    /// next one would fail likewise.
+    fn schedule_poll(&mut self, now_ms: u64, sent_at_ms: u64, outcome: &TargetPollOutcome) {
+        let has_waited = now_ms.saturating_sub(sent_at_ms) >= MIN_POLL_PAUSE_MS;
+        self.next_poll_at_ms = match outcome {
+            TargetPollOutcome::Answered(_) => {
+                self.poll_backoff.record_success();
+                now_ms
+            }
+            TargetPollOutcome::Unanswered => now_ms,
+            TargetPollOutcome::Failed if has_waited => now_ms,
+            TargetPollOutcome::NobodyListens | TargetPollOutcome::Failed => {
+                self.poll_backoff.record_failure(now_ms)
+            }
+            // The token is raised, or the identity left out, so that the next poll may succeed.
+            TargetPollOutcome::StaleToken | TargetPollOutcome::OtherIncarnation => {
+                now_ms + MIN_POLL_PAUSE_MS
+            }
+        };
+    }
+
     /// Applies an answer of the target, unless it is from an earlier incarnation.
     pub(super) fn apply_target_runs(
         &mut self,
--- a/components/hosting/src/host/starts.rs
+++ b/components/hosting/src/host/starts.rs
@@ -2,11 +2,14 @@
 
 use std::rc::Rc;
 
-use model::{NotStartedReason, Resources, TaskRef, required_free_resources};
+use model::{NotStartedReason, Resources, RunEnd, TaskRef, required_free_resources};
 
 use super::Host;
 use crate::action::TargetCall;
-use crate::limits::{NO_ROOM_BACKOFF_MS, PARALLEL_POLL_MS, RESERVATION_SLACK_MS};
+use crate::limits::{
+    IMMEDIATE_AFTER_FAILURE, IMMEDIATE_AFTER_REFUSAL, IMMEDIATE_AFTER_TIMEOUT, NO_ROOM_BACKOFF_MS,
+    PARALLEL_POLL_MS, RESERVATION_SLACK_MS,
+};
 use crate::run::{Run, RunState};
 use crate::target::{StartOutcome, StartRefusal};
 
@@ -22,19 +25,28 @@
     ) {
         // The agent may have been suspended since it sent the start.
         self.end_unauthorized(now_ms, actions);
-        let is_current = self
-            .runs
-            .get(&task)
-            .is_some_and(|run| run.state == RunState::Starting { number });
+        if outcome == StartOutcome::NobodyListens {
+            self.is_target_gone = true;
+            self.reject_waiting(NotStartedReason::NoTarget);
+        }
+        let called = RunState::Starting {
+            number,
+            repeat_at_ms: None,
+        };
+        let is_current = self.runs.get(&task).is_some_and(|run| run.state == called);
         if is_current {
             match outcome {
                 StartOutcome::Started => self.mark_running(now_ms, task, number, 0),
+                StartOutcome::NobodyListens => {
+                    self.resolve_refused_start(now_ms, task, NotStartedReason::NoTarget, actions);
+                }
+                StartOutcome::Failed => {
+                    self.record_unanswered_start(now_ms, task);
+                    self.repeat_start(now_ms, task, number, IMMEDIATE_AFTER_FAILURE, actions);
+                }
                 StartOutcome::Unanswered => {
-                    self.parallel_poll_until_ms = now_ms + PARALLEL_POLL_MS;
-                    self.runs
-                        .entry(task)
-                        .and_modify(|run| run.has_unanswered_start = true);
-                    self.send_start(now_ms, task, number, actions);
+                    self.record_unanswered_start(now_ms, task);
+                    self.repeat_start(now_ms, task, number, IMMEDIATE_AFTER_TIMEOUT, actions);
                 }
                 StartOutcome::Refused(reason) => {
                     self.handle_refused_start(now_ms, task, number, reason, actions);
@@ -56,14 +68,23 @@
         match reason {
             StartRefusal::StaleToken => {
                 self.raise_token();
-                self.send_start(now_ms, task, number, actions);
+                self.repeat_start(now_ms, task, number, IMMEDIATE_AFTER_REFUSAL, actions);
+            }
+            // The run with this number may be the one that an earlier copy of the start began, and a
+            // higher number would run the task again.
+            StartRefusal::OldNumber if number == u32::MAX || self.may_have_arrived(task) => {
+                self.resolve_refused_start(now_ms, task, NotStartedReason::NoTarget, actions);
             }
             StartRefusal::OldNumber => {
                 // The last number at the target is unknown; doubling exceeds it after few attempts.
-                self.record_run_number(now_ms, task, number.saturating_mul(2));
-                self.send_start(now_ms, task, number.saturating_mul(2) + 1, actions);
+                let last = number.saturating_mul(2);
+                self.record_run_number(now_ms, task, last);
+                let next = last.saturating_add(1);
+                self.repeat_start(now_ms, task, next, IMMEDIATE_AFTER_REFUSAL, actions);
+            }
+            StartRefusal::LeaseOver => {
+                self.repeat_start(now_ms, task, number, IMMEDIATE_AFTER_REFUSAL, actions);
             }
-            StartRefusal::LeaseOver => self.send_start(now_ms, task, number, actions),
             StartRefusal::NoRoom => {
                 self.starts_paused_until_ms = now_ms + NO_ROOM_BACKOFF_MS;
                 self.resolve_refused_start(now_ms, task, NotStartedReason::NoRoom, actions);
@@ -71,6 +92,10 @@
             StartRefusal::Malformed => {
                 self.resolve_refused_start(now_ms, task, NotStartedReason::Malformed, actions);
             }
+            // An earlier copy may have begun a run that ended with the earlier incarnation.
+            StartRefusal::OtherIncarnation if self.may_have_arrived(task) => {
+                self.remove_ended(now_ms, task, RunEnd::Lost);
+            }
             StartRefusal::OtherIncarnation => self.reject(task, NotStartedReason::NoTarget),
             StartRefusal::Unhealthy => {
                 self.health.failed(now_ms, task.job);
@@ -88,17 +113,78 @@
         reason: NotStartedReason,
         actions: &mut Vec<TargetCall>,
     ) {
-        if self
-            .runs
-            .get(&task)
-            .is_some_and(|run| run.has_unanswered_start)
-        {
+        if self.may_have_arrived(task) {
             self.send_stop(now_ms, task, None, actions);
         } else {
             self.reject(task, reason);
         }
     }
 
+    /// Returns whether the target may still execute a copy of a run's start.
+    fn may_have_arrived(&self, task: TaskRef) -> bool {
+        let run = self.runs.get(&task);
+        run.is_some_and(|run| run.has_unanswered_start)
+    }
+
+    /// Records that the target may have received a start without an answer.
+    fn record_unanswered_start(&mut self, now_ms: u64, task: TaskRef) {
+        self.parallel_poll_until_ms = now_ms + PARALLEL_POLL_MS;
+        if let Some(run) = self.runs.get_mut(&task) {
+            run.has_unanswered_start = true;
+        }
+    }
+
+    /// Sends a start again, the first `immediate` times at once and then after growing pauses.
+    fn repeat_start(
+        &mut self,
+        now_ms: u64,
+        task: TaskRef,
+        number: u32,
+        immediate: u32,
+        actions: &mut Vec<TargetCall>,
+    ) {
+        let Some(run) = self.runs.get_mut(&task) else {
+            return;
+        };
+        match run.repeats.next_start_ms(now_ms, immediate) {
+            Some(at_ms) if at_ms <= now_ms => self.send_start(now_ms, task, number, actions),
+            repeat_at_ms @ Some(_) => {
+                run.state = RunState::Starting {
+                    number,
+                    repeat_at_ms,
+                };
+            }
+            None => self.resolve_refused_start(now_ms, task, NotStartedReason::NoTarget, actions),
+        }
+    }
+
+    /// Sends the starts again whose pause is over; a draining target gets none, since it may not
+    /// have received an earlier copy.
+    pub(super) fn repeat_starts(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
+        let due: Vec<(TaskRef, u32)> = self
+            .runs
+            .iter()
+            .filter_map(|(task, run)| match run.state {
+                RunState::Starting {
+                    number,
+                    repeat_at_ms: Some(at_ms),
+                } if at_ms <= now_ms => Some((*task, number)),
+                _ => None,
+            })
+            .collect();
+        let is_draining = self
+            .target
+            .as_ref()
+            .is_some_and(|target| target.is_draining);
+        for (task, number) in due {
+            if is_draining {
+                self.resolve_refused_start(now_ms, task, NotStartedReason::Draining, actions);
+            } else {
+                self.send_start(now_ms, task, number, actions);
+            }
+        }
+    }
+
     /// Sends a start with a new lease; rejects the run if the clock of the target is unknown.
     pub(super) fn send_start(
         &mut self,
@@ -108,13 +194,16 @@
         actions: &mut Vec<TargetCall>,
     ) {
         let Some(lease_end_ms) = self.lease.grant(now_ms) else {
-            self.reject(task, NotStartedReason::NoTarget);
+            self.resolve_refused_start(now_ms, task, NotStartedReason::NoTarget, actions);
             return;
         };
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
-        run.state = RunState::Starting { number };
+        run.state = RunState::Starting {
+            number,
+            repeat_at_ms: None,
+        };
         actions.push(TargetCall::Start {
             task,
             number,
@@ -152,7 +241,7 @@
                 .get(&task)
                 .map_or(0, |last| last.number);
             free = free.saturating_sub(&needs);
-            self.send_start(now_ms, task, last + 1, actions);
+            self.send_start(now_ms, task, last.saturating_add(1), actions);
         }
     }
 }
--- a/components/hosting/src/lib.rs
+++ b/components/hosting/src/lib.rs
@@ -13,6 +13,7 @@
 mod lease;
 mod limits;
 mod queue;
+mod repeats;
 mod run;
 mod session;
 mod target;
--- a/components/hosting/src/limits.rs
+++ b/components/hosting/src/limits.rs
@@ -43,9 +43,49 @@
 /// five stops, sent every 50 ms. After that the lease of the whole target is not renewed.
 pub const STOP_CONFIRM_MS: u64 = 250;
 
-/// Retry interval of the stop of a run, in milliseconds; a stop takes up to 50 ms.
+/// Pause before each of the first [`STEADY_STOPS`] repeats of a stop, in milliseconds; a stop takes
+/// up to 50 ms.
 pub(crate) const STOP_RETRY_MS: u64 = 50;
 
+/// Number of repeats of a stop after which its pauses grow: those within [`STOP_CONFIRM_MS`]. After
+/// that the lease ends a run that should not be there.
+pub(crate) const STEADY_STOPS: u32 = 5;
+
+/// Longest pause before a stop is repeated, in milliseconds.
+pub(crate) const MAX_STOP_PAUSE_MS: u64 = 200;
+
+/// First pause before a start is repeated, in milliseconds; the interval of the agent's timer.
+pub(crate) const MIN_START_PAUSE_MS: u64 = 20;
+
+/// Longest pause before a start is repeated, in milliseconds.
+pub(crate) const MAX_START_PAUSE_MS: u64 = 200;
+
+/// Number of immediate repeats of a start that was not answered in time. Of targets that leave one
+/// call in twenty unanswered, one start in 8,000 needs a third repeat.
+pub(crate) const IMMEDIATE_AFTER_TIMEOUT: u32 = 2;
+
+/// Number of immediate repeats of a start whose call failed before its time limit: a connection
+/// that the target has just closed fails once.
+pub(crate) const IMMEDIATE_AFTER_FAILURE: u32 = 1;
+
+/// Number of immediate repeats of a start that was refused for its token, number or lease; few
+/// doubling steps make up for the usual differences.
+pub(crate) const IMMEDIATE_AFTER_REFUSAL: u32 = 4;
+
+/// Most repeats of a start. A fencing token from a clock that was set back by a day needs 17.
+pub(crate) const MAX_START_REPEATS: u32 = 20;
+
+/// First pause before a poll that failed immediately is repeated, in milliseconds.
+pub(crate) const MIN_POLL_PAUSE_MS: u64 = 20;
+
+/// Longest pause before a poll that failed immediately is repeated, in milliseconds. The target's
+/// next report ends the pause.
+pub(crate) const MAX_POLL_PAUSE_MS: u64 = 200;
+
+/// Largest step by which a fencing token that is too low is raised: a year in milliseconds. The
+/// token would overflow after some 54 doubled steps.
+pub(crate) const MAX_TOKEN_STEP: u64 = 31_536_000_000;
+
 /// How long the state of an entry is kept after its last request, in milliseconds.
 pub(crate) const SESSION_RETENTION_MS: u64 = 10_000;
 
--- a/components/hosting/src/run.rs
+++ b/components/hosting/src/run.rs
@@ -5,6 +5,8 @@
 use model::{ProcessKey, Resources, RunId};
 use run_times::SpeedSample;
 
+use crate::repeats::Repeats;
+
 /// Progress from which on the end of a run is extrapolated from it; declared run times are off by
 /// more.
 const MIN_PROGRESS_PERCENT: u8 = 20;
@@ -28,6 +30,8 @@
     Starting {
         /// Number of the run.
         number: u32,
+        /// When the start is sent again, in milliseconds; `None` while a call is in progress.
+        repeat_at_ms: Option<u64>,
     },
     /// It runs at the target.
     Running {
@@ -76,6 +80,8 @@
     pub(crate) has_started_tasks: bool,
     /// Whether a start was not answered, so that the target may still execute it.
     pub(crate) has_unanswered_start: bool,
+    /// Repeats of the start, or of the stop once one was sent.
+    pub(crate) repeats: Repeats,
     pub(crate) ordered_at_ms: u64,
     pub(crate) state: RunState,
 }
@@ -86,7 +92,7 @@
     pub(crate) fn number(&self) -> Option<u32> {
         match self.state {
             RunState::Waiting { .. } => None,
-            RunState::Starting { number }
+            RunState::Starting { number, .. }
             | RunState::Running { number, .. }
             | RunState::Stopping { number, .. } => Some(number),
         }
--- a/components/hosting/src/target.rs
+++ b/components/hosting/src/target.rs
@@ -89,12 +89,16 @@
     OtherIncarnation,
     /// The connection was refused: no process listens at the target's address.
     NobodyListens,
-    /// The target rejected the call, or did not answer in time.
+    /// The call failed before its time limit, as by a reset connection or an unreadable answer.
+    Failed,
+    /// The target did not answer in time.
     Unanswered,
 }
 
 /// Why a target refused a start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::IntoStaticStr, strum::EnumIter)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, strum::IntoStaticStr, strum::EnumIter,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum StartRefusal {
     /// The target has seen a higher fencing token.
@@ -114,12 +118,18 @@
 }
 
 /// Result of a start call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StartOutcome {
     /// The run has started.
     Started,
     /// The run has not started, and this call will not start it later.
     Refused(StartRefusal),
+    /// The connection was refused: no process listens at the target's address, so that this call
+    /// cannot start the run.
+    NobodyListens,
+    /// The call failed before its time limit, as by a reset connection; the run may have started or
+    /// may start later.
+    Failed,
     /// No answer came in time; the run may have started or may start later.
     Unanswered,
 }
--- a/components/hosting/tests/host/main.rs
+++ b/components/hosting/tests/host/main.rs
@@ -6,3 +6,4 @@
 mod incarnations;
 mod leases;
 mod queueing;
+mod retries;
--- a/components/sidecar/src/calls.rs
+++ b/components/sidecar/src/calls.rs
@@ -1,17 +1,20 @@
 //! Calls to the target on the same host.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hosting::{TARGET_CALL_TIMEOUT_MS, TargetCall, TargetPollOutcome};
+use futures::future::select;
+use hosting::{StartOutcome, TARGET_CALL_TIMEOUT_MS, TargetCall, TargetPollOutcome};
 use model::TaskRef;
 use runtime::uptime_ms;
 use web::Request;
 
 use crate::process::Shared;
 
-/// Pause between two polls of the target after one that failed at once, in milliseconds.
-const RETRY_PAUSE_MS: u64 = 20;
+/// Interval at which the parallel polls check whether they are needed, and pause after one that
+/// failed immediately, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 20;
 
 /// Makes one call to the target.
 pub(crate) fn perform(shared: &Rc<Shared>, call: TargetCall) {
@@ -61,16 +64,39 @@
     let result = shared.target.call(&request, limit).await;
     let outcome = adapter::start_outcome(&result);
     shared.metrics.record_start(outcome);
-    if outcome != hosting::StartOutcome::Started {
-        log::info!(target: "sidecar", event = "start", id = task.job.as_str(), step = task.step,
-            task = task.index, run = number, outcome = format!("{outcome:?}");
-            "target refused the start of a run or did not answer it");
+    if outcome != StartOutcome::Started {
+        log_failed_start(&shared, task, number, outcome);
     }
     shared.update(|host, now_ms, actions| {
         host.handle_start_outcome(now_ms, task, number, outcome, actions);
     });
 }
 
+/// Logs a start that did not succeed; further ones with the same outcome are counted and logged once
+/// a second, and each of them at debug level.
+fn log_failed_start(shared: &Shared, task: TaskRef, number: u32, outcome: StartOutcome) {
+    let now_ms = uptime_ms();
+    let count = shared.failed_starts.borrow_mut().record(now_ms, outcome);
+    let level = if count.is_some() {
+        log::Level::Info
+    } else {
+        log::Level::Debug
+    };
+    log::log!(target: "sidecar", level, event = "start", id = task.job.as_str(), step = task.step,
+        task = task.index, run = number, outcome = format!("{outcome:?}"),
+        count = count.unwrap_or(1);
+        "target refused the start of a run or did not answer it");
+}
+
+/// Logs the starts that did not succeed and have been counted for a second.
+pub(crate) fn log_failed_starts(shared: &Shared) {
+    let due = shared.failed_starts.borrow_mut().take_due(uptime_ms());
+    for (outcome, count) in due {
+        log::info!(target: "sidecar", event = "starts", outcome = format!("{outcome:?}"),
+            count = count; "target refused further starts of runs or did not answer them");
+    }
+}
+
 async fn stop(shared: Rc<Shared>, request: Request, task: TaskRef, number: u32) {
     let limit = Duration::from_millis(TARGET_CALL_TIMEOUT_MS);
     let result = shared.target.call(&request, limit).await;
@@ -100,27 +126,39 @@
         shared.update(|host, now_ms, actions| {
             host.poll_ended(now_ms, sent_at_ms, outcome, actions);
         });
-        if !is_answered {
-            pause_if_recent(sent_at_ms).await;
-        }
+        wait_until_poll_is_due(&shared).await;
     }
 }
 
-/// Pauses if a poll that failed was sent just now, so that the next one does not fail likewise.
-async fn pause_if_recent(sent_at_ms: u64) {
-    if uptime_ms().saturating_sub(sent_at_ms) < RETRY_PAUSE_MS {
-        monoio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+/// Waits for the pause after a poll that failed; an event of the host, as a report of the target,
+/// may end it.
+async fn wait_until_poll_is_due(shared: &Shared) {
+    loop {
+        let pause_ms = poll_pause_ms(shared);
+        if pause_ms == 0 {
+            return;
+        }
+        let is_due = || (poll_pause_ms(shared) == 0).then_some(());
+        let pause = pin!(monoio::time::sleep(Duration::from_millis(pause_ms)));
+        let event = pin!(shared.host_changed.wait_until(is_due));
+        select(pause, event).await;
     }
 }
 
+fn poll_pause_ms(shared: &Shared) -> u64 {
+    let next_ms = shared.host.borrow().next_poll_at_ms();
+    next_ms.saturating_sub(uptime_ms())
+}
+
 /// Polls in addition to [`poll_target`] for a time after the target left a call unanswered, so that
 /// one lost answer delays neither the renewal of the lease nor the news of an end; never returns.
 ///
 /// `number` counts the loops; this one polls while more than `number` polls should be in progress.
 pub(crate) async fn poll_in_parallel(shared: Rc<Shared>, number: usize) {
     loop {
-        if shared.host.borrow().poll_count(uptime_ms()) <= number {
-            monoio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+        let is_needed = shared.host.borrow().poll_count(uptime_ms()) > number;
+        if !is_needed || poll_pause_ms(&shared) > 0 {
+            monoio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
             continue;
         }
         let sent_at_ms = uptime_ms();
@@ -129,8 +167,8 @@
             shared.update(|host, now_ms, actions| {
                 host.poll_ended(now_ms, sent_at_ms, outcome, actions);
             });
-        } else {
-            pause_if_recent(sent_at_ms).await;
+        } else if uptime_ms().saturating_sub(sent_at_ms) < CHECK_INTERVAL_MS {
+            monoio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
         }
     }
 }
@@ -155,6 +193,7 @@
         TargetPollOutcome::StaleToken => "stale_token",
         TargetPollOutcome::OtherIncarnation => "other_incarnation",
         TargetPollOutcome::NobodyListens => "nobody_listens",
+        TargetPollOutcome::Failed => "failed",
         TargetPollOutcome::Unanswered => "unanswered",
     };
     log::warn!(target: "sidecar", event = "target_lost", reason = reason;
--- a/components/sidecar/src/metrics.rs
+++ b/components/sidecar/src/metrics.rs
@@ -47,6 +47,8 @@
         let result = match outcome {
             StartOutcome::Started => "ok",
             StartOutcome::Refused(reason) => reason.into(),
+            StartOutcome::NobodyListens => "nobody_listens",
+            StartOutcome::Failed => "failed",
             StartOutcome::Unanswered => "unanswered",
         };
         self.target_calls
@@ -67,6 +69,7 @@
             TargetPollOutcome::StaleToken => "stale_token",
             TargetPollOutcome::OtherIncarnation => "other_incarnation",
             TargetPollOutcome::NobodyListens => "nobody_listens",
+            TargetPollOutcome::Failed => "failed",
             TargetPollOutcome::Unanswered => "unanswered",
         };
         self.target_calls.with_label_values(&["hold", result]).inc();
--- a/components/sidecar/src/process.rs
+++ b/components/sidecar/src/process.rs
@@ -6,12 +6,12 @@
 
 use config::SidecarSettings;
 use errors::{Error, ExitCode};
-use hosting::{Host, TargetCall};
+use hosting::{Host, StartOutcome, TargetCall};
 use model::ProcessKey;
 use monoio::net::TcpListener;
 use platform::StoreClient;
 use protocol::{LinkCounters, Traffic};
-use runtime::{StopSignal, monotonic_us, unix_ms, uptime_ms};
+use runtime::{RepeatedLines, StopSignal, monotonic_us, unix_ms, uptime_ms};
 use serde_json::{Value, json};
 use web::{Client, Notify};
 
@@ -39,6 +39,8 @@
     pub(crate) host_changed: Notify,
     pub(crate) is_draining: Cell<bool>,
     pub(crate) metrics: SidecarMetrics,
+    /// Starts that did not succeed, by their outcome.
+    pub(crate) failed_starts: RefCell<RepeatedLines<StartOutcome>>,
     pub(crate) link_counters: LinkCounters,
     pub(crate) traffic: Traffic,
 }
@@ -76,6 +78,7 @@
             is_draining: Cell::new(false),
             metrics: SidecarMetrics::new()
                 .map_err(|error| Error::new(ExitCode::Failure, error.to_string()))?,
+            failed_starts: RefCell::default(),
             link_counters: LinkCounters::default(),
             traffic: Traffic::default(),
             settings: RefCell::new(Rc::new(settings)),
@@ -147,6 +150,7 @@
 async fn run_timers(shared: Rc<Shared>) {
     loop {
         shared.update(|host, now_ms, actions| host.tick(now_ms, actions));
+        crate::calls::log_failed_starts(&shared);
         runtime::flush_log();
         monoio::time::sleep(Duration::from_millis(TICK_INTERVAL_MS)).await;
     }
--- a/components/web/src/call.rs
+++ b/components/web/src/call.rs
@@ -19,7 +19,10 @@
     /// The call timed out.
     #[display("timeout")]
     TimedOut,
-    /// The connection could not be opened.
+    /// The connection was refused: no process listens at the address.
+    #[display("connection refused")]
+    Refused,
+    /// The connection could not be opened for another reason.
     #[display("connect failed: {_0}")]
     Connect(#[error(not(source))] String),
     /// The connection broke.
--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -1,6 +1,7 @@
 //! HTTP client for one address with pooled connections.
 
 use std::cell::Cell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -198,7 +199,7 @@
         }
         let encoded = encode()?;
         let connected = connect(self.address).await;
-        let mut pooled = connected.map_err(|error| CallFault::Connect(error.to_string()))?;
+        let mut pooled = connected.map_err(|error| fault_from_connect_error(&error))?;
         increment(&self.counters.connects);
         let stream = &mut pooled.connection.stream;
         match write_request(stream, encoded, written_bytes).await {
@@ -207,3 +208,11 @@
         }
     }
 }
+
+fn fault_from_connect_error(error: &io::Error) -> CallFault {
+    if error.kind() == io::ErrorKind::ConnectionRefused {
+        CallFault::Refused
+    } else {
+        CallFault::Connect(error.to_string())
+    }
+}
