Poll a target that hangs once at a time

A target that left calls unanswered and had runs was polled three times in parallel for as long as it hung, since each unanswered poll prolonged that: a new connection every 22 ms. A target that has been silent for as long as a lease does not lose single answers, so that one poll at a time is enough; it is polled in parallel again after its next answer.

--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -9,8 +9,8 @@
 use crate::action::TargetCall;
 use crate::lease::TargetPoll;
 use crate::limits::{
-    MAX_PARALLEL_POLLS, MIN_POLL_PAUSE_MS, MIN_STALL_MS, PARALLEL_POLL_MS, PARALLEL_POLL_WAIT_MS,
-    TARGET_CALL_TIMEOUT_MS, TARGET_POLL_TIMEOUT_MS, TARGET_POLL_WAIT_MS,
+    LEASE_MS, MAX_PARALLEL_POLLS, MIN_POLL_PAUSE_MS, MIN_STALL_MS, PARALLEL_POLL_MS,
+    PARALLEL_POLL_WAIT_MS, TARGET_CALL_TIMEOUT_MS, TARGET_POLL_TIMEOUT_MS, TARGET_POLL_WAIT_MS,
 };
 use crate::run::RunState;
 use crate::target::{EndedRun, RunningRun, TargetEnd, TargetPollOutcome, TargetRuns};
@@ -47,10 +47,12 @@
     }
 
     /// Returns how many polls of the target should be in progress: several while there are runs and
-    /// the target recently left a call unanswered.
+    /// the target recently left a call unanswered. A target that has been silent for as long as a
+    /// lease does not lose single answers but hangs, and further polls would only cost connections.
     #[must_use]
     pub fn poll_count(&self, now_ms: u64) -> usize {
-        let is_lossy = now_ms < self.parallel_poll_until_ms && !self.runs.is_empty();
+        let is_hanging = now_ms >= self.last_answer_at_ms + LEASE_MS;
+        let is_lossy = now_ms < self.parallel_poll_until_ms && !self.runs.is_empty() && !is_hanging;
         if is_lossy { MAX_PARALLEL_POLLS } else { 1 }
     }
 
@@ -316,7 +318,7 @@
 
     /// Ends as lost all runs at the target if it does not answer and their lease has expired.
     pub(super) fn end_lapsed(&mut self, now_ms: u64) {
-        let is_silent = now_ms >= self.last_answer_at_ms + crate::limits::LEASE_MS;
+        let is_silent = now_ms >= self.last_answer_at_ms + LEASE_MS;
         if is_silent && now_ms >= self.lease.expired_at_ms() {
             self.end_all_as_lost(now_ms);
         }
--- a/components/hosting/tests/host/leases.rs
+++ b/components/hosting/tests/host/leases.rs
@@ -38,6 +38,24 @@
     assert_eq!(bench.host.poll_count(bench.now_ms), 1);
 }
 
+// A target that hung for seconds was polled three times in parallel, each time with a new connection.
+#[test]
+fn a_target_that_is_silent_for_a_lease_is_not_polled_in_parallel() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    bench.execute_starts();
+    let sent_ms = bench.now_ms;
+    bench.now_ms += LEASE_MS - 1;
+    let unanswered = TargetPollOutcome::Unanswered;
+    bench
+        .host
+        .poll_ended(bench.now_ms, sent_ms, unanswered, &mut bench.actions);
+    assert_eq!(bench.host.poll_count(bench.now_ms), MAX_PARALLEL_POLLS);
+    assert_eq!(bench.host.poll_count(bench.now_ms + 1), 1);
+    bench.poll_target();
+    assert_eq!(bench.host.poll_count(bench.now_ms + 1), MAX_PARALLEL_POLLS);
+}
+
 #[test]
 fn the_lease_is_not_renewed_if_a_run_is_not_stopped_in_time() {
     let mut bench = Bench::new();
--- a/components/sim/src/agent.rs
+++ b/components/sim/src/agent.rs
@@ -207,6 +207,7 @@
                 outcome,
             } => {
                 if self.is_agent_current(host, incarnation) {
+                    self.report.timed_out_calls += u64::from(outcome == StartOutcome::Unanswered);
                     self.update_host(host, |host, now_ms, actions| {
                         host.handle_start_outcome(now_ms, task, number, outcome, actions);
                     });
@@ -468,6 +469,7 @@
                 number,
                 token,
             } => {
+                self.report.timed_out_calls += u64::from(is_late);
                 let arrives = Event::TargetStop {
                     host,
                     incarnation,
@@ -538,6 +540,7 @@
         self.agents[host].target_poll_calls[poll.lane] = 0;
         let is_answered = matches!(outcome, TargetPollOutcome::Answered(_));
         let is_timeout = outcome == TargetPollOutcome::Unanswered;
+        self.report.timed_out_calls += u64::from(is_timeout);
         if is_answered || poll.lane == 0 {
             self.update_host(host, |host, now_ms, actions| {
                 host.poll_ended(now_ms, poll.sent_ms, outcome, actions);
--- a/components/sim/src/report.rs
+++ b/components/sim/src/report.rs
@@ -115,6 +115,8 @@
     pub messages: u64,
     /// Tasks started.
     pub starts: u64,
+    /// Calls to targets that timed out; each of them costs a connection.
+    pub timed_out_calls: u64,
     /// Accuracy of the entries' forecasts.
     pub forecasts: ForecastReport,
 }
@@ -150,13 +152,14 @@
         }
         writeln!(
             formatter,
-            "worth {:.3}, wasted {:.1} of {:.1} core s, rejected starts {}, turned back {:.3} and messages {:.1} per task",
+            "worth {:.3}, wasted {:.1} of {:.1} core s, rejected starts {}, turned back {:.3} and messages {:.1} per task, calls timed out {}",
             self.worth_share,
             self.wasted_core_s,
             self.used_core_s,
             self.rejected_starts,
             self.turned_back as f64 / self.starts.max(1) as f64,
             self.messages as f64 / self.starts.max(1) as f64,
+            self.timed_out_calls,
         )?;
         for violation in self.violations.iter().take(10) {
             writeln!(
