Connect at once to an agent that registers anew

The entry paused up to 500 ms between attempts to connect to an agent, also when the store had just told that the agent was there again. A change of the host's registration now ends the pause. The line for hosts that cannot be read from the store is written once a second with its count.

Tested: clippy of the workspace, and the platform tests of the root package; no test covers the wake of a link.

--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -7,7 +7,7 @@
 use adapter::{StoreItem, WatchedChange};
 use model::{HOSTS_PREFIX, HostRegistration};
 use platform::StoreError;
-use runtime::{Backoff, pause_after_failure, uptime_ms};
+use runtime::{Backoff, RepeatedLines, pause_after_failure, uptime_ms};
 use rustc_hash::FxHashSet;
 use scheduling::HostInfo;
 
@@ -31,6 +31,7 @@
 /// stay in use.
 pub(crate) async fn follow(shared: Rc<Shared>) {
     let mut registered = RegisteredAddresses::new();
+    let mut failures = RepeatedLines::default();
     let mut backoff = Backoff::builder(RETRY_PAUSE_MS, RETRY_PAUSE_MS)
         .seed(shared.key.0)
         .build();
@@ -38,9 +39,11 @@
         match list_and_watch(&shared, &mut registered).await {
             Ok(()) => backoff.record_success(),
             Err(error) => {
-                log::info!(target: "gateway", event = "directory_unavailable",
-                    reason = error.to_string();
-                    "hosts cannot be read from the store; the known ones stay in use");
+                if let Some(count) = failures.record(uptime_ms(), ()) {
+                    log::info!(target: "gateway", event = "directory_unavailable",
+                        reason = error.to_string(), count = count;
+                        "hosts cannot be read from the store; the known ones stay in use");
+                }
                 pause_after_failure(&mut backoff).await;
             }
         }
@@ -70,7 +73,12 @@
         let watch = watched?;
         for change in &watch.changes {
             match change {
-                WatchedChange::Put(item) => add_registered(shared, item, registered),
+                WatchedChange::Put(item) => {
+                    add_registered(shared, item, registered);
+                    if let Some(address) = registered.get(&item.key) {
+                        end_reconnect_pause(shared, address);
+                    }
+                }
                 WatchedChange::Deleted { key } => {
                     registered.remove(key);
                 }
@@ -99,6 +107,20 @@
     }
 }
 
+/// Makes the entry connect to a host that was registered anew without waiting for the end of a
+/// pause: its agent is there.
+fn end_reconnect_pause(shared: &Shared, address: &String) {
+    let Some(slot) = shared.addresses.borrow().get(address).copied() else {
+        return;
+    };
+    let mut registrations = shared.registrations.borrow_mut();
+    let count = registrations.get(slot).copied().unwrap_or(0);
+    registrations.insert(slot, count + 1);
+    if let Some(link_notifier) = shared.link_notifiers.borrow().get(slot) {
+        link_notifier.notify_all();
+    }
+}
+
 /// Adds a host unless its address is known, and starts to connect to its agent when needed.
 pub(crate) fn add_host(shared: &Rc<Shared>, registration: &HostRegistration) {
     let mut addresses = shared.addresses.borrow_mut();
--- a/components/gateway/src/links.rs
+++ b/components/gateway/src/links.rs
@@ -46,6 +46,7 @@
         .borrow_mut()
         .insert(slot, Rc::clone(&link_notifier));
     let is_known = || shared.addresses.borrow().get(&address) == Some(&slot);
+    let registrations = || shared.registrations.borrow().get(slot).copied();
     while is_known() {
         if !shared.scheduler.borrow().is_connection_wanted(slot) {
             let wanted = || shared.scheduler.borrow().is_connection_wanted(slot) || !is_known();
@@ -53,6 +54,7 @@
             backoff.record_success();
             continue;
         }
+        let mut registrations_before = registrations();
         let limit_ms =
             (BASE_CONNECT_TIMEOUT_MS + backoff.next_pause_ms()).min(MAX_CONNECT_TIMEOUT_MS);
         let deadline_us = monotonic_us() + limit_ms * 1_000;
@@ -61,6 +63,7 @@
             Ok(link) => {
                 backoff.record_success();
                 serve(&shared, slot, &address, &link, &link_notifier).await;
+                registrations_before = registrations();
             }
             Err(error) => {
                 shared.metrics.record_link_event("connect_failed");
@@ -69,9 +72,21 @@
                     "connection to an agent failed; retrying after a pause");
             }
         }
-        pause_after_failure(&mut backoff).await;
+        let is_registered_anew = || (registrations() != registrations_before).then_some(());
+        let registered = link_notifier.wait_until(is_registered_anew);
+        if pause_unless(&mut backoff, registered).await {
+            backoff.record_peer_start();
+        }
     }
     shared.link_notifiers.borrow_mut().remove(slot);
+    shared.registrations.borrow_mut().remove(slot);
+}
+
+/// Pauses after a failure; returns whether news of the other side ended the pause.
+async fn pause_unless(backoff: &mut Backoff, news: impl Future<Output = ()>) -> bool {
+    let pause = pin!(pause_after_failure(backoff));
+    let news = pin!(news);
+    matches!(select(pause, news).await, Either::Right(_))
 }
 
 async fn serve(
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -65,6 +65,8 @@
     /// Wakes the connection of a host: orders are ready, the scheduler now needs the connection or no
     /// longer does, or the host was removed.
     pub(crate) link_notifiers: RefCell<SecondaryMap<HostSlot, Rc<Notify>>>,
+    /// Number of times that each host was registered anew, as an agent does at its start.
+    pub(crate) registrations: RefCell<SecondaryMap<HostSlot, u64>>,
     /// Known hosts by the address of their agent.
     pub(crate) addresses: RefCell<FxHashMap<String, HostSlot>>,
     pub(crate) active_configuration: RefCell<Option<Rc<ActiveConfiguration>>>,
@@ -114,6 +116,7 @@
             scheduler: RefCell::new(scheduler),
             waiters: RefCell::default(),
             link_notifiers: RefCell::default(),
+            registrations: RefCell::default(),
             addresses: RefCell::default(),
             active_configuration: RefCell::default(),
             configuration_changed: Notify::default(),
