--- a/tests/platform_retries.rs
+++ b/tests/platform_retries.rs
@@ -6,9 +6,10 @@
 use std::sync::mpsc::{self, Receiver};
 use std::time::{Duration, Instant};
 
+use model::HOSTS_PREFIX;
 use platform_standins::StoreServer;
-use platform_support::support::call;
-use platform_support::{GROUP, free_address, start_agent};
+use platform_support::support::{call, wait_until};
+use platform_support::{GROUP, free_address, start_agent, start_entry};
 use serde_json::json;
 use web::{Method, Request};
 
@@ -18,6 +19,10 @@
 /// Time from a target's report until it has to be in use.
 const MAX_RETURN: Duration = Duration::from_millis(250);
 
+/// Time from an agent's registration until an entry has to connect to it: well below the longest
+/// pause.
+const MAX_RECONNECT: Duration = Duration::from_millis(150);
+
 /// Returns the connections that a target accepts.
 fn accept_in_background(address: SocketAddr) -> Receiver<TcpStream> {
     let listener = TcpListener::bind(address).expect("a free address");
@@ -98,3 +103,38 @@
     });
     run.expect("the runtime starts");
 }
+
+// An entry waited up to 500 ms for the end of its pause although the store told that the agent was
+// back.
+#[test]
+fn an_agent_that_registers_anew_is_connected_to_without_a_pause() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let run = runtime::run(async {
+        let store = StoreServer::start().expect("a store");
+        let address = free_address();
+        let registration =
+            json!({"name": "host", "address": address, "failure_domain": "a", "target": null});
+        let register = || {
+            let key = format!("{HOSTS_PREFIX}host");
+            store.put(&key, registration.to_string().as_bytes());
+        };
+        register();
+        let _entry = start_entry(folder.path(), store.address(), "info");
+        for round in 1..=4 {
+            monoio::time::sleep(Duration::from_millis(1_600)).await;
+            let connections = accept_in_background(address);
+            let registered = Instant::now();
+            register();
+            wait_until("the entry connects", async || {
+                connections.try_recv().is_ok()
+            })
+            .await;
+            let took = registered.elapsed();
+            assert!(
+                took <= MAX_RECONNECT,
+                "round {round}: connected after {took:?}"
+            );
+        }
+    });
+    run.expect("the runtime starts");
+}
