--- a/components/gateway/src/links.rs
+++ b/components/gateway/src/links.rs
@@ -2,12 +2,12 @@
 
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 use futures::future::{Either, select};
 use protocol::{HostLink, LinkError};
-use runtime::monotonic_us;
+use runtime::{Backoff, monotonic_us, pause_after_failure};
 use scheduling::{HostSlot, UPDATE_TIMEOUT_MS};
+use slotmap::Key;
 use web::Notify;
 
 use crate::process::Shared;
@@ -37,39 +37,56 @@
 /// Keeps a connection to the agent of a host while the scheduler needs one; returns when the host
 /// has been removed.
 pub(crate) async fn maintain(shared: Rc<Shared>, slot: HostSlot, address: String) {
-    let mut pause_ms = MIN_RECONNECT_PAUSE_MS;
+    let mut backoff = Backoff::builder(MIN_RECONNECT_PAUSE_MS, MAX_RECONNECT_PAUSE_MS)
+        .seed(shared.key.0 ^ slot.data().as_ffi())
+        .build();
     let link_notifier = Rc::new(Notify::default());
     shared
         .link_notifiers
         .borrow_mut()
         .insert(slot, Rc::clone(&link_notifier));
     let is_known = || shared.addresses.borrow().get(&address) == Some(&slot);
+    let registrations = || shared.registrations.borrow().get(slot).copied();
     while is_known() {
         if !shared.scheduler.borrow().is_connection_wanted(slot) {
             let wanted = || shared.scheduler.borrow().is_connection_wanted(slot) || !is_known();
             link_notifier.wait_until(|| wanted().then_some(())).await;
-            pause_ms = MIN_RECONNECT_PAUSE_MS;
+            backoff.record_success();
             continue;
         }
-        let limit_ms = (BASE_CONNECT_TIMEOUT_MS + pause_ms).min(MAX_CONNECT_TIMEOUT_MS);
+        let mut registrations_before = registrations();
+        let limit_ms =
+            (BASE_CONNECT_TIMEOUT_MS + backoff.next_pause_ms()).min(MAX_CONNECT_TIMEOUT_MS);
         let deadline_us = monotonic_us() + limit_ms * 1_000;
         let traffic = shared.traffic.clone();
         match HostLink::connect(&address, shared.key, deadline_us, traffic).await {
             Ok(link) => {
-                pause_ms = MIN_RECONNECT_PAUSE_MS;
+                backoff.record_success();
                 serve(&shared, slot, &address, &link, &link_notifier).await;
+                registrations_before = registrations();
             }
             Err(error) => {
                 shared.metrics.record_link_event("connect_failed");
                 log::debug!(target: "gateway", event = "connect_failed", address = address.as_str(),
-                    reason = error.to_string(), pause_ms = pause_ms;
+                    reason = error.to_string(), pause_ms = backoff.next_pause_ms();
                     "connection to an agent failed; retrying after a pause");
             }
         }
-        monoio::time::sleep(Duration::from_millis(pause_ms)).await;
-        pause_ms = (pause_ms * 2).min(MAX_RECONNECT_PAUSE_MS);
+        let is_registered_anew = || (registrations() != registrations_before).then_some(());
+        let registered = link_notifier.wait_until(is_registered_anew);
+        if pause_unless(&mut backoff, registered).await {
+            backoff.record_peer_start();
+        }
     }
     shared.link_notifiers.borrow_mut().remove(slot);
+    shared.registrations.borrow_mut().remove(slot);
+}
+
+/// Pauses after a failure; returns whether news of the other side ended the pause.
+async fn pause_unless(backoff: &mut Backoff, news: impl Future<Output = ()>) -> bool {
+    let pause = pin!(pause_after_failure(backoff));
+    let news = pin!(news);
+    matches!(select(pause, news).await, Either::Right(_))
 }
 
 async fn serve(
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -65,6 +65,8 @@
     /// Wakes the connection of a host: orders are ready, the scheduler now needs the connection or no
     /// longer does, or the host was removed.
     pub(crate) link_notifiers: RefCell<SecondaryMap<HostSlot, Rc<Notify>>>,
+    /// Number of times that each host was registered anew, as an agent does at its start.
+    pub(crate) registrations: RefCell<SecondaryMap<HostSlot, u64>>,
     /// Known hosts by the address of their agent.
     pub(crate) addresses: RefCell<FxHashMap<String, HostSlot>>,
     pub(crate) active_configuration: RefCell<Option<Rc<ActiveConfiguration>>>,
@@ -114,6 +116,7 @@
             scheduler: RefCell::new(scheduler),
             waiters: RefCell::default(),
             link_notifiers: RefCell::default(),
+            registrations: RefCell::default(),
             addresses: RefCell::default(),
             active_configuration: RefCell::default(),
             configuration_changed: Notify::default(),
@@ -202,6 +205,7 @@
         let mut actions = Vec::new();
         shared.scheduler.borrow_mut().tick(now_ms, &mut actions);
         shared.perform(actions);
+        shared.metrics.log_turned_back();
         runtime::flush_log();
         monoio::time::sleep(Duration::from_millis(TICK_INTERVAL_MS)).await;
     }
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -1,16 +1,21 @@
-//! Process runtime: single-threaded executor, clocks, logging, signals, metrics and state dumps.
+//! Process runtime: single-threaded executor, clocks, pauses between attempts, logging, signals,
+//! metrics and state dumps.
 
+mod backoff;
 mod clock;
 mod dump;
 mod executor;
 mod line_sink;
 mod logging;
 mod metrics;
+mod pause;
 mod process;
+mod repeated_lines;
 mod signals;
 mod stop;
 mod suspension;
 
+pub use backoff::{Backoff, BackoffBuilder};
 pub use clock::{
     clock_drift_ms, format_rfc3339_ms, instant_at, monotonic_us, resample_clock, unix_ms, uptime_ms,
 };
@@ -22,7 +27,9 @@
     log_counts,
 };
 pub use metrics::{Metrics, MetricsError};
+pub use pause::pause_after_failure;
 pub use process::generate_process_key;
+pub use repeated_lines::RepeatedLines;
 pub use signals::{SIGNAL_POLL_MS, Signals};
 pub use stop::{StopSignal, Stopped};
 pub use suspension::SuspensionWatch;
