Follow evacuations in the store and pass them on between entries and agents

With the setting evacuation_bound_ms, entries and agents list and watch the operator's keys, and list them again when the history is lost or the revision advanced without an event. Updates of the link between entries and agents carry a digest of the newest set that each side knows; the side with the newer set sends it, so that an agent that the store refuses learns it from any entry, and the reverse. An entry whose hosts are all evacuated stays ready, so that callers are told when to retry. Without the setting nothing is read, sent or obeyed.

--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -19,6 +19,7 @@
 use web::{CurrentLimits, Notify, ServerCounters};
 
 use crate::configuration::ActiveConfiguration;
+use crate::evacuation::EvacuationState;
 use crate::limits::caller_limits;
 use crate::metrics::GatewayMetrics;
 
@@ -40,7 +41,7 @@
 
 /// Timeout of a call to the store, in milliseconds; must be well above the usual response time of
 /// 4 ms.
-const STORE_TIMEOUT_MS: u64 = 500;
+pub(crate) const STORE_TIMEOUT_MS: u64 = 500;
 
 /// How long a draining process still accepts requests, in milliseconds: the balancer checks
 /// readiness once per second and takes the entry out of rotation after the second failure.
@@ -72,6 +73,7 @@
     pub(crate) configuration_changed: Notify,
     /// End of the time in which requests wait for the configuration and the hosts.
     pub(crate) starting_until_ms: u64,
+    pub(crate) evacuations: EvacuationState,
     pub(crate) store: StoreClient,
     pub(crate) is_draining: Cell<bool>,
     pub(crate) metrics: GatewayMetrics,
@@ -118,6 +120,7 @@
             active_configuration: RefCell::default(),
             configuration_changed: Notify::default(),
             starting_until_ms,
+            evacuations: EvacuationState::default(),
             store: StoreClient::new(settings.store_address, STORE_TIMEOUT_MS),
             is_draining: Cell::new(false),
             metrics: GatewayMetrics::new()
@@ -177,6 +180,7 @@
         }
         monoio::spawn(crate::configuration::follow(Rc::clone(&shared)));
         monoio::spawn(crate::directory::follow(Rc::clone(&shared)));
+        monoio::spawn(crate::evacuation::follow(Rc::clone(&shared)));
         monoio::spawn(crate::bootstrap::query_peers(Rc::clone(&shared)));
         monoio::spawn(run_timers(Rc::clone(&shared)));
         drain.stopped().await;
@@ -253,14 +257,18 @@
         self.suspension_watch.is_from_before(read_ms)
     }
 
-    /// Returns whether the balancer should send new connections to this entry.
+    /// Returns whether the balancer should send new connections to this entry; also if all hosts are
+    /// evacuated, so that callers are told when to retry.
     pub(crate) fn is_ready(&self) -> bool {
         // Reading the clock may change the scheduler, which must not be borrowed then.
         let now_ms = self.advance_clock();
         let has_configuration = self.active_configuration.borrow().is_some();
-        !self.is_draining.get()
-            && has_configuration
-            && self.scheduler.borrow().has_usable_host(now_ms)
+        !self.is_draining.get() && has_configuration && self.has_host(now_ms)
+    }
+
+    fn has_host(&self, now_ms: u64) -> bool {
+        let scheduler = self.scheduler.borrow();
+        scheduler.has_usable_host(now_ms) || scheduler.has_evacuated_host(now_ms)
     }
 
     /// Executes the actions that the scheduler returned.
@@ -283,6 +291,7 @@
                     "failure_domain": &*host.info.failure_domain,
                     "is_connected": host.is_connected,
                     "is_usable": host.is_usable,
+                    "is_evacuated": host.is_evacuated,
                     "view_age_ms": host.view_age_ms,
                     "view": host.view,
                 })
@@ -297,6 +306,7 @@
             "entry": self.key.to_string(),
             "is_draining": self.is_draining.get(),
             "configuration_version": version,
+            "evacuations": self.evacuations.newest(),
             "jobs": scheduler.job_count(),
             "hosts": hosts,
         })
--- a/components/protocol/src/host_link.rs
+++ b/components/protocol/src/host_link.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use futures::future::LocalBoxFuture;
-use model::{HostUpdate, HostUpdateRequest, Orders, ProcessKey};
+use model::{Evacuations, HostUpdate, HostUpdateRequest, Orders, ProcessKey};
 use monoio::net::TcpListener;
 use tarpc::context::Context;
 
@@ -46,7 +46,7 @@
         let request = HostServiceRequest::Order { orders };
         match self.call(request, deadline_us).await? {
             HostServiceResponse::Order(update) => Ok(update),
-            HostServiceResponse::Update(_) => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
+            _ => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
         }
     }
 
@@ -64,7 +64,25 @@
         let request = HostServiceRequest::Update { request };
         match self.call(request, deadline_us).await? {
             HostServiceResponse::Update(update) => Ok(update),
-            HostServiceResponse::Order(_) => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
+            _ => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
+        }
+    }
+
+    /// Sends the agent a set of evacuations.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer before the deadline or the connection ends.
+    pub async fn share_evacuations(
+        &self,
+        from: ProcessKey,
+        evacuations: Evacuations,
+        deadline_us: u64,
+    ) -> Result<(), LinkError> {
+        let request = HostServiceRequest::ShareEvacuations { from, evacuations };
+        match self.call(request, deadline_us).await? {
+            HostServiceResponse::ShareEvacuations(()) => Ok(()),
+            _ => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
         }
     }
 }
@@ -74,6 +92,7 @@
 struct HostHandlers {
     order: Rc<dyn Fn(Orders) -> HostUpdate>,
     update: Rc<dyn Fn(HostUpdateRequest) -> LocalBoxFuture<'static, HostUpdate>>,
+    evacuations: Rc<dyn Fn(ProcessKey, Evacuations)>,
 }
 
 impl HostService for HostHandlers {
@@ -84,6 +103,10 @@
     async fn update(self, _: Context, request: HostUpdateRequest) -> HostUpdate {
         (self.update)(request).await
     }
+
+    async fn share_evacuations(self, _: Context, from: ProcessKey, evacuations: Evacuations) {
+        (self.evacuations)(from, evacuations);
+    }
 }
 
 /// Serves the host service of an agent until the server is stopped.
@@ -94,12 +117,14 @@
     settings: ServerSettings,
     order: impl Fn(Orders) -> HostUpdate + 'static,
     update: impl Fn(HostUpdateRequest) -> F + 'static,
+    evacuations: impl Fn(ProcessKey, Evacuations) + 'static,
 ) where
     F: Future<Output = HostUpdate> + 'static,
 {
     let handlers = HostHandlers {
         order: Rc::new(order),
         update: Rc::new(move |request| Box::pin(update(request))),
+        evacuations: Rc::new(evacuations),
     };
     accept_connections(listener, Service::Host, handlers.serve(), settings).await;
 }
--- a/components/protocol/src/service.rs
+++ b/components/protocol/src/service.rs
@@ -5,7 +5,8 @@
 )]
 
 use model::{
-    AgentEnvelope, AgentInfo, HostUpdate, HostUpdateRequest, JobKey, JobSpec, Orders, OwnerEnvelope,
+    AgentEnvelope, AgentInfo, Evacuations, HostUpdate, HostUpdateRequest, JobKey, JobSpec, Orders,
+    OwnerEnvelope, ProcessKey,
 };
 
 use crate::message::{
@@ -46,6 +47,8 @@
     async fn order(orders: Orders) -> HostUpdate;
     /// Returns new events, or none after the wait that the request allows (long poll).
     async fn update(request: HostUpdateRequest) -> HostUpdate;
+    /// Takes a set of evacuations that an entry knows.
+    async fn share_evacuations(from: ProcessKey, evacuations: Evacuations);
 }
 
 /// Service of an entry for other entries that cannot reach the platform.
--- a/components/scheduling/src/scheduler/mod.rs
+++ b/components/scheduling/src/scheduler/mod.rs
@@ -327,6 +327,7 @@
             } else {
                 0
             },
+            evacuations: None,
         })
     }
 
--- a/components/sidecar/src/lib.rs
+++ b/components/sidecar/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod calls;
 mod entries;
+mod evacuation;
 mod metrics;
 mod process;
 mod registration;
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -11,7 +11,7 @@
 
 use serde_json::Value;
 use support::{Process, call};
-use web::{HeaderValue, Method, Request};
+use web::{HeaderValue, Method, Request, Response};
 
 /// Host name of the queue used in the tests.
 pub const HOST: &str = "callers.example";
@@ -47,11 +47,17 @@
 
 /// Starts an entry that logs at the given level.
 pub fn start_entry(folder: &Path, store: SocketAddr, level: &str) -> Entry {
+    start_entry_with(folder, store, level, "")
+}
+
+/// Starts an entry with more lines of settings.
+pub fn start_entry_with(folder: &Path, store: SocketAddr, level: &str, more: &str) -> Entry {
     let callers = free_address();
     let readiness = free_address();
     let text = format!(
         "name = \"entry\"\nfailure_domain = \"domain\"\ncallers_address = \"{callers}\"\n\
          readiness_address = \"{readiness}\"\npeer_address = \"{}\"\nstore_address = \"{store}\"\n\
+         {more}\
          log = {{ format = \"json\", level = \"{level}\" }}\n",
         free_address(),
     );
@@ -73,15 +79,36 @@
     target: SocketAddr,
     reports: SocketAddr,
     level: &str,
+) -> Process {
+    start_agent_with(folder, store, target, reports, level, "")
+}
+
+/// Starts an agent with more lines of settings.
+pub fn start_agent_with(
+    folder: &Path,
+    store: SocketAddr,
+    target: SocketAddr,
+    reports: SocketAddr,
+    level: &str,
+    more: &str,
 ) -> Process {
     let text = format!(
         "name = \"host\"\nfailure_domain = \"domain\"\ntarget_address = \"{target}\"\n\
          reports_address = \"{reports}\"\npeer_address = \"{}\"\nstore_address = \"{store}\"\n\
+         {more}\
          log = {{ format = \"json\", level = \"{level}\" }}\n",
         free_address(),
     );
+    std::fs::write(folder.join("agent.toml"), text).expect("the file is written");
+    restart_agent(folder)
+}
+
+/// Starts an agent with the settings of the last one.
+pub fn restart_agent(folder: &Path) -> Process {
+    let settings = folder.join("agent.toml");
+    let text = std::fs::read_to_string(&settings).expect("the file is read");
     let program = env!("CARGO_BIN_EXE_shallotcross-agent");
-    spawn(program, "sidecar", &folder.join("agent.toml"), &text)
+    spawn(program, "sidecar", &settings, &text)
 }
 
 impl Entry {
@@ -92,14 +119,17 @@
 
     /// Submits a job and returns the status of the response, if any.
     pub async fn status_of(&self, id: &str, body: &Value) -> Option<u16> {
+        self.submit(id, body).await.map(|response| response.status)
+    }
+
+    /// Submits a job and returns the response, if any.
+    pub async fn submit(&self, id: &str, body: &Value) -> Option<Response> {
         let mut request = Request::post_json(format!("{PREFIX}{id}"), body);
         request.method = Method::POST;
         let host = HeaderValue::from_static(HOST);
         request.headers.insert("host", host);
         let id = HeaderValue::from_str(&format!("request-{id}")).expect("a header");
         request.headers.insert("request-id", id);
-        call(self.callers, &request)
-            .await
-            .map(|response| response.status)
+        call(self.callers, &request).await
     }
 }
