Model evacuations of failure domains

The model gets failure domains, evacuation as a fault with a share of agents that the store refuses, and the check that nothing starts there after the bound. A pattern evacuates a quarter of the hosts in a burst of 2.3 times the load.

--- a/components/sim/src/agent.rs
+++ b/components/sim/src/agent.rs
@@ -4,7 +4,7 @@
     Host, MAX_PARALLEL_POLLS, StartOutcome, StartRefusal, TARGET_CALL_TIMEOUT_MS, TargetCall,
     TargetPollOutcome, TargetReport,
 };
-use model::{ProcessKey, TaskRef};
+use model::{KnownEvacuations, ProcessKey, TaskRef};
 use rand::Rng;
 use std::rc::Rc;
 
@@ -57,6 +57,7 @@
     pub(crate) frozen_until_us: u64,
     pub(crate) partitioned_until_us: u64,
     pub(crate) host: Host,
+    pub(crate) evacuations: KnownEvacuations,
     pub(crate) target: Target,
     pub(crate) late_share: f64,
     pub(crate) update_requests: Vec<PendingUpdateRequest>,
@@ -77,6 +78,7 @@
             frozen_until_us: 0,
             partitioned_until_us: 0,
             host: Host::new(agent_key(host, 1), 1),
+            evacuations: KnownEvacuations::default(),
             target,
             late_share: 0.0,
             update_requests: Vec::new(),
@@ -104,9 +106,11 @@
         // The restarted agent begins with the first token again, which the target may already have
         // fenced off, as after a clock that was set back.
         node.host = Host::new(node.key, 1);
+        node.evacuations = KnownEvacuations::default();
         node.update_requests.clear();
         node.pending_target_polls.clear();
         self.start_loops(host);
+        self.read_evacuations_at_agent(host);
     }
 
     fn schedule_poll(&mut self, in_us: u64, host: usize, incarnation: u32, lane: usize) {
@@ -194,6 +198,15 @@
                     self.schedule(TICK_US, Event::AgentTick { host, incarnation });
                 }
             }
+            Event::AgentEvacuations {
+                host,
+                incarnation,
+                evacuations,
+            } => {
+                if self.is_agent_current(host, incarnation) {
+                    self.merge_at_agent(host, evacuations);
+                }
+            }
             Event::Report { host } => self.report(host),
             Event::StartResult {
                 host,
@@ -328,7 +341,7 @@
         node.is_up && node.incarnation == incarnation
     }
 
-    fn update_host<T>(
+    pub(crate) fn update_host<T>(
         &mut self,
         host: usize,
         event: impl FnOnce(&mut Host, u64, &mut Vec<TargetCall>) -> T,
@@ -593,6 +606,7 @@
             return;
         }
         self.report.starts += 1;
+        self.check_evacuated_start(host);
         let elsewhere: Vec<usize> = self
             .running
             .get(&order.task)
--- a/components/sim/src/entry.rs
+++ b/components/sim/src/entry.rs
@@ -1,6 +1,6 @@
 //! Entries, their connections to hosts, and the requests of their clients.
 
-use model::{NotStartedReason, ProcessKey, RunEvent};
+use model::{KnownEvacuations, NotStartedReason, ProcessKey, RunEvent};
 use rand::Rng;
 use rustc_hash::FxHashMap;
 use scheduling::{
@@ -9,6 +9,7 @@
 };
 use std::rc::Rc;
 
+use crate::evacuation::domain_name;
 use crate::event::Event;
 use crate::world::World;
 
@@ -36,6 +37,7 @@
     pub(crate) frozen_until_us: u64,
     pub(crate) partitioned_until_us: u64,
     pub(crate) scheduler: Scheduler,
+    pub(crate) evacuations: KnownEvacuations,
     pub(crate) slots: Vec<HostSlot>,
     pub(crate) waiting: FxHashMap<JobSlot, usize>,
     last_turn_ms: u64,
@@ -56,7 +58,7 @@
                 let info = HostInfo {
                     name: Rc::from(format!("host-{host}")),
                     address: Rc::from(format!("host-{host}")),
-                    failure_domain: Rc::from("domain"),
+                    failure_domain: domain_name(self.domain_of(host)),
                 };
                 scheduler.add_host(self.now_ms(), info)
             })
@@ -71,6 +73,7 @@
                 .get(entry)
                 .map_or(0, |node| node.partitioned_until_us),
             scheduler,
+            evacuations: KnownEvacuations::default(),
             slots,
             waiting: FxHashMap::default(),
             last_turn_ms: self.now_ms(),
@@ -91,6 +94,7 @@
             );
         }
         self.schedule(TICK_US, Event::EntryTick { entry, incarnation });
+        self.read_evacuations_at_entry(entry);
     }
 
     pub(crate) fn handle_entry_event(&mut self, event: Event) {
@@ -125,6 +129,13 @@
                     self.disconnect(entry, host);
                 }
             }
+            Event::EntryEvacuations {
+                entry,
+                incarnation,
+                evacuations,
+            } if self.is_entry_current(entry, incarnation) => {
+                self.merge_at_entry(entry, evacuations);
+            }
             Event::HostUpdate {
                 entry,
                 host,
@@ -206,6 +217,7 @@
         let node = &mut self.entries[entry];
         node.scheduler.host_connected(node.slots[host], agent);
         self.request_update(entry, host);
+        self.share_evacuations(entry, host);
         self.send_orders(entry, host);
     }
 
@@ -343,7 +355,7 @@
         self.send_orders(entry, host);
     }
 
-    fn perform(&mut self, entry: usize, actions: Vec<SchedulerAction>) {
+    pub(crate) fn perform(&mut self, entry: usize, actions: Vec<SchedulerAction>) {
         for action in actions {
             match action {
                 SchedulerAction::SendOrders(slot) => {
--- a/components/sim/src/event.rs
+++ b/components/sim/src/event.rs
@@ -3,7 +3,7 @@
 use std::cmp::Ordering;
 
 use hosting::{StartOutcome, TargetPoll, TargetPollOutcome};
-use model::{HostUpdate, HostUpdateRequest, Orders, TaskRef};
+use model::{Evacuations, HostUpdate, HostUpdateRequest, Orders, TaskRef};
 
 use crate::agent::TargetPollCall;
 use crate::fault::Fault;
@@ -125,6 +125,18 @@
     RunEnds { host: usize },
     /// A target sends its periodic report to the agent.
     Report { host: usize },
+    /// A set of evacuations, read from the store, reaches an entry.
+    EntryEvacuations {
+        entry: usize,
+        incarnation: u32,
+        evacuations: Evacuations,
+    },
+    /// A set of evacuations from the store or an entry reaches an agent.
+    AgentEvacuations {
+        host: usize,
+        incarnation: u32,
+        evacuations: Evacuations,
+    },
     /// A fault begins.
     FaultStart(Fault),
     /// A fault ends.
--- a/components/sim/src/fault.rs
+++ b/components/sim/src/fault.rs
@@ -9,14 +9,15 @@
 pub struct Fault {
     /// Kind of fault.
     pub kind: FaultKind,
-    /// Index of the entry or host.
+    /// Index of the entry, host or failure domain.
     pub place: usize,
     /// Start, in milliseconds after the load begins.
     pub at_ms: u64,
     /// Duration, in milliseconds.
     pub for_ms: u64,
-    /// Severity: the slowdown factor of [`FaultKind::SlowTarget`] or the share of late orders of
-    /// [`FaultKind::LateOrders`]; other kinds ignore it.
+    /// Severity: the slowdown factor of [`FaultKind::SlowTarget`], the share of late orders of
+    /// [`FaultKind::LateOrders`], or the share of agents that the store refuses from an
+    /// [`FaultKind::Evacuate`] on; other kinds ignore it.
     pub strength: f64,
 }
 
@@ -50,6 +51,8 @@
     SlowTarget,
     /// A share of the orders to the target is carried out late and gets no answer.
     LateOrders,
+    /// The operator evacuates the failure domain.
+    Evacuate,
 }
 
 impl World {
@@ -77,6 +80,7 @@
             FaultKind::FailTarget => self.agents[place].target.is_failing = true,
             FaultKind::SlowTarget => self.agents[place].target.slowdown = fault.strength,
             FaultKind::LateOrders => self.agents[place].late_share = fault.strength,
+            FaultKind::Evacuate => self.begin_evacuation(place, fault.strength),
         }
     }
 
@@ -103,6 +107,7 @@
             FaultKind::FailTarget => self.agents[place].target.is_failing = false,
             FaultKind::SlowTarget => self.agents[place].target.slowdown = 1.0,
             FaultKind::LateOrders => self.agents[place].late_share = 0.0,
+            FaultKind::Evacuate => self.end_evacuation(place),
             FaultKind::FreezeEntry
             | FaultKind::FreezeAgent
             | FaultKind::CutEntry
--- a/components/sim/src/lib.rs
+++ b/components/sim/src/lib.rs
@@ -7,6 +7,7 @@
 mod agent;
 mod client;
 mod entry;
+mod evacuation;
 mod event;
 mod fault;
 mod report;
@@ -17,6 +18,6 @@
 pub use client::{Burst, JobKind, Load};
 pub use fault::{Fault, FaultKind};
 pub use report::{ForecastReport, KindReport, Report, StageReport, Violation};
-pub use scenario::{Scenario, deployment, patterns, usual_load};
+pub use scenario::{Scenario, deployment, patterns, quarter_evacuated, usual_load};
 pub use target::TargetSpec;
 pub use world::{Deployment, World};
--- a/components/sim/src/report.rs
+++ b/components/sim/src/report.rs
@@ -115,6 +115,9 @@
     pub messages: u64,
     /// Tasks started.
     pub starts: u64,
+    /// Longest time from the acknowledgement of an evacuation to a start in the failure domain, in
+    /// milliseconds.
+    pub latest_evacuated_start_ms: u64,
     /// Accuracy of the entries' forecasts.
     pub forecasts: ForecastReport,
 }
--- a/components/sim/src/scenario.rs
+++ b/components/sim/src/scenario.rs
@@ -55,6 +55,7 @@
     Deployment {
         entries,
         targets: targets.collect(),
+        failure_domains: 1,
         rule: PlacementRule::default(),
         delay_us: (300, 1_600),
     }
@@ -168,3 +169,27 @@
         ),
     ]
 }
+
+/// Returns a pattern in which a quarter of the hosts is evacuated in a burst of 2.3 times the load.
+#[must_use]
+pub fn quarter_evacuated() -> Scenario {
+    let mut load = usual_load(12, 1.0);
+    for kind in &mut load.kinds {
+        kind.burst = Some(Burst {
+            from_ms: 3_000,
+            to_ms: 7_000,
+            factor: 2.3,
+        });
+    }
+    let deployment = Deployment {
+        failure_domains: 4,
+        ..deployment(4, 12)
+    };
+    Scenario {
+        name: "quarter_evacuated",
+        deployment,
+        load,
+        load_ms: 12_000,
+        faults: vec![fault(FaultKind::Evacuate, 1, 4_000, 6_000, 0.0)],
+    }
+}
--- a/components/sim/src/world.rs
+++ b/components/sim/src/world.rs
@@ -11,6 +11,7 @@
 use crate::agent::AgentNode;
 use crate::client::{ClientJob, Load, sample_job};
 use crate::entry::EntryNode;
+use crate::evacuation::EvacuationStore;
 use crate::event::{Event, Scheduled};
 use crate::fault::Fault;
 use crate::report::{KindReport, Report, Violation};
@@ -31,6 +32,8 @@
     pub targets: Vec<TargetSpec>,
     /// Minimum and maximum one-way delay between entries and agents, in microseconds.
     pub delay_us: (u64, u64),
+    /// Number of failure domains, each with the same number of consecutive hosts.
+    pub failure_domains: usize,
     /// Placement rule of the entries.
     pub rule: PlacementRule,
 }
@@ -61,6 +64,7 @@
     pub(crate) running: FxHashMap<TaskRef, Vec<(usize, u64)>>,
     pub(crate) report: Report,
     pub(crate) last_call_id: u64,
+    pub(crate) store: EvacuationStore,
     queue: BinaryHeap<Scheduled>,
     last_sequence: u64,
     load_ms: u64,
@@ -90,6 +94,7 @@
             running: FxHashMap::default(),
             report,
             last_call_id: 0,
+            store: EvacuationStore::default(),
             queue: BinaryHeap::new(),
             last_sequence: 0,
             load_ms,
@@ -162,6 +167,7 @@
             Event::EntryTick { .. }
             | Event::Connect { .. }
             | Event::CallTimeout { .. }
+            | Event::EntryEvacuations { .. }
             | Event::HostUpdate { .. } => self.handle_entry_event(event),
             _ => self.handle_agent_event(event),
         }
@@ -172,11 +178,13 @@
             Event::EntryTick { entry, .. }
             | Event::Connect { entry, .. }
             | Event::CallTimeout { entry, .. }
+            | Event::EntryEvacuations { entry, .. }
             | Event::HostUpdate { entry, .. } => self.entries[*entry].frozen_until_us,
             Event::Orders { host, .. }
             | Event::UpdateRequest { host, .. }
             | Event::UpdateWaitExpired { host, .. }
             | Event::LinkClosed { host, .. }
+            | Event::AgentEvacuations { host, .. }
             | Event::AgentTick { host, .. }
             | Event::StartResult { host, .. }
             | Event::StopResult { host, .. }
