--- a/components/soak/src/faults.rs
+++ b/components/soak/src/faults.rs
@@ -8,6 +8,7 @@
 use rand::rngs::StdRng;
 use strum::{EnumIter, IntoEnumIterator, IntoStaticStr};
 
+use crate::evacuation::evacuate;
 use crate::soak::System;
 
 /// A kind of fault.
@@ -52,6 +53,8 @@
     TargetLate,
     /// A new version of the configuration is published.
     Configuration,
+    /// The failure domain of a host is evacuated.
+    Evacuate,
 }
 
 /// Chooses a kind at random, each with the same probability.
@@ -65,12 +68,12 @@
     system: &System,
     kind: FaultKind,
     entry: usize,
-    host: usize,
+    host_number: usize,
     duration_ms: u64,
 ) {
     let duration = Duration::from_millis(duration_ms);
     let entry = &system.entries[entry];
-    let host = &system.hosts[host];
+    let host = &system.hosts[host_number];
     let store = &system.store;
     match kind {
         FaultKind::KillEntry => {
@@ -155,5 +158,6 @@
             host.target.faults().late_every.set(0);
         }
         FaultKind::Configuration => system.publish_configuration(),
+        FaultKind::Evacuate => evacuate(system, host_number, duration).await,
     }
 }
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -5,6 +5,7 @@
 //! refused job runs, and jobs are completed again after the last fault.
 
 mod clients;
+mod evacuation;
 mod faults;
 mod process;
 mod proxy;
--- a/components/soak/src/soak.rs
+++ b/components/soak/src/soak.rs
@@ -16,6 +16,7 @@
 use web::Client;
 
 use crate::clients::{Tally, submit};
+use crate::evacuation::{BOUND_MS, failure_domain};
 use crate::faults::{FaultKind, inject, random_kind};
 use crate::process::{Process, Programs};
 use crate::proxy::Proxy;
@@ -128,10 +129,11 @@
         let proxy = Proxy::default();
         let advertised = proxy.start(peer_address)?;
         let settings = format!(
-            "name = \"host-{number}\"\nfailure_domain = \"a\"\ntarget_address = \"{}\"\n\
+            "name = \"host-{number}\"\nfailure_domain = \"{}\"\ntarget_address = \"{}\"\n\
              reports_address = \"{reports_address}\"\npeer_address = \"{peer_address}\"\n\
              advertised_peer_address = \"{advertised}\"\nstore_address = \"{}\"\n\
-             drain_timeout_ms = 2000\n[log]\nformat = \"json\"\n",
+             evacuation_bound_ms = {BOUND_MS}\ndrain_timeout_ms = 2000\n[log]\nformat = \"json\"\n",
+            failure_domain(number),
             target.address(),
             self.store.address(),
         );
@@ -151,7 +153,7 @@
             "name = \"entry-{number}\"\nfailure_domain = \"a\"\n\
              callers_address = \"{callers_address}\"\n\
              readiness_address = \"{}\"\npeer_address = \"{}\"\nstore_address = \"{}\"\n\
-             drain_timeout_ms = 4000\n[log]\nformat = \"json\"\n",
+             evacuation_bound_ms = {BOUND_MS}\ndrain_timeout_ms = 4000\n[log]\nformat = \"json\"\n",
             free_address()?,
             free_address()?,
             self.store.address(),
