--- a/components/hosting/src/host/starts.rs
+++ b/components/hosting/src/host/starts.rs
@@ -106,7 +106,7 @@
 
     /// Rejects a run whose start was refused, unless the target may still execute an earlier copy
     /// of the start: then a stop has to prevent that first.
-    fn resolve_refused_start(
+    pub(super) fn resolve_refused_start(
         &mut self,
         now_ms: u64,
         task: TaskRef,
@@ -134,6 +134,18 @@
         }
     }
 
+    /// Returns why no start may be repeated, if that is so.
+    fn obstacle_to_repeats(&self) -> Option<NotStartedReason> {
+        if self.is_evacuated {
+            return Some(NotStartedReason::Evacuated);
+        }
+        let is_draining = self
+            .target
+            .as_ref()
+            .is_some_and(|target| target.is_draining);
+        is_draining.then_some(NotStartedReason::Draining)
+    }
+
     /// Sends a start again, the first `immediate` times at once and then after growing pauses.
     fn repeat_start(
         &mut self,
@@ -143,6 +155,10 @@
         immediate: u32,
         actions: &mut Vec<TargetCall>,
     ) {
+        if self.is_evacuated {
+            self.resolve_refused_start(now_ms, task, NotStartedReason::Evacuated, actions);
+            return;
+        }
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
@@ -158,13 +174,14 @@
         }
     }
 
-    /// Sends the starts again whose pause is over; a draining target gets none, since it may not
-    /// have received an earlier copy. Without a target they wait for its report, which resolves them
-    /// if it is a new incarnation.
+    /// Sends the starts again whose pause is over; a draining or evacuated target gets none, since it
+    /// may not have received an earlier copy. Without a target they wait for its report, which
+    /// resolves them if it is a new incarnation.
     pub(super) fn repeat_starts(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
-        let Some(is_draining) = self.target.as_ref().map(|target| target.is_draining) else {
+        if self.target.is_none() {
             return;
-        };
+        }
+        let obstacle = self.obstacle_to_repeats();
         let due: Vec<(TaskRef, u32)> = self
             .runs
             .iter()
@@ -177,10 +194,9 @@
             })
             .collect();
         for (task, number) in due {
-            if is_draining {
-                self.resolve_refused_start(now_ms, task, NotStartedReason::Draining, actions);
-            } else {
-                self.send_start(now_ms, task, number, actions);
+            match obstacle {
+                Some(reason) => self.resolve_refused_start(now_ms, task, reason, actions),
+                None => self.send_start(now_ms, task, number, actions),
             }
         }
     }
@@ -215,7 +231,7 @@
 
     /// Starts waiting tasks in the order of [`QueuePosition`], as far as they fit.
     pub(super) fn start_waiting(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
-        if now_ms < self.starts_paused_until_ms {
+        if self.is_evacuated || now_ms < self.starts_paused_until_ms {
             return;
         }
         let Some(target) = self.usable_target(now_ms) else {
--- a/components/sim/src/report.rs
+++ b/components/sim/src/report.rs
@@ -117,6 +117,9 @@
     pub starts: u64,
     /// Calls to targets that timed out; each of them costs a connection.
     pub timed_out_calls: u64,
+    /// Longest time from the acknowledgement of an evacuation to a start in the failure domain, in
+    /// milliseconds.
+    pub latest_evacuated_start_ms: u64,
     /// Accuracy of the entries' forecasts.
     pub forecasts: ForecastReport,
 }
