Add one policy for pauses between attempts

Each loop that connects to a peer or a back end has constants and a doubling of its own, and some have no pause at all. Backoff holds the policy without I/O and clock: exponential pauses up to a longest one, jitter that only shortens a pause, so that bounds derived from the longest pause hold, a reset on success, and an immediate attempt on news of the other side's start.

--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -1,5 +1,7 @@
-//! Process runtime: single-threaded executor, clocks, logging, signals, metrics and state dumps.
+//! Process runtime: single-threaded executor, clocks, pauses between attempts, logging, signals,
+//! metrics and state dumps.
 
+mod backoff;
 mod clock;
 mod dump;
 mod executor;
@@ -11,6 +13,7 @@
 mod stop;
 mod suspension;
 
+pub use backoff::{Backoff, BackoffBuilder};
 pub use clock::{
     clock_drift_ms, format_rfc3339_ms, instant_at, monotonic_us, resample_clock, unix_ms, uptime_ms,
 };
