Decide whom processes call for state that the store does not give them

An entry that the store refuses at its start knows neither configuration nor hosts until the store serves it again, and an agent that cannot register is unknown to entries. The package peers holds the decisions about passing this on: a bounded set of peers, when an entry asks which of them, and when an agent announces its host. It is without I/O and clock. docs/design/peers.md is the design.

Not used yet; compiled only.

--- /dev/null
+++ b/components/peers/src/exchange.rs
@@ -0,0 +1,295 @@
+//! Whether an entry asks its peers for state, whom and when.
+
+use std::net::SocketAddr;
+
+use runtime::Backoff;
+use strum::EnumCount;
+
+use crate::limits::{
+    INTRODUCTION_PERIOD_MS, MAX_NAMED_PEERS, MAX_PARALLEL_CALLS, MAX_QUERY_PAUSE_MS,
+    MIN_COMPLETE_REPLIES, MIN_QUERY_PAUSE_MS, QUERY_DELAY_MS, REFRESH_INTERVAL_MS,
+};
+use crate::peer_set::{Peer, PeerSet};
+
+/// What an entry reads from the store, each in a loop of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumCount)]
+pub enum StorePart {
+    /// The configuration.
+    Configuration,
+    /// The registrations of hosts.
+    Hosts,
+}
+
+/// What this entry knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Knowledge {
+    /// Revision of its configuration; 0 if it has none.
+    pub revision: u64,
+    /// Number of hosts.
+    pub host_count: usize,
+}
+
+/// A call to make to a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Query {
+    /// Address of the peer.
+    pub address: SocketAddr,
+    /// Whether the peer's hosts are wanted.
+    pub wants_hosts: bool,
+    /// Digest of the hosts in the peer's last reply; 0 if there was none.
+    pub seen_hosts_digest: u64,
+}
+
+/// What a peer's reply contained.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReplySummary {
+    /// What the peer knows.
+    pub knowledge: Knowledge,
+    /// Digest of its hosts if the reply brought them, or if they are the ones seen before.
+    pub hosts_digest: Option<u64>,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum StoreContact {
+    /// No call has ended.
+    #[default]
+    Unknown,
+    Answering,
+    Failing,
+}
+
+/// What an entry needs from its peers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Need {
+    Nothing,
+    /// Its address known to the seeds.
+    Introduction,
+    /// What is newer than its own state, from one peer at a time.
+    Refresh,
+    /// A state to begin with, from several peers at a time.
+    State,
+}
+
+#[derive(Debug, Default, Clone)]
+struct EntryState {
+    seen_hosts_digest: u64,
+    /// Whether the peer has answered a call, which told it this entry's address.
+    is_introduced: bool,
+    /// Whether the last reply had a configuration and hosts.
+    is_complete: bool,
+    /// Whether the peer has told that it knows more than this entry.
+    has_news: bool,
+}
+
+/// Decides about the calls of an entry to other entries.
+#[derive(Debug)]
+pub struct Exchange {
+    peers: PeerSet<EntryState>,
+    started_at_ms: u64,
+    store: [StoreContact; StorePart::COUNT],
+    /// Whether the store has ever answered a read of the hosts.
+    was_listed: bool,
+    refresh_at_ms: u64,
+}
+
+impl Exchange {
+    /// Creates the state of an entry that starts at `now_ms`.
+    ///
+    /// `own_address` is the address at which peers reach it; `seed` should differ between entries.
+    #[must_use]
+    pub fn new(now_ms: u64, own_address: Option<SocketAddr>, seed: u64) -> Self {
+        let backoff = Backoff::builder(MIN_QUERY_PAUSE_MS, MAX_QUERY_PAUSE_MS).seed(seed);
+        Self {
+            peers: PeerSet::new(own_address, backoff.build(), EntryState::default()),
+            started_at_ms: now_ms,
+            store: [StoreContact::default(); StorePart::COUNT],
+            was_listed: false,
+            refresh_at_ms: 0,
+        }
+    }
+
+    /// Replaces the seeds by those of the settings.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.peers.set_seeds(seeds);
+    }
+
+    /// Records how a call to the store ended.
+    pub fn record_store_call(&mut self, part: StorePart, is_answered: bool) {
+        self.store[part as usize] = if is_answered {
+            StoreContact::Answering
+        } else {
+            StoreContact::Failing
+        };
+        self.was_listed |= part == StorePart::Hosts && is_answered;
+    }
+
+    /// Returns whether the store answers the reads of both parts.
+    #[must_use]
+    pub fn is_store_answering(&self) -> bool {
+        self.store == [StoreContact::Answering; StorePart::COUNT]
+    }
+
+    /// Returns the calls to make now, and records them as in flight.
+    pub fn take_due(&mut self, now_ms: u64, known: Knowledge) -> Vec<Query> {
+        let need = self.need(now_ms, known);
+        let free = MAX_PARALLEL_CALLS.saturating_sub(self.peers.in_flight());
+        let limit = match need {
+            // One peer at a time; peers with news are asked in any case.
+            Need::Refresh if now_ms < self.refresh_at_ms || self.peers.in_flight() > 0 => 0,
+            Need::Refresh => 1,
+            Need::Nothing => 0,
+            Need::Introduction | Need::State => free,
+        };
+        let mut due: Vec<SocketAddr> = Vec::new();
+        let with_news = |peer: &&Peer<EntryState>| peer.state.has_news && peer.is_due(now_ms);
+        due.extend(self.peers.iter().filter(with_news).map(|peer| peer.address));
+        due.truncate(free);
+        let mut others: Vec<&Peer<EntryState>> = self.peers.iter().collect();
+        others.retain(|peer| {
+            !peer.state.has_news && peer.is_due(now_ms) && is_wanted(need, &peer.state, peer.is_seed)
+        });
+        // Those not called for the longest time first.
+        others.sort_by_key(|peer| peer.due_at_ms);
+        let room = limit.min(free.saturating_sub(due.len()));
+        due.extend(others.iter().take(room).map(|peer| peer.address));
+        if need == Need::Refresh && !due.is_empty() {
+            self.refresh_at_ms = now_ms + REFRESH_INTERVAL_MS;
+        }
+        let wants_hosts = matches!(need, Need::Refresh | Need::State);
+        let calls = due.into_iter();
+        calls
+            .filter_map(|address| self.start_call(address, wants_hosts))
+            .collect()
+    }
+
+    fn start_call(&mut self, address: SocketAddr, wants_hosts: bool) -> Option<Query> {
+        let peer = self.peers.get_mut(address)?;
+        peer.is_in_flight = true;
+        peer.state.has_news = false;
+        Some(Query {
+            address,
+            wants_hosts,
+            seen_hosts_digest: peer.state.seen_hosts_digest,
+        })
+    }
+
+    /// Returns when [`Self::take_due`] has to be called again at the latest; `None` if only an event
+    /// can make a call due.
+    #[must_use]
+    pub fn next_due_ms(&self, now_ms: u64, known: Knowledge) -> Option<u64> {
+        let need = self.need(now_ms, known);
+        let in_flight = self.peers.in_flight();
+        if in_flight >= MAX_PARALLEL_CALLS {
+            return None;
+        }
+        let is_blocked = need == Need::Refresh && in_flight > 0;
+        let not_before_ms = if need == Need::Refresh { self.refresh_at_ms } else { 0 };
+        let waiting = self.peers.iter().filter(|peer| !peer.is_in_flight);
+        let calls = waiting.filter_map(|peer| {
+            if peer.state.has_news {
+                return Some(peer.due_at_ms);
+            }
+            let is_wanted = !is_blocked && is_wanted(need, &peer.state, peer.is_seed);
+            is_wanted.then_some(peer.due_at_ms.max(not_before_ms))
+        });
+        let query_at_ms = self.started_at_ms + QUERY_DELAY_MS;
+        let next_need = (now_ms < query_at_ms).then_some(query_at_ms);
+        calls.chain(next_need).min()
+    }
+
+    /// Records the reply of a peer.
+    pub fn answered(&mut self, now_ms: u64, address: SocketAddr, reply: ReplySummary) {
+        let Some(peer) = self.peers.get_mut(address) else {
+            return;
+        };
+        peer.is_in_flight = false;
+        peer.confirm();
+        peer.state.is_introduced = true;
+        if let Some(digest) = reply.hosts_digest {
+            peer.state.seen_hosts_digest = digest;
+        }
+        peer.state.is_complete = reply.knowledge.is_complete();
+        peer.due_at_ms = if peer.state.is_complete {
+            peer.backoff.record_success();
+            now_ms + REFRESH_INTERVAL_MS
+        } else {
+            peer.backoff.record_failure(now_ms)
+        };
+    }
+
+    /// Records that a call to a peer failed.
+    pub fn failed(&mut self, now_ms: u64, address: SocketAddr) {
+        if let Some(peer) = self.peers.get_mut(address) {
+            peer.state.is_complete = false;
+        }
+        self.peers.failed(now_ms, address);
+    }
+
+    /// Records that a peer called this entry and told its address and what it knows.
+    ///
+    /// If it knows more than this entry, it is asked immediately.
+    pub fn contacted(&mut self, address: SocketAddr, theirs: Knowledge, known: Knowledge) {
+        let is_store_answering = self.is_store_answering();
+        let Some(peer) = self.peers.insert(address) else {
+            return;
+        };
+        peer.confirm();
+        let has_more_hosts = !is_store_answering && theirs.host_count > known.host_count;
+        if theirs.revision > known.revision || has_more_hosts {
+            peer.state.has_news = true;
+            peer.expedite();
+        }
+    }
+
+    /// Adds peers that a message named.
+    pub fn learn(&mut self, addresses: &[SocketAddr]) {
+        for &address in addresses.iter().take(MAX_NAMED_PEERS) {
+            self.peers.insert(address);
+        }
+    }
+
+    /// Returns the addresses of entries to pass on to the process at `to`.
+    #[must_use]
+    pub fn named(&self, to: Option<SocketAddr>) -> Vec<SocketAddr> {
+        self.peers.named(to)
+    }
+
+    fn need(&self, now_ms: u64, known: Knowledge) -> Need {
+        if self.is_store_answering() {
+            let is_starting = now_ms < self.started_at_ms + INTRODUCTION_PERIOD_MS;
+            return if is_starting { Need::Introduction } else { Need::Nothing };
+        }
+        let is_failing = self.store.contains(&StoreContact::Failing);
+        if !is_failing && now_ms < self.started_at_ms + QUERY_DELAY_MS {
+            return Need::Nothing;
+        }
+        if known.is_complete() && (self.was_listed || self.has_asked_enough(now_ms)) {
+            Need::Refresh
+        } else {
+            Need::State
+        }
+    }
+
+    /// Returns whether an entry that knows configuration and hosts need not ask several peers.
+    fn has_asked_enough(&self, now_ms: u64) -> bool {
+        let complete = self.peers.iter().filter(|peer| peer.state.is_complete);
+        complete.count() >= MIN_COMPLETE_REPLIES
+            || now_ms >= self.started_at_ms + INTRODUCTION_PERIOD_MS
+    }
+}
+
+impl Knowledge {
+    /// Returns whether an entry that knows this can serve.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.revision > 0 && self.host_count > 0
+    }
+}
+
+fn is_wanted(need: Need, peer: &EntryState, is_seed: bool) -> bool {
+    match need {
+        Need::Nothing => false,
+        Need::Introduction => is_seed && !peer.is_introduced,
+        Need::Refresh | Need::State => true,
+    }
+}
