Hold jobs between the listing of the hosts and the choice of connections

Hosts that are listed are chosen for connections at the next tick, up to 20 ms later. A job that arrived in between found no host connecting and was refused for lack of hosts. It now waits if no connection has been chosen yet. A host that announces itself is kept for another HOST_RETENTION_MS, and the names and addresses of hosts are available without copies of their views.

--- a/components/scheduling/src/host.rs
+++ b/components/scheduling/src/host.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Records that the agent has announced its host, which is then kept as if just added.
+    pub(crate) fn announced(&mut self, now_ms: u64) {
+        self.added_at_ms = now_ms;
+    }
+
     /// Stores the permit and the view of an answer, unless newer ones have arrived.
     pub(crate) fn apply_update(&mut self, now_ms: u64, update: &HostUpdate) {
         let is_newest = self
--- a/components/scheduling/src/scheduler/connections.rs
+++ b/components/scheduling/src/scheduler/connections.rs
@@ -18,6 +18,13 @@
         slot
     }
 
+    /// Records that an agent has announced its host, which keeps it for another `HOST_RETENTION_MS`.
+    pub fn host_announced(&mut self, now_ms: u64, slot: HostSlot) {
+        if let Some(host) = self.hosts.get_mut(slot) {
+            host.announced(now_ms);
+        }
+    }
+
     /// Removes a host if it has been disconnected and without a permit for `HOST_RETENTION_MS`;
     /// returns whether the host is no longer in the scheduler.
     pub fn remove_expired_host(&mut self, now_ms: u64, slot: HostSlot) -> bool {
--- a/components/scheduling/src/scheduler/mod.rs
+++ b/components/scheduling/src/scheduler/mod.rs
@@ -20,7 +20,7 @@
 use crate::answer_cache::AnswerCache;
 use crate::baseline::PlacementRule;
 use crate::forecast::ForecastOutcome;
-use crate::host::{HostRecord, HostSlot, HostStatus};
+use crate::host::{HostInfo, HostRecord, HostSlot, HostStatus};
 use crate::job::{Job, JobSlot};
 use crate::limits::UPDATE_WAIT_MS;
 use crate::placement::Candidate;
@@ -182,6 +182,11 @@
             .collect()
     }
 
+    /// Returns the names and addresses of all hosts.
+    pub fn host_infos(&self) -> impl Iterator<Item = &HostInfo> {
+        self.hosts.values().map(|host| &host.info)
+    }
+
     /// Returns whether at least one host is usable.
     #[must_use]
     pub fn has_usable_host(&self, now_ms: u64) -> bool {
--- a/components/scheduling/src/scheduler/warm_up.rs
+++ b/components/scheduling/src/scheduler/warm_up.rs
@@ -17,6 +17,11 @@
             return true;
         }
         let wanted = || self.hosts.values().filter(|host| host.is_connection_wanted);
+        // Hosts are listed up to a tick before connections are chosen. In that time requests were
+        // refused for lack of hosts.
+        if self.connections_updated_at_ms == 0 && wanted().next().is_none() {
+            return !self.hosts.is_empty();
+        }
         let usable = wanted().filter(|host| host.is_usable(now_ms)).count();
         let connecting = wanted().filter(|host| host.is_connecting(now_ms)).count();
         connecting > usable
--- a/components/scheduling/tests/scheduler/warm_up.rs
+++ b/components/scheduling/tests/scheduler/warm_up.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use model::HostView;
-use scheduling::{HostInfo, NotRunReason, Scheduler, SubmitOutcome, Verdict};
+use scheduling::{HOST_RETENTION_MS, HostInfo, NotRunReason, Scheduler, SubmitOutcome, Verdict};
 
 use crate::support::{Bench, ENTRY, START_MS, job, opening, view};
 
@@ -77,6 +77,36 @@
     ));
 }
 
+// Requests between the listing of the hosts and the next tick were refused for lack of hosts.
+#[test]
+fn a_job_waits_for_hosts_that_were_listed_since_the_last_tick() {
+    let mut bench = starting_entry();
+    let host = list_host(&mut bench);
+    bench.scheduler.hosts_listed();
+    assert!(matches!(
+        bench.submit(job(1, 1)),
+        SubmitOutcome::Admitted(..)
+    ));
+    bench.tick(20);
+    connect(&mut bench, host, view(8_000));
+    bench.tick(20);
+    assert_eq!(bench.orders(host).expect("orders").starts.len(), 1);
+}
+
+// An agent that cannot register may be followed by few entries: the others know it by announcements.
+#[test]
+fn a_host_that_announces_itself_is_not_forgotten() {
+    let mut bench = starting_entry();
+    let host = list_host(&mut bench);
+    let slot = bench.slots[host];
+    bench.tick(HOST_RETENTION_MS - 1);
+    bench.scheduler.host_announced(bench.now_ms, slot);
+    bench.tick(HOST_RETENTION_MS - 1);
+    assert!(!bench.scheduler.remove_expired_host(bench.now_ms, slot));
+    bench.tick(1);
+    assert!(bench.scheduler.remove_expired_host(bench.now_ms, slot));
+}
+
 #[test]
 fn a_job_that_cannot_wait_for_hosts_is_refused_at_once() {
     let mut bench = starting_entry();
