--- a/components/config/src/settings/gateway.rs
+++ b/components/config/src/settings/gateway.rs
@@ -42,14 +42,15 @@
     pub callers_address: SocketAddr,
     /// Address that serves the readiness check.
     pub readiness_address: SocketAddr,
-    /// Address that other entries connect to.
+    /// Address that other entries, and agents with announcements, connect to.
     pub peer_address: SocketAddr,
     /// Address that serves the metrics; absent if they are not served.
     #[serde(default)]
     pub metrics_address: Option<SocketAddr>,
     /// Address of the platform's key-value store.
     pub store_address: SocketAddr,
-    /// Addresses of other entries to connect to while the store is unreachable.
+    /// Addresses of entries to exchange state with while the store is unreachable; empty if the
+    /// entry takes no part in the exchange.
     #[serde(default)]
     pub seed_peers: Vec<SocketAddr>,
     /// Maximum duration of a planned stop.
--- a/components/config/src/settings/sidecar.rs
+++ b/components/config/src/settings/sidecar.rs
@@ -17,6 +17,7 @@
     Key::optional("advertised_peer_address", Kind::Address),
     Key::optional("metrics_address", Kind::Address),
     Key::required("store_address", Kind::Address),
+    Key::optional("seed_peers", Kind::Addresses { min_count: 0 }),
     Key::optional_integer("drain_timeout_ms", 0, 600_000),
     Key::optional("log", Kind::Table(log::KEYS)),
 ];
@@ -42,6 +43,9 @@
     pub metrics_address: Option<SocketAddr>,
     /// Address of the platform's key-value store.
     pub store_address: SocketAddr,
+    /// Addresses of entries to announce the host to while it is not registered in the store.
+    #[serde(default)]
+    pub seed_peers: Vec<SocketAddr>,
     /// Maximum duration of a planned stop.
     #[serde(default = "load::default_drain_timeout_ms")]
     pub drain_timeout_ms: u64,
@@ -64,6 +68,7 @@
     ///
     /// Returns the names of the other settings that differ; these take effect at the next start.
     pub fn apply_reloadable(&mut self, newer: &Self) -> Vec<&'static str> {
+        self.seed_peers.clone_from(&newer.seed_peers);
         self.drain_timeout_ms = newer.drain_timeout_ms;
         load::differing_keys(KEYS, self, newer)
     }
--- a/components/gateway/src/bootstrap.rs
+++ b/components/gateway/src/bootstrap.rs
@@ -1,99 +1,206 @@
-//! Bootstrap from other entries while the platform's store is unreachable.
+//! Exchange of state with other entries and agents while the platform's store is unreachable.
 //!
-//! An entry that starts during a store outage fetches the configuration and the hosts from the
-//! peers in its settings.
+//! The `peers` crate decides whom this entry asks and when. It takes part only if its settings name
+//! seeds; requests of other entries are answered in any case.
 
+use std::hash::BuildHasher;
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
-use model::HostRegistration;
 use monoio::net::TcpListener;
-use protocol::{BootstrapLink, BootstrapReply, ServerSettings, serve_bootstrap};
-use runtime::monotonic_us;
+use peers::{Knowledge, MAX_HOSTS_IN_REPLY, Query, ReplySummary, StorePart};
+use protocol::{
+    BootstrapLink, BootstrapReply, BootstrapRequest, HostAnnouncement, HostAnnouncementReply,
+    HostContact, LinkError, LinkFault, ServerSettings, serve_bootstrap,
+};
+use runtime::{monotonic_us, uptime_ms};
+use rustc_hash::FxBuildHasher;
+use scheduling::{HostInfo, Scheduler};
 
 use crate::process::Shared;
 use crate::{configuration, directory};
 
-/// Time after the start that the store has to answer before other entries are asked, in
-/// milliseconds.
-const PEER_QUERY_DELAY_MS: u64 = 600;
+/// Time limit of one request to a peer, in milliseconds; a round trip takes 2 ms, and a machine
+/// without power does not answer at all.
+const PEER_QUERY_TIMEOUT_MS: u64 = 300;
 
-/// Pause between two rounds of requests to all peers, in milliseconds.
-const PEER_QUERY_INTERVAL_MS: u64 = 500;
+/// Largest number of concurrent connections to the bootstrap service, which are open for the time
+/// of one call: all agents of a large installation may announce themselves at once.
+const MAX_CONNECTIONS: usize = 1_024;
 
-/// Time limit of one request to a peer, in milliseconds.
-const PEER_QUERY_TIMEOUT_MS: u64 = 500;
-
-/// Answers bootstrap requests of other entries.
+/// Answers requests of other entries and announcements of agents.
 pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
     let settings = ServerSettings::builder(shared.key)
+        .connection_limit(MAX_CONNECTIONS)
         .counters(shared.link_counters.clone())
         .traffic(shared.traffic.clone())
         .build();
-    serve_bootstrap(listener, settings, move |known| reply(&shared, known)).await;
+    let asked = Rc::clone(&shared);
+    let bootstrap = move |request: BootstrapRequest| answer(&asked, &request);
+    let announce = move |announcement: HostAnnouncement| learn_host(&shared, &announcement);
+    serve_bootstrap(listener, settings, bootstrap, announce).await;
+}
+
+/// Returns the address at which other processes reach the bootstrap service, if the entry takes part
+/// in the exchange of state and the address is known.
+pub(crate) fn own_address(shared: &Shared) -> Option<SocketAddr> {
+    let settings = shared.settings();
+    let is_known = !settings.peer_address.ip().is_unspecified();
+    (is_known && is_enabled(shared)).then_some(settings.peer_address)
+}
+
+fn is_enabled(shared: &Shared) -> bool {
+    !shared.settings().seed_peers.is_empty()
 }
 
-fn reply(shared: &Rc<Shared>, known_revision: u64) -> BootstrapReply {
+fn answer(shared: &Rc<Shared>, request: &BootstrapRequest) -> BootstrapReply {
+    let known = knowledge(shared);
+    if let Some(address) = request.address.filter(|_| is_enabled(shared)) {
+        let theirs = Knowledge {
+            revision: request.revision,
+            host_count: request.host_count as usize,
+        };
+        shared
+            .exchange
+            .borrow_mut()
+            .contacted(address, theirs, known);
+        call_due_peers(shared);
+    }
     let active_configuration = shared.active_configuration.borrow();
     let newer = active_configuration
         .as_ref()
-        .filter(|config| config.revision > known_revision);
-    let now_ms = shared.advance_clock();
-    let hosts = shared.scheduler.borrow().hosts(now_ms);
-    let agents = hosts.iter().map(|host| HostRegistration {
-        name: host.info.name.to_string(),
-        address: host.info.address.to_string(),
-        failure_domain: host.info.failure_domain.to_string(),
-        target: None,
-    });
+        .filter(|config| config.revision > request.revision);
+    let scheduler = shared.scheduler.borrow();
+    let hosts_digest = digest_hosts(&scheduler);
+    let has_hosts = request.wants_hosts && request.seen_hosts_digest != hosts_digest;
+    let max_hosts = if has_hosts { MAX_HOSTS_IN_REPLY } else { 0 };
+    let hosts = scheduler.host_infos().take(max_hosts).filter_map(contact);
+    let exchange = shared.exchange.borrow();
     BootstrapReply {
+        revision: known.revision,
+        configuration: newer.map(|config| config.published.clone()),
+        host_count: known.host_count as u32,
+        is_listed: exchange.is_listed(),
+        hosts_digest,
+        hosts: hosts.collect(),
+        entries: exchange.named(request.address),
+    }
+}
+
+/// Returns what to tell a peer of a host; `None` if the store had a malformed address of it.
+fn contact(info: &HostInfo) -> Option<HostContact> {
+    Some(HostContact {
+        name: info.name.to_string(),
+        address: info.address.parse().ok()?,
+        failure_domain: info.failure_domain.to_string(),
+    })
+}
+
+/// Returns a digest that is the same for the same hosts in any order.
+fn digest_hosts(scheduler: &Scheduler) -> u64 {
+    let hosts = scheduler.host_infos();
+    let digests = hosts.map(|info| FxBuildHasher.hash_one((&*info.name, &*info.address)));
+    digests.fold(0, u64::wrapping_add)
+}
+
+fn learn_host(shared: &Rc<Shared>, announcement: &HostAnnouncement) -> HostAnnouncementReply {
+    if !is_enabled(shared) {
+        return HostAnnouncementReply::default();
+    }
+    directory::add_announced_host(shared, &announcement.host);
+    shared.exchange.borrow_mut().learn(&announcement.entries);
+    call_due_peers(shared);
+    HostAnnouncementReply {
+        entries: shared.exchange.borrow().named(None),
+    }
+}
+
+/// Records how a read of the store ended; if it failed, peers are asked without delay.
+pub(crate) fn record_store_read(shared: &Rc<Shared>, part: StorePart, is_answered: bool) {
+    shared
+        .exchange
+        .borrow_mut()
+        .record_store_call(part, is_answered);
+    call_due_peers(shared);
+}
+
+/// Calls the peers that are due, if the settings name seeds.
+pub(crate) fn call_due_peers(shared: &Rc<Shared>) {
+    if !is_enabled(shared) || shared.is_draining.get() {
+        return;
+    }
+    let known = knowledge(shared);
+    let due = shared.exchange.borrow_mut().take_due(uptime_ms(), known);
+    for query in due {
+        monoio::spawn(call_peer(Rc::clone(shared), query));
+    }
+}
+
+fn knowledge(shared: &Shared) -> Knowledge {
+    let active_configuration = shared.active_configuration.borrow();
+    Knowledge {
         revision: active_configuration
             .as_ref()
             .map_or(0, |config| config.revision),
-        configuration: newer.map(|config| config.published.clone()),
-        hosts: agents.collect(),
+        host_count: shared.addresses.borrow().len(),
     }
 }
 
-/// Asks the peers until this entry has a configuration and knows at least one host.
-pub(crate) async fn query_peers(shared: Rc<Shared>) {
-    monoio::time::sleep(Duration::from_millis(PEER_QUERY_DELAY_MS)).await;
-    while is_bootstrap_needed(&shared) {
-        let settings = shared.settings();
-        for &peer in &settings.seed_peers {
-            if peer != settings.peer_address && is_bootstrap_needed(&shared) {
-                query_peer(&shared, &peer.to_string()).await;
-            }
+async fn call_peer(shared: Rc<Shared>, query: Query) {
+    match request_state(&shared, query).await {
+        Ok(reply) => apply(&shared, query, &reply),
+        Err(error) => {
+            shared.metrics.record_peer_call(false);
+            log::debug!(target: "gateway", event = "bootstrap_failed",
+                address = query.address.to_string(), reason = error.to_string();
+                "no state from this peer; asking it again after a pause");
+            let mut exchange = shared.exchange.borrow_mut();
+            exchange.failed(uptime_ms(), query.address);
         }
-        monoio::time::sleep(Duration::from_millis(PEER_QUERY_INTERVAL_MS)).await;
     }
+    call_due_peers(&shared);
 }
 
-fn is_bootstrap_needed(shared: &Shared) -> bool {
-    shared.active_configuration.borrow().is_none() || shared.addresses.borrow().is_empty()
-}
-
-async fn query_peer(shared: &Rc<Shared>, address: &str) {
+async fn request_state(shared: &Rc<Shared>, query: Query) -> Result<BootstrapReply, LinkError> {
     let deadline_us = monotonic_us() + PEER_QUERY_TIMEOUT_MS * 1_000;
+    let address = query.address.to_string();
     let traffic = shared.traffic.clone();
-    let link = BootstrapLink::connect(address, shared.key, deadline_us, traffic).await;
-    let reply = match link {
-        Ok(link) => link.bootstrap(0, deadline_us).await,
-        Err(error) => Err(error),
+    let link = BootstrapLink::connect(&address, shared.key, deadline_us, traffic).await?;
+    if link.peer() == shared.key {
+        return Err(LinkError::NotSent(LinkFault::BadAddress));
+    }
+    let known = knowledge(shared);
+    let request = BootstrapRequest {
+        address: own_address(shared),
+        revision: known.revision,
+        host_count: known.host_count as u32,
+        wants_hosts: query.wants_hosts,
+        seen_hosts_digest: query.seen_hosts_digest,
     };
-    match reply {
-        Ok(reply) => {
-            if let Some(published) = &reply.configuration {
-                configuration::apply_published(shared, reply.revision, published, address);
-            }
-            for host in &reply.hosts {
-                directory::add_host(shared, host);
-            }
-        }
-        Err(error) => {
-            log::debug!(target: "gateway", event = "bootstrap_failed", address = address,
-                reason = error.to_string();
-                "no bootstrap data from this peer; trying the next one, or all again after a pause");
-        }
+    link.bootstrap(request, deadline_us).await
+}
+
+fn apply(shared: &Rc<Shared>, query: Query, reply: &BootstrapReply) {
+    shared.metrics.record_peer_call(true);
+    let source = query.address.to_string();
+    if let Some(published) = &reply.configuration {
+        configuration::apply_published(shared, reply.revision, published, &source);
+    }
+    for host in reply.hosts.iter().take(MAX_HOSTS_IN_REPLY) {
+        directory::add_host_from_peer(shared, host, &source);
+    }
+    let summary = ReplySummary {
+        knowledge: Knowledge {
+            revision: reply.revision,
+            host_count: reply.host_count as usize,
+        },
+        is_listed: reply.is_listed,
+        hosts_digest: query.wants_hosts.then_some(reply.hosts_digest),
+    };
+    let mut exchange = shared.exchange.borrow_mut();
+    exchange.learn(&reply.entries);
+    exchange.answered(uptime_ms(), query.address, summary);
+    if query.wants_hosts && exchange.is_listed() {
+        shared.scheduler.borrow_mut().hosts_listed();
     }
 }
--- a/components/gateway/src/configuration.rs
+++ b/components/gateway/src/configuration.rs
@@ -4,10 +4,13 @@
 use std::time::Duration;
 
 use adapter::{CONFIGURATION_KEY, CallerLimits, StoreItem, WatchedChange};
+use peers::StorePart;
 use platform::StoreError;
 use scheduling::RouteTable;
 use web::Bytes;
 
+use crate::bootstrap;
+use crate::directory::is_answered;
 use crate::process::Shared;
 
 /// How long a watch waits for a change, in milliseconds.
@@ -66,6 +69,7 @@
     shared
         .metrics
         .record_store_call("get", read.is_ok() || read == Err(StoreError::Missing));
+    bootstrap::record_store_read(shared, StorePart::Configuration, is_answered(&read));
     let mut revision = match read {
         Ok(item) => {
             apply(shared, &item);
@@ -80,6 +84,7 @@
             .watch(CONFIGURATION_KEY, revision, WATCH_WAIT_MS)
             .await;
         shared.metrics.record_store_call("watch", watched.is_ok());
+        bootstrap::record_store_read(shared, StorePart::Configuration, is_answered(&watched));
         let watch = match watched {
             Err(StoreError::Missing) => {
                 monoio::time::sleep(Duration::from_millis(REREAD_PAUSE_MS)).await;
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -6,13 +6,15 @@
 
 use adapter::{StoreItem, WatchedChange};
 use model::{HOSTS_PREFIX, HostRegistration};
+use peers::{MAX_HOSTS_IN_REPLY, StorePart};
 use platform::StoreError;
+use protocol::HostContact;
 use runtime::uptime_ms;
 use rustc_hash::FxHashSet;
 use scheduling::HostInfo;
 
-use crate::links;
 use crate::process::Shared;
+use crate::{bootstrap, links};
 
 /// How long a watch waits for a change, in milliseconds.
 const WATCH_WAIT_MS: u64 = 5_000;
@@ -51,6 +53,7 @@
 ) -> Result<(), StoreError> {
     let listed = shared.store.list(HOSTS_PREFIX, false).await;
     shared.metrics.record_store_call("list", listed.is_ok());
+    bootstrap::record_store_read(shared, StorePart::Hosts, is_answered(&listed));
     let list = listed?;
     registered.clear();
     for item in &list.items {
@@ -64,6 +67,7 @@
             .watch(HOSTS_PREFIX, revision, WATCH_WAIT_MS)
             .await;
         shared.metrics.record_store_call("watch", watched.is_ok());
+        bootstrap::record_store_read(shared, StorePart::Hosts, is_answered(&watched));
         let watch = watched?;
         for change in &watch.changes {
             match change {
@@ -83,11 +87,16 @@
     }
 }
 
+/// Returns whether the store has answered, if only that a key or the history is missing.
+pub(crate) fn is_answered<T>(result: &Result<T, StoreError>) -> bool {
+    matches!(result, Ok(_) | Err(StoreError::Missing))
+}
+
 fn add_registered(shared: &Rc<Shared>, item: &StoreItem, registered: &mut RegisteredAddresses) {
     match serde_json::from_slice::<HostRegistration>(&item.value) {
         Ok(registration) => {
             registered.insert(item.key.clone(), registration.address.clone());
-            add_host(shared, &registration);
+            add_host(shared, &registration, "store");
         }
         Err(error) => {
             log::warn!(target: "gateway", event = "bad_registration", key = item.key.as_str(),
@@ -96,8 +105,38 @@
     }
 }
 
+/// Adds the host of an agent that has announced it, or keeps the host for longer if it is known.
+pub(crate) fn add_announced_host(shared: &Rc<Shared>, host: &HostContact) {
+    let address = host.address.to_string();
+    let known = shared.addresses.borrow().get(&address).copied();
+    match known {
+        Some(slot) => {
+            let mut scheduler = shared.scheduler.borrow_mut();
+            scheduler.host_announced(uptime_ms(), slot);
+        }
+        None => add_host_from_peer(shared, host, "announcement"),
+    }
+}
+
+/// Adds a host that a peer has told, unless its address is known or too many hosts are.
+pub(crate) fn add_host_from_peer(shared: &Rc<Shared>, host: &HostContact, source: &str) {
+    if shared.addresses.borrow().len() >= MAX_HOSTS_IN_REPLY {
+        log::debug!(target: "gateway", event = "host_ignored", host = host.name.as_str(),
+            address = host.address.to_string(), source = source;
+            "host told by a peer ignored: too many hosts are known");
+        return;
+    }
+    let registration = HostRegistration {
+        name: host.name.clone(),
+        address: host.address.to_string(),
+        failure_domain: host.failure_domain.clone(),
+        target: None,
+    };
+    add_host(shared, &registration, source);
+}
+
 /// Adds a host unless its address is known, and starts to connect to its agent when needed.
-pub(crate) fn add_host(shared: &Rc<Shared>, registration: &HostRegistration) {
+fn add_host(shared: &Rc<Shared>, registration: &HostRegistration, source: &str) {
     let mut addresses = shared.addresses.borrow_mut();
     if addresses.contains_key(&registration.address) {
         return;
@@ -111,7 +150,7 @@
     addresses.insert(registration.address.clone(), slot);
     log::info!(target: "gateway", event = "host_known", host = registration.name.as_str(),
         address = registration.address.as_str(),
-        failure_domain = registration.failure_domain.as_str(); "host discovered");
+        failure_domain = registration.failure_domain.as_str(), source = source; "host discovered");
     let address = registration.address.clone();
     monoio::spawn(links::maintain(Rc::clone(shared), slot, address));
 }
--- a/components/gateway/src/links.rs
+++ b/components/gateway/src/links.rs
@@ -10,6 +10,7 @@
 use scheduling::{HostSlot, UPDATE_TIMEOUT_MS};
 use web::Notify;
 
+use crate::bootstrap;
 use crate::process::Shared;
 
 /// Time limit of an attempt to connect, in milliseconds, to which the current reconnect pause is
@@ -128,6 +129,8 @@
 }
 
 async fn poll_updates(shared: &Rc<Shared>, slot: HostSlot, link: &HostLink) -> LinkError {
+    // After the first view, which jobs may be waiting for.
+    let mut is_introduced = false;
     loop {
         let Some(request) = shared.scheduler.borrow().update_request(slot) else {
             return LinkError::NotSent(protocol::LinkFault::Closed);
@@ -138,9 +141,22 @@
             Ok(update) => apply_update(shared, slot, None, &update),
             Err(error) => return error,
         }
+        if !is_introduced && let Err(error) = introduce(shared, link).await {
+            return error;
+        }
+        is_introduced = true;
     }
 }
 
+/// Tells the agent where this entry takes announcements.
+async fn introduce(shared: &Rc<Shared>, link: &HostLink) -> Result<(), LinkError> {
+    let Some(address) = bootstrap::own_address(shared) else {
+        return Ok(());
+    };
+    let deadline_us = monotonic_us() + ORDER_TIMEOUT_MS * 1_000;
+    link.introduce(shared.key, address, deadline_us).await
+}
+
 fn apply_update(
     shared: &Rc<Shared>,
     slot: HostSlot,
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     run_events: IntCounterVec,
     store_calls: IntCounterVec,
     link_events: IntCounterVec,
+    peer_calls: IntCounterVec,
     web_events: IntCounterVec,
     jobs: IntGauge,
     usable_hosts: IntGauge,
@@ -87,6 +88,11 @@
                 "Connections to agents that were made and lost.",
                 &["event"],
             )?,
+            peer_calls: metrics.counter_vec(
+                "shallotcross_gateway_peer_calls_total",
+                "Requests for state to other entries by result.",
+                &["result"],
+            )?,
             web_events: metrics.counter_vec(
                 "shallotcross_gateway_web_events_total",
                 "Events on HTTP connections of callers.",
@@ -121,6 +127,12 @@
         response_s.observe(took_ms as f64 / 1_000.0);
     }
 
+    /// Counts a request for state to another entry by whether it was answered.
+    pub(crate) fn record_peer_call(&self, is_answered: bool) {
+        let result = if is_answered { "ok" } else { "failed" };
+        self.peer_calls.with_label_values(&[result]).inc();
+    }
+
     /// Counts the expected wait of a task that was placed.
     pub(crate) fn record_placement(&self, wait_ms: u64) {
         let no_labels: [&str; 0] = [];
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -9,6 +9,7 @@
 use futures::channel::oneshot;
 use model::ProcessKey;
 use monoio::net::TcpListener;
+use peers::Exchange;
 use platform::StoreClient;
 use protocol::{LinkCounters, Traffic};
 use runtime::{StopSignal, SuspensionWatch, uptime_ms};
@@ -77,6 +78,8 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) link_counters: LinkCounters,
     pub(crate) traffic: Traffic,
+    /// Decides which peers are asked for state.
+    pub(crate) exchange: RefCell<Exchange>,
     pub(crate) web: Rc<ServerCounters>,
     suspension_watch: SuspensionWatch,
 }
@@ -109,6 +112,9 @@
         let starting_until_ms = uptime_ms() + START_GRACE_MS;
         let scheduler = Scheduler::new(key, &settings.failure_domain, far_factor)
             .with_hosts_expected_until(starting_until_ms);
+        let own_address = settings.peer_address;
+        let mut exchange = Exchange::new(uptime_ms(), Some(own_address), key.0);
+        exchange.set_seeds(&settings.seed_peers);
         let shared = Shared {
             key,
             scheduler: RefCell::new(scheduler),
@@ -124,6 +130,7 @@
                 .map_err(|error| Error::new(ExitCode::Failure, error.to_string()))?,
             link_counters: LinkCounters::default(),
             traffic: Traffic::default(),
+            exchange: RefCell::new(exchange),
             web: Rc::default(),
             suspension_watch: SuspensionWatch::new(
                 uptime_ms(),
@@ -177,7 +184,6 @@
         }
         monoio::spawn(crate::configuration::follow(Rc::clone(&shared)));
         monoio::spawn(crate::directory::follow(Rc::clone(&shared)));
-        monoio::spawn(crate::bootstrap::query_peers(Rc::clone(&shared)));
         monoio::spawn(run_timers(Rc::clone(&shared)));
         drain.stopped().await;
         shared.is_draining.set(true);
@@ -202,6 +208,7 @@
         let mut actions = Vec::new();
         shared.scheduler.borrow_mut().tick(now_ms, &mut actions);
         shared.perform(actions);
+        crate::bootstrap::call_due_peers(&shared);
         runtime::flush_log();
         monoio::time::sleep(Duration::from_millis(TICK_INTERVAL_MS)).await;
     }
@@ -224,6 +231,7 @@
     fn reload(&self, newer: &GatewaySettings) -> Vec<&'static str> {
         let mut settings = (*self.settings()).clone();
         let restart_required = settings.apply_reloadable(newer);
+        self.exchange.borrow_mut().set_seeds(&settings.seed_peers);
         self.settings.replace(Rc::new(settings));
         self.refresh_limits();
         restart_required
--- a/components/peers/src/announcer.rs
+++ b/components/peers/src/announcer.rs
@@ -117,23 +117,6 @@
         .collect()
     }
 
-    /// Returns when [`Self::take_due`] has to be called again at the latest; `None` if only an event
-    /// can make a call due.
-    #[must_use]
-    pub fn next_due_ms(&self, now_ms: u64) -> Option<u64> {
-        if self.entries.in_flight() >= MAX_PARALLEL_CALLS {
-            return None;
-        }
-        let is_announcing = self.is_announcing(now_ms);
-        let waiting = self.entries.iter().filter(|entry| {
-            !entry.is_in_flight && is_wanted(now_ms, &entry.state, is_announcing)
-        });
-        let next_call = waiting.map(|entry| entry.due_at_ms).min();
-        let announcing_at_ms = self.announcing_at_ms();
-        let next_need = announcing_at_ms.filter(|at_ms| now_ms < *at_ms);
-        next_call.into_iter().chain(next_need).min()
-    }
-
     /// Records that an entry answered an announcement, and the entries that it named.
     pub fn answered(&mut self, now_ms: u64, address: SocketAddr, named: &[SocketAddr]) {
         if let Some(entry) = self.entries.get_mut(address) {
--- a/components/peers/src/exchange.rs
+++ b/components/peers/src/exchange.rs
@@ -6,8 +6,8 @@
 use strum::EnumCount;
 
 use crate::limits::{
-    INTRODUCTION_PERIOD_MS, MAX_NAMED_PEERS, MAX_PARALLEL_CALLS, MAX_QUERY_PAUSE_MS,
-    MIN_COMPLETE_REPLIES, MIN_QUERY_PAUSE_MS, QUERY_DELAY_MS, REFRESH_INTERVAL_MS,
+    MAX_NAMED_PEERS, MAX_PARALLEL_CALLS, MAX_QUERY_PAUSE_MS, MIN_QUERY_PAUSE_MS, QUERY_DELAY_MS,
+    REFRESH_INTERVAL_MS, STARTING_PERIOD_MS,
 };
 use crate::peer_set::{Peer, PeerSet};
 
@@ -45,6 +45,8 @@
 pub struct ReplySummary {
     /// What the peer knows.
     pub knowledge: Knowledge,
+    /// Whether the peer's hosts include those that the store listed.
+    pub is_listed: bool,
     /// Digest of its hosts if the reply brought them, or if they are the ones seen before.
     pub hosts_digest: Option<u64>,
 }
@@ -75,8 +77,6 @@
     seen_hosts_digest: u64,
     /// Whether the peer has answered a call, which told it this entry's address.
     is_introduced: bool,
-    /// Whether the last reply had a configuration and hosts.
-    is_complete: bool,
     /// Whether the peer has told that it knows more than this entry.
     has_news: bool,
 }
@@ -87,8 +87,8 @@
     peers: PeerSet<EntryState>,
     started_at_ms: u64,
     store: [StoreContact; StorePart::COUNT],
-    /// Whether the store has ever answered a read of the hosts.
-    was_listed: bool,
+    /// Whether the store has listed the hosts to this entry, or to a peer that replied.
+    is_listed: bool,
     refresh_at_ms: u64,
 }
 
@@ -103,7 +103,7 @@
             peers: PeerSet::new(own_address, backoff.build(), EntryState::default()),
             started_at_ms: now_ms,
             store: [StoreContact::default(); StorePart::COUNT],
-            was_listed: false,
+            is_listed: false,
             refresh_at_ms: 0,
         }
     }
@@ -120,7 +120,7 @@
         } else {
             StoreContact::Failing
         };
-        self.was_listed |= part == StorePart::Hosts && is_answered;
+        self.is_listed |= part == StorePart::Hosts && is_answered;
     }
 
     /// Returns whether the store answers the reads of both parts.
@@ -129,6 +129,13 @@
         self.store == [StoreContact::Answering; StorePart::COUNT]
     }
 
+    /// Returns whether the hosts known include those that the store listed, to this entry or to a
+    /// peer that replied.
+    #[must_use]
+    pub fn is_listed(&self) -> bool {
+        self.is_listed
+    }
+
     /// Returns the calls to make now, and records them as in flight.
     pub fn take_due(&mut self, now_ms: u64, known: Knowledge) -> Vec<Query> {
         let need = self.need(now_ms, known);
@@ -146,7 +153,9 @@
         due.truncate(free);
         let mut others: Vec<&Peer<EntryState>> = self.peers.iter().collect();
         others.retain(|peer| {
-            !peer.state.has_news && peer.is_due(now_ms) && is_wanted(need, &peer.state, peer.is_seed)
+            !peer.state.has_news
+                && peer.is_due(now_ms)
+                && is_wanted(need, &peer.state, peer.is_seed)
         });
         // Those not called for the longest time first.
         others.sort_by_key(|peer| peer.due_at_ms);
@@ -173,30 +182,6 @@
         })
     }
 
-    /// Returns when [`Self::take_due`] has to be called again at the latest; `None` if only an event
-    /// can make a call due.
-    #[must_use]
-    pub fn next_due_ms(&self, now_ms: u64, known: Knowledge) -> Option<u64> {
-        let need = self.need(now_ms, known);
-        let in_flight = self.peers.in_flight();
-        if in_flight >= MAX_PARALLEL_CALLS {
-            return None;
-        }
-        let is_blocked = need == Need::Refresh && in_flight > 0;
-        let not_before_ms = if need == Need::Refresh { self.refresh_at_ms } else { 0 };
-        let waiting = self.peers.iter().filter(|peer| !peer.is_in_flight);
-        let calls = waiting.filter_map(|peer| {
-            if peer.state.has_news {
-                return Some(peer.due_at_ms);
-            }
-            let is_wanted = !is_blocked && is_wanted(need, &peer.state, peer.is_seed);
-            is_wanted.then_some(peer.due_at_ms.max(not_before_ms))
-        });
-        let query_at_ms = self.started_at_ms + QUERY_DELAY_MS;
-        let next_need = (now_ms < query_at_ms).then_some(query_at_ms);
-        calls.chain(next_need).min()
-    }
-
     /// Records the reply of a peer.
     pub fn answered(&mut self, now_ms: u64, address: SocketAddr, reply: ReplySummary) {
         let Some(peer) = self.peers.get_mut(address) else {
@@ -208,20 +193,18 @@
         if let Some(digest) = reply.hosts_digest {
             peer.state.seen_hosts_digest = digest;
         }
-        peer.state.is_complete = reply.knowledge.is_complete();
-        peer.due_at_ms = if peer.state.is_complete {
+        let is_complete = reply.knowledge.is_complete() && reply.is_listed;
+        peer.due_at_ms = if is_complete {
             peer.backoff.record_success();
             now_ms + REFRESH_INTERVAL_MS
         } else {
             peer.backoff.record_failure(now_ms)
         };
+        self.is_listed |= is_complete;
     }
 
     /// Records that a call to a peer failed.
     pub fn failed(&mut self, now_ms: u64, address: SocketAddr) {
-        if let Some(peer) = self.peers.get_mut(address) {
-            peer.state.is_complete = false;
-        }
         self.peers.failed(now_ms, address);
     }
 
@@ -256,25 +239,26 @@
 
     fn need(&self, now_ms: u64, known: Knowledge) -> Need {
         if self.is_store_answering() {
-            let is_starting = now_ms < self.started_at_ms + INTRODUCTION_PERIOD_MS;
-            return if is_starting { Need::Introduction } else { Need::Nothing };
+            return if self.is_starting(now_ms) {
+                Need::Introduction
+            } else {
+                Need::Nothing
+            };
         }
         let is_failing = self.store.contains(&StoreContact::Failing);
         if !is_failing && now_ms < self.started_at_ms + QUERY_DELAY_MS {
             return Need::Nothing;
         }
-        if known.is_complete() && (self.was_listed || self.has_asked_enough(now_ms)) {
+        let is_settled = self.is_listed || !self.is_starting(now_ms);
+        if known.is_complete() && is_settled {
             Need::Refresh
         } else {
             Need::State
         }
     }
 
-    /// Returns whether an entry that knows configuration and hosts need not ask several peers.
-    fn has_asked_enough(&self, now_ms: u64) -> bool {
-        let complete = self.peers.iter().filter(|peer| peer.state.is_complete);
-        complete.count() >= MIN_COMPLETE_REPLIES
-            || now_ms >= self.started_at_ms + INTRODUCTION_PERIOD_MS
+    fn is_starting(&self, now_ms: u64) -> bool {
+        now_ms < self.started_at_ms + STARTING_PERIOD_MS
     }
 }
 
--- a/components/peers/src/limits.rs
+++ b/components/peers/src/limits.rs
@@ -27,13 +27,10 @@
 /// delays what a peer learns later.
 pub(crate) const MAX_QUERY_PAUSE_MS: u64 = 500;
 
-/// Time after its start within which an entry introduces itself to seeds, in milliseconds: machines
-/// that lost power together are back by then.
-pub(crate) const INTRODUCTION_PERIOD_MS: u64 = 10_000;
-
-/// Number of complete replies after which an entry no longer asks several peers at a time. The
-/// first may come from a peer that has just started and knows a few hosts.
-pub(crate) const MIN_COMPLETE_REPLIES: usize = 2;
+/// Time after its start within which an entry introduces itself to seeds, and asks several peers at a
+/// time if no hosts that the store listed are known, in milliseconds: machines that lost power
+/// together are back by then.
+pub(crate) const STARTING_PERIOD_MS: u64 = 10_000;
 
 /// Failures in a row after which a peer that is no seed is dropped; the pauses between them sum up
 /// to more than [`OFFER_DURATION_MS`], in which a machine without power is back.
--- /dev/null
+++ b/components/peers/tests/announcer.rs
@@ -0,0 +1,126 @@
+//! To whom an agent announces its host, and when.
+
+use std::net::SocketAddr;
+
+use model::ProcessKey;
+use peers::{ANNOUNCE_DELAY_MS, Announcer, OFFER_DELAY_MS, OFFER_DURATION_MS};
+
+const START_MS: u64 = 50_000;
+
+const ENTRY: ProcessKey = ProcessKey(3);
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 7_000 + number))
+}
+
+fn announcer() -> Announcer {
+    let mut announcer = Announcer::new(START_MS, 1);
+    announcer.set_seeds(&[address(1)]);
+    announcer
+}
+
+/// Lets every call to the entry at `answering` succeed and all others fail; returns the calls.
+fn run(
+    announcer: &mut Announcer,
+    from_ms: u64,
+    until_ms: u64,
+    answering: Option<SocketAddr>,
+) -> Vec<(u64, SocketAddr)> {
+    let mut calls = Vec::new();
+    for now_ms in (from_ms..until_ms).step_by(20) {
+        for called in announcer.take_due(now_ms) {
+            calls.push((now_ms, called));
+            if Some(called) == answering {
+                announcer.answered(now_ms, called, &[]);
+            } else {
+                announcer.failed(now_ms, called);
+            }
+        }
+    }
+    calls
+}
+
+// An agent that the store refused was unknown to all entries that started meanwhile.
+#[test]
+fn a_host_that_cannot_be_registered_is_announced_to_seeds_and_to_entries_that_they_name() {
+    let mut announcer = announcer();
+    let due_ms = START_MS + ANNOUNCE_DELAY_MS;
+    assert!(announcer.take_due(due_ms - 1).is_empty());
+    assert_eq!(announcer.take_due(due_ms), [address(1)]);
+    announcer.answered(due_ms + 2, address(1), &[address(2), address(3)]);
+    assert_eq!(announcer.take_due(due_ms + 2), [address(2), address(3)]);
+}
+
+#[test]
+fn a_registered_host_is_not_announced() {
+    let mut announcer = announcer();
+    announcer.registration_confirmed();
+    assert!(run(&mut announcer, START_MS, START_MS + 5_000, None).is_empty());
+}
+
+// The store refuses an agent whose registration it has dropped.
+#[test]
+fn a_host_whose_registration_is_lost_is_announced_with_growing_pauses_until_it_is_registered() {
+    let mut announcer = announcer();
+    announcer.registration_confirmed();
+    let lost_ms = START_MS + 1_000;
+    announcer.registration_unconfirmed(lost_ms);
+    announcer.registration_unconfirmed(lost_ms + 500);
+    let calls = run(&mut announcer, lost_ms, lost_ms + 30_000, Some(address(1)));
+    assert_eq!(calls[0].0, lost_ms + ANNOUNCE_DELAY_MS);
+    assert!((4..=8).contains(&calls.len()), "{calls:?}");
+    announcer.registration_confirmed();
+    let later_ms = lost_ms + 30_000;
+    assert!(run(&mut announcer, later_ms, later_ms + 30_000, None).is_empty());
+}
+
+// While all seeds are down, an entry that restarts learns of hosts only from their agents.
+#[test]
+fn a_host_is_offered_to_an_entry_whose_connection_was_lost_until_it_answers() {
+    let mut announcer = announcer();
+    announcer.registration_confirmed();
+    announcer.entry_connected(ENTRY, address(5));
+    assert_eq!(announcer.named(address(1)), [address(5)]);
+    let lost_ms = START_MS + 1_000;
+    announcer.entry_disconnected(lost_ms, ENTRY);
+    let back_ms = lost_ms + 1_400;
+    let calls = run(&mut announcer, lost_ms, back_ms, None);
+    assert_eq!(calls[0], (lost_ms + OFFER_DELAY_MS, address(5)));
+    let calls = run(&mut announcer, back_ms, back_ms + 20_000, Some(address(5)));
+    assert_eq!(calls.len(), 1);
+    assert!(calls[0].0 <= back_ms + 420, "{calls:?}");
+}
+
+#[test]
+fn an_entry_that_reconnects_or_stays_away_is_not_called() {
+    let mut announcer = announcer();
+    announcer.registration_confirmed();
+    announcer.entry_connected(ENTRY, address(5));
+    announcer.entry_disconnected(START_MS, ENTRY);
+    announcer.entry_connected(ProcessKey(4), address(5));
+    assert!(run(&mut announcer, START_MS, START_MS + 5_000, None).is_empty());
+    let lost_ms = START_MS + 5_000;
+    announcer.entry_disconnected(lost_ms, ProcessKey(4));
+    let calls = run(&mut announcer, lost_ms, lost_ms + 60_000, None);
+    let last = calls.last().expect("calls");
+    assert!(last.0 < lost_ms + OFFER_DURATION_MS, "{last:?}");
+}
+
+// A connection that is replaced closes after the new one has opened.
+#[test]
+fn an_entry_with_another_connection_is_not_lost() {
+    let mut announcer = announcer();
+    announcer.registration_confirmed();
+    announcer.entry_connected(ENTRY, address(5));
+    announcer.entry_connected(ENTRY, address(5));
+    announcer.entry_disconnected(START_MS, ENTRY);
+    assert!(run(&mut announcer, START_MS, START_MS + 5_000, None).is_empty());
+}
+
+// Entries that are connected know the host; only the others are told.
+#[test]
+fn connected_entries_get_no_announcements() {
+    let mut announcer = announcer();
+    announcer.entry_connected(ENTRY, address(1));
+    assert!(run(&mut announcer, START_MS, START_MS + 5_000, None).is_empty());
+}
--- a/components/protocol/src/bootstrap_link.rs
+++ b/components/protocol/src/bootstrap_link.rs
@@ -1,5 +1,5 @@
-//! The service from which an entry that cannot reach the platform gets its configuration and the
-//! known hosts.
+//! The service from which an entry that the platform does not serve gets its configuration and the
+//! known hosts, and to which agents announce their hosts.
 
 use std::rc::Rc;
 
@@ -7,10 +7,10 @@
 use monoio::net::TcpListener;
 use tarpc::context::Context;
 
-use crate::error::LinkError;
+use crate::error::{LinkError, LinkFault};
 use crate::hello::Service;
 use crate::link::Link;
-use crate::message::BootstrapReply;
+use crate::message::{BootstrapReply, BootstrapRequest, HostAnnouncement, HostAnnouncementReply};
 use crate::server::accept_connections;
 use crate::service::{BootstrapService, BootstrapServiceRequest, BootstrapServiceResponse};
 use crate::settings::ServerSettings;
@@ -43,40 +43,72 @@
         .await
     }
 
-    /// Requests the hosts that the entry knows, and its configuration if newer than
-    /// `known_revision`.
+    /// Requests what the entry knows and the caller does not.
     ///
     /// # Errors
     ///
     /// Fails if there is no answer before the deadline or the connection ends.
     pub async fn bootstrap(
         &self,
-        known_revision: u64,
+        request: BootstrapRequest,
         deadline_us: u64,
     ) -> Result<BootstrapReply, LinkError> {
-        let request = BootstrapServiceRequest::Bootstrap { known_revision };
-        let BootstrapServiceResponse::Bootstrap(reply) = self.call(request, deadline_us).await?;
-        Ok(reply)
+        let request = BootstrapServiceRequest::Bootstrap { request };
+        match self.call(request, deadline_us).await? {
+            BootstrapServiceResponse::Bootstrap(reply) => Ok(reply),
+            BootstrapServiceResponse::Announce(_) => {
+                Err(LinkError::Unknown(LinkFault::CrossedAnswer))
+            }
+        }
+    }
+
+    /// Makes a host known to the entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer before the deadline or the connection ends.
+    pub async fn announce(
+        &self,
+        announcement: HostAnnouncement,
+        deadline_us: u64,
+    ) -> Result<HostAnnouncementReply, LinkError> {
+        let request = BootstrapServiceRequest::Announce { announcement };
+        match self.call(request, deadline_us).await? {
+            BootstrapServiceResponse::Announce(reply) => Ok(reply),
+            BootstrapServiceResponse::Bootstrap(_) => {
+                Err(LinkError::Unknown(LinkFault::CrossedAnswer))
+            }
+        }
     }
 }
 
+/// Handlers of the calls of the bootstrap service.
 #[derive(Clone)]
-struct BootstrapHandlers(Rc<dyn Fn(u64) -> BootstrapReply>);
+struct BootstrapHandlers {
+    bootstrap: Rc<dyn Fn(BootstrapRequest) -> BootstrapReply>,
+    announce: Rc<dyn Fn(HostAnnouncement) -> HostAnnouncementReply>,
+}
 
 impl BootstrapService for BootstrapHandlers {
-    async fn bootstrap(self, _: Context, known_revision: u64) -> BootstrapReply {
-        (self.0)(known_revision)
+    async fn bootstrap(self, _: Context, request: BootstrapRequest) -> BootstrapReply {
+        (self.bootstrap)(request)
+    }
+
+    async fn announce(self, _: Context, announcement: HostAnnouncement) -> HostAnnouncementReply {
+        (self.announce)(announcement)
     }
 }
 
 /// Serves the bootstrap service of an entry until the server is stopped.
-///
-/// `bootstrap` gets the configuration revision that the caller knows.
 pub async fn serve_bootstrap(
     listener: TcpListener,
     settings: ServerSettings,
-    bootstrap: impl Fn(u64) -> BootstrapReply + 'static,
+    bootstrap: impl Fn(BootstrapRequest) -> BootstrapReply + 'static,
+    announce: impl Fn(HostAnnouncement) -> HostAnnouncementReply + 'static,
 ) {
-    let handlers = BootstrapHandlers(Rc::new(bootstrap));
+    let handlers = BootstrapHandlers {
+        bootstrap: Rc::new(bootstrap),
+        announce: Rc::new(announce),
+    };
     accept_connections(listener, Service::Bootstrap, handlers.serve(), settings).await;
 }
--- a/components/protocol/src/hello.rs
+++ b/components/protocol/src/hello.rs
@@ -14,7 +14,7 @@
 pub const MAGIC: [u8; 8] = *b"shlcross";
 
 /// Version of the protocol that this program uses.
-pub const VERSION: u32 = 3;
+pub const VERSION: u32 = 4;
 
 /// Size of the hello, in bytes.
 pub const HELLO_BYTES: usize = 32;
@@ -37,7 +37,7 @@
     /// Service of an agent for entries that place runs on its host, without shards.
     #[display("host")]
     Host,
-    /// Service of an entry for other entries that cannot reach the platform.
+    /// Service of an entry for entries and agents that the platform does not serve.
     #[display("bootstrap")]
     Bootstrap,
 }
--- a/components/protocol/src/host_link.rs
+++ b/components/protocol/src/host_link.rs
@@ -3,6 +3,7 @@
 //! It serves jobs that belong to no shard: unlike [`AgentLink`](crate::AgentLink), it uses no
 //! shard ownership or generations.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use futures::future::LocalBoxFuture;
@@ -46,7 +47,7 @@
         let request = HostServiceRequest::Order { orders };
         match self.call(request, deadline_us).await? {
             HostServiceResponse::Order(update) => Ok(update),
-            HostServiceResponse::Update(_) => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
+            _ => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
         }
     }
 
@@ -64,7 +65,25 @@
         let request = HostServiceRequest::Update { request };
         match self.call(request, deadline_us).await? {
             HostServiceResponse::Update(update) => Ok(update),
-            HostServiceResponse::Order(_) => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
+            _ => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
+        }
+    }
+
+    /// Tells the agent the address of the bootstrap service of this entry, whose key is `from`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer before the deadline or the connection ends.
+    pub async fn introduce(
+        &self,
+        from: ProcessKey,
+        address: SocketAddr,
+        deadline_us: u64,
+    ) -> Result<(), LinkError> {
+        let request = HostServiceRequest::Introduce { from, address };
+        match self.call(request, deadline_us).await? {
+            HostServiceResponse::Introduce(()) => Ok(()),
+            _ => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
         }
     }
 }
@@ -74,6 +93,7 @@
 struct HostHandlers {
     order: Rc<dyn Fn(Orders) -> HostUpdate>,
     update: Rc<dyn Fn(HostUpdateRequest) -> LocalBoxFuture<'static, HostUpdate>>,
+    introduce: Rc<dyn Fn(ProcessKey, SocketAddr)>,
 }
 
 impl HostService for HostHandlers {
@@ -84,22 +104,29 @@
     async fn update(self, _: Context, request: HostUpdateRequest) -> HostUpdate {
         (self.update)(request).await
     }
+
+    async fn introduce(self, _: Context, from: ProcessKey, address: SocketAddr) {
+        (self.introduce)(from, address);
+    }
 }
 
 /// Serves the host service of an agent until the server is stopped.
 ///
 /// The future of `update` is dropped when the entry cancels the call or its connection breaks.
+/// `introduce` gets the key of an entry and the address of its bootstrap service.
 pub async fn serve_host<F>(
     listener: TcpListener,
     settings: ServerSettings,
     order: impl Fn(Orders) -> HostUpdate + 'static,
     update: impl Fn(HostUpdateRequest) -> F + 'static,
+    introduce: impl Fn(ProcessKey, SocketAddr) + 'static,
 ) where
     F: Future<Output = HostUpdate> + 'static,
 {
     let handlers = HostHandlers {
         order: Rc::new(order),
         update: Rc::new(move |request| Box::pin(update(request))),
+        introduce: Rc::new(introduce),
     };
     accept_connections(listener, Service::Host, handlers.serve(), settings).await;
 }
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -1,9 +1,9 @@
 //! Requests and replies of the entry and bootstrap services, except the envelopes of `model`.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
-use model::{
-    Answer, EntryInfo, FirmKey, Generation, HostRegistration, ProcessKey, Rules, ShardKey,
-};
+use model::{Answer, EntryInfo, FirmKey, Generation, ProcessKey, Rules, ShardKey};
 use serde::{Deserialize, Serialize};
 
 /// Owner of a shard, as far as the sender knows.
@@ -177,6 +177,34 @@
     pub accepted: bool,
 }
 
+/// A host as processes tell each other of it.
+///
+/// `HostRegistration` cannot be sent in `bincode`, which needs every field that may be left out.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostContact {
+    /// Name of the host.
+    pub name: String,
+    /// Address of its agent for entries.
+    pub address: SocketAddr,
+    /// Failure domain of the host.
+    pub failure_domain: String,
+}
+
+/// An entry's question for what another entry knows, with what it knows itself.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BootstrapRequest {
+    /// Address of the caller's bootstrap service; `None` if others cannot reach it.
+    pub address: Option<SocketAddr>,
+    /// Revision of the caller's configuration; 0 if it has none.
+    pub revision: u64,
+    /// Number of hosts that the caller knows.
+    pub host_count: u32,
+    /// Whether the caller wants hosts.
+    pub wants_hosts: bool,
+    /// Digest of the hosts in the receiver's last reply to the caller; 0 if there was none.
+    pub seen_hosts_digest: u64,
+}
+
 /// What an entry needs to serve while it cannot reach the platform.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BootstrapReply {
@@ -184,6 +212,30 @@
     pub revision: u64,
     /// The configuration as published, if newer than the caller's.
     pub configuration: Option<Bytes>,
-    /// Hosts that the entry knows.
-    pub hosts: Vec<HostRegistration>,
+    /// Number of hosts that the entry knows.
+    pub host_count: u32,
+    /// Whether these include the hosts that the store listed, to this entry or to one that it asked.
+    pub is_listed: bool,
+    /// Digest of these hosts.
+    pub hosts_digest: u64,
+    /// The hosts, if the caller wants them and has not seen them.
+    pub hosts: Vec<HostContact>,
+    /// Addresses of the bootstrap services of other entries.
+    pub entries: Vec<SocketAddr>,
+}
+
+/// An agent's announcement to an entry, instead of or besides its registration in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostAnnouncement {
+    /// The agent's host.
+    pub host: HostContact,
+    /// Addresses of the bootstrap services of other entries.
+    pub entries: Vec<SocketAddr>,
+}
+
+/// Reply to a [`HostAnnouncement`].
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostAnnouncementReply {
+    /// Addresses of the bootstrap services of other entries.
+    pub entries: Vec<SocketAddr>,
 }
--- a/components/protocol/src/service.rs
+++ b/components/protocol/src/service.rs
@@ -4,13 +4,17 @@
     reason = "tarpc generates public items without documentation"
 )]
 
+use std::net::SocketAddr;
+
 use model::{
-    AgentEnvelope, AgentInfo, HostUpdate, HostUpdateRequest, JobKey, JobSpec, Orders, OwnerEnvelope,
+    AgentEnvelope, AgentInfo, HostUpdate, HostUpdateRequest, JobKey, JobSpec, Orders,
+    OwnerEnvelope, ProcessKey,
 };
 
 use crate::message::{
-    AnnounceReply, BootstrapReply, CancelReply, EntryPing, EntryPong, HandoverOffer, HandoverReply,
-    StatusReply, SubmitReply,
+    AnnounceReply, BootstrapReply, BootstrapRequest, CancelReply, EntryPing, EntryPong,
+    HandoverOffer, HandoverReply, HostAnnouncement, HostAnnouncementReply, StatusReply,
+    SubmitReply,
 };
 
 /// Service of an agent.
@@ -46,11 +50,15 @@
     async fn order(orders: Orders) -> HostUpdate;
     /// Returns new events, or none after the wait that the request allows (long poll).
     async fn update(request: HostUpdateRequest) -> HostUpdate;
+    /// Tells the address of the bootstrap service of the entry that has connected.
+    async fn introduce(from: ProcessKey, address: SocketAddr);
 }
 
-/// Service of an entry for other entries that cannot reach the platform.
+/// Service of an entry for entries and agents that the platform does not serve.
 #[tarpc::service]
 pub trait BootstrapService {
     /// Returns the configuration, if newer than the caller's, and the hosts that the entry knows.
-    async fn bootstrap(known_revision: u64) -> BootstrapReply;
+    async fn bootstrap(request: BootstrapRequest) -> BootstrapReply;
+    /// Makes a host known to the entry.
+    async fn announce(announcement: HostAnnouncement) -> HostAnnouncementReply;
 }
--- a/components/sidecar/src/entries.rs
+++ b/components/sidecar/src/entries.rs
@@ -20,14 +20,23 @@
             log::info!(target: "sidecar", event = "link_down", entry = entry.to_string();
                 "connection from an entry closed");
             closing.update(|host, now_ms, _| host.connection_closed(now_ms, entry));
+            let mut announcer = closing.announcer.borrow_mut();
+            announcer.entry_disconnected(uptime_ms(), entry);
         })
         .build();
     let ordered = Rc::clone(&shared);
     let order = move |orders| {
         ordered.update(|host, now_ms, actions| host.handle_orders(now_ms, orders, actions))
     };
+    let introduced = Rc::clone(&shared);
+    let introduce = move |key, address| {
+        introduced
+            .announcer
+            .borrow_mut()
+            .entry_connected(key, address);
+    };
     let update = move |request| poll_events(Rc::clone(&shared), request);
-    serve_host(listener, settings, order, update).await;
+    serve_host(listener, settings, order, update, introduce).await;
 }
 
 async fn poll_events(shared: Rc<Shared>, request: HostUpdateRequest) -> HostUpdate {
--- a/components/sidecar/src/lib.rs
+++ b/components/sidecar/src/lib.rs
@@ -4,6 +4,7 @@
 //! The `hosting` crate decides which runs to start and stop on the host. This crate does the I/O:
 //! with the target on the same host, with the entries, and with the platform's store.
 
+mod announcements;
 mod calls;
 mod entries;
 mod metrics;
--- a/components/sidecar/src/metrics.rs
+++ b/components/sidecar/src/metrics.rs
@@ -10,6 +10,7 @@
 pub(crate) struct SidecarMetrics {
     metrics: Metrics,
     target_calls: IntCounterVec,
+    announcements: IntCounterVec,
     waiting: IntGauge,
     running: IntGauge,
     dropped_log_lines: IntGauge,
@@ -29,6 +30,11 @@
                 "Calls to the target by kind and result.",
                 &["call", "result"],
             )?,
+            announcements: metrics.counter_vec(
+                "shallotcross_sidecar_announcements_total",
+                "Announcements of the host to entries by result.",
+                &["result"],
+            )?,
             waiting: metrics.gauge(
                 "shallotcross_sidecar_waiting_tasks",
                 "Tasks waiting to start.",
@@ -54,6 +60,12 @@
             .inc();
     }
 
+    /// Counts an announcement to an entry by whether it was answered.
+    pub(crate) fn record_announcement(&self, is_answered: bool) {
+        let result = if is_answered { "ok" } else { "failed" };
+        self.announcements.with_label_values(&[result]).inc();
+    }
+
     /// Counts a stop order by whether the target accepted it.
     pub(crate) fn record_stop(&self, is_accepted: bool) {
         let result = if is_accepted { "ok" } else { "unanswered" };
--- a/components/sidecar/src/process.rs
+++ b/components/sidecar/src/process.rs
@@ -9,6 +9,7 @@
 use hosting::{Host, TargetCall};
 use model::ProcessKey;
 use monoio::net::TcpListener;
+use peers::Announcer;
 use platform::StoreClient;
 use protocol::{LinkCounters, Traffic};
 use runtime::{StopSignal, monotonic_us, unix_ms, uptime_ms};
@@ -41,6 +42,8 @@
     pub(crate) metrics: SidecarMetrics,
     pub(crate) link_counters: LinkCounters,
     pub(crate) traffic: Traffic,
+    /// Decides to which entries the host is announced.
+    pub(crate) announcer: RefCell<Announcer>,
 }
 
 /// An agent that has opened its ports.
@@ -65,6 +68,8 @@
             .map(|address| web::bind_port("metrics_address", address));
         let metrics = metrics.transpose()?;
         let key = runtime::generate_process_key();
+        let mut announcer = Announcer::new(uptime_ms(), key.0);
+        announcer.set_seeds(&settings.seed_peers);
         let shared = Shared {
             key,
             // The clock gives a fencing token above that of an earlier agent unless it was set
@@ -78,6 +83,7 @@
                 .map_err(|error| Error::new(ExitCode::Failure, error.to_string()))?,
             link_counters: LinkCounters::default(),
             traffic: Traffic::default(),
+            announcer: RefCell::new(announcer),
             settings: RefCell::new(Rc::new(settings)),
         };
         Ok(Self {
@@ -101,6 +107,8 @@
         move |newer| {
             let mut settings = (*shared.settings()).clone();
             let restart_required = settings.apply_reloadable(newer);
+            let mut announcer = shared.announcer.borrow_mut();
+            announcer.set_seeds(&settings.seed_peers);
             shared.settings.replace(Rc::new(settings));
             restart_required
         }
@@ -147,6 +155,7 @@
 async fn run_timers(shared: Rc<Shared>) {
     loop {
         shared.update(|host, now_ms, actions| host.tick(now_ms, actions));
+        crate::announcements::call_due_entries(&shared);
         runtime::flush_log();
         monoio::time::sleep(Duration::from_millis(TICK_INTERVAL_MS)).await;
     }
--- a/components/sidecar/src/registration.rs
+++ b/components/sidecar/src/registration.rs
@@ -31,6 +31,10 @@
     let mut was_store_reachable = true;
     loop {
         let Err(error) = register(&shared).await;
+        shared
+            .announcer
+            .borrow_mut()
+            .registration_unconfirmed(uptime_ms());
         let is_store_reachable = error == StoreError::Missing;
         if was_store_reachable && !is_store_reachable {
             log::warn!(target: "sidecar", event = "store_lost", reason = error.to_string();
@@ -85,6 +89,7 @@
     let lease = store.grant_lease(LEASE_TTL_MS).await?;
     let mut registered = registration(shared);
     store.put(&key, &encode(&registered)?, lease).await?;
+    shared.announcer.borrow_mut().registration_confirmed();
     log::info!(target: "sidecar", event = "registered", key = key.as_str();
         "host registered in the store");
     let mut renewed_ms = uptime_ms();
--- /dev/null
+++ b/tests/platform_peers.rs
@@ -0,0 +1,253 @@
+//! Passes state on between entries and agents of the users' platform while the store refuses some.
+
+mod platform_support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+use platform_standins::{
+    CONFIGURATION_KEY, SharedLedger, StoreServer, TargetServer, TargetSettings, configuration, job,
+};
+use platform_support::support::{Process, wait_until};
+use platform_support::{
+    Entry, GROUP, HOST, PREFIX, free_address, start_agent_with_seeds, start_entry_at,
+};
+use tempfile::TempDir;
+
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A store that serves some processes, and a target.
+struct Site {
+    folder: TempDir,
+    store: StoreServer,
+    target: TargetServer,
+    reports: SocketAddr,
+    job_count: u64,
+}
+
+impl Site {
+    fn start() -> Self {
+        let store = StoreServer::start().expect("a store");
+        publish(&store, 1, PREFIX);
+        let reports = free_address();
+        let settings = TargetSettings {
+            number: 0,
+            group: GROUP.to_owned(),
+            cpu_millis: 8_000,
+            reports_address: reports,
+        };
+        Self {
+            folder: tempfile::tempdir().expect("a folder"),
+            store,
+            target: TargetServer::start(settings, SharedLedger::default()).expect("a target"),
+            reports,
+            job_count: 0,
+        }
+    }
+
+    fn entry(&self, store: SocketAddr, seeds: &[SocketAddr]) -> Entry {
+        self.entry_at(store, free_address(), seeds)
+    }
+
+    fn entry_at(&self, store: SocketAddr, peers: SocketAddr, seeds: &[SocketAddr]) -> Entry {
+        start_entry_at(self.folder.path(), store, peers, seeds, "debug")
+    }
+
+    fn agent(&self, store: SocketAddr, seeds: &[SocketAddr]) -> Process {
+        let (folder, target) = (self.folder.path(), self.target.address());
+        start_agent_with_seeds(folder, store, target, self.reports, seeds, "debug")
+    }
+
+    async fn submit(&mut self, entry: &Entry) -> Option<u16> {
+        self.job_count += 1;
+        let id = format!("{:016x}", self.job_count);
+        entry.status_of(&id, &job(1, 20)).await
+    }
+
+    async fn wait_until_serving(&mut self, entry: &Entry) {
+        wait_until("a job is served", async || {
+            self.submit(entry).await == Some(200)
+        })
+        .await;
+    }
+}
+
+fn publish(store: &StoreServer, version: u64, prefix: &str) {
+    let body = configuration(version, HOST, prefix, GROUP);
+    store.put(CONFIGURATION_KEY, body.to_string().as_bytes());
+}
+
+/// Returns the address of a store that refuses every connection.
+fn refusing_store() -> SocketAddr {
+    free_address()
+}
+
+/// Returns a store that accepts calls and answers none.
+fn silent_store() -> StoreServer {
+    let store = StoreServer::start().expect("a store");
+    store.faults().is_silent.set(true);
+    store
+}
+
+// Entries that the store refused after a loss of power answered 503 until it served them again.
+#[test]
+fn an_entry_that_the_store_refuses_serves_its_first_request_with_the_state_of_a_seed() {
+    let run = runtime::run(async {
+        let mut site = Site::start();
+        let seed = site.entry(site.store.address(), &[]);
+        let _agent = site.agent(site.store.address(), &[]);
+        site.wait_until_serving(&seed).await;
+        let silent = silent_store();
+        for store in [refusing_store(), silent.address()] {
+            let refused = site.entry(store, &[seed.peer_address]);
+            assert_eq!(site.submit(&refused).await, Some(200));
+        }
+    });
+    run.expect("the runtime starts");
+}
+
+// The store may refuse the seeds too; they learn of the other entries by their introductions.
+#[test]
+fn a_seed_that_the_store_refuses_learns_the_state_and_passes_it_on() {
+    let run = runtime::run(async {
+        let mut site = Site::start();
+        let seed = site.entry(refusing_store(), &[free_address()]);
+        let seeds = [seed.peer_address];
+        let served = site.entry(site.store.address(), &seeds);
+        let _agent = site.agent(site.store.address(), &seeds);
+        site.wait_until_serving(&served).await;
+        site.wait_until_serving(&seed).await;
+        let refused = site.entry(refusing_store(), &seeds);
+        site.wait_until_serving(&refused).await;
+    });
+    run.expect("the runtime starts");
+}
+
+#[test]
+fn an_entry_that_restarts_while_all_seeds_are_down_learns_the_state_from_agents() {
+    let run = runtime::run(async {
+        let mut site = Site::start();
+        let seeds = [free_address()];
+        let other = site.entry(site.store.address(), &seeds);
+        let mut first = site.entry(site.store.address(), &seeds);
+        let _agent = site.agent(site.store.address(), &seeds);
+        site.wait_until_serving(&other).await;
+        site.wait_until_serving(&first).await;
+        first.process.kill();
+        let restarted = site.entry_at(refusing_store(), first.peer_address, &seeds);
+        site.wait_until_serving(&restarted).await;
+    });
+    run.expect("the runtime starts");
+}
+
+// An agent that could not register was used by no entry.
+#[test]
+fn a_host_whose_agent_the_store_refuses_is_in_use_at_a_seed_and_at_other_entries() {
+    let run = runtime::run(async {
+        let mut site = Site::start();
+        let seeds = [free_address(), free_address()];
+        let seed = site.entry_at(site.store.address(), seeds[0], &seeds);
+        let other = site.entry(site.store.address(), &seeds);
+        let _agent = site.agent(refusing_store(), &seeds);
+        site.wait_until_serving(&seed).await;
+        site.wait_until_serving(&other).await;
+        assert!(site.store.keys("shallotcross/hosts/").is_empty());
+    });
+    run.expect("the runtime starts");
+}
+
+// Versions decide, not the order of arrival: the older configuration arrives later at both entries.
+#[test]
+fn a_removed_queue_does_not_return_from_a_peer_with_an_older_configuration() {
+    let run = runtime::run(async {
+        let mut site = Site::start();
+        let seed_address = free_address();
+        let newer = StoreServer::start().expect("a store");
+        publish(&newer, 1, PREFIX);
+        let entry = site.entry(newer.address(), &[seed_address]);
+        publish(&newer, 2, "/other/");
+        wait_until("the queue is removed", async || {
+            site.submit(&entry).await == Some(404)
+        })
+        .await;
+        newer.faults().is_busy.set(true);
+        let stale = site.entry_at(site.store.address(), seed_address, &[entry.peer_address]);
+        wait_until("the peer takes the newer configuration", async || {
+            site.submit(&stale).await == Some(404)
+        })
+        .await;
+        assert_eq!(site.submit(&stale).await, Some(404));
+        assert_eq!(site.submit(&entry).await, Some(404));
+    });
+    run.expect("the runtime starts");
+}
+
+// A seed may be a machine that accepts connections and says nothing, or another program.
+#[test]
+fn seeds_that_hang_or_send_garbage_do_not_delay_the_others() {
+    let run = runtime::run(async {
+        let mut site = Site::start();
+        let seed = site.entry(site.store.address(), &[]);
+        let _agent = site.agent(site.store.address(), &[]);
+        site.wait_until_serving(&seed).await;
+        let hanging = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let garbage = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let seeds = [
+            hanging.local_addr().expect("an address"),
+            garbage.local_addr().expect("an address"),
+            seed.peer_address,
+        ];
+        std::thread::spawn(move || send_garbage(&garbage));
+        let refused = site.entry(refusing_store(), &seeds);
+        assert_eq!(site.submit(&refused).await, Some(200));
+    });
+    run.expect("the runtime starts");
+}
+
+/// Accepts the hello of every connection and answers the first call with bytes that are no message.
+fn send_garbage(listener: &TcpListener) {
+    for stream in listener.incoming() {
+        let mut stream = stream.expect("a connection");
+        let mut hello = [0; 32];
+        // A peer that gave up has closed the connection.
+        let _ = stream.read_exact(&mut hello);
+        let mut reply = hello;
+        reply[12..16].fill(0);
+        reply[24..].fill(0);
+        let _ = stream.write_all(&reply);
+        let _ = stream.write_all(&[0, 0, 0, 4, 255, 255, 255, 255]);
+    }
+}
+
+// The platform tells targets the seeds' addresses too; they may send their reports there.
+#[test]
+fn http_calls_at_the_bootstrap_port_are_closed_and_do_no_harm() {
+    let run = runtime::run(async {
+        let mut site = Site::start();
+        let seed = site.entry(site.store.address(), &[free_address()]);
+        let _agent = site.agent(site.store.address(), &[]);
+        site.wait_until_serving(&seed).await;
+        for _ in 0..20 {
+            assert!(put_report(seed.peer_address).is_empty());
+        }
+        let refused = site.entry(refusing_store(), &[seed.peer_address]);
+        assert_eq!(site.submit(&refused).await, Some(200));
+    });
+    run.expect("the runtime starts");
+}
+
+/// Sends a target's report and returns the bytes that come back until the connection closes.
+fn put_report(address: SocketAddr) -> Vec<u8> {
+    let mut stream = TcpStream::connect(address).expect("the port accepts");
+    let timeout = stream.set_read_timeout(Some(READ_TIMEOUT));
+    timeout.expect("a timeout");
+    let head = "PUT /instances/i-0 HTTP/1.1\r\nhost: entry\r\ncontent-length: 2\r\n\r\n{}";
+    // The entry may close before it has read everything.
+    let _ = stream.write_all(head.as_bytes());
+    let mut answer = Vec::new();
+    let ended = stream.read_to_end(&mut answer);
+    let is_timeout = |error: &std::io::Error| error.kind() == std::io::ErrorKind::WouldBlock;
+    assert!(!ended.is_err_and(|error| is_timeout(&error)), "not closed");
+    answer
+}
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -28,6 +28,7 @@
     pub settings: PathBuf,
     pub text: String,
     callers: SocketAddr,
+    pub peer_address: SocketAddr,
     pub readiness: SocketAddr,
 }
 
@@ -47,21 +48,39 @@
 
 /// Starts an entry that logs at the given level.
 pub fn start_entry(folder: &Path, store: SocketAddr, level: &str) -> Entry {
+    start_entry_at(folder, store, free_address(), &[], level)
+}
+
+fn list(addresses: &[SocketAddr]) -> String {
+    let quoted = addresses.iter().map(|address| format!("\"{address}\""));
+    quoted.collect::<Vec<String>>().join(", ")
+}
+
+/// Starts an entry at an address for its peers, with seeds.
+pub fn start_entry_at(
+    folder: &Path,
+    store: SocketAddr,
+    peer_address: SocketAddr,
+    seeds: &[SocketAddr],
+    level: &str,
+) -> Entry {
     let callers = free_address();
     let readiness = free_address();
     let text = format!(
         "name = \"entry\"\nfailure_domain = \"domain\"\ncallers_address = \"{callers}\"\n\
-         readiness_address = \"{readiness}\"\npeer_address = \"{}\"\nstore_address = \"{store}\"\n\
+         readiness_address = \"{readiness}\"\npeer_address = \"{peer_address}\"\n\
+         store_address = \"{store}\"\nseed_peers = [{}]\n\
          log = {{ format = \"json\", level = \"{level}\" }}\n",
-        free_address(),
+        list(seeds),
     );
-    let settings = folder.join("entry.toml");
+    let settings = folder.join(format!("entry-{}.toml", peer_address.port()));
     let program = env!("CARGO_BIN_EXE_shallotcross");
     Entry {
         process: spawn(program, "gateway", &settings, &text),
         settings,
         text,
         callers,
+        peer_address,
         readiness,
     }
 }
@@ -73,12 +92,25 @@
     target: SocketAddr,
     reports: SocketAddr,
     level: &str,
+) -> Process {
+    start_agent_with_seeds(folder, store, target, reports, &[], level)
+}
+
+/// Starts an agent for a target, with seeds.
+pub fn start_agent_with_seeds(
+    folder: &Path,
+    store: SocketAddr,
+    target: SocketAddr,
+    reports: SocketAddr,
+    seeds: &[SocketAddr],
+    level: &str,
 ) -> Process {
     let text = format!(
         "name = \"host\"\nfailure_domain = \"domain\"\ntarget_address = \"{target}\"\n\
          reports_address = \"{reports}\"\npeer_address = \"{}\"\nstore_address = \"{store}\"\n\
-         log = {{ format = \"json\", level = \"{level}\" }}\n",
+         seed_peers = [{}]\nlog = {{ format = \"json\", level = \"{level}\" }}\n",
         free_address(),
+        list(seeds),
     );
     let program = env!("CARGO_BIN_EXE_shallotcross-agent");
     spawn(program, "sidecar", &folder.join("agent.toml"), &text)
