--- a/components/config/tests/settings.rs
+++ b/components/config/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 
-use config::{AgentSettings, EntrySettings, LogFormat, LogLevel};
+use config::{AgentSettings, EntrySettings, GatewaySettings, LogFormat, LogLevel, SidecarSettings};
 use errors::ExitCode;
 
 const ENTRY: &str = "listen_address = '127.0.0.1:8080'\npeer_address = '127.0.0.1:7100'\n\
@@ -127,3 +127,44 @@
     let error = AgentSettings::from_toml("agent.toml", &open).expect_err("not loopback");
     assert_eq!(error.faults[0].key, "announce_address");
 }
+
+/// Fills in the placeholders of a template; sections in it count as absent.
+fn fill_in(template: &str) -> String {
+    let values = [
+        ("{{nodeName|json}}", "\"host-1\""),
+        ("{{zone|json}}", "\"domain-1\""),
+        ("{{app|json}}", "\"10.0.0.5:8000\""),
+        ("{{listenAddresses.frontend|json}}", "\"10.0.0.5:8080\""),
+        ("{{listenAddresses.readiness|json}}", "\"10.0.0.5:8081\""),
+        ("{{listenAddresses.controlPlane|json}}", "\"10.0.0.5:8082\""),
+        ("{{platform.address|json}}", "\"10.0.9.1:2379\""),
+        (
+            "{{seedNodes|json}}",
+            "[\"10.0.0.1:8082\", \"10.0.0.2:8082\"]",
+        ),
+        ("{{ipAddress}}", "10.0.0.5"),
+        ("{{internalPortRange.0}}", "7100"),
+        ("{{internalPortRange.1}}", "7101"),
+    ];
+    let lines = template.lines().filter(|line| {
+        let is_section = line.starts_with("{{#") || line.starts_with("{{/");
+        !is_section
+    });
+    let text = lines.collect::<Vec<&str>>().join("\n");
+    values
+        .iter()
+        .fold(text, |text, (name, value)| text.replace(name, value))
+}
+
+// The exchange between peers was never in use, since the template filled in no seeds.
+#[test]
+fn templates_give_seeds_to_entries_and_agents() {
+    let template = include_str!("../../../platform/gateway.toml");
+    let entry = GatewaySettings::from_toml("gateway.toml", &fill_in(template)).expect("valid");
+    assert_eq!(entry.seed_peers.len(), 2);
+    assert_eq!(entry.peer_address.to_string(), "10.0.0.5:8082");
+    let template = include_str!("../../../platform/sidecar.toml");
+    let agent = SidecarSettings::from_toml("sidecar.toml", &fill_in(template)).expect("valid");
+    assert_eq!(agent.seed_peers, entry.seed_peers);
+    assert_eq!(agent.peer_address.to_string(), "10.0.0.5:7100");
+}
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -1,6 +1,7 @@
 //! The entry process: ports, shared state, timer loop and graceful shutdown.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -304,6 +305,7 @@
         json!({
             "entry": self.key.to_string(),
             "is_draining": self.is_draining.get(),
+            "traffic": self.traffic.iter().collect::<BTreeMap<&str, u64>>(),
             "configuration_version": version,
             "jobs": scheduler.job_count(),
             "hosts": hosts,
--- a/components/protocol/tests/links.rs
+++ b/components/protocol/tests/links.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -11,9 +12,12 @@
 use futures::channel::oneshot;
 use futures::future::join_all;
 use model::{Answer, FirmKey, Generation, JobKey};
+use monoio::net::TcpListener;
 use protocol::{
-    AgentLink, CancelReply, EntryHandlers, EntryLink, EntryPool, HandoverOffer, LinkError,
-    LinkFault, MAX_FRAME_BYTES, StatusReply, SubmitReply, Traffic,
+    AgentLink, BootstrapLink, BootstrapReply, BootstrapRequest, CancelReply, EntryHandlers,
+    EntryLink, EntryPool, HandoverOffer, HostAnnouncement, HostAnnouncementReply, HostContact,
+    LinkError, LinkFault, MAX_FRAME_BYTES, ServerSettings, StatusReply, SubmitReply, Traffic,
+    serve_bootstrap,
 };
 
 async fn entry_link(server: &common::Server) -> EntryLink {
@@ -298,3 +302,65 @@
     let error = EntryHandlers::builder().build().err().unwrap();
     assert_eq!(error.name, "announce");
 }
+
+fn host_contact() -> HostContact {
+    HostContact {
+        name: "host-1".to_owned(),
+        address: "10.0.2.7:7100".parse().unwrap(),
+        failure_domain: "domain-1".to_owned(),
+    }
+}
+
+// Hosts were sent as registrations, whose absent target could not be read back: every reply with a
+// host broke the connection.
+#[test]
+fn hosts_cross_the_bootstrap_service_and_a_call_without_news_takes_a_few_hundred_bytes() {
+    runtime::run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let entries: Vec<SocketAddr> = (0..32).map(|_| address).collect();
+        let named = entries.clone();
+        let bootstrap = move |request: BootstrapRequest| BootstrapReply {
+            revision: 7,
+            hosts: request.wants_hosts.then(host_contact).into_iter().collect(),
+            entries: named.clone(),
+            ..BootstrapReply::default()
+        };
+        let announce = |announcement: HostAnnouncement| {
+            assert_eq!(announcement.host, host_contact());
+            HostAnnouncementReply {
+                entries: announcement.entries,
+            }
+        };
+        let settings = ServerSettings::builder(SERVER).build();
+        monoio::spawn(serve_bootstrap(listener, settings, bootstrap, announce));
+        let traffic = Traffic::default();
+        let address = address.to_string();
+        let link = BootstrapLink::connect(&address, CLIENT, deadline_us(), traffic.clone());
+        let link = link.await.unwrap();
+        let request = BootstrapRequest {
+            address: Some(entries[0]),
+            revision: 7,
+            host_count: 74,
+            wants_hosts: false,
+            seen_hosts_digest: u64::MAX,
+        };
+        let reply = link.bootstrap(request.clone(), deadline_us()).await;
+        assert_eq!(reply.unwrap().entries, entries);
+        let bytes = traffic.sent_bytes() + traffic.received_bytes();
+        assert!(bytes < 500, "{bytes} bytes");
+        let request = BootstrapRequest {
+            wants_hosts: true,
+            ..request
+        };
+        let reply = link.bootstrap(request, deadline_us()).await;
+        assert_eq!(reply.unwrap().hosts, [host_contact()]);
+        let announcement = HostAnnouncement {
+            host: host_contact(),
+            entries: entries.clone(),
+        };
+        let reply = link.announce(announcement, deadline_us()).await;
+        assert_eq!(reply.unwrap().entries, entries);
+    })
+    .unwrap();
+}
--- a/components/sidecar/src/process.rs
+++ b/components/sidecar/src/process.rs
@@ -1,6 +1,7 @@
 //! The agent process: ports, shared state, timer loop and graceful shutdown.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -192,6 +193,7 @@
         json!({
             "agent": self.key.to_string(),
             "is_draining": self.is_draining.get(),
+            "traffic": self.traffic.iter().collect::<BTreeMap<&str, u64>>(),
             "target": host.target().map(|target| target.instance.to_string()),
             "token": host.token(),
             "waiting": waiting,
