Test the loss of power of machines that the store refuses

Two of three seeds, an entry and an agent are refused, and all processes start at once, twice. The test of faulty seeds has one more, which closes each connection.

--- a/tests/platform_peers.rs
+++ b/tests/platform_peers.rs
@@ -141,6 +141,30 @@
     run.expect("the runtime starts");
 }
 
+// The case of the specification: the store refuses two of three seeds, an entry and an agent whose
+// key it has dropped, and all machines lose power. The refused entries answered 503 for two seconds.
+#[test]
+fn refused_machines_serve_right_after_a_loss_of_power() {
+    let run = runtime::run(async {
+        let mut site = Site::start();
+        let seeds = [free_address(), free_address(), free_address()];
+        for _ in 0..2 {
+            let mut refused: Vec<Entry> = Vec::new();
+            for seed in &seeds[1..] {
+                refused.push(site.entry_at(refusing_store(), *seed, &seeds));
+            }
+            refused.push(site.entry(refusing_store(), &seeds));
+            let _agent = site.agent(refusing_store(), &seeds);
+            let served = site.entry_at(site.store.address(), seeds[0], &seeds);
+            for entry in refused.iter().chain([&served]) {
+                site.wait_until_serving(entry).await;
+            }
+            // Dropping the processes kills them.
+        }
+    });
+    run.expect("the runtime starts");
+}
+
 // An agent that could not register was used by no entry.
 #[test]
 fn a_host_whose_agent_the_store_refuses_is_in_use_at_a_seed_and_at_other_entries() {
@@ -185,7 +209,7 @@
 
 // A seed may be a machine that accepts connections and says nothing, or another program.
 #[test]
-fn seeds_that_hang_or_send_garbage_do_not_delay_the_others() {
+fn seeds_that_hang_close_or_send_garbage_do_not_delay_the_others() {
     let run = runtime::run(async {
         let mut site = Site::start();
         let seed = site.entry(site.store.address(), &[]);
@@ -193,12 +217,15 @@
         site.wait_until_serving(&seed).await;
         let hanging = TcpListener::bind("127.0.0.1:0").expect("a port");
         let garbage = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let closing = TcpListener::bind("127.0.0.1:0").expect("a port");
         let seeds = [
             hanging.local_addr().expect("an address"),
             garbage.local_addr().expect("an address"),
+            closing.local_addr().expect("an address"),
             seed.peer_address,
         ];
         std::thread::spawn(move || send_garbage(&garbage));
+        std::thread::spawn(move || closing.incoming().for_each(drop));
         let refused = site.entry(refusing_store(), &seeds);
         assert_eq!(site.submit(&refused).await, Some(200));
     });
