Introduce entries to all entries that seeds name, and poll without allocations

A seed that restarts after the other entries forgot them, since healthy entries ask nobody; agents that the store refuses then learned of no other entry. An entry now introduces itself to the seeds and to the entries that they name, so that the last to restart learns all others. Entries and agents that need nothing build no lists at each tick. Announcements that are answered are repeated after 20 s at the longest, within the 60 s for which entries keep the host.

--- a/components/peers/src/announcer.rs
+++ b/components/peers/src/announcer.rs
@@ -106,8 +106,13 @@
     pub fn take_due(&mut self, now_ms: u64) -> Vec<SocketAddr> {
         let is_announcing = self.is_announcing(now_ms);
         let free = MAX_PARALLEL_CALLS.saturating_sub(self.entries.in_flight());
-        let mut due: Vec<&mut Peer<EntryState>> = self.entries.iter_mut().collect();
-        due.retain(|entry| entry.is_due(now_ms) && is_wanted(now_ms, &entry.state, is_announcing));
+        let is_wanted = |entry: &&mut Peer<EntryState>| {
+            let is_offered = now_ms < entry.state.offered_until_ms;
+            let is_connected = entry.state.connections > 0;
+            !is_connected && (is_announcing || is_offered) && entry.is_due(now_ms)
+        };
+        let mut due: Vec<&mut Peer<EntryState>> =
+            self.entries.iter_mut().filter(is_wanted).collect();
         due.sort_by_key(|entry| entry.due_at_ms);
         let due = due.into_iter().take(free);
         due.map(|entry| {
@@ -124,6 +129,7 @@
             entry.confirm();
             entry.backoff.record_success();
             entry.state.offered_until_ms = 0;
+            // The announcement is repeated in case the entry restarts.
             entry.due_at_ms = entry.state.repetition.record_failure(now_ms);
         }
         for &address in named.iter().take(MAX_NAMED_PEERS) {
@@ -144,15 +150,7 @@
 
     /// Returns whether the host is announced because its registration is not confirmed.
     fn is_announcing(&self, now_ms: u64) -> bool {
-        self.announcing_at_ms().is_some_and(|at_ms| at_ms <= now_ms)
-    }
-
-    fn announcing_at_ms(&self) -> Option<u64> {
-        let since_ms = self.unconfirmed_since_ms?;
-        Some(since_ms + ANNOUNCE_DELAY_MS)
+        self.unconfirmed_since_ms
+            .is_some_and(|since_ms| now_ms >= since_ms + ANNOUNCE_DELAY_MS)
     }
 }
-
-fn is_wanted(now_ms: u64, entry: &EntryState, is_announcing: bool) -> bool {
-    entry.connections == 0 && (is_announcing || now_ms < entry.offered_until_ms)
-}
--- a/components/peers/src/exchange.rs
+++ b/components/peers/src/exchange.rs
@@ -64,7 +64,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Need {
     Nothing,
-    /// Its address known to the seeds.
+    /// Its address known to the other entries.
     Introduction,
     /// What is newer than its own state, from one peer at a time.
     Refresh,
@@ -75,7 +75,7 @@
 #[derive(Debug, Default, Clone)]
 struct EntryState {
     seen_hosts_digest: u64,
-    /// Whether the peer has answered a call, which told it this entry's address.
+    /// Whether the peer has answered a call or made one, and so knows this entry's address.
     is_introduced: bool,
     /// Whether the peer has told that it knows more than this entry.
     has_news: bool,
@@ -140,26 +140,24 @@
     pub fn take_due(&mut self, now_ms: u64, known: Knowledge) -> Vec<Query> {
         let need = self.need(now_ms, known);
         let free = MAX_PARALLEL_CALLS.saturating_sub(self.peers.in_flight());
+        let due_peers = || self.peers.iter().filter(|peer| peer.is_due(now_ms));
+        let with_news = due_peers().filter(|peer| peer.state.has_news);
+        let mut due: Vec<SocketAddr> = with_news.take(free).map(|peer| peer.address).collect();
         let limit = match need {
+            Need::Nothing => 0,
             // One peer at a time; peers with news are asked in any case.
-            Need::Refresh if now_ms < self.refresh_at_ms || self.peers.in_flight() > 0 => 0,
+            Need::Refresh if now_ms < self.refresh_at_ms || free < MAX_PARALLEL_CALLS => 0,
             Need::Refresh => 1,
-            Need::Nothing => 0,
             Need::Introduction | Need::State => free,
         };
-        let mut due: Vec<SocketAddr> = Vec::new();
-        let with_news = |peer: &&Peer<EntryState>| peer.state.has_news && peer.is_due(now_ms);
-        due.extend(self.peers.iter().filter(with_news).map(|peer| peer.address));
-        due.truncate(free);
-        let mut others: Vec<&Peer<EntryState>> = self.peers.iter().collect();
-        others.retain(|peer| {
-            !peer.state.has_news
-                && peer.is_due(now_ms)
-                && is_wanted(need, &peer.state, peer.is_seed)
-        });
+        let is_wanted = |peer: &&Peer<EntryState>| {
+            let is_introduced = need == Need::Introduction && peer.state.is_introduced;
+            limit > 0 && !peer.state.has_news && !is_introduced
+        };
+        let mut others: Vec<&Peer<EntryState>> = due_peers().filter(is_wanted).collect();
         // Those not called for the longest time first.
         others.sort_by_key(|peer| peer.due_at_ms);
-        let room = limit.min(free.saturating_sub(due.len()));
+        let room = limit.min(free - due.len());
         due.extend(others.iter().take(room).map(|peer| peer.address));
         if need == Need::Refresh && !due.is_empty() {
             self.refresh_at_ms = now_ms + REFRESH_INTERVAL_MS;
@@ -217,6 +215,7 @@
             return;
         };
         peer.confirm();
+        peer.state.is_introduced = true;
         let has_more_hosts = !is_store_answering && theirs.host_count > known.host_count;
         if theirs.revision > known.revision || has_more_hosts {
             peer.state.has_news = true;
@@ -269,11 +268,3 @@
         self.revision > 0 && self.host_count > 0
     }
 }
-
-fn is_wanted(need: Need, peer: &EntryState, is_seed: bool) -> bool {
-    match need {
-        Need::Nothing => false,
-        Need::Introduction => is_seed && !peer.is_introduced,
-        Need::Refresh | Need::State => true,
-    }
-}
--- a/components/peers/src/limits.rs
+++ b/components/peers/src/limits.rs
@@ -27,7 +27,7 @@
 /// delays what a peer learns later.
 pub(crate) const MAX_QUERY_PAUSE_MS: u64 = 500;
 
-/// Time after its start within which an entry introduces itself to seeds, and asks several peers at a
+/// Time after its start within which an entry introduces itself to others, and asks several peers at a
 /// time if no hosts that the store listed are known, in milliseconds: machines that lost power
 /// together are back by then.
 pub(crate) const STARTING_PERIOD_MS: u64 = 10_000;
@@ -43,10 +43,9 @@
 /// Initial pause between two announcements to an entry that answers, in milliseconds.
 pub(crate) const MIN_ANNOUNCE_PAUSE_MS: u64 = 1_000;
 
-/// Longest pause between two announcements to an entry that answers, in milliseconds: an entry that
-/// restarted learns of the host at the latest then, and the host stays known there, which is for
-/// 60 s after an announcement.
-pub(crate) const MAX_ANNOUNCE_PAUSE_MS: u64 = 10_000;
+/// Longest pause between two announcements to an entry that answers, in milliseconds; an entry
+/// forgets a host that is neither connected nor registered 60 s after its announcement.
+pub(crate) const MAX_ANNOUNCE_PAUSE_MS: u64 = 20_000;
 
 /// Time after the loss of a connection after which an agent offers its host to the entry, in
 /// milliseconds. An entry that lives reconnects within 250 ms, the time in which its runs stay.
--- a/components/peers/tests/exchange.rs
+++ b/components/peers/tests/exchange.rs
@@ -139,8 +139,9 @@
     assert_eq!(asked(&mut exchange, START_MS + 60, NOTHING), [address(2)]);
 }
 
+// A seed forgets the entries that it knows when it restarts, and healthy entries ask nobody.
 #[test]
-fn an_entry_that_the_store_serves_introduces_itself_to_each_seed_once() {
+fn an_entry_that_the_store_serves_introduces_itself_to_each_entry_once() {
     let mut exchange = served(&[1, 2]);
     let due = exchange.take_due(START_MS, ALL);
     assert_eq!(due.len(), 2);
@@ -148,7 +149,11 @@
     exchange.answered(START_MS + 2, address(1), reply(NOTHING, false));
     exchange.failed(START_MS + 2, address(2));
     assert_eq!(asked(&mut exchange, START_MS + 60, ALL), [address(2)]);
+    exchange.learn(&[address(3)]);
     exchange.answered(START_MS + 62, address(2), reply(NOTHING, false));
+    assert_eq!(asked(&mut exchange, START_MS + 62, ALL), [address(3)]);
+    exchange.answered(START_MS + 64, address(3), reply(NOTHING, false));
+    assert_eq!(exchange.named(None), [1, 2, 3].map(address));
     assert!(asked(&mut exchange, START_MS + 5_000, ALL).is_empty());
 }
 
--- a/tests/platform_peers.rs
+++ b/tests/platform_peers.rs
@@ -181,7 +181,8 @@
     run.expect("the runtime starts");
 }
 
-// Versions decide, not the order of arrival: the older configuration arrives later at both entries.
+// Versions decide, not the order of arrival: the peer reads the older configuration from its store and
+// tells the entry its revision, and then takes the entry's newer one.
 #[test]
 fn a_removed_queue_does_not_return_from_a_peer_with_an_older_configuration() {
     let run = runtime::run(async {
