Show peers in the state dump, and ask the next peer after one that failed

A refresh that met a seed without power cost a second before another peer was asked. Operators could not see which peers an entry knows and what each told. Two tests of the exchange and one with processes are merged into others that contain their cases.

--- a/components/config/tests/settings.rs
+++ b/components/config/tests/settings.rs
@@ -146,10 +146,8 @@
         ("{{internalPortRange.0}}", "7100"),
         ("{{internalPortRange.1}}", "7101"),
     ];
-    let lines = template.lines().filter(|line| {
-        let is_section = line.starts_with("{{#") || line.starts_with("{{/");
-        !is_section
-    });
+    let is_section = |line: &&str| line.starts_with("{{#") || line.starts_with("{{/");
+    let lines = template.lines().filter(|line| !is_section(line));
     let text = lines.collect::<Vec<&str>>().join("\n");
     values
         .iter()
--- a/components/gateway/src/bootstrap.rs
+++ b/components/gateway/src/bootstrap.rs
@@ -16,6 +16,7 @@
 use runtime::{monotonic_us, uptime_ms};
 use rustc_hash::FxBuildHasher;
 use scheduling::{HostInfo, Scheduler};
+use serde_json::{Value, json};
 
 use crate::process::Shared;
 use crate::{configuration, directory};
@@ -136,6 +137,25 @@
     }
 }
 
+/// Returns the peers and whether the store answers, for the state dump.
+pub(crate) fn state(shared: &Shared) -> Value {
+    let exchange = shared.exchange.borrow();
+    let peers = exchange.peers().map(|peer| {
+        json!({
+            "address": peer.address.to_string(),
+            "is_seed": peer.is_seed,
+            "is_confirmed": peer.is_confirmed,
+            "revision": peer.known.map(|known| known.revision),
+            "hosts": peer.known.map(|known| known.host_count),
+        })
+    });
+    json!({
+        "is_store_answering": exchange.is_store_answering(),
+        "is_listed": exchange.is_listed(),
+        "peers": peers.collect::<Vec<Value>>(),
+    })
+}
+
 fn knowledge(shared: &Shared) -> Knowledge {
     let active_configuration = shared.active_configuration.borrow();
     Knowledge {
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -308,6 +308,7 @@
             "traffic": self.traffic.iter().collect::<BTreeMap<&str, u64>>(),
             "configuration_version": version,
             "jobs": scheduler.job_count(),
+            "exchange": crate::bootstrap::state(self),
             "hosts": hosts,
         })
     }
--- a/components/peers/src/exchange.rs
+++ b/components/peers/src/exchange.rs
@@ -51,6 +51,19 @@
     pub hosts_digest: Option<u64>,
 }
 
+/// A peer as the state dump shows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerStatus {
+    /// Address of its bootstrap service.
+    pub address: SocketAddr,
+    /// Whether the settings name it.
+    pub is_seed: bool,
+    /// Whether it has called this entry, or answered its last call.
+    pub is_confirmed: bool,
+    /// What it told last that it knows.
+    pub known: Option<Knowledge>,
+}
+
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 enum StoreContact {
     /// No call has ended.
@@ -77,6 +90,8 @@
     seen_hosts_digest: u64,
     /// Whether the peer has answered a call or made one, and so knows this entry's address.
     is_introduced: bool,
+    /// What the peer has told last that it knows.
+    known: Option<Knowledge>,
     /// Whether the peer has told that it knows more than this entry.
     has_news: bool,
 }
@@ -191,6 +206,7 @@
         if let Some(digest) = reply.hosts_digest {
             peer.state.seen_hosts_digest = digest;
         }
+        peer.state.known = Some(reply.knowledge);
         let is_complete = reply.knowledge.is_complete() && reply.is_listed;
         peer.due_at_ms = if is_complete {
             peer.backoff.record_success();
@@ -204,6 +220,8 @@
     /// Records that a call to a peer failed.
     pub fn failed(&mut self, now_ms: u64, address: SocketAddr) {
         self.peers.failed(now_ms, address);
+        // Machines that are gone must not use up the calls of a refresh.
+        self.refresh_at_ms = now_ms;
     }
 
     /// Records that a peer called this entry and told its address and what it knows.
@@ -216,6 +234,7 @@
         };
         peer.confirm();
         peer.state.is_introduced = true;
+        peer.state.known = Some(theirs);
         let has_more_hosts = !is_store_answering && theirs.host_count > known.host_count;
         if theirs.revision > known.revision || has_more_hosts {
             peer.state.has_news = true;
@@ -236,6 +255,16 @@
         self.peers.named(to)
     }
 
+    /// Returns the peers, for the state dump.
+    pub fn peers(&self) -> impl Iterator<Item = PeerStatus> {
+        self.peers.iter().map(|peer| PeerStatus {
+            address: peer.address,
+            is_seed: peer.is_seed,
+            is_confirmed: peer.is_confirmed,
+            known: peer.state.known,
+        })
+    }
+
     fn need(&self, now_ms: u64, known: Knowledge) -> Need {
         if self.is_store_answering() {
             return if self.is_starting(now_ms) {
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -10,7 +10,7 @@
 mod peer_set;
 
 pub use announcer::Announcer;
-pub use exchange::{Exchange, Knowledge, Query, ReplySummary, StorePart};
+pub use exchange::{Exchange, Knowledge, PeerStatus, Query, ReplySummary, StorePart};
 pub use limits::{
     ANNOUNCE_DELAY_MS, MAX_HOSTS_IN_REPLY, MAX_NAMED_PEERS, MAX_PARALLEL_CALLS, MAX_PEERS,
     OFFER_DELAY_MS, OFFER_DURATION_MS, QUERY_DELAY_MS, REFRESH_INTERVAL_MS,
--- a/components/peers/tests/exchange.rs
+++ b/components/peers/tests/exchange.rs
@@ -57,43 +57,35 @@
     }
 }
 
-// An entry that the store refused asked nobody until the store served it again, 2.2 s later.
+// An entry that the store refused asked nobody until the store served it again, 2.2 s later. A store
+// that hangs fails after 500 ms only, and callers that return wait no longer than a second.
 #[test]
-fn all_seeds_are_asked_as_soon_as_the_store_has_failed() {
-    let mut exchange = refused(&[0, 1, 2]);
+fn all_other_seeds_are_asked_as_soon_as_the_store_has_failed_or_hangs() {
+    let mut exchange = exchange(&[0, 1, 2]);
     let own_seed_is_left_out = [address(1), address(2)];
+    let until_ms = START_MS + QUERY_DELAY_MS;
+    assert!(asked(&mut exchange, until_ms - 1, NOTHING).is_empty());
+    assert_eq!(
+        asked(&mut exchange, until_ms, NOTHING),
+        own_seed_is_left_out
+    );
+    let mut exchange = refused(&[0, 1, 2]);
     assert_eq!(
         asked(&mut exchange, START_MS, NOTHING),
         own_seed_is_left_out
     );
 }
 
-// A store that hangs fails after 500 ms only; callers that return wait no longer than a second.
+// All seeds may be down or know nothing, while another entry knows the state. A seed that starts at
+// the same time knows it some milliseconds later.
 #[test]
-fn seeds_are_asked_when_the_store_has_not_answered_for_a_while() {
-    let mut exchange = exchange(&[1]);
-    let until_ms = START_MS + QUERY_DELAY_MS;
-    assert!(asked(&mut exchange, until_ms - 1, NOTHING).is_empty());
-    assert_eq!(asked(&mut exchange, until_ms, NOTHING), [address(1)]);
-}
-
-// All seeds may be down or know nothing, while another entry knows the state.
-#[test]
-fn entries_that_others_name_are_asked() {
+fn entries_that_a_seed_names_are_asked_and_soon_the_seed_again() {
     let mut exchange = refused(&[1]);
     asked(&mut exchange, START_MS, NOTHING);
     exchange.learn(&[address(0), address(4), address(5)]);
     exchange.answered(START_MS + 2, address(1), reply(NOTHING, false));
     let next = asked(&mut exchange, START_MS + 2, NOTHING);
     assert_eq!(next, [address(4), address(5)]);
-}
-
-// A seed that starts at the same time knows the state only some milliseconds later.
-#[test]
-fn a_peer_that_knows_nothing_is_soon_asked_again() {
-    let mut exchange = refused(&[1]);
-    asked(&mut exchange, START_MS, NOTHING);
-    exchange.answered(START_MS + 2, address(1), reply(NOTHING, false));
     assert_eq!(asked(&mut exchange, START_MS + 60, NOTHING), [address(1)]);
 }
 
@@ -130,6 +122,26 @@
     assert!((1..=3).all(|seed| calls.contains(&address(seed))));
 }
 
+// With three seeds down a newer configuration would arrive with each fourth call only.
+#[test]
+fn peers_that_fail_do_not_use_up_the_calls_to_one_that_answers() {
+    let mut exchange = served(&[1, 2, 3, 4]);
+    exchange.record_store_call(StorePart::Configuration, false);
+    let mut answered_ms = START_MS;
+    for now_ms in (START_MS..START_MS + 20 * REFRESH_INTERVAL_MS).step_by(20) {
+        for peer in asked(&mut exchange, now_ms, ALL) {
+            if peer != address(4) {
+                exchange.failed(now_ms, peer);
+                continue;
+            }
+            assert!(now_ms <= answered_ms + 2 * REFRESH_INTERVAL_MS);
+            answered_ms = now_ms;
+            exchange.answered(now_ms, peer, reply(ALL, true));
+        }
+    }
+    assert!(answered_ms > START_MS + 17 * REFRESH_INTERVAL_MS);
+}
+
 // A peer that hangs must not delay the calls to others.
 #[test]
 fn a_peer_that_does_not_answer_is_not_called_twice_at_a_time() {
--- a/tests/platform_peers.rs
+++ b/tests/platform_peers.rs
@@ -59,6 +59,14 @@
         start_agent_with_seeds(folder, store, target, self.reports, seeds, "debug")
     }
 
+    /// Starts a seed and an agent, both of which the store serves, and waits until they work.
+    async fn start_seed(&mut self) -> (Entry, Process) {
+        let seed = self.entry(self.store.address(), &[free_address()]);
+        let agent = self.agent(self.store.address(), &[]);
+        self.wait_until_serving(&seed).await;
+        (seed, agent)
+    }
+
     async fn submit(&mut self, entry: &Entry) -> Option<u16> {
         self.job_count += 1;
         let id = format!("{:016x}", self.job_count);
@@ -95,9 +103,7 @@
 fn an_entry_that_the_store_refuses_serves_its_first_request_with_the_state_of_a_seed() {
     let run = runtime::run(async {
         let mut site = Site::start();
-        let seed = site.entry(site.store.address(), &[]);
-        let _agent = site.agent(site.store.address(), &[]);
-        site.wait_until_serving(&seed).await;
+        let (seed, _agent) = site.start_seed().await;
         let silent = silent_store();
         for store in [refusing_store(), silent.address()] {
             let refused = site.entry(store, &[seed.peer_address]);
@@ -107,23 +113,6 @@
     run.expect("the runtime starts");
 }
 
-// The store may refuse the seeds too; they learn of the other entries by their introductions.
-#[test]
-fn a_seed_that_the_store_refuses_learns_the_state_and_passes_it_on() {
-    let run = runtime::run(async {
-        let mut site = Site::start();
-        let seed = site.entry(refusing_store(), &[free_address()]);
-        let seeds = [seed.peer_address];
-        let served = site.entry(site.store.address(), &seeds);
-        let _agent = site.agent(site.store.address(), &seeds);
-        site.wait_until_serving(&served).await;
-        site.wait_until_serving(&seed).await;
-        let refused = site.entry(refusing_store(), &seeds);
-        site.wait_until_serving(&refused).await;
-    });
-    run.expect("the runtime starts");
-}
-
 #[test]
 fn an_entry_that_restarts_while_all_seeds_are_down_learns_the_state_from_agents() {
     let run = runtime::run(async {
@@ -143,6 +132,7 @@
 
 // The case of the specification: the store refuses two of three seeds, an entry and an agent whose
 // key it has dropped, and all machines lose power. The refused entries answered 503 for two seconds.
+// The refused seeds learn of the entry that the store serves by its introduction.
 #[test]
 fn refused_machines_serve_right_after_a_loss_of_power() {
     let run = runtime::run(async {
@@ -213,9 +203,7 @@
 fn seeds_that_hang_close_or_send_garbage_do_not_delay_the_others() {
     let run = runtime::run(async {
         let mut site = Site::start();
-        let seed = site.entry(site.store.address(), &[]);
-        let _agent = site.agent(site.store.address(), &[]);
-        site.wait_until_serving(&seed).await;
+        let (seed, _agent) = site.start_seed().await;
         let hanging = TcpListener::bind("127.0.0.1:0").expect("a port");
         let garbage = TcpListener::bind("127.0.0.1:0").expect("a port");
         let closing = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -253,9 +241,7 @@
 fn http_calls_at_the_bootstrap_port_are_closed_and_do_no_harm() {
     let run = runtime::run(async {
         let mut site = Site::start();
-        let seed = site.entry(site.store.address(), &[free_address()]);
-        let _agent = site.agent(site.store.address(), &[]);
-        site.wait_until_serving(&seed).await;
+        let (seed, _agent) = site.start_seed().await;
         for _ in 0..20 {
             assert!(put_report(seed.peer_address).is_empty());
         }
