Add the set of evacuated failure domains to the model

Agents and entries are to know which failure domains the operator has evacuated, and to pass that on to each other. The value is the whole set with the revision of the store that held it; of two values the one with the higher revision is right, so that an old copy cannot bring a deleted key back. Names and the size of the set are bounded.

--- /dev/null
+++ b/components/model/src/evacuations.rs
@@ -0,0 +1,152 @@
+//! The failure domains that the operator has evacuated.
+//!
+//! The store holds the set under a prefix and numbers all of its changes with a single counter.
+//! Processes pass whole sets on to each other, each with the revision at which the store held it,
+//! so that of two sets the one with the higher revision is right.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
+
+/// Largest number of failure domains in a set; the largest installation planned has 12.
+pub const MAX_EVACUATED_FAILURE_DOMAINS: usize = 256;
+
+/// Largest length of the name of a failure domain, in bytes.
+pub const MAX_FAILURE_DOMAIN_BYTES: usize = 128;
+
+/// The set of evacuated failure domains that the store held at one revision.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuations {
+    revision: u64,
+    failure_domains: BTreeSet<Rc<str>>,
+}
+
+impl Evacuations {
+    /// Creates a set; omits names that are no valid name of a failure domain, and those beyond
+    /// [`MAX_EVACUATED_FAILURE_DOMAINS`] in alphabetical order.
+    #[must_use]
+    pub fn new(revision: u64, names: impl IntoIterator<Item = Rc<str>>) -> Self {
+        let valid: BTreeSet<Rc<str>> = names
+            .into_iter()
+            .filter(|name| is_failure_domain_name(name))
+            .collect();
+        Self {
+            revision,
+            failure_domains: valid
+                .into_iter()
+                .take(MAX_EVACUATED_FAILURE_DOMAINS)
+                .collect(),
+        }
+    }
+
+    /// Returns the revision at which the store held the set.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the names, in alphabetical order.
+    pub fn failure_domains(&self) -> impl ExactSizeIterator<Item = &Rc<str>> {
+        self.failure_domains.iter()
+    }
+
+    /// Returns whether a failure domain is evacuated.
+    #[must_use]
+    pub fn contains(&self, failure_domain: &str) -> bool {
+        self.failure_domains.contains(failure_domain)
+    }
+
+    /// Returns whether the set keeps the limits; one that a peer has sent may not.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        self.failure_domains.len() <= MAX_EVACUATED_FAILURE_DOMAINS
+            && self
+                .failure_domains
+                .iter()
+                .all(|name| is_failure_domain_name(name))
+    }
+}
+
+/// Returns whether a text may be the name of a failure domain: 1 to [`MAX_FAILURE_DOMAIN_BYTES`]
+/// bytes without control characters.
+#[must_use]
+pub fn is_failure_domain_name(text: &str) -> bool {
+    !text.is_empty()
+        && text.len() <= MAX_FAILURE_DOMAIN_BYTES
+        && !text.chars().any(char::is_control)
+}
+
+/// The newest set of evacuations that a process knows, if it knows any.
+#[derive(Debug, Default, Clone)]
+pub struct KnownEvacuations {
+    newest: Option<Evacuations>,
+}
+
+/// How a newer set differs from the one before.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EvacuationChange {
+    /// Failure domains that are evacuated now.
+    pub begun: Vec<Rc<str>>,
+    /// Failure domains that are no longer evacuated.
+    pub ended: Vec<Rc<str>>,
+}
+
+impl KnownEvacuations {
+    /// Returns the newest set; `None` before the process has learned any.
+    #[must_use]
+    pub fn get(&self) -> Option<&Evacuations> {
+        self.newest.as_ref()
+    }
+
+    /// Returns the revision of the newest set; `None` before the process has learned any.
+    #[must_use]
+    pub fn revision(&self) -> Option<u64> {
+        self.newest.as_ref().map(Evacuations::revision)
+    }
+
+    /// Returns whether a failure domain is evacuated in the newest set.
+    #[must_use]
+    pub fn contains(&self, failure_domain: &str) -> bool {
+        self.newest
+            .as_ref()
+            .is_some_and(|newest| newest.contains(failure_domain))
+    }
+
+    /// Returns the newest set if a peer that knows the set of `known_revision` should get it.
+    #[must_use]
+    pub fn newer_than(&self, known_revision: Option<u64>) -> Option<&Evacuations> {
+        self.newest
+            .as_ref()
+            .filter(|newest| known_revision.is_none_or(|known| newest.revision > known))
+    }
+
+    /// Takes a set in place of the one known if its revision is higher and it keeps the limits.
+    ///
+    /// Returns what changed if failure domains did. The revision of an equal set is taken too: a
+    /// set from between the two revisions may differ and must not replace it later.
+    pub fn merge(&mut self, other: Evacuations) -> Option<EvacuationChange> {
+        let is_newer = self
+            .revision()
+            .is_none_or(|revision| other.revision > revision);
+        if !is_newer || !other.is_valid() {
+            return None;
+        }
+        let previous = self.newest.take().map(|newest| newest.failure_domains);
+        let previous = previous.unwrap_or_default();
+        let change = EvacuationChange {
+            begun: other
+                .failure_domains
+                .difference(&previous)
+                .cloned()
+                .collect(),
+            ended: previous
+                .difference(&other.failure_domains)
+                .cloned()
+                .collect(),
+        };
+        self.newest = Some(other);
+        let is_changed = !change.begun.is_empty() || !change.ended.is_empty();
+        is_changed.then_some(change)
+    }
+}
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -2,6 +2,7 @@
 //! between owners and agents.
 
 mod answer;
+mod evacuations;
 mod job;
 mod keys;
 mod limits;
@@ -11,6 +12,10 @@
 mod run;
 
 pub use answer::{Answer, Failure, FailureKind, FailureReason};
+pub use evacuations::{
+    EvacuationChange, Evacuations, KnownEvacuations, MAX_EVACUATED_FAILURE_DOMAINS,
+    MAX_FAILURE_DOMAIN_BYTES, is_failure_domain_name,
+};
 pub use job::{JobMeta, JobSpec, TaskSpec};
 pub use keys::{
     Attempt, FirmKey, Generation, GroupKey, JobDigest, JobKey, KindKey, ProcessKey, ShardKey,
