Let agents and entries decide about evacuated failure domains

A host in an evacuated failure domain is closed: it returns its waiting tasks and rejects orders as not started, for the new reason Evacuated, and prevents starts that the target left unanswered in place of repeating them. Entries place nothing there, count such hosts neither as capacity nor towards the hosts that they follow, and stay connected to them. Nothing calls these decisions yet.

--- a/components/hosting/src/host/ends.rs
+++ b/components/hosting/src/host/ends.rs
@@ -108,6 +108,7 @@
     /// Removes a run that has not started and never will, and reports that to its entry.
     pub(super) fn reject(&mut self, task: TaskRef, reason: NotStartedReason) {
         if let Some(run) = self.runs.remove(&task) {
+            self.count_rejection(reason);
             self.push_event(run.owner, run.id, RunEvent::NotStarted(reason));
         }
     }
--- a/components/hosting/src/host/mod.rs
+++ b/components/hosting/src/host/mod.rs
@@ -2,6 +2,7 @@
 
 mod drain;
 mod ends;
+mod evacuation;
 mod incarnations;
 mod orders;
 mod outlook;
@@ -57,6 +58,10 @@
     is_target_gone: bool,
     /// When the runs must have ended because the agent shuts down, in milliseconds.
     closes_at_ms: Option<u64>,
+    /// Whether the operator has evacuated the failure domain of the host.
+    is_evacuated: bool,
+    /// Number of tasks rejected because of an evacuation.
+    evacuated_tasks: u64,
     /// Whether all runs that an earlier agent started at the target have ended; nothing starts
     /// before.
     has_no_earlier_runs: bool,
@@ -92,6 +97,8 @@
             target: None,
             is_target_gone: false,
             closes_at_ms: None,
+            is_evacuated: false,
+            evacuated_tasks: 0,
             has_no_earlier_runs: false,
             lease: Lease::default(),
             acknowledged: 0,
@@ -294,6 +301,7 @@
         self.usable_target(now_ms)
             .is_some_and(|target| !target.is_draining)
             && !self.is_closed(now_ms)
+            && !self.is_evacuated
             && (!has_single_slot || self.runs.is_empty())
     }
 
--- a/components/hosting/src/host/orders.rs
+++ b/components/hosting/src/host/orders.rs
@@ -40,6 +40,7 @@
                 continue;
             }
             if let Some(reason) = self.rejection_reason(now_ms, order, has_authority) {
+                self.count_rejection(reason);
                 self.push_event(from, id, RunEvent::NotStarted(reason));
                 continue;
             }
@@ -74,6 +75,9 @@
         if !has_authority {
             return Some(NotStartedReason::PermitExpired);
         }
+        if self.is_evacuated {
+            return Some(NotStartedReason::Evacuated);
+        }
         let Some(target) = self.usable_target(now_ms) else {
             return Some(NotStartedReason::NoTarget);
         };
--- a/components/hosting/src/host/starts.rs
+++ b/components/hosting/src/host/starts.rs
@@ -34,7 +34,7 @@
                     self.runs
                         .entry(task)
                         .and_modify(|run| run.has_unanswered_start = true);
-                    self.send_start(now_ms, task, number, actions);
+                    self.repeat_start(now_ms, task, number, actions);
                 }
                 StartOutcome::Refused(reason) => {
                     self.handle_refused_start(now_ms, task, number, reason, actions);
@@ -56,14 +56,14 @@
         match reason {
             StartRefusal::StaleToken => {
                 self.raise_token();
-                self.send_start(now_ms, task, number, actions);
+                self.repeat_start(now_ms, task, number, actions);
             }
             StartRefusal::OldNumber => {
                 // The last number at the target is unknown; doubling exceeds it after few attempts.
                 self.record_run_number(now_ms, task, number.saturating_mul(2));
-                self.send_start(now_ms, task, number.saturating_mul(2) + 1, actions);
+                self.repeat_start(now_ms, task, number.saturating_mul(2) + 1, actions);
             }
-            StartRefusal::LeaseOver => self.send_start(now_ms, task, number, actions),
+            StartRefusal::LeaseOver => self.repeat_start(now_ms, task, number, actions),
             StartRefusal::NoRoom => {
                 self.starts_paused_until_ms = now_ms + NO_ROOM_BACKOFF_MS;
                 self.resolve_refused_start(now_ms, task, NotStartedReason::NoRoom, actions);
@@ -81,7 +81,7 @@
 
     /// Rejects a run whose start was refused, unless the target may still execute an earlier copy
     /// of the start: then a stop has to prevent that first.
-    fn resolve_refused_start(
+    pub(super) fn resolve_refused_start(
         &mut self,
         now_ms: u64,
         task: TaskRef,
@@ -126,7 +126,7 @@
 
     /// Starts waiting tasks in the order of [`QueuePosition`], as far as they fit.
     pub(super) fn start_waiting(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
-        if now_ms < self.starts_paused_until_ms {
+        if self.is_evacuated || now_ms < self.starts_paused_until_ms {
             return;
         }
         let Some(target) = self.usable_target(now_ms) else {
--- a/components/hosting/tests/host/main.rs
+++ b/components/hosting/tests/host/main.rs
@@ -2,6 +2,7 @@
 
 mod authority;
 mod drain;
+mod evacuation;
 mod harness;
 mod incarnations;
 mod leases;
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -248,6 +248,8 @@
     Withdrawn,
     /// The host already has another run of the task.
     Occupied,
+    /// The operator has evacuated the failure domain of the host.
+    Evacuated,
 }
 
 /// How long a run was queued at its host and how long it ran there.
--- a/components/scheduling/src/host.rs
+++ b/components/scheduling/src/host.rs
@@ -34,6 +34,8 @@
     pub is_connected: bool,
     /// Whether tasks may be placed on it.
     pub is_usable: bool,
+    /// Whether the operator has evacuated its failure domain.
+    pub is_evacuated: bool,
     /// Age of the view, in milliseconds.
     pub view_age_ms: u64,
     /// The latest view.
@@ -46,6 +48,8 @@
     pub(crate) info: HostInfo,
     pub(crate) agent: Option<ProcessKey>,
     pub(crate) is_connected: bool,
+    /// Whether the operator has evacuated its failure domain.
+    pub(crate) is_evacuated: bool,
     /// Whether the agent has reported that all runs of its earlier incarnations have ended.
     pub(crate) has_no_earlier_runs: bool,
     pub(crate) view: Option<HostView>,
@@ -76,6 +80,7 @@
             connection_wanted_changed_at_ms: now_ms,
             agent: None,
             is_connected: false,
+            is_evacuated: false,
             has_no_earlier_runs: false,
             view: None,
             last_seen_event: 0,
@@ -172,15 +177,21 @@
     }
 
     fn is_recently_wanted(&self, now_ms: u64) -> bool {
-        now_ms < self.connection_wanted_changed_at_ms + FIRST_VIEW_TIMEOUT_MS
+        !self.is_evacuated && now_ms < self.connection_wanted_changed_at_ms + FIRST_VIEW_TIMEOUT_MS
     }
 
     /// Returns whether tasks may be placed on the host.
     pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
+        !self.is_evacuated
+            && self.is_followed(now_ms)
+            && self.view.as_ref().is_some_and(|view| view.is_open)
+    }
+
+    /// Returns whether the entry is connected to the host and has a recent view of it.
+    pub(crate) fn is_followed(&self, now_ms: u64) -> bool {
         self.is_connected
             && self.is_connection_wanted
             && now_ms < self.permit_received_at_ms + VIEW_MAX_AGE_MS
-            && self.view.as_ref().is_some_and(|view| view.is_open)
     }
 
     /// Queues tasks to start; consecutive tasks of one step are merged into one order.
@@ -208,6 +219,12 @@
         if let Some(orders) = &mut self.in_flight {
             remove_run(&mut orders.starts, run);
         }
+        self.cancel_unsent_start(run)
+    }
+
+    /// Removes the start order of a run from the queue; returns whether it was queued, that is, has
+    /// never been sent.
+    pub(crate) fn cancel_unsent_start(&mut self, run: RunId) -> bool {
         remove_run(&mut self.starts, run)
     }
 
@@ -274,6 +291,7 @@
             info: self.info.clone(),
             is_connected: self.is_connected,
             is_usable: self.is_usable(now_ms),
+            is_evacuated: self.is_evacuated,
             view_age_ms: now_ms.saturating_sub(self.permit_received_at_ms),
             view: self.view.clone(),
         }
--- a/components/scheduling/src/scheduler/connections.rs
+++ b/components/scheduling/src/scheduler/connections.rs
@@ -10,7 +10,9 @@
     /// Adds a host; the next tick emits an action if the entry should connect to it.
     pub fn add_host(&mut self, now_ms: u64, info: HostInfo) -> HostSlot {
         let weight = crate::subset::weight(self.key, &info.address);
-        let slot = self.hosts.insert(HostRecord::new(now_ms, info, weight));
+        let mut record = HostRecord::new(now_ms, info, weight);
+        record.is_evacuated = self.is_failure_domain_evacuated(&record.info.failure_domain);
+        let slot = self.hosts.insert(record);
         let before = |other: &HostSlot| self.hosts[*other].weight >= weight;
         let at = self.hosts_by_weight.partition_point(before);
         self.hosts_by_weight.insert(at, slot);
@@ -53,9 +55,14 @@
         self.connections_updated_at_ms = now_ms;
         let size = self.subset_size.update(now_ms, self.hosts_by_weight.len());
         let mut counted_hosts = 0;
+        let mut evacuated_hosts = 0;
         for &slot in &self.hosts_by_weight {
             let host = &mut self.hosts[slot];
-            let is_selected = counted_hosts < size;
+            // Connections to evacuated hosts are kept, so that their capacity is back at once, but
+            // not to more of them than the subset has hosts.
+            let is_selected =
+                counted_hosts < size && !(host.is_evacuated && evacuated_hosts >= size);
+            evacuated_hosts += usize::from(host.is_evacuated && is_selected);
             let has_work = || self.jobs.values().any(|job| job.is_placed_at(slot));
             let is_kept =
                 !is_selected && host.is_connection_wanted && (host.has_orders() || has_work());
--- a/components/scheduling/src/scheduler/events.rs
+++ b/components/scheduling/src/scheduler/events.rs
@@ -150,6 +150,7 @@
             NotStartedReason::NoTarget | NotStartedReason::PermitExpired => PLACEMENT_RETRY_MS,
             NotStartedReason::NoRoom
             | NotStartedReason::Draining
+            | NotStartedReason::Evacuated
             | NotStartedReason::Malformed
             | NotStartedReason::Withdrawn => 0,
         };
--- a/components/scheduling/src/scheduler/mod.rs
+++ b/components/scheduling/src/scheduler/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod connections;
+mod evacuation;
 mod events;
 mod forecasts;
 mod planning;
@@ -9,6 +10,7 @@
 mod warm_up;
 
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use model::{HostUpdate, HostUpdateRequest, JobId, Orders, ProcessKey, RunEvent, RunId};
@@ -118,6 +120,8 @@
     placement_rule: PlacementRule,
     choice_count: Cell<u64>,
     kinds: Kinds,
+    /// Failure domains that the operator has evacuated.
+    evacuated_failure_domains: BTreeSet<Rc<str>>,
     /// Until when hosts may be known that have not been listed yet, in milliseconds.
     hosts_expected_until_ms: u64,
 }
@@ -143,6 +147,7 @@
             placement_rule: PlacementRule::default(),
             choice_count: Cell::new(0),
             kinds: Kinds::default(),
+            evacuated_failure_domains: BTreeSet::new(),
             hosts_expected_until_ms: 0,
         }
     }
--- a/components/scheduling/tests/scheduler/main.rs
+++ b/components/scheduling/tests/scheduler/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler of an entry.
 
+mod evacuation;
 mod forecasts;
 mod jobs;
 mod support;
--- a/components/scheduling/tests/scheduler/support.rs
+++ b/components/scheduling/tests/scheduler/support.rs
@@ -113,13 +113,19 @@
 
 impl Bench {
     pub fn new(hosts: usize) -> Self {
+        Self::in_failure_domains(&vec!["domain"; hosts])
+    }
+
+    /// Creates a scheduler with one host in each of the given failure domains.
+    pub fn in_failure_domains(failure_domains: &[&str]) -> Self {
+        let hosts = failure_domains.len();
         let mut scheduler = Scheduler::new(ENTRY, "domain", 1.0);
         let slots: Vec<HostSlot> = (0..hosts)
             .map(|host| {
                 let info = HostInfo {
                     name: Rc::from(format!("host-{host}")),
                     address: Rc::from(format!("host-{host}")),
-                    failure_domain: Rc::from("domain"),
+                    failure_domain: Rc::from(failure_domains[host]),
                 };
                 scheduler.add_host(START_MS, info)
             })
