Follow evacuations in the store and pass them on between entries and agents

With the setting evacuation_bound_ms, entries and agents list and watch the operator's keys, and list them again when the history is lost or the revision advanced without an event. Updates of the link between entries and agents carry a digest of the newest set that each side knows; the side with the newer set sends it, so that an agent that the store refuses learns it from any entry, and the reverse. An entry whose hosts are all evacuated stays ready, so that callers are told when to retry. Without the setting nothing is read, sent or obeyed.

--- a/components/config/src/settings/gateway.rs
+++ b/components/config/src/settings/gateway.rs
@@ -18,6 +18,7 @@
     Key::required("store_address", Kind::Address),
     Key::optional("seed_peers", Kind::Addresses { min_count: 0 }),
     Key::optional_integer("drain_timeout_ms", 0, 600_000),
+    Key::optional_integer("evacuation_bound_ms", 2_000, 600_000),
     Key::optional_integer("far_factor_percent", 100, 10_000),
     Key::optional("log", Kind::Table(log::KEYS)),
     Key::optional("limits", Kind::Table(LIMITS)),
@@ -56,6 +57,10 @@
     /// Maximum duration of a planned stop.
     #[serde(default = "load::default_drain_timeout_ms")]
     pub drain_timeout_ms: u64,
+    /// Time after which nothing may start any more in a failure domain that the operator has
+    /// evacuated; absent if evacuations are not followed.
+    #[serde(default)]
+    pub evacuation_bound_ms: Option<u64>,
     /// Expected running time of a task on a host without the label that the task prefers, such as
     /// that of its data's location, in percent of the time on a host with it.
     #[serde(default = "default_far_factor_percent")]
--- a/components/config/src/settings/sidecar.rs
+++ b/components/config/src/settings/sidecar.rs
@@ -19,6 +19,7 @@
     Key::required("store_address", Kind::Address),
     Key::optional("seed_peers", Kind::Addresses { min_count: 0 }),
     Key::optional_integer("drain_timeout_ms", 0, 600_000),
+    Key::optional_integer("evacuation_bound_ms", 2_000, 600_000),
     Key::optional("log", Kind::Table(log::KEYS)),
 ];
 
@@ -49,6 +50,10 @@
     /// Maximum duration of a planned stop.
     #[serde(default = "load::default_drain_timeout_ms")]
     pub drain_timeout_ms: u64,
+    /// Time after which nothing may start any more in a failure domain that the operator has
+    /// evacuated; absent if evacuations are not followed.
+    #[serde(default)]
+    pub evacuation_bound_ms: Option<u64>,
     /// Format and levels of the log.
     #[serde(default)]
     pub log: LogSettings,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod callers;
 mod configuration;
 mod directory;
+mod evacuation;
 mod limits;
 mod links;
 mod metrics;
--- a/components/gateway/src/links.rs
+++ b/components/gateway/src/links.rs
@@ -11,6 +11,7 @@
 use web::Notify;
 
 use crate::bootstrap;
+use crate::evacuation;
 use crate::process::Shared;
 
 /// Time limit of an attempt to connect, in milliseconds, to which the current reconnect pause is
@@ -88,13 +89,18 @@
     log::info!(target: "gateway", event = "link_up", address = address,
         agent = link.peer().to_string(); "connected to an agent");
     let orders = pin!(send_orders(shared, slot, link, link_notifier));
-    let update = pin!(poll_updates(shared, slot, link));
-    let calls = select(orders, update);
+    let updates = pin!(poll_updates(shared, slot, address, link));
+    let evacuations = pin!(evacuation::share(shared, slot, link));
+    let polls = select(updates, evacuations);
+    let calls = select(orders, polls);
     let unwanted = || (!shared.scheduler.borrow().is_connection_wanted(slot)).then_some(());
     let released = pin!(link_notifier.wait_until(unwanted));
     let error = match select(calls, released).await {
-        Either::Left((Either::Left((error, _)) | Either::Right((error, _)), _)) => error,
+        Either::Left((Either::Left((error, _)), _))
+        | Either::Left((Either::Right((Either::Left((error, _)), _)), _))
+        | Either::Left((Either::Right((Either::Right((error, _)), _)), _)) => error,
         Either::Right(_) => {
+            shared.evacuations.agent_disconnected(slot);
             shared.scheduler.borrow_mut().host_disconnected(slot);
             shared.metrics.record_link_event("released");
             log::info!(target: "gateway", event = "link_released", address = address;
@@ -102,6 +108,7 @@
             return;
         }
     };
+    shared.evacuations.agent_disconnected(slot);
     shared.scheduler.borrow_mut().host_disconnected(slot);
     shared.metrics.record_link_event("lost");
     log::warn!(target: "gateway", event = "link_down", address = address,
@@ -128,17 +135,29 @@
     }
 }
 
-async fn poll_updates(shared: &Rc<Shared>, slot: HostSlot, link: &HostLink) -> LinkError {
+async fn poll_updates(
+    shared: &Rc<Shared>,
+    slot: HostSlot,
+    address: &str,
+    link: &HostLink,
+) -> LinkError {
     // After the first view, which jobs may be waiting for.
     let mut is_introduced = false;
     loop {
-        let Some(request) = shared.scheduler.borrow().update_request(slot) else {
+        let Some(mut request) = shared.scheduler.borrow().update_request(slot) else {
             return LinkError::NotSent(protocol::LinkFault::Closed);
         };
+        request.evacuations = evacuation::digest(shared);
         let wait_ms = u64::from(request.wait_ms) + UPDATE_TIMEOUT_MS;
         let deadline_us = monotonic_us() + wait_ms * 1_000;
         match link.update(request, deadline_us).await {
-            Ok(update) => apply_update(shared, slot, None, &update),
+            Ok(update) => {
+                // Before the events of runs, after which tasks are placed.
+                if let Some(report) = &update.evacuations {
+                    evacuation::agent_reported(shared, slot, address, report);
+                }
+                apply_update(shared, slot, None, &update);
+            }
             Err(error) => return error,
         }
         if !is_introduced && let Err(error) = introduce(shared, link).await {
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -33,6 +33,7 @@
     known_hosts: IntGauge,
     oldest_view_ms: IntGauge,
     configuration_version: IntGauge,
+    evacuated_failure_domains: IntGauge,
     dropped_log_lines: IntGauge,
 }
 
@@ -112,6 +113,10 @@
                 "shallotcross_gateway_configuration_version",
                 "Version of the configuration in force.",
             )?,
+            evacuated_failure_domains: metrics.gauge(
+                "shallotcross_gateway_evacuated_failure_domains",
+                "Failure domains that the operator has evacuated.",
+            )?,
             dropped_log_lines: metrics.gauge(
                 "shallotcross_gateway_log_lines_left_out",
                 "Log lines dropped by the rate limit or because the log reader is slow.",
@@ -201,6 +206,9 @@
             .as_ref()
             .map_or(0, |config| config.version);
         self.configuration_version.set(version as i64);
+        let evacuations = shared.evacuations.newest();
+        let evacuated = evacuations.map_or(0, |newest| newest.failure_domains().len());
+        self.evacuated_failure_domains.set(evacuated as i64);
         let counts = runtime::log_counts();
         let dropped = counts.dropped_over_rate + counts.dropped_over_buffer;
         self.dropped_log_lines.set(dropped as i64);
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -21,6 +21,7 @@
 use web::{CurrentLimits, Notify, ServerCounters};
 
 use crate::configuration::ActiveConfiguration;
+use crate::evacuation::EvacuationState;
 use crate::limits::caller_limits;
 use crate::metrics::GatewayMetrics;
 
@@ -42,7 +43,7 @@
 
 /// Timeout of a call to the store, in milliseconds; must be well above the usual response time of
 /// 4 ms.
-const STORE_TIMEOUT_MS: u64 = 500;
+pub(crate) const STORE_TIMEOUT_MS: u64 = 500;
 
 /// How long a draining process still accepts requests, in milliseconds: the balancer checks
 /// readiness once per second and takes the entry out of rotation after the second failure.
@@ -74,6 +75,7 @@
     pub(crate) configuration_changed: Notify,
     /// End of the time in which requests wait for the configuration and the hosts.
     pub(crate) starting_until_ms: u64,
+    pub(crate) evacuations: EvacuationState,
     pub(crate) store: StoreClient,
     pub(crate) is_draining: Cell<bool>,
     pub(crate) metrics: GatewayMetrics,
@@ -125,6 +127,7 @@
             active_configuration: RefCell::default(),
             configuration_changed: Notify::default(),
             starting_until_ms,
+            evacuations: EvacuationState::default(),
             store: StoreClient::new(settings.store_address, STORE_TIMEOUT_MS),
             is_draining: Cell::new(false),
             metrics: GatewayMetrics::new()
@@ -185,6 +188,7 @@
         }
         monoio::spawn(crate::configuration::follow(Rc::clone(&shared)));
         monoio::spawn(crate::directory::follow(Rc::clone(&shared)));
+        monoio::spawn(crate::evacuation::follow(Rc::clone(&shared)));
         monoio::spawn(run_timers(Rc::clone(&shared)));
         drain.stopped().await;
         shared.is_draining.set(true);
@@ -262,14 +266,18 @@
         self.suspension_watch.is_from_before(read_ms)
     }
 
-    /// Returns whether the balancer should send new connections to this entry.
+    /// Returns whether the balancer should send new connections to this entry; also if all hosts are
+    /// evacuated, so that callers are told when to retry.
     pub(crate) fn is_ready(&self) -> bool {
         // Reading the clock may change the scheduler, which must not be borrowed then.
         let now_ms = self.advance_clock();
         let has_configuration = self.active_configuration.borrow().is_some();
-        !self.is_draining.get()
-            && has_configuration
-            && self.scheduler.borrow().has_usable_host(now_ms)
+        !self.is_draining.get() && has_configuration && self.has_host(now_ms)
+    }
+
+    fn has_host(&self, now_ms: u64) -> bool {
+        let scheduler = self.scheduler.borrow();
+        scheduler.has_usable_host(now_ms) || scheduler.has_evacuated_host(now_ms)
     }
 
     /// Executes the actions that the scheduler returned.
@@ -292,6 +300,7 @@
                     "failure_domain": &*host.info.failure_domain,
                     "is_connected": host.is_connected,
                     "is_usable": host.is_usable,
+                    "is_evacuated": host.is_evacuated,
                     "view_age_ms": host.view_age_ms,
                     "view": host.view,
                 })
@@ -307,6 +316,7 @@
             "is_draining": self.is_draining.get(),
             "traffic": self.traffic.iter().collect::<BTreeMap<&str, u64>>(),
             "configuration_version": version,
+            "evacuations": self.evacuations.newest(),
             "jobs": scheduler.job_count(),
             "exchange": crate::bootstrap::state(self),
             "hosts": hosts,
--- a/components/hosting/src/host/mod.rs
+++ b/components/hosting/src/host/mod.rs
@@ -212,6 +212,7 @@
                 .sessions
                 .get(&to)
                 .map_or_else(Vec::new, Session::events),
+            evacuations: None,
         }
     }
 
--- a/components/hosting/tests/host/harness.rs
+++ b/components/hosting/tests/host/harness.rs
@@ -130,6 +130,7 @@
             permit: self.permit,
             last_seen_event: self.last_seen_event,
             wait_ms: 0,
+            evacuations: None,
         };
         self.host
             .update_requested(self.now_ms, &request, &mut self.actions);
--- a/components/model/src/evacuations.rs
+++ b/components/model/src/evacuations.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3Default;
 
 /// Largest number of failure domains in a set; the largest installation planned has 12.
 pub const MAX_EVACUATED_FAILURE_DOMAINS: usize = 256;
@@ -57,6 +58,21 @@
         self.failure_domains.contains(failure_domain)
     }
 
+    /// Returns the revision and a hash of the names.
+    #[must_use]
+    pub fn digest(&self) -> EvacuationsDigest {
+        let mut hasher = Xxh3Default::new();
+        for name in &self.failure_domains {
+            hasher.update(name.as_bytes());
+            // No name contains a control character.
+            hasher.update(&[0]);
+        }
+        EvacuationsDigest {
+            revision: self.revision,
+            names_hash: hasher.digest(),
+        }
+    }
+
     /// Returns whether the set keeps the limits; one that a peer has sent may not.
     #[must_use]
     pub fn is_valid(&self) -> bool {
@@ -68,6 +84,24 @@
     }
 }
 
+/// The revision of a set of evacuations and a hash of its names; the default stands for no set.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationsDigest {
+    /// Revision of the store that held the set.
+    pub revision: u64,
+    /// Hash of the names.
+    pub names_hash: u64,
+}
+
+/// What an agent tells an entry about evacuations.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationsReport {
+    /// Digest of the newest set that the agent knows.
+    pub digest: EvacuationsDigest,
+    /// That set, if it is newer than the entry's and differs.
+    pub newer: Option<Evacuations>,
+}
+
 /// Returns whether a text may be the name of a failure domain: 1 to [`MAX_FAILURE_DOMAIN_BYTES`]
 /// bytes without control characters.
 #[must_use]
@@ -77,6 +111,12 @@
         && !text.chars().any(char::is_control)
 }
 
+/// Returns names separated by commas, for log lines.
+#[must_use]
+pub fn names_in_one_text(names: &[Rc<str>]) -> String {
+    names.join(",")
+}
+
 /// The newest set of evacuations that a process knows, if it knows any.
 #[derive(Debug, Default, Clone)]
 pub struct KnownEvacuations {
@@ -121,6 +161,33 @@
             .filter(|newest| known_revision.is_none_or(|known| newest.revision > known))
     }
 
+    /// Returns the digest of the newest set.
+    #[must_use]
+    pub fn digest(&self) -> EvacuationsDigest {
+        self.newest
+            .as_ref()
+            .map_or_else(EvacuationsDigest::default, Evacuations::digest)
+    }
+
+    /// Returns the newest set if a peer with this digest has an older one that differs.
+    #[must_use]
+    pub fn update_for(&self, peer: EvacuationsDigest) -> Option<&Evacuations> {
+        let newest = self.newest.as_ref()?;
+        let is_newer = newest.revision > peer.revision;
+        (is_newer && newest.digest().names_hash != peer.names_hash).then_some(newest)
+    }
+
+    /// Takes the revision of a peer's set if that is equal to the newest one known, so that a set
+    /// from between the two revisions cannot replace it.
+    pub fn confirm(&mut self, peer: EvacuationsDigest) {
+        if let Some(newest) = &mut self.newest
+            && peer.revision > newest.revision
+            && peer.names_hash == newest.digest().names_hash
+        {
+            newest.revision = peer.revision;
+        }
+    }
+
     /// Takes a set in place of the one known if its revision is higher and it keeps the limits.
     ///
     /// Returns what changed if failure domains did. The revision of an equal set is taken too: a
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -13,8 +13,9 @@
 
 pub use answer::{Answer, Failure, FailureKind, FailureReason};
 pub use evacuations::{
-    EvacuationChange, Evacuations, KnownEvacuations, MAX_EVACUATED_FAILURE_DOMAINS,
-    MAX_FAILURE_DOMAIN_BYTES, is_failure_domain_name,
+    EvacuationChange, Evacuations, EvacuationsDigest, EvacuationsReport, KnownEvacuations,
+    MAX_EVACUATED_FAILURE_DOMAINS, MAX_FAILURE_DOMAIN_BYTES, is_failure_domain_name,
+    names_in_one_text,
 };
 pub use job::{JobMeta, JobSpec, TaskSpec};
 pub use keys::{
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ProcessKey;
+use crate::{EvacuationsDigest, EvacuationsReport, ProcessKey};
 
 /// Length of a job's id, in hexadecimal digits.
 pub const JOB_ID_DIGITS: usize = 16;
@@ -192,6 +192,8 @@
     pub last_seen_event: u64,
     /// How long the agent may wait for an event before it answers, in milliseconds.
     pub wait_ms: u32,
+    /// Digest of the newest set of evacuations that the entry knows; `None` if it follows none.
+    pub evacuations: Option<EvacuationsDigest>,
 }
 
 /// How a run ended.
@@ -328,6 +330,9 @@
     pub view: HostView,
     /// Events in order, each as its sequence number, the run and the event.
     pub events: Vec<(u64, RunId, RunEvent)>,
+    /// What the agent knows of evacuations; only in the answer to an update request that has a
+    /// digest, and if the agent follows evacuations.
+    pub evacuations: Option<EvacuationsReport>,
 }
 
 /// Urgency class of the queues that are served before all others.
--- a/components/model/tests/evacuations.rs
+++ b/components/model/tests/evacuations.rs
@@ -2,7 +2,10 @@
 
 use std::rc::Rc;
 
-use model::{EvacuationChange, Evacuations, KnownEvacuations, MAX_EVACUATED_FAILURE_DOMAINS};
+use model::{
+    EvacuationChange, Evacuations, EvacuationsDigest, KnownEvacuations,
+    MAX_EVACUATED_FAILURE_DOMAINS,
+};
 use proptest::prelude::*;
 
 fn evacuations(revision: u64, names: &[&str]) -> Evacuations {
@@ -66,3 +69,28 @@
         prop_assert_eq!(known.get(), Some(&evacuations(7, &["zone-7"])));
     }
 }
+
+/// Guards against a key that was written, removed and written again: a peer that is behind at the
+/// removal reopened the failure domain at a process that holds the set of the first write.
+#[test]
+fn a_copy_from_between_two_equal_sets_is_refused_once_a_peer_confirms_the_later_one() {
+    let mut known = KnownEvacuations::default();
+    known.merge(evacuations(10, &["zone-a"]));
+    known.confirm(evacuations(90, &["zone-a"]).digest());
+    known.merge(evacuations(70, &[]));
+    assert!(known.contains("zone-a"));
+}
+
+/// Guards against a process without a set that tells peers that nothing is evacuated, and against
+/// sets that are sent again and again to a peer that holds an equal one.
+#[test]
+fn a_peer_gets_a_set_only_if_its_own_is_older_and_differs() {
+    let mut known = KnownEvacuations::default();
+    assert_eq!(known.update_for(EvacuationsDigest::default()), None);
+    known.merge(evacuations(10, &["zone-a"]));
+    let is_sent = |peer: Evacuations| known.update_for(peer.digest()).is_some();
+    assert!(known.update_for(EvacuationsDigest::default()).is_some());
+    assert!(is_sent(evacuations(9, &["zone-b"])));
+    assert!(!is_sent(evacuations(9, &["zone-a"])));
+    assert!(!is_sent(evacuations(11, &["zone-b"])));
+}
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -5,6 +5,7 @@
 mod client;
 mod counters;
 mod error;
+mod key_set;
 mod lease;
 mod store;
 mod transport;
--- a/components/protocol/src/host_link.rs
+++ b/components/protocol/src/host_link.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use futures::future::LocalBoxFuture;
-use model::{HostUpdate, HostUpdateRequest, Orders, ProcessKey};
+use model::{Evacuations, HostUpdate, HostUpdateRequest, Orders, ProcessKey};
 use monoio::net::TcpListener;
 use tarpc::context::Context;
 
@@ -86,6 +86,24 @@
             _ => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
         }
     }
+
+    /// Sends the agent a set of evacuations.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer before the deadline or the connection ends.
+    pub async fn share_evacuations(
+        &self,
+        from: ProcessKey,
+        evacuations: Evacuations,
+        deadline_us: u64,
+    ) -> Result<(), LinkError> {
+        let request = HostServiceRequest::ShareEvacuations { from, evacuations };
+        match self.call(request, deadline_us).await? {
+            HostServiceResponse::ShareEvacuations(()) => Ok(()),
+            _ => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
+        }
+    }
 }
 
 /// Handlers of the calls of the host service.
@@ -94,6 +112,7 @@
     order: Rc<dyn Fn(Orders) -> HostUpdate>,
     update: Rc<dyn Fn(HostUpdateRequest) -> LocalBoxFuture<'static, HostUpdate>>,
     introduce: Rc<dyn Fn(ProcessKey, SocketAddr)>,
+    evacuations: Rc<dyn Fn(ProcessKey, Evacuations)>,
 }
 
 impl HostService for HostHandlers {
@@ -108,6 +127,10 @@
     async fn introduce(self, _: Context, from: ProcessKey, address: SocketAddr) {
         (self.introduce)(from, address);
     }
+
+    async fn share_evacuations(self, _: Context, from: ProcessKey, evacuations: Evacuations) {
+        (self.evacuations)(from, evacuations);
+    }
 }
 
 /// Serves the host service of an agent until the server is stopped.
@@ -120,6 +143,7 @@
     order: impl Fn(Orders) -> HostUpdate + 'static,
     update: impl Fn(HostUpdateRequest) -> F + 'static,
     introduce: impl Fn(ProcessKey, SocketAddr) + 'static,
+    evacuations: impl Fn(ProcessKey, Evacuations) + 'static,
 ) where
     F: Future<Output = HostUpdate> + 'static,
 {
@@ -127,6 +151,7 @@
         order: Rc::new(order),
         update: Rc::new(move |request| Box::pin(update(request))),
         introduce: Rc::new(introduce),
+        evacuations: Rc::new(evacuations),
     };
     accept_connections(listener, Service::Host, handlers.serve(), settings).await;
 }
--- a/components/protocol/src/service.rs
+++ b/components/protocol/src/service.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use model::{
-    AgentEnvelope, AgentInfo, HostUpdate, HostUpdateRequest, JobKey, JobSpec, Orders,
+    AgentEnvelope, AgentInfo, Evacuations, HostUpdate, HostUpdateRequest, JobKey, JobSpec, Orders,
     OwnerEnvelope, ProcessKey,
 };
 
@@ -52,6 +52,8 @@
     async fn update(request: HostUpdateRequest) -> HostUpdate;
     /// Tells the address of the bootstrap service of the entry that has connected.
     async fn introduce(from: ProcessKey, address: SocketAddr);
+    /// Takes a set of evacuations that an entry knows.
+    async fn share_evacuations(from: ProcessKey, evacuations: Evacuations);
 }
 
 /// Service of an entry for entries and agents that the platform does not serve.
--- a/components/scheduling/src/scheduler/mod.rs
+++ b/components/scheduling/src/scheduler/mod.rs
@@ -332,6 +332,7 @@
             } else {
                 0
             },
+            evacuations: None,
         })
     }
 
--- a/components/scheduling/tests/scheduler/support.rs
+++ b/components/scheduling/tests/scheduler/support.rs
@@ -158,6 +158,7 @@
             has_no_earlier_runs: true,
             view,
             events: Vec::new(),
+            evacuations: None,
         }
     }
 
--- a/components/sidecar/src/entries.rs
+++ b/components/sidecar/src/entries.rs
@@ -8,6 +8,7 @@
 use protocol::{ServerSettings, serve_host};
 use runtime::uptime_ms;
 
+use crate::evacuation;
 use crate::process::Shared;
 
 /// Serves the entries' connections: orders, and polls for events of runs.
@@ -35,22 +36,29 @@
             .borrow_mut()
             .entry_connected(key, address);
     };
+    let evacuated = Rc::clone(&shared);
+    let evacuations = move |from, newer| evacuation::entry_shared(&evacuated, from, newer);
     let update = move |request| poll_events(Rc::clone(&shared), request);
-    serve_host(listener, settings, order, update, introduce).await;
+    serve_host(listener, settings, order, update, introduce, evacuations).await;
 }
 
 async fn poll_events(shared: Rc<Shared>, request: HostUpdateRequest) -> HostUpdate {
     shared.update(|host, now_ms, actions| host.update_requested(now_ms, &request, actions));
+    evacuation::entry_reported(&shared, request.evacuations);
     let has_update = || {
         let host = shared.host.borrow();
-        host.has_update(uptime_ms(), request.from, request.last_seen_event)
-            .then_some(())
+        let is_due = host.has_update(uptime_ms(), request.from, request.last_seen_event)
+            || shared.evacuations.has_newer_than(request.evacuations);
+        is_due.then_some(())
     };
     let wait = Duration::from_millis(u64::from(request.wait_ms));
     // After a timeout the answer still contains the host's view and a permit.
     let _ = monoio::time::timeout(wait, shared.host_changed.wait_until(has_update)).await;
-    shared
-        .host
-        .borrow_mut()
-        .update_for(uptime_ms(), request.from)
+    HostUpdate {
+        evacuations: evacuation::report_to(&shared, request.evacuations),
+        ..shared
+            .host
+            .borrow_mut()
+            .update_for(uptime_ms(), request.from)
+    }
 }
--- a/components/sidecar/src/lib.rs
+++ b/components/sidecar/src/lib.rs
@@ -7,6 +7,7 @@
 mod announcements;
 mod calls;
 mod entries;
+mod evacuation;
 mod metrics;
 mod process;
 mod registration;
--- a/components/sidecar/src/metrics.rs
+++ b/components/sidecar/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of an agent.
 
 use hosting::{StartOutcome, TargetPollOutcome};
-use runtime::prometheus::{IntCounterVec, IntGauge};
+use runtime::prometheus::{IntCounter, IntCounterVec, IntGauge};
 use runtime::{Metrics, MetricsError};
 
 use crate::process::Shared;
@@ -13,6 +13,8 @@
     announcements: IntCounterVec,
     waiting: IntGauge,
     running: IntGauge,
+    evacuated_failure_domains: IntGauge,
+    evacuated_tasks: IntCounter,
     dropped_log_lines: IntGauge,
 }
 
@@ -40,6 +42,14 @@
                 "Tasks waiting to start.",
             )?,
             running: metrics.gauge("shallotcross_sidecar_running_tasks", "Tasks running.")?,
+            evacuated_failure_domains: metrics.gauge(
+                "shallotcross_sidecar_evacuated_failure_domains",
+                "Failure domains that the operator has evacuated.",
+            )?,
+            evacuated_tasks: metrics.counter(
+                "shallotcross_sidecar_evacuated_tasks_total",
+                "Tasks rejected because the failure domain of the host is evacuated.",
+            )?,
             dropped_log_lines: metrics.gauge(
                 "shallotcross_sidecar_log_lines_left_out",
                 "Log lines dropped by the rate limit or because the log reader is slow.",
@@ -93,6 +103,12 @@
         let (waiting, running) = shared.host.borrow().run_counts();
         self.waiting.set(waiting as i64);
         self.running.set(running as i64);
+        let evacuations = shared.evacuations.newest();
+        let evacuated = evacuations.map_or(0, |newest| newest.failure_domains().len());
+        self.evacuated_failure_domains.set(evacuated as i64);
+        self.evacuated_tasks.reset();
+        self.evacuated_tasks
+            .inc_by(shared.host.borrow().evacuated_task_count());
         let counts = runtime::log_counts();
         let dropped = counts.dropped_over_rate + counts.dropped_over_buffer;
         self.dropped_log_lines.set(dropped as i64);
--- a/components/sidecar/src/process.rs
+++ b/components/sidecar/src/process.rs
@@ -17,6 +17,7 @@
 use serde_json::{Value, json};
 use web::{Client, Notify};
 
+use crate::evacuation::EvacuationState;
 use crate::metrics::SidecarMetrics;
 
 /// Interval at which the host's timers are checked, in milliseconds; must be well below the duration
@@ -37,6 +38,7 @@
     pub(crate) host: RefCell<Host>,
     pub(crate) target: Client,
     pub(crate) store: StoreClient,
+    pub(crate) evacuations: EvacuationState,
     /// Notified after each event of the host, for entries that wait for events of their runs.
     pub(crate) host_changed: Notify,
     pub(crate) is_draining: Cell<bool>,
@@ -78,6 +80,7 @@
             host: RefCell::new(Host::new(key, unix_ms())),
             target: Client::new(settings.target_address, MAX_TARGET_CONNECTIONS),
             store: StoreClient::new(settings.store_address, STORE_TIMEOUT_MS),
+            evacuations: EvacuationState::default(),
             host_changed: Notify::default(),
             is_draining: Cell::new(false),
             metrics: SidecarMetrics::new()
@@ -130,6 +133,7 @@
             monoio::spawn(web::serve_metrics(listener, encode));
         }
         monoio::spawn(crate::registration::maintain(Rc::clone(&shared)));
+        monoio::spawn(crate::evacuation::follow(Rc::clone(&shared)));
         monoio::spawn(crate::calls::poll_target(Rc::clone(&shared)));
         for number in 1..hosting::MAX_PARALLEL_POLLS {
             monoio::spawn(crate::calls::poll_in_parallel(Rc::clone(&shared), number));
@@ -194,6 +198,8 @@
             "agent": self.key.to_string(),
             "is_draining": self.is_draining.get(),
             "traffic": self.traffic.iter().collect::<BTreeMap<&str, u64>>(),
+            "is_evacuated": host.is_evacuated(),
+            "evacuations": self.evacuations.newest(),
             "target": host.target().map(|target| target.instance.to_string()),
             "token": host.token(),
             "waiting": waiting,
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 /// Names of fields and calls of the platform that have no other meaning in the code.
-const NAMES: [&str; 22] = [
+const NAMES: [&str; 23] = [
     "run-start",
     "run-stop",
     "kv-key",
@@ -27,6 +27,7 @@
     "hasMore",
     "staleRead",
     "op/config",
+    "op/evacuate",
 ];
 
 fn rust_files(folder: &Path, files: &mut Vec<PathBuf>) {
--- a/tests/platform_peers.rs
+++ b/tests/platform_peers.rs
@@ -11,7 +11,7 @@
 };
 use platform_support::support::{Process, wait_until};
 use platform_support::{
-    Entry, GROUP, HOST, PREFIX, free_address, start_agent_with_seeds, start_entry_at,
+    Entry, GROUP, HOST, PREFIX, free_address, seeds_setting, start_agent_with, start_entry_at,
 };
 use tempfile::TempDir;
 
@@ -51,12 +51,14 @@
     }
 
     fn entry_at(&self, store: SocketAddr, peers: SocketAddr, seeds: &[SocketAddr]) -> Entry {
-        start_entry_at(self.folder.path(), store, peers, seeds, "debug")
+        let more = seeds_setting(seeds);
+        start_entry_at(self.folder.path(), store, peers, "debug", &more)
     }
 
     fn agent(&self, store: SocketAddr, seeds: &[SocketAddr]) -> Process {
         let (folder, target) = (self.folder.path(), self.target.address());
-        start_agent_with_seeds(folder, store, target, self.reports, seeds, "debug")
+        let more = seeds_setting(seeds);
+        start_agent_with(folder, store, target, self.reports, "debug", &more)
     }
 
     /// Starts a seed and an agent, both of which the store serves, and waits until they work.
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -11,7 +11,7 @@
 
 use serde_json::Value;
 use support::{Process, call};
-use web::{HeaderValue, Method, Request};
+use web::{HeaderValue, Method, Request, Response};
 
 /// Host name of the queue used in the tests.
 pub const HOST: &str = "callers.example";
@@ -48,30 +48,36 @@
 
 /// Starts an entry that logs at the given level.
 pub fn start_entry(folder: &Path, store: SocketAddr, level: &str) -> Entry {
-    start_entry_at(folder, store, free_address(), &[], level)
+    start_entry_with(folder, store, level, "")
 }
 
-fn list(addresses: &[SocketAddr]) -> String {
-    let quoted = addresses.iter().map(|address| format!("\"{address}\""));
-    quoted.collect::<Vec<String>>().join(", ")
+/// Starts an entry with more lines of settings.
+pub fn start_entry_with(folder: &Path, store: SocketAddr, level: &str, more: &str) -> Entry {
+    start_entry_at(folder, store, free_address(), level, more)
 }
 
-/// Starts an entry at an address for its peers, with seeds.
+/// Returns a line of settings with seeds.
+pub fn seeds_setting(seeds: &[SocketAddr]) -> String {
+    let quoted = seeds.iter().map(|address| format!("\"{address}\""));
+    let list = quoted.collect::<Vec<String>>().join(", ");
+    format!("seed_peers = [{list}]\n")
+}
+
+/// Starts an entry at an address for its peers, with more lines of settings.
 pub fn start_entry_at(
     folder: &Path,
     store: SocketAddr,
     peer_address: SocketAddr,
-    seeds: &[SocketAddr],
     level: &str,
+    more: &str,
 ) -> Entry {
     let callers = free_address();
     let readiness = free_address();
     let text = format!(
         "name = \"entry\"\nfailure_domain = \"domain\"\ncallers_address = \"{callers}\"\n\
          readiness_address = \"{readiness}\"\npeer_address = \"{peer_address}\"\n\
-         store_address = \"{store}\"\nseed_peers = [{}]\n\
+         store_address = \"{store}\"\n{more}\
          log = {{ format = \"json\", level = \"{level}\" }}\n",
-        list(seeds),
     );
     let settings = folder.join(format!("entry-{}.toml", peer_address.port()));
     let program = env!("CARGO_BIN_EXE_shallotcross");
@@ -93,27 +99,35 @@
     reports: SocketAddr,
     level: &str,
 ) -> Process {
-    start_agent_with_seeds(folder, store, target, reports, &[], level)
+    start_agent_with(folder, store, target, reports, level, "")
 }
 
-/// Starts an agent for a target, with seeds.
-pub fn start_agent_with_seeds(
+/// Starts an agent with more lines of settings.
+pub fn start_agent_with(
     folder: &Path,
     store: SocketAddr,
     target: SocketAddr,
     reports: SocketAddr,
-    seeds: &[SocketAddr],
     level: &str,
+    more: &str,
 ) -> Process {
     let text = format!(
         "name = \"host\"\nfailure_domain = \"domain\"\ntarget_address = \"{target}\"\n\
          reports_address = \"{reports}\"\npeer_address = \"{}\"\nstore_address = \"{store}\"\n\
-         seed_peers = [{}]\nlog = {{ format = \"json\", level = \"{level}\" }}\n",
+         {more}\
+         log = {{ format = \"json\", level = \"{level}\" }}\n",
         free_address(),
-        list(seeds),
     );
+    std::fs::write(folder.join("agent.toml"), text).expect("the file is written");
+    restart_agent(folder)
+}
+
+/// Starts an agent with the settings of the last one.
+pub fn restart_agent(folder: &Path) -> Process {
+    let settings = folder.join("agent.toml");
+    let text = std::fs::read_to_string(&settings).expect("the file is read");
     let program = env!("CARGO_BIN_EXE_shallotcross-agent");
-    spawn(program, "sidecar", &folder.join("agent.toml"), &text)
+    spawn(program, "sidecar", &settings, &text)
 }
 
 impl Entry {
@@ -124,14 +138,17 @@
 
     /// Submits a job and returns the status of the response, if any.
     pub async fn status_of(&self, id: &str, body: &Value) -> Option<u16> {
+        self.submit(id, body).await.map(|response| response.status)
+    }
+
+    /// Submits a job and returns the response, if any.
+    pub async fn submit(&self, id: &str, body: &Value) -> Option<Response> {
         let mut request = Request::post_json(format!("{PREFIX}{id}"), body);
         request.method = Method::POST;
         let host = HeaderValue::from_static(HOST);
         request.headers.insert("host", host);
         let id = HeaderValue::from_str(&format!("request-{id}")).expect("a header");
         request.headers.insert("request-id", id);
-        call(self.callers, &request)
-            .await
-            .map(|response| response.status)
+        call(self.callers, &request).await
     }
 }
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Returns the first line that contains a text, if it is printed already. Unlike
+    /// [`Self::wait_for_line`], this leaves the thread to stand-ins on which the line depends.
+    pub fn find_line(&mut self, text: &str) -> Option<String> {
+        self.seen.extend(self.lines.try_iter());
+        self.seen.iter().find(|line| line.contains(text)).cloned()
+    }
+
     pub fn id(&self) -> u32 {
         self.child.id()
     }
