Carry evacuations in the exchange between entries

An entry that the store refuses learned of an evacuation only from agents that it was connected to. A request for state now has the digest of the caller's evacuations, and the reply a newer set, which is merged by the function that merges sets of the store and of agents. A peer with an older set asks the caller back.

--- a/components/gateway/src/bootstrap.rs
+++ b/components/gateway/src/bootstrap.rs
@@ -19,7 +19,7 @@
 use serde_json::{Value, json};
 
 use crate::process::Shared;
-use crate::{configuration, directory};
+use crate::{configuration, directory, evacuation};
 
 /// Time limit of one request to a peer, in milliseconds; a round trip takes 2 ms, and a machine
 /// without power does not answer at all.
@@ -57,6 +57,9 @@
 fn answer(shared: &Rc<Shared>, request: &BootstrapRequest) -> BootstrapReply {
     let known = knowledge(shared);
     if let Some(address) = request.address.filter(|_| is_enabled(shared)) {
+        let has_newer_evacuations = request
+            .evacuations
+            .is_some_and(|digest| evacuation::is_newer(shared, digest));
         let theirs = Knowledge {
             revision: request.revision,
             host_count: request.host_count as usize,
@@ -64,7 +67,7 @@
         shared
             .exchange
             .borrow_mut()
-            .contacted(address, theirs, known);
+            .contacted(address, theirs, known, has_newer_evacuations);
         call_due_peers(shared);
     }
     let active_configuration = shared.active_configuration.borrow();
@@ -80,6 +83,7 @@
     BootstrapReply {
         revision: known.revision,
         configuration: newer.map(|config| config.published.clone()),
+        evacuations: evacuation::report_to(shared, request.evacuations),
         host_count: known.host_count as u32,
         is_listed: exchange.is_listed(),
         hosts_digest,
@@ -194,6 +198,7 @@
         address: own_address(shared),
         revision: known.revision,
         host_count: known.host_count as u32,
+        evacuations: evacuation::digest(shared),
         wants_hosts: query.wants_hosts,
         seen_hosts_digest: query.seen_hosts_digest,
     };
@@ -206,6 +211,9 @@
     if let Some(published) = &reply.configuration {
         configuration::apply_published(shared, reply.revision, published, &source);
     }
+    if let Some(report) = &reply.evacuations {
+        evacuation::entry_reported(shared, &source, report);
+    }
     for host in reply.hosts.iter().take(MAX_HOSTS_IN_REPLY) {
         directory::add_host_from_peer(shared, host, &source);
     }
--- a/components/gateway/src/evacuation.rs
+++ b/components/gateway/src/evacuation.rs
@@ -133,6 +133,32 @@
     Some(shared.evacuations.known.borrow().digest())
 }
 
+/// Returns whether a peer with this digest has a newer set than this entry.
+pub(crate) fn is_newer(shared: &Shared, peer: EvacuationsDigest) -> bool {
+    digest(shared)
+        .is_some_and(|own| peer.revision > own.revision && peer.names_hash != own.names_hash)
+}
+
+/// Returns the report to an entry with this digest; `None` if either does not follow evacuations.
+pub(crate) fn report_to(
+    shared: &Shared,
+    peer: Option<EvacuationsDigest>,
+) -> Option<EvacuationsReport> {
+    let newer = shared.evacuations.known.borrow().update_for(peer?).cloned();
+    digest(shared).map(|digest| EvacuationsReport { digest, newer })
+}
+
+/// Processes what another entry knows.
+pub(crate) fn entry_reported(shared: &Shared, address: &str, report: &EvacuationsReport) {
+    if shared.settings().evacuation_bound_ms.is_none() {
+        return;
+    }
+    if let Some(newer) = &report.newer {
+        merge(shared, newer.clone(), address);
+    }
+    shared.evacuations.known.borrow_mut().confirm(report.digest);
+}
+
 /// Processes what an agent knows.
 pub(crate) fn agent_reported(
     shared: &Shared,
--- a/components/peers/src/exchange.rs
+++ b/components/peers/src/exchange.rs
@@ -226,8 +226,14 @@
 
     /// Records that a peer called this entry and told its address and what it knows.
     ///
-    /// If it knows more than this entry, it is asked immediately.
-    pub fn contacted(&mut self, address: SocketAddr, theirs: Knowledge, known: Knowledge) {
+    /// If it knows more than this entry, or has newer evacuations, it is asked immediately.
+    pub fn contacted(
+        &mut self,
+        address: SocketAddr,
+        theirs: Knowledge,
+        known: Knowledge,
+        has_newer_evacuations: bool,
+    ) {
         let is_store_answering = self.is_store_answering();
         let Some(peer) = self.peers.insert(address) else {
             return;
@@ -236,7 +242,7 @@
         peer.state.is_introduced = true;
         peer.state.known = Some(theirs);
         let has_more_hosts = !is_store_answering && theirs.host_count > known.host_count;
-        if theirs.revision > known.revision || has_more_hosts {
+        if theirs.revision > known.revision || has_more_hosts || has_newer_evacuations {
             peer.state.has_news = true;
             peer.expedite();
         }
--- a/components/peers/tests/exchange.rs
+++ b/components/peers/tests/exchange.rs
@@ -174,7 +174,7 @@
 fn a_caller_that_knows_more_is_asked_at_once() {
     let mut seed = refused(&[1]);
     asked(&mut seed, START_MS, NOTHING);
-    seed.contacted(address(8), ALL, NOTHING);
+    seed.contacted(address(8), ALL, NOTHING, false);
     assert_eq!(asked(&mut seed, START_MS, NOTHING), [address(8)]);
 }
 
@@ -183,11 +183,13 @@
 fn a_caller_that_knows_less_is_not_asked() {
     let mut exchange = served(&[]);
     let older = Knowledge { revision: 6, ..ALL };
-    exchange.contacted(address(8), older, ALL);
+    exchange.contacted(address(8), older, ALL, false);
     assert!(asked(&mut exchange, START_MS, ALL).is_empty());
     let newer = Knowledge { revision: 8, ..ALL };
-    exchange.contacted(address(8), newer, ALL);
+    exchange.contacted(address(8), newer, ALL, false);
     assert_eq!(asked(&mut exchange, START_MS, ALL), [address(8)]);
+    exchange.contacted(address(9), ALL, ALL, true);
+    assert_eq!(asked(&mut exchange, START_MS, ALL), [address(9)]);
 }
 
 // Addresses of machines that are gone would circulate between entries forever.
@@ -195,7 +197,7 @@
 fn only_peers_that_were_heard_of_directly_are_named() {
     let mut exchange = refused(&[1]);
     exchange.learn(&[address(3)]);
-    exchange.contacted(address(4), NOTHING, NOTHING);
+    exchange.contacted(address(4), NOTHING, NOTHING, false);
     assert_eq!(exchange.named(None), [address(4)]);
     assert!(exchange.named(Some(address(4))).is_empty());
 }
@@ -212,7 +214,7 @@
             exchange.learn(&[address(number), SocketAddr::from(([0, 0, 0, 0], number))]);
         }
         for number in confirmed {
-            exchange.contacted(address(number), NOTHING, NOTHING);
+            exchange.contacted(address(number), NOTHING, NOTHING, false);
         }
         prop_assert!(exchange.named(None).len() <= MAX_NAMED_PEERS);
         let mut calls = 0;
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use model::{Answer, EntryInfo, FirmKey, Generation, ProcessKey, Rules, ShardKey};
+use model::{
+    Answer, EntryInfo, EvacuationsDigest, EvacuationsReport, FirmKey, Generation, ProcessKey,
+    Rules, ShardKey,
+};
 use serde::{Deserialize, Serialize};
 
 /// Owner of a shard, as far as the sender knows.
@@ -199,6 +202,8 @@
     pub revision: u64,
     /// Number of hosts that the caller knows.
     pub host_count: u32,
+    /// Digest of the evacuations that the caller knows; `None` if it does not follow them.
+    pub evacuations: Option<EvacuationsDigest>,
     /// Whether the caller wants hosts.
     pub wants_hosts: bool,
     /// Digest of the hosts in the receiver's last reply to the caller; 0 if there was none.
@@ -212,6 +217,8 @@
     pub revision: u64,
     /// The configuration as published, if newer than the caller's.
     pub configuration: Option<Bytes>,
+    /// The evacuations that the entry knows, if both follow them.
+    pub evacuations: Option<EvacuationsReport>,
     /// Number of hosts that the entry knows.
     pub host_count: u32,
     /// Whether these include the hosts that the store listed, to this entry or to one that it asked.
--- a/components/protocol/tests/links.rs
+++ b/components/protocol/tests/links.rs
@@ -11,7 +11,7 @@
 use futures::FutureExt;
 use futures::channel::oneshot;
 use futures::future::join_all;
-use model::{Answer, FirmKey, Generation, JobKey};
+use model::{Answer, EvacuationsDigest, FirmKey, Generation, JobKey};
 use monoio::net::TcpListener;
 use protocol::{
     AgentLink, BootstrapLink, BootstrapReply, BootstrapRequest, CancelReply, EntryHandlers,
@@ -342,6 +342,7 @@
             address: Some(entries[0]),
             revision: 7,
             host_count: 74,
+            evacuations: Some(EvacuationsDigest::default()),
             wants_hosts: false,
             seen_hosts_digest: u64::MAX,
         };
--- a/tests/platform_peers.rs
+++ b/tests/platform_peers.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use platform_standins::{
-    CONFIGURATION_KEY, SharedLedger, StoreServer, TargetServer, TargetSettings, configuration, job,
+    CONFIGURATION_KEY, SharedLedger, StoreServer, TargetServer, TargetSettings, configuration,
+    evacuation_key, job,
 };
 use platform_support::support::{Process, wait_until};
 use platform_support::{
@@ -253,6 +254,29 @@
     run.expect("the runtime starts");
 }
 
+// An entry that the store refuses placed tasks in an evacuated failure domain.
+#[test]
+fn a_refused_entry_learns_evacuations_from_a_seed() {
+    let run = runtime::run(async {
+        let site = Site::start();
+        site.store.put(&evacuation_key("domain"), b"{}");
+        let start = |store, seed| {
+            let more = format!("evacuation_bound_ms = 5000\n{}", seeds_setting(&[seed]));
+            start_entry_at(site.folder.path(), store, free_address(), "info", &more)
+        };
+        let mut seed = start(site.store.address(), free_address());
+        wait_until("the seed knows the evacuation", async || {
+            let line = seed.process.find_line("\"event\":\"evacuations\"");
+            line.is_some()
+        })
+        .await;
+        let mut refused = start(refusing_store(), seed.peer_address);
+        let line = refused.process.wait_for_line("\"event\":\"evacuations\"");
+        assert!(line.contains(&seed.peer_address.to_string()), "{line}");
+    });
+    run.expect("the runtime starts");
+}
+
 /// Sends a target's report and returns the bytes that come back until the connection closes.
 fn put_report(address: SocketAddr) -> Vec<u8> {
     let mut stream = TcpStream::connect(address).expect("the port accepts");
