--- a/components/gateway/src/links.rs
+++ b/components/gateway/src/links.rs
@@ -10,6 +10,7 @@
 use slotmap::Key;
 use web::Notify;
 
+use crate::bootstrap;
 use crate::evacuation;
 use crate::process::Shared;
 
@@ -157,6 +158,8 @@
     address: &str,
     link: &HostLink,
 ) -> LinkError {
+    // After the first view, which jobs may be waiting for.
+    let mut is_introduced = false;
     loop {
         let Some(mut request) = shared.scheduler.borrow().update_request(slot) else {
             return LinkError::NotSent(protocol::LinkFault::Closed);
@@ -174,9 +177,22 @@
             }
             Err(error) => return error,
         }
+        if !is_introduced && let Err(error) = introduce(shared, link).await {
+            return error;
+        }
+        is_introduced = true;
     }
 }
 
+/// Tells the agent where this entry takes announcements.
+async fn introduce(shared: &Rc<Shared>, link: &HostLink) -> Result<(), LinkError> {
+    let Some(address) = bootstrap::own_address(shared) else {
+        return Ok(());
+    };
+    let deadline_us = monotonic_us() + ORDER_TIMEOUT_MS * 1_000;
+    link.introduce(shared.key, address, deadline_us).await
+}
+
 fn apply_update(
     shared: &Rc<Shared>,
     slot: HostSlot,
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -1,6 +1,7 @@
 //! The entry process: ports, shared state, timer loop and graceful shutdown.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use futures::channel::oneshot;
 use model::ProcessKey;
 use monoio::net::TcpListener;
+use peers::Exchange;
 use platform::StoreClient;
 use protocol::{LinkCounters, Traffic};
 use runtime::{StopSignal, SuspensionWatch, uptime_ms};
@@ -81,6 +83,8 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) link_counters: LinkCounters,
     pub(crate) traffic: Traffic,
+    /// Decides which peers are asked for state.
+    pub(crate) exchange: RefCell<Exchange>,
     pub(crate) web: Rc<ServerCounters>,
     suspension_watch: SuspensionWatch,
 }
@@ -113,6 +117,9 @@
         let starting_until_ms = uptime_ms() + START_GRACE_MS;
         let scheduler = Scheduler::new(key, &settings.failure_domain, far_factor)
             .with_hosts_expected_until(starting_until_ms);
+        let own_address = settings.peer_address;
+        let mut exchange = Exchange::new(uptime_ms(), Some(own_address), key.0);
+        exchange.set_seeds(&settings.seed_peers);
         let shared = Shared {
             key,
             scheduler: RefCell::new(scheduler),
@@ -130,6 +137,7 @@
                 .map_err(|error| Error::new(ExitCode::Failure, error.to_string()))?,
             link_counters: LinkCounters::default(),
             traffic: Traffic::default(),
+            exchange: RefCell::new(exchange),
             web: Rc::default(),
             suspension_watch: SuspensionWatch::new(
                 uptime_ms(),
@@ -184,7 +192,6 @@
         monoio::spawn(crate::configuration::follow(Rc::clone(&shared)));
         monoio::spawn(crate::directory::follow(Rc::clone(&shared)));
         monoio::spawn(crate::evacuation::follow(Rc::clone(&shared)));
-        monoio::spawn(crate::bootstrap::query_peers(Rc::clone(&shared)));
         monoio::spawn(run_timers(Rc::clone(&shared)));
         drain.stopped().await;
         shared.is_draining.set(true);
@@ -210,6 +217,7 @@
         shared.scheduler.borrow_mut().tick(now_ms, &mut actions);
         shared.perform(actions);
         shared.metrics.log_turned_back();
+        crate::bootstrap::call_due_peers(&shared);
         runtime::flush_log();
         monoio::time::sleep(Duration::from_millis(TICK_INTERVAL_MS)).await;
     }
@@ -232,6 +240,7 @@
     fn reload(&self, newer: &GatewaySettings) -> Vec<&'static str> {
         let mut settings = (*self.settings()).clone();
         let restart_required = settings.apply_reloadable(newer);
+        self.exchange.borrow_mut().set_seeds(&settings.seed_peers);
         self.settings.replace(Rc::new(settings));
         self.refresh_limits();
         restart_required
@@ -309,9 +318,11 @@
         json!({
             "entry": self.key.to_string(),
             "is_draining": self.is_draining.get(),
+            "traffic": self.traffic.iter().collect::<BTreeMap<&str, u64>>(),
             "configuration_version": version,
             "evacuations": self.evacuations.newest(),
             "jobs": scheduler.job_count(),
+            "exchange": crate::bootstrap::state(self),
             "hosts": hosts,
         })
     }
--- a/components/protocol/src/hello.rs
+++ b/components/protocol/src/hello.rs
@@ -37,7 +37,7 @@
     /// Service of an agent for entries that place runs on its host, without shards.
     #[display("host")]
     Host,
-    /// Service of an entry for other entries that cannot reach the platform.
+    /// Service of an entry for entries and agents that the platform does not serve.
     #[display("bootstrap")]
     Bootstrap,
 }
--- a/components/protocol/src/host_link.rs
+++ b/components/protocol/src/host_link.rs
@@ -3,6 +3,7 @@
 //! It serves jobs that belong to no shard: unlike [`AgentLink`](crate::AgentLink), it uses no
 //! shard ownership or generations.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use futures::future::LocalBoxFuture;
@@ -68,6 +69,24 @@
         }
     }
 
+    /// Tells the agent the address of the bootstrap service of this entry, whose key is `from`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer before the deadline or the connection ends.
+    pub async fn introduce(
+        &self,
+        from: ProcessKey,
+        address: SocketAddr,
+        deadline_us: u64,
+    ) -> Result<(), LinkError> {
+        let request = HostServiceRequest::Introduce { from, address };
+        match self.call(request, deadline_us).await? {
+            HostServiceResponse::Introduce(()) => Ok(()),
+            _ => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
+        }
+    }
+
     /// Sends the agent a set of evacuations.
     ///
     /// # Errors
@@ -92,6 +111,7 @@
 struct HostHandlers {
     order: Rc<dyn Fn(Orders) -> HostUpdate>,
     update: Rc<dyn Fn(HostUpdateRequest) -> LocalBoxFuture<'static, HostUpdate>>,
+    introduce: Rc<dyn Fn(ProcessKey, SocketAddr)>,
     evacuations: Rc<dyn Fn(ProcessKey, Evacuations)>,
 }
 
@@ -104,6 +124,10 @@
         (self.update)(request).await
     }
 
+    async fn introduce(self, _: Context, from: ProcessKey, address: SocketAddr) {
+        (self.introduce)(from, address);
+    }
+
     async fn share_evacuations(self, _: Context, from: ProcessKey, evacuations: Evacuations) {
         (self.evacuations)(from, evacuations);
     }
@@ -112,11 +136,13 @@
 /// Serves the host service of an agent until the server is stopped.
 ///
 /// The future of `update` is dropped when the entry cancels the call or its connection breaks.
+/// `introduce` gets the key of an entry and the address of its bootstrap service.
 pub async fn serve_host<F>(
     listener: TcpListener,
     settings: ServerSettings,
     order: impl Fn(Orders) -> HostUpdate + 'static,
     update: impl Fn(HostUpdateRequest) -> F + 'static,
+    introduce: impl Fn(ProcessKey, SocketAddr) + 'static,
     evacuations: impl Fn(ProcessKey, Evacuations) + 'static,
 ) where
     F: Future<Output = HostUpdate> + 'static,
@@ -124,6 +150,7 @@
     let handlers = HostHandlers {
         order: Rc::new(order),
         update: Rc::new(move |request| Box::pin(update(request))),
+        introduce: Rc::new(introduce),
         evacuations: Rc::new(evacuations),
     };
     accept_connections(listener, Service::Host, handlers.serve(), settings).await;
--- a/components/sidecar/src/process.rs
+++ b/components/sidecar/src/process.rs
@@ -1,6 +1,7 @@
 //! The agent process: ports, shared state, timer loop and graceful shutdown.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use hosting::{Host, StartOutcome, TargetCall};
 use model::ProcessKey;
 use monoio::net::TcpListener;
+use peers::Announcer;
 use platform::StoreClient;
 use protocol::{LinkCounters, Traffic};
 use runtime::{RepeatedLines, StopSignal, monotonic_us, unix_ms, uptime_ms};
@@ -45,6 +47,8 @@
     pub(crate) failed_starts: RefCell<RepeatedLines<StartOutcome>>,
     pub(crate) link_counters: LinkCounters,
     pub(crate) traffic: Traffic,
+    /// Decides to which entries the host is announced.
+    pub(crate) announcer: RefCell<Announcer>,
 }
 
 /// An agent that has opened its ports.
@@ -69,6 +73,8 @@
             .map(|address| web::bind_port("metrics_address", address));
         let metrics = metrics.transpose()?;
         let key = runtime::generate_process_key();
+        let mut announcer = Announcer::new(uptime_ms(), key.0);
+        announcer.set_seeds(&settings.seed_peers);
         let shared = Shared {
             key,
             // The clock gives a fencing token above that of an earlier agent unless it was set
@@ -84,6 +90,7 @@
             failed_starts: RefCell::default(),
             link_counters: LinkCounters::default(),
             traffic: Traffic::default(),
+            announcer: RefCell::new(announcer),
             settings: RefCell::new(Rc::new(settings)),
         };
         Ok(Self {
@@ -107,6 +114,8 @@
         move |newer| {
             let mut settings = (*shared.settings()).clone();
             let restart_required = settings.apply_reloadable(newer);
+            let mut announcer = shared.announcer.borrow_mut();
+            announcer.set_seeds(&settings.seed_peers);
             shared.settings.replace(Rc::new(settings));
             restart_required
         }
@@ -155,6 +164,7 @@
     loop {
         shared.update(|host, now_ms, actions| host.tick(now_ms, actions));
         crate::calls::log_failed_starts(&shared);
+        crate::announcements::call_due_entries(&shared);
         runtime::flush_log();
         monoio::time::sleep(Duration::from_millis(TICK_INTERVAL_MS)).await;
     }
@@ -191,6 +201,7 @@
         json!({
             "agent": self.key.to_string(),
             "is_draining": self.is_draining.get(),
+            "traffic": self.traffic.iter().collect::<BTreeMap<&str, u64>>(),
             "is_evacuated": host.is_evacuated(),
             "evacuations": self.evacuations.newest(),
             "target": host.target().map(|target| target.instance.to_string()),
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -28,6 +28,7 @@
     pub settings: PathBuf,
     pub text: String,
     callers: SocketAddr,
+    pub peer_address: SocketAddr,
     pub readiness: SocketAddr,
 }
 
@@ -52,22 +53,40 @@
 
 /// Starts an entry with more lines of settings.
 pub fn start_entry_with(folder: &Path, store: SocketAddr, level: &str, more: &str) -> Entry {
+    start_entry_at(folder, store, free_address(), level, more)
+}
+
+/// Returns a line of settings with seeds.
+pub fn seeds_setting(seeds: &[SocketAddr]) -> String {
+    let quoted = seeds.iter().map(|address| format!("\"{address}\""));
+    let list = quoted.collect::<Vec<String>>().join(", ");
+    format!("seed_peers = [{list}]\n")
+}
+
+/// Starts an entry at an address for its peers, with more lines of settings.
+pub fn start_entry_at(
+    folder: &Path,
+    store: SocketAddr,
+    peer_address: SocketAddr,
+    level: &str,
+    more: &str,
+) -> Entry {
     let callers = free_address();
     let readiness = free_address();
     let text = format!(
         "name = \"entry\"\nfailure_domain = \"domain\"\ncallers_address = \"{callers}\"\n\
-         readiness_address = \"{readiness}\"\npeer_address = \"{}\"\nstore_address = \"{store}\"\n\
-         {more}\
+         readiness_address = \"{readiness}\"\npeer_address = \"{peer_address}\"\n\
+         store_address = \"{store}\"\n{more}\
          log = {{ format = \"json\", level = \"{level}\" }}\n",
-        free_address(),
     );
-    let settings = folder.join("entry.toml");
+    let settings = folder.join(format!("entry-{}.toml", peer_address.port()));
     let program = env!("CARGO_BIN_EXE_shallotcross");
     Entry {
         process: spawn(program, "gateway", &settings, &text),
         settings,
         text,
         callers,
+        peer_address,
         readiness,
     }
 }
