--- a/components/config/tests/settings.rs
+++ b/components/config/tests/settings.rs
@@ -166,3 +166,18 @@
     assert_eq!(agent.seed_peers, entry.seed_peers);
     assert_eq!(agent.peer_address.to_string(), "10.0.0.5:7100");
 }
+
+/// Guards against evacuations that are followed without a bound in the settings, and against a bound
+/// that is too short for the watch of the store.
+#[test]
+fn evacuations_are_followed_only_with_a_bound_in_range() {
+    let agent = "name = 'host'\nfailure_domain = 'a'\ntarget_address = '127.0.0.1:1'\n\
+                 reports_address = '127.0.0.1:2'\npeer_address = '127.0.0.1:3'\n\
+                 store_address = '127.0.0.1:4'\n";
+    let parse = |more: &str| SidecarSettings::from_toml("agent.toml", &format!("{agent}{more}"));
+    assert_eq!(parse("").expect("valid").evacuation_bound_ms, None);
+    let bound = parse("evacuation_bound_ms = 5000\n").expect("valid");
+    assert_eq!(bound.evacuation_bound_ms, Some(5_000));
+    let fault = parse("evacuation_bound_ms = 100\n").expect_err("too short");
+    assert!(fault.to_string().contains("evacuation_bound_ms"), "{fault}");
+}
