Estimate which kinds of task slow each other down, and rank hosts by it

Some tasks slow each other down on one host, and no operator lists the pairs. The setting `separate_interfering_tasks` of entry and agent, off by default, switches the following on.

Agents record beside which kinds each run spends its time and how full the host was, and estimate the effect of each kind on each other with a Bayesian regression per kind (crate `interference`). Orders carry a hash of queue and step for that. Views name the kinds on a host, and every 2 s the estimates. Entries combine the estimates of their hosts, and add the expected extra run time of a task and of its neighbors to the rank of a host. Admission does not count it.

The entry's metric `shallotcross_gateway_run_time_ratio` shows the measured over the expected run time by whether the host was busy, also without the setting.

--- a/components/config/src/schema.rs
+++ b/components/config/src/schema.rs
@@ -30,6 +30,8 @@
     Address,
     /// An integer from `min` to `max`, both inclusive.
     Integer { min: u64, max: u64 },
+    /// `true` or `false`.
+    Boolean,
     /// One of the given strings.
     Choice(&'static [&'static str]),
     /// A list of addresses.
@@ -134,6 +136,7 @@
             Kind::Text => self.check_text(path, value),
             Kind::Address => self.check_address(path, value),
             Kind::Integer { min, max } => self.check_integer(path, value, *min, *max),
+            Kind::Boolean => self.check_boolean(path, value),
             Kind::Choice(choices) => self.check_choice(path, value, choices),
             Kind::Addresses { min_count } => self.check_addresses(path, value, *min_count),
             Kind::Names => self.check_list(path, value, Self::check_name_value),
@@ -185,6 +188,12 @@
         self.add_error(path, "is not a valid choice", &remedy);
     }
 
+    fn check_boolean(&mut self, path: &str, value: &Value) {
+        if !value.is_bool() {
+            self.add_error(path, "must be true or false", "write it without quotes");
+        }
+    }
+
     fn check_addresses(&mut self, path: &str, value: &Value, min_count: usize) {
         let count = value.as_array().map_or(min_count, Vec::len);
         if count < min_count {
--- a/components/config/src/settings/gateway.rs
+++ b/components/config/src/settings/gateway.rs
@@ -19,6 +19,7 @@
     Key::optional("seed_peers", Kind::Addresses { min_count: 0 }),
     Key::optional_integer("drain_timeout_ms", 0, 600_000),
     Key::optional_integer("far_factor_percent", 100, 10_000),
+    Key::optional("separate_interfering_tasks", Kind::Boolean),
     Key::optional("log", Kind::Table(log::KEYS)),
     Key::optional("limits", Kind::Table(LIMITS)),
 ];
@@ -59,6 +60,9 @@
     /// that of its data's location, in percent of the time on a host with it.
     #[serde(default = "default_far_factor_percent")]
     pub far_factor_percent: u64,
+    /// Whether kinds of task that slow each other down on one host are detected and kept apart.
+    #[serde(default)]
+    pub separate_interfering_tasks: bool,
     /// Format and levels of the log.
     #[serde(default)]
     pub log: LogSettings,
--- a/components/config/src/settings/sidecar.rs
+++ b/components/config/src/settings/sidecar.rs
@@ -18,6 +18,7 @@
     Key::optional("metrics_address", Kind::Address),
     Key::required("store_address", Kind::Address),
     Key::optional_integer("drain_timeout_ms", 0, 600_000),
+    Key::optional("separate_interfering_tasks", Kind::Boolean),
     Key::optional("log", Kind::Table(log::KEYS)),
 ];
 
@@ -45,6 +46,9 @@
     /// Maximum duration of a planned stop.
     #[serde(default = "load::default_drain_timeout_ms")]
     pub drain_timeout_ms: u64,
+    /// Whether kinds of task that slow each other down on one host are detected and kept apart.
+    #[serde(default)]
+    pub separate_interfering_tasks: bool,
     /// Format and levels of the log.
     #[serde(default)]
     pub log: LogSettings,
--- a/components/gateway/src/actions.rs
+++ b/components/gateway/src/actions.rs
@@ -30,6 +30,18 @@
             age_ms,
             event,
         } => shared.metrics.record_run_event(run, &host, age_ms, event),
+        SchedulerAction::LogInterference { of, by, change } => {
+            let factor_percent = (100.0 * change.factor).round() as u64;
+            if change.is_believed {
+                log::info!(target: "gateway", event = "interference", kind = of, beside = by,
+                    factor_percent = factor_percent;
+                    "tasks take longer beside another kind; they are kept apart where there is room");
+            } else {
+                log::info!(target: "gateway", event = "interference_over", kind = of, beside = by,
+                    factor_percent = factor_percent;
+                    "no recent evidence that tasks slow each other down; they are no longer kept apart");
+            }
+        }
         SchedulerAction::RecordForecast(outcome) => shared.metrics.record_forecast(&outcome),
         SchedulerAction::LogPlacement {
             run,
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     expected_wait_s: HistogramVec,
     forecast_ratio: HistogramVec,
     forecast_bands: IntCounterVec,
+    run_time_ratio: HistogramVec,
+    interfering_pairs: IntGauge,
     run_events: IntCounterVec,
     store_calls: IntCounterVec,
     link_events: IntCounterVec,
@@ -72,6 +74,16 @@
                 "Durations inside and outside the 10% to 90% band of their forecast by stage.",
                 &["stage", "band"],
             )?,
+            run_time_ratio: metrics.histogram_vec(
+                "shallotcross_gateway_run_time_ratio",
+                "Actual over expected run time by whether other runs used more than half of the host.",
+                &["host"],
+                &FORECAST_RATIO_BUCKETS,
+            )?,
+            interfering_pairs: metrics.gauge(
+                "shallotcross_gateway_interfering_pairs",
+                "Pairs of kinds of task that are kept apart.",
+            )?,
             run_events: metrics.counter_vec(
                 "shallotcross_gateway_run_events_total",
                 "Events of runs on hosts by kind.",
@@ -133,6 +145,11 @@
         let stage: &str = outcome.stage.into();
         let ratio = self.forecast_ratio.with_label_values(&[stage]);
         ratio.observe(outcome.ratio());
+        if let Some(was_host_busy) = outcome.was_host_busy {
+            let host = if was_host_busy { "busy" } else { "not_busy" };
+            let ratio = self.run_time_ratio.with_label_values(&[host]);
+            ratio.observe(outcome.ratio());
+        }
         if let Some(is_in_band) = outcome.is_in_band {
             let band = if is_in_band { "inside" } else { "outside" };
             self.forecast_bands.with_label_values(&[stage, band]).inc();
@@ -178,6 +195,8 @@
         let scheduler = shared.scheduler.borrow();
         let hosts = scheduler.hosts(now_ms);
         let usable = hosts.iter().filter(|host| host.is_usable);
+        let pairs = scheduler.interfering_pairs();
+        self.interfering_pairs.set(pairs.len() as i64);
         self.jobs.set(scheduler.job_count() as i64);
         self.known_hosts.set(hosts.len() as i64);
         self.usable_hosts.set(usable.clone().count() as i64);
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -108,7 +108,8 @@
         let far_factor = settings.far_factor_percent as f64 / 100.0;
         let starting_until_ms = uptime_ms() + START_GRACE_MS;
         let scheduler = Scheduler::new(key, &settings.failure_domain, far_factor)
-            .with_hosts_expected_until(starting_until_ms);
+            .with_hosts_expected_until(starting_until_ms)
+            .separating_interfering_tasks(settings.separate_interfering_tasks);
         let shared = Shared {
             key,
             scheduler: RefCell::new(scheduler),
@@ -288,6 +289,10 @@
                 })
             })
             .collect();
+        let pairs = scheduler.interfering_pairs().into_iter();
+        let interfering_pairs: Vec<Value> = pairs
+            .map(|(of, by, factor)| json!({ "kind": of, "beside": by, "factor": factor }))
+            .collect();
         let version = self
             .active_configuration
             .borrow()
@@ -299,6 +304,7 @@
             "configuration_version": version,
             "jobs": scheduler.job_count(),
             "hosts": hosts,
+            "interfering_pairs": interfering_pairs,
         })
     }
 }
--- a/components/hosting/src/host/ends.rs
+++ b/components/hosting/src/host/ends.rs
@@ -127,7 +127,9 @@
         let durations = RunDurations {
             waited_ms: saturating_u32(started_at_ms.saturating_sub(run.ordered_at_ms)),
             ran_ms: saturating_u32(now_ms.saturating_sub(started_at_ms)),
+            was_host_busy: run.was_host_busy,
         };
+        self.record_neighbors_at_end(now_ms, run.exposure_start.as_ref());
         self.push_event(run.owner, run.id, RunEvent::Ended(end, durations));
     }
 }
--- a/components/hosting/src/host/mod.rs
+++ b/components/hosting/src/host/mod.rs
@@ -3,6 +3,7 @@
 mod drain;
 mod ends;
 mod incarnations;
+mod neighbors;
 mod orders;
 mod outlook;
 mod polls;
@@ -22,6 +23,7 @@
 use crate::health::Health;
 use crate::lease::Lease;
 use crate::limits::{MAX_RUNS, PERMIT_TTL_MS, RUN_NUMBER_RETENTION_MS};
+use crate::neighbors::NeighborEffects;
 use crate::run::Run;
 use crate::session::Session;
 use crate::target::TargetReport;
@@ -76,6 +78,8 @@
     last_run_numbers: FxHashMap<TaskRef, LastRunNumber>,
     /// When the current incarnation of the target started, in milliseconds since the Unix epoch.
     incarnation_unix_ms: Option<u64>,
+    /// Records for the estimate of interference, if it is on.
+    neighbors: Option<NeighborEffects>,
 }
 
 impl Host {
@@ -105,6 +109,7 @@
             sessions: FxHashMap::default(),
             last_run_numbers: FxHashMap::default(),
             incarnation_unix_ms: None,
+            neighbors: None,
         }
     }
 
@@ -189,7 +194,8 @@
 
     /// Returns the update for an entry: a new permit, the view, and the unacknowledged events.
     pub fn update_for(&mut self, now_ms: u64, to: ProcessKey) -> HostUpdate {
-        let view = self.view(now_ms);
+        let mut view = self.view(now_ms);
+        view.neighbors.effects = self.effects_for(now_ms, to);
         let availability = self.availability(now_ms);
         if let Some(session) = self.sessions.get_mut(&to) {
             session.last_reported = Some(availability);
@@ -323,6 +329,7 @@
             speed_log_deviation_permille: (self.speed.log_deviation(now_ms) * 1_000.0) as u16,
             openings: self.openings(now_ms, |_| true),
             urgent_openings: self.openings(now_ms, |run| run.priority == MOST_URGENT),
+            neighbors: self.neighbor_runs(),
         }
     }
 }
--- a/components/hosting/src/host/orders.rs
+++ b/components/hosting/src/host/orders.rs
@@ -56,6 +56,10 @@
                 has_started_tasks: order.has_started_tasks,
                 has_unanswered_start: false,
                 ordered_at_ms: now_ms,
+                kind: order.kind,
+                is_data_remote: order.is_data_remote,
+                was_host_busy: false,
+                exposure_start: None,
                 state: RunState::Waiting {
                     queue_deadline_ms: now_ms + u64::from(order.queue_timeout_ms),
                 },
--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -150,6 +150,7 @@
             is_stalled: false,
         };
         let (id, owner) = (run.id, run.owner);
+        self.record_neighbors_at_start(now_ms, task);
         self.push_event(owner, id, RunEvent::Started);
     }
 
@@ -224,6 +225,7 @@
         if self.has_polling_gap {
             return;
         }
+        self.learn_effects(now_ms, task);
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
--- a/components/hosting/src/lib.rs
+++ b/components/hosting/src/lib.rs
@@ -12,6 +12,7 @@
 mod host;
 mod lease;
 mod limits;
+mod neighbors;
 mod queue;
 mod run;
 mod session;
--- a/components/hosting/src/limits.rs
+++ b/components/hosting/src/limits.rs
@@ -72,6 +72,10 @@
 /// next list of running runs follows within [`TARGET_POLL_WAIT_MS`].
 pub(crate) const NO_ROOM_BACKOFF_MS: u64 = 20;
 
+/// Interval at which each entry gets the estimated effects of kinds on each other, in milliseconds. At
+/// 300 bytes for 14 entries, they take 2 KB/s at most.
+pub(crate) const EFFECTS_INTERVAL_MS: u64 = 2_000;
+
 /// Number of different jobs that have to fail in a row for the target to be ejected.
 pub(crate) const CONSECUTIVE_FAILED_JOBS: usize = 3;
 
--- a/components/hosting/src/run.rs
+++ b/components/hosting/src/run.rs
@@ -2,7 +2,8 @@
 
 use std::rc::Rc;
 
-use model::{ProcessKey, Resources, RunId};
+use interference::Start;
+use model::{KindKey, ProcessKey, Resources, RunId};
 use run_times::SpeedSample;
 
 /// Progress from which on the end of a run is extrapolated from it; declared run times are off by
@@ -77,6 +78,13 @@
     /// Whether a start was not answered, so that the target may still execute it.
     pub(crate) has_unanswered_start: bool,
     pub(crate) ordered_at_ms: u64,
+    pub(crate) kind: KindKey,
+    /// Whether the target is away from the data of the task.
+    pub(crate) is_data_remote: bool,
+    /// Whether other runs used more than half of the cores when the run started.
+    pub(crate) was_host_busy: bool,
+    /// What the exposure to other kinds is counted from, if it is.
+    pub(crate) exposure_start: Option<Start>,
     pub(crate) state: RunState,
 }
 
--- a/components/hosting/src/session.rs
+++ b/components/hosting/src/session.rs
@@ -25,6 +25,8 @@
     events: VecDeque<(u64, RunId, RunEvent)>,
     /// Availability of the host in the last update sent.
     pub(crate) last_reported: Option<Availability>,
+    /// When the entry gets the effects of kinds on each other again, in milliseconds.
+    pub(crate) effects_due_at_ms: u64,
 }
 
 impl Session {
--- a/components/hosting/tests/host/harness.rs
+++ b/components/hosting/tests/host/harness.rs
@@ -7,7 +7,7 @@
     TargetReport, TargetRuns,
 };
 use model::{
-    HostUpdate, HostUpdateRequest, JobId, Orders, ProcessKey, Resources, RunEvent, RunId,
+    HostUpdate, HostUpdateRequest, JobId, KindKey, Orders, ProcessKey, Resources, RunEvent, RunId,
     RunPermit, StartOrder, TaskRef,
 };
 
@@ -62,6 +62,8 @@
         queue_timeout_ms: 60,
         priority: 1,
         has_started_tasks: false,
+        kind: KindKey(1),
+        is_data_remote: false,
     }
 }
 
--- a/components/model/src/keys.rs
+++ b/components/model/src/keys.rs
@@ -4,7 +4,7 @@
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed, xxh3_128};
 
 /// Identifies a firm by the hash of its name.
 #[derive(
@@ -44,6 +44,12 @@
 pub struct KindKey(pub u32);
 
 impl KindKey {
+    /// Derives the key of the tasks of a queue's step.
+    #[must_use]
+    pub fn of_step(queue: &str, step: u16) -> Self {
+        Self(xxh3_64_with_seed(queue.as_bytes(), u64::from(step)) as u32)
+    }
+
     /// Derives the key from the kind's name.
     #[must_use]
     pub fn from_name(name: &str) -> Self {
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -2,6 +2,7 @@
 //! between owners and agents.
 
 mod answer;
+mod interference;
 mod job;
 mod keys;
 mod limits;
@@ -11,6 +12,7 @@
 mod run;
 
 pub use answer::{Answer, Failure, FailureKind, FailureReason};
+pub use interference::{Neighbors, PairEffect, count_runs};
 pub use job::{JobMeta, JobSpec, TaskSpec};
 pub use keys::{
     Attempt, FirmKey, Generation, GroupKey, JobDigest, JobKey, KindKey, ProcessKey, ShardKey,
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ProcessKey;
+use crate::{KindKey, Neighbors, ProcessKey};
 
 /// Length of a job's id, in hexadecimal digits.
 pub const JOB_ID_DIGITS: usize = 16;
@@ -162,6 +162,10 @@
     pub priority: u8,
     /// Whether any task of the job, these included, has started before, or may have.
     pub has_started_tasks: bool,
+    /// Kind of the tasks, by queue and step.
+    pub kind: KindKey,
+    /// Whether the target is away from the data of the tasks, so that they take longer there.
+    pub is_data_remote: bool,
 }
 
 /// Orders of an entry to an agent.
@@ -257,6 +261,8 @@
     pub waited_ms: u32,
     /// Time from the start to the end, in milliseconds.
     pub ran_ms: u32,
+    /// Whether more than half of the host's cores were in use by other runs when the run started.
+    pub was_host_busy: bool,
 }
 
 /// Event of a run that an entry ordered.
@@ -304,6 +310,9 @@
     pub openings: Vec<Opening>,
     /// The same for a task of the most urgent class, which waits only for queued ones of its class.
     pub urgent_openings: Vec<Opening>,
+    /// Kinds of task on the host, and how they slow each other down; empty unless the agent records
+    /// that.
+    pub neighbors: Neighbors,
 }
 
 /// Resources expected to be free on a host from some time on.
--- a/components/scheduling/src/forecast.rs
+++ b/components/scheduling/src/forecast.rs
@@ -26,6 +26,9 @@
     /// Whether the duration lies between the 10% and the 90% quantile of the forecast; `None` if the
     /// forecast has no quantiles.
     pub is_in_band: Option<bool>,
+    /// Whether other runs used more than half of the host's cores when the run started; `None` if the
+    /// duration is not that of a run.
+    pub was_host_busy: Option<bool>,
 }
 
 impl ForecastOutcome {
--- a/components/scheduling/src/host.rs
+++ b/components/scheduling/src/host.rs
@@ -2,11 +2,15 @@
 
 use std::rc::Rc;
 
-use model::{HostUpdate, HostView, Orders, ProcessKey, Resources, RunId, RunPermit, StartOrder};
+use model::{
+    HostUpdate, HostView, KindKey, Orders, PairEffect, ProcessKey, Resources, RunId, RunPermit,
+    StartOrder,
+};
 use slotmap::new_key_type;
 
 use crate::limits::{
-    FIRST_VIEW_TIMEOUT_MS, HOST_RETENTION_MS, MAX_RUN_AFTER_PERMIT_MS, VIEW_MAX_AGE_MS,
+    EFFECTS_MAX_AGE_MS, FIRST_VIEW_TIMEOUT_MS, HOST_RETENTION_MS, MAX_RUN_AFTER_PERMIT_MS,
+    VIEW_MAX_AGE_MS,
 };
 
 new_key_type! {
@@ -50,6 +54,9 @@
     pub(crate) has_no_earlier_runs: bool,
     pub(crate) view: Option<HostView>,
     pub(crate) last_seen_event: u64,
+    /// Latest estimates of how kinds slow each other down there.
+    pair_effects: Vec<PairEffect>,
+    pair_effects_received_at_ms: u64,
     permit: Option<RunPermit>,
     permit_received_at_ms: u64,
     starts: Vec<StartOrder>,
@@ -79,6 +86,8 @@
             has_no_earlier_runs: false,
             view: None,
             last_seen_event: 0,
+            pair_effects: Vec::new(),
+            pair_effects_received_at_ms: 0,
             permit: None,
             permit_received_at_ms: 0,
             starts: Vec::new(),
@@ -98,6 +107,7 @@
             self.has_no_earlier_runs = false;
             self.view = None;
             self.last_seen_event = 0;
+            self.pair_effects.clear();
             self.permit = None;
             self.starts.clear();
             self.stops.clear();
@@ -115,7 +125,37 @@
             self.permit_received_at_ms = now_ms;
             self.has_no_earlier_runs = update.has_no_earlier_runs;
             self.view = Some(update.view.clone());
+            if !update.view.neighbors.effects.is_empty() {
+                self.pair_effects.clone_from(&update.view.neighbors.effects);
+                self.pair_effects_received_at_ms = now_ms;
+            }
+        }
+    }
+
+    /// Returns the latest estimates of how kinds slow each other down there, unless they are old.
+    pub(crate) fn pair_effects(&self, now_ms: u64) -> &[PairEffect] {
+        if now_ms >= self.pair_effects_received_at_ms + EFFECTS_MAX_AGE_MS {
+            return &[];
+        }
+        &self.pair_effects
+    }
+
+    /// Returns the number of runs on the host by kind, with the orders that the view does not include
+    /// yet.
+    pub(crate) fn runs_by_kind(&self) -> Vec<(KindKey, u16)> {
+        let view = self.view.as_ref();
+        let mut runs = view.map_or_else(Vec::new, |view| view.neighbors.runs.clone());
+        let sent = self.in_flight.iter().flat_map(|orders| &orders.starts);
+        for order in sent.chain(&self.starts) {
+            model::count_runs(&mut runs, order.kind, order.tasks.len() as u16);
         }
+        runs
+    }
+
+    /// Returns whether the host has a label.
+    pub(crate) fn has_label(&self, label: &Rc<str>) -> bool {
+        let view = self.view.as_ref();
+        view.is_some_and(|view| view.labels.contains(label))
     }
 
     /// Returns the latest permit.
--- a/components/scheduling/src/lib.rs
+++ b/components/scheduling/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod answer_cache;
 mod baseline;
+mod disturbance;
 mod forecast;
 mod host;
 mod job;
--- a/components/scheduling/src/limits.rs
+++ b/components/scheduling/src/limits.rs
@@ -59,6 +59,10 @@
 /// would send tasks around between hosts that all have the wait that was expected.
 pub(crate) const QUEUE_WAIT_FACTOR: f64 = 1.25;
 
+/// Age from which on a host's estimates of interference no longer count, in milliseconds: three
+/// intervals at which agents send them.
+pub(crate) const EFFECTS_MAX_AGE_MS: u64 = 6_000;
+
 /// Time within which a withdrawal must be confirmed, in milliseconds; otherwise the job is
 /// answered as one that may have run.
 pub(crate) const WITHDRAWAL_TIMEOUT_MS: u64 = 150;
--- a/components/scheduling/src/placement.rs
+++ b/components/scheduling/src/placement.rs
@@ -12,10 +12,11 @@
 use std::cmp::Ordering;
 use std::rc::Rc;
 
-use model::{MOST_URGENT, Opening, Resources, required_free_resources};
+use model::{KindKey, MOST_URGENT, Opening, Resources, count_runs, required_free_resources};
 use run_times::{Race, RunTime, chance_in_time};
 
 use crate::baseline::{self, PlacementRule};
+use crate::disturbance::{Disturbance, Separation};
 use crate::host::HostSlot;
 
 /// Factor by which the wait may exceed its forecast in a safe placement.
@@ -60,11 +61,16 @@
     /// Time in which a task must end because the agent shuts down, in milliseconds; infinite if it
     /// does not.
     pub(crate) closes_in_ms: f64,
+    /// Number of runs there by kind; empty unless tasks are kept apart.
+    pub(crate) runs: Vec<(KindKey, u16)>,
 }
 
 /// Requirements of a task for its host.
 #[derive(Debug, Clone)]
 pub(crate) struct Requirements<'a> {
+    pub(crate) kind: KindKey,
+    /// How kinds slow this one down or are slowed down by it, if any do.
+    pub(crate) separation: Option<Separation<'a>>,
     pub(crate) needs: Resources,
     /// Expected run time on a host of speed 1.
     pub(crate) run_time: RunTime,
@@ -117,6 +123,8 @@
 struct Rank {
     /// 0 if the placement is safe, otherwise 1.
     tier: u8,
+    /// Class of wait and extra run time, if the placement is safe and the task has to be kept apart.
+    separation_class: f64,
     speed_class: u32,
     time_class: f64,
     is_other_domain: bool,
@@ -158,7 +166,7 @@
         {
             continue;
         }
-        let rank = candidate.rank(&candidate.outlook(requirements));
+        let rank = candidate.rank(&candidate.outlook(requirements), requirements);
         let is_better = best
             .as_ref()
             .is_none_or(|(best, _)| rank.partial_cmp(best) == Some(Ordering::Less));
@@ -313,12 +321,21 @@
     }
 
     /// Returns the rank of this host for a task that expects this outlook.
-    fn rank(&self, outlook: &Outlook) -> Rank {
+    fn rank(&self, outlook: &Outlook, requirements: &Requirements<'_>) -> Rank {
+        let run_ms = outlook.run_time.median_ms;
+        let disturbance = self.disturbance(requirements, run_ms);
+        let extra_ms = (disturbance.own_factor - 1.0) * run_ms + disturbance.others_ms;
+        let finish_ms = outlook.finish_ms + extra_ms;
         let used_millis =
             self.capacity.cpu_millis - self.free.cpu_millis.min(self.capacity.cpu_millis);
         let is_safe = outlook.is_safe;
         Rank {
             tier: u8::from(!is_safe),
+            separation_class: if is_safe && requirements.separation.is_some() {
+                ((outlook.wait_ms + extra_ms) / TIME_CLASS_MS).floor()
+            } else {
+                0.0
+            },
             speed_class: if is_safe {
                 self.speed_permille / SPEED_CLASS_PERMILLE
             } else {
@@ -327,14 +344,23 @@
             time_class: if is_safe {
                 (outlook.wait_ms / TIME_CLASS_MS).floor()
             } else {
-                (outlook.finish_ms / TIME_CLASS_MS).floor()
+                (finish_ms / TIME_CLASS_MS).floor()
             },
             is_other_domain: !self.is_same_domain,
             used_share: f64::from(used_millis) / f64::from(self.capacity.cpu_millis.max(1)),
-            finish_ms: outlook.finish_ms,
+            finish_ms,
         }
     }
 
+    /// Returns how a task that takes `run_ms` and the runs there slow each other down.
+    fn disturbance(&self, requirements: &Requirements<'_>, run_ms: f64) -> Disturbance {
+        requirements
+            .separation
+            .map_or(Disturbance::NONE, |separation| {
+                separation.disturbance(run_ms, &self.runs)
+            })
+    }
+
     fn reserve(&mut self, requirements: &Requirements<'_>) {
         let wait_ms = self.wait_ms(requirements);
         let openings = self.openings.iter_mut().chain(&mut self.urgent_openings);
@@ -354,5 +380,8 @@
         }
         self.backlog_core_ms += core_ms as u64;
         self.placed_tasks += 1;
+        if requirements.separation.is_some() {
+            count_runs(&mut self.runs, requirements.kind, 1);
+        }
     }
 }
--- a/components/scheduling/src/scheduler/forecasts.rs
+++ b/components/scheduling/src/scheduler/forecasts.rs
@@ -38,12 +38,14 @@
             expected_ms: place.run_time.median_ms,
             actual_ms: ran_ms,
             is_in_band: Some((shortest_ms..=longest_ms).contains(&ran_ms)),
+            was_host_busy: Some(durations.was_host_busy),
         }));
         actions.push(SchedulerAction::RecordForecast(ForecastOutcome {
             stage: ForecastStage::Wait,
             expected_ms: place.wait_ms + ROUND_TRIP_MS,
             actual_ms: f64::from(durations.waited_ms) + ROUND_TRIP_MS,
             is_in_band: None,
+            was_host_busy: None,
         }));
     }
 }
@@ -55,5 +57,6 @@
         expected_ms: job.expected_ms,
         actual_ms: now_ms.saturating_sub(job.arrived_ms) as f64,
         is_in_band: None,
+        was_host_busy: None,
     }
 }
--- a/components/scheduling/src/scheduler/mod.rs
+++ b/components/scheduling/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 mod connections;
 mod events;
 mod forecasts;
+mod interference;
 mod planning;
 mod recovery;
 mod warm_up;
@@ -11,6 +12,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use interference::Interference;
 use model::{HostUpdate, HostUpdateRequest, JobId, Orders, ProcessKey, RunEvent, RunId};
 use run_times::Kinds;
 use rustc_hash::FxHashMap;
@@ -86,6 +88,15 @@
         /// What happened.
         event: RunEvent,
     },
+    /// Log that a pair of kinds is now kept apart, or no longer.
+    LogInterference {
+        /// Name of the kind that takes longer.
+        of: String,
+        /// Name of the kind beside which it does.
+        by: String,
+        /// The change.
+        change: ::interference::Change,
+    },
     /// Record how well a duration was forecast.
     RecordForecast(ForecastOutcome),
     /// Log the placement of a task.
@@ -120,6 +131,8 @@
     kinds: Kinds,
     /// Until when hosts may be known that have not been listed yet, in milliseconds.
     hosts_expected_until_ms: u64,
+    /// Beliefs about interference, if tasks are kept apart.
+    interference: Option<Interference>,
 }
 
 impl Scheduler {
@@ -144,6 +157,7 @@
             choice_count: Cell::new(0),
             kinds: Kinds::default(),
             hosts_expected_until_ms: 0,
+            interference: None,
         }
     }
 
@@ -265,6 +279,7 @@
         let speeds = candidates.iter().map(|candidate| candidate.speed_permille);
         let usual_speed_permille = run_times::reference_speed(&mut speeds.collect::<Vec<u32>>());
         let queue = Rc::clone(&request.queue.name);
+        self.record_kind_names(&queue, request.steps.len());
         let kinds = &mut self.kinds;
         Job::new(now_ms, request, usual_speed_permille, |at, step| {
             let kind = kinds.slot(now_ms, &queue, at);
@@ -362,6 +377,7 @@
     /// past their deadlines, and places waiting tasks.
     pub fn tick(&mut self, now_ms: u64, actions: &mut Vec<SchedulerAction>) {
         self.update_connections(now_ms, actions);
+        self.update_interference(now_ms, actions);
         let slots: Vec<JobSlot> = self.jobs.keys().collect();
         for slot in slots {
             self.recover_lost_runs(now_ms, slot, actions);
--- a/components/scheduling/src/scheduler/planning.rs
+++ b/components/scheduling/src/scheduler/planning.rs
@@ -2,10 +2,11 @@
 
 use std::rc::Rc;
 
-use model::{HostView, Opening, Resources, RunId, StartOrder, TaskRef};
+use model::{HostView, KindKey, Opening, Resources, RunId, StartOrder, TaskRef};
 
 use super::{Scheduler, SchedulerAction, saturating_u32};
 use crate::admission::{self, Prospect};
+use crate::disturbance::Separation;
 use crate::host::{HostRecord, HostSlot};
 use crate::job::{Job, JobSlot, RunPlacement, TaskState};
 use crate::limits::{MIN_QUEUE_TIMEOUT_MS, PLACEMENT_RETRY_MS, QUEUE_WAIT_FACTOR};
@@ -54,7 +55,11 @@
     ) -> Option<Choice> {
         let step = &job.request.steps[usize::from(task.step)];
         let record = job.task(task)?;
+        let kind = KindKey::of_step(&job.request.queue.name, task.step);
+        let beliefs = self.beliefs_about(kind);
         let requirements = Requirements {
+            kind,
+            separation: beliefs.map(|beliefs| Separation { kind, beliefs }),
             needs: step.needs,
             run_time: job.forecast(task.step).run_time,
             usual_speed_permille: job.usual_speed_permille,
@@ -126,6 +131,11 @@
             openings: openings_after(&view.openings, &pending),
             urgent_openings: openings_after(&view.urgent_openings, &pending),
             placed_tasks: 0,
+            runs: if self.interference.is_some() {
+                host.runs_by_kind()
+            } else {
+                Vec::new()
+            },
             closes_in_ms: view
                 .closes_in_ms
                 .map_or(f64::INFINITY, |ms| f64::from(ms) - view_age_ms),
@@ -216,6 +226,11 @@
             ),
             priority: job.request.queue.priority,
             has_started_tasks: job.has_started_tasks,
+            kind: KindKey::of_step(&job.request.queue.name, task.step),
+            is_data_remote: step
+                .preferred_label
+                .as_ref()
+                .is_some_and(|label| !host.has_label(label)),
         };
         let Some(record) = job.task_mut(task) else {
             return;
--- a/components/scheduling/tests/scheduler/support.rs
+++ b/components/scheduling/tests/scheduler/support.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use model::{
-    HostUpdate, HostView, JobId, Opening, Orders, ProcessKey, Resources, RunDurations, RunEnd,
-    RunEvent, RunId, RunPermit,
+    HostUpdate, HostView, JobId, Neighbors, Opening, Orders, ProcessKey, Resources, RunDurations,
+    RunEnd, RunEvent, RunId, RunPermit,
 };
 use scheduling::{
     HostInfo, HostSlot, JobRequest, QueueRules, Scheduler, SchedulerAction, StepRequest,
@@ -79,6 +79,7 @@
         speed_log_deviation_permille: 0,
         openings: vec![opening(0, free_millis)],
         urgent_openings: vec![opening(0, free_millis)],
+        neighbors: Neighbors::default(),
     }
 }
 
@@ -97,6 +98,7 @@
     let durations = RunDurations {
         waited_ms: 0,
         ran_ms,
+        was_host_busy: false,
     };
     RunEvent::Ended(end, durations)
 }
--- a/components/sidecar/src/metrics.rs
+++ b/components/sidecar/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use hosting::{StartOutcome, TargetPollOutcome};
 use runtime::prometheus::{IntCounterVec, IntGauge};
-use runtime::{Metrics, MetricsError};
+use runtime::{Metrics, MetricsError, uptime_ms};
 
 use crate::process::Shared;
 
@@ -12,6 +12,7 @@
     target_calls: IntCounterVec,
     waiting: IntGauge,
     running: IntGauge,
+    estimated_pairs: IntGauge,
     dropped_log_lines: IntGauge,
 }
 
@@ -34,6 +35,10 @@
                 "Tasks waiting to start.",
             )?,
             running: metrics.gauge("shallotcross_sidecar_running_tasks", "Tasks running.")?,
+            estimated_pairs: metrics.gauge(
+                "shallotcross_sidecar_estimated_pairs",
+                "Pairs of kinds of task whose effect on each other is estimated.",
+            )?,
             dropped_log_lines: metrics.gauge(
                 "shallotcross_sidecar_log_lines_left_out",
                 "Log lines dropped by the rate limit or because the log reader is slow.",
@@ -81,6 +86,8 @@
         let (waiting, running) = shared.host.borrow().run_counts();
         self.waiting.set(waiting as i64);
         self.running.set(running as i64);
+        let pairs = shared.host.borrow_mut().pair_effects(uptime_ms());
+        self.estimated_pairs.set(pairs.len() as i64);
         let counts = runtime::log_counts();
         let dropped = counts.dropped_over_rate + counts.dropped_over_buffer;
         self.dropped_log_lines.set(dropped as i64);
--- a/components/sidecar/src/process.rs
+++ b/components/sidecar/src/process.rs
@@ -69,7 +69,10 @@
             key,
             // The clock gives a fencing token above that of an earlier agent unless it was set
             // back; the target then refuses the token, and the agent raises it.
-            host: RefCell::new(Host::new(key, unix_ms())),
+            host: RefCell::new(
+                Host::new(key, unix_ms())
+                    .separating_interfering_tasks(settings.separate_interfering_tasks),
+            ),
             target: Client::new(settings.target_address, MAX_TARGET_CONNECTIONS),
             store: StoreClient::new(settings.store_address, STORE_TIMEOUT_MS),
             host_changed: Notify::default(),
@@ -178,7 +181,8 @@
     }
 
     fn state(&self) -> Value {
-        let host = self.host.borrow();
+        let mut host = self.host.borrow_mut();
+        let pair_effects = host.pair_effects(uptime_ms());
         let (waiting, running) = host.run_counts();
         json!({
             "agent": self.key.to_string(),
@@ -188,6 +192,7 @@
             "waiting": waiting,
             "running": running,
             "view": host.view(uptime_ms()),
+            "pair_effects": pair_effects,
         })
     }
 }
--- a/components/sim/src/agent.rs
+++ b/components/sim/src/agent.rs
@@ -76,7 +76,7 @@
             is_up: true,
             frozen_until_us: 0,
             partitioned_until_us: 0,
-            host: Host::new(agent_key(host, 1), 1),
+            host: self.new_host(agent_key(host, 1)),
             target,
             late_share: 0.0,
             update_requests: Vec::new(),
@@ -88,6 +88,10 @@
         self.start_loops(host);
     }
 
+    fn new_host(&self, key: ProcessKey) -> Host {
+        Host::new(key, 1).separating_interfering_tasks(self.deployment.separates_interfering)
+    }
+
     fn start_loops(&mut self, host: usize) {
         let incarnation = self.agents[host].incarnation;
         self.schedule(TICK_US, Event::AgentTick { host, incarnation });
@@ -97,13 +101,15 @@
     }
 
     pub(crate) fn restart_agent(&mut self, host: usize) {
+        let key = agent_key(host, self.agents[host].incarnation + 1);
+        let new_host = self.new_host(key);
         let node = &mut self.agents[host];
         node.incarnation += 1;
-        node.key = agent_key(host, node.incarnation);
+        node.key = key;
         node.is_up = true;
         // The restarted agent begins with the first token again, which the target may already have
         // fenced off, as after a clock that was set back.
-        node.host = Host::new(node.key, 1);
+        node.host = new_host;
         node.update_requests.clear();
         node.pending_target_polls.clear();
         self.start_loops(host);
@@ -422,6 +428,7 @@
                 let order = TargetStart {
                     task,
                     number,
+                    kind: job.kind,
                     needs: job.request.steps[0].needs,
                     work_us: job.work_us[usize::from(task.index)],
                     lease_end_ms,
--- a/components/sim/src/entry.rs
+++ b/components/sim/src/entry.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 
 use crate::event::Event;
-use crate::world::World;
+use crate::world::{WARMUP_MS, World};
 
 /// Interval of an entry's timer, in microseconds.
 const TICK_US: u64 = 20_000;
@@ -48,8 +48,9 @@
             .get(entry)
             .map_or(1, |node| node.incarnation + 1);
         let key = ProcessKey(1_000_000 + entry as u64 * 1_000 + u64::from(incarnation));
-        let mut scheduler =
-            Scheduler::new(key, "domain", 1.0).with_placement_rule(self.deployment.rule);
+        let mut scheduler = Scheduler::new(key, "domain", 1.0)
+            .with_placement_rule(self.deployment.rule)
+            .separating_interfering_tasks(self.deployment.separates_interfering);
         let hosts = 0..self.deployment.targets.len();
         let slots: Vec<HostSlot> = hosts
             .map(|host| {
@@ -363,6 +364,10 @@
                     self.report.turned_back += u64::from(is_turned_back);
                 }
                 SchedulerAction::RecordForecast(outcome) => self.report.forecasts.record(&outcome),
+                SchedulerAction::LogInterference { change, .. } => {
+                    let at_ms = self.now_ms().saturating_sub(WARMUP_MS);
+                    self.report.pair_changes.push((at_ms, change));
+                }
                 SchedulerAction::LogPlacement { .. } => {}
             }
         }
--- a/components/sim/src/lib.rs
+++ b/components/sim/src/lib.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod event;
 mod fault;
+mod interference;
 mod report;
 mod scenario;
 mod target;
@@ -16,6 +17,7 @@
 
 pub use client::{Burst, JobKind, Load};
 pub use fault::{Fault, FaultKind};
+pub use interference::Interference;
 pub use report::{ForecastReport, KindReport, Report, StageReport, Violation};
 pub use scenario::{Scenario, deployment, patterns, usual_load};
 pub use target::TargetSpec;
--- a/components/sim/src/report.rs
+++ b/components/sim/src/report.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use interference::Change;
 use scheduling::{ForecastOutcome, ForecastStage};
 
 /// A violation of a safety guarantee.
@@ -117,6 +118,9 @@
     pub starts: u64,
     /// Accuracy of the entries' forecasts.
     pub forecasts: ForecastReport,
+    /// Pairs of kinds that entries began or ceased to keep apart, with the time after the start of the
+    /// load in milliseconds.
+    pub pair_changes: Vec<(u64, Change)>,
 }
 
 impl KindReport {
--- a/components/sim/src/scenario.rs
+++ b/components/sim/src/scenario.rs
@@ -5,6 +5,7 @@
 
 use crate::client::{Burst, JobKind, Load};
 use crate::fault::{Fault, FaultKind};
+use crate::interference::Interference;
 use crate::report::Report;
 use crate::target::TargetSpec;
 use crate::world::{Deployment, World};
@@ -51,11 +52,13 @@
         },
         speed: speeds[host % speeds.len()],
         clock_rate: if host % 5 == 0 { 0.98 } else { 1.0 },
+        interference: Interference::None,
     });
     Deployment {
         entries,
         targets: targets.collect(),
         rule: PlacementRule::default(),
+        separates_interfering: false,
         delay_us: (300, 1_600),
     }
 }
--- a/components/sim/src/target.rs
+++ b/components/sim/src/target.rs
@@ -9,6 +9,8 @@
 use model::{Resources, TaskRef};
 use rustc_hash::FxHashMap;
 
+use crate::interference::Interference;
+
 /// Longest lease that a target grants, in microseconds.
 const MAX_LEASE_US: u64 = 1_000_000;
 
@@ -21,17 +23,32 @@
     pub speed: f64,
     /// Rate of its clock relative to simulated time.
     pub clock_rate: f64,
+    /// How its tasks slow each other down.
+    pub interference: Interference,
 }
 
 /// A run at a target.
 #[derive(Debug, Clone)]
 pub(crate) struct TargetRun {
     pub(crate) number: u32,
+    pub(crate) kind: usize,
     pub(crate) needs: Resources,
-    pub(crate) started_us: u64,
-    /// When the run ends by itself; `None` if it hangs.
+    /// When the run ends by itself if its neighbors stay; `None` if it hangs.
     pub(crate) ends_us: Option<u64>,
+    /// Time that the run takes without neighbors.
     pub(crate) work_us: u64,
+    /// Part of `work_us` that was left at `updated_us`.
+    left_us: f64,
+    updated_us: u64,
+    /// Factor by which its neighbors slow it down at present.
+    factor: f64,
+}
+
+impl TargetRun {
+    /// Returns the part of the work that is left, in microseconds.
+    fn left_us(&self, now_us: u64) -> f64 {
+        self.left_us - (now_us - self.updated_us) as f64 / self.factor
+    }
 }
 
 /// An order to start a run.
@@ -39,6 +56,7 @@
 pub(crate) struct TargetStart {
     pub(crate) task: TaskRef,
     pub(crate) number: u32,
+    pub(crate) kind: usize,
     pub(crate) needs: Resources,
     pub(crate) work_us: u64,
     pub(crate) lease_end_ms: u64,
@@ -61,6 +79,7 @@
     highest_numbers: FxHashMap<TaskRef, u32>,
     unacknowledged_ends: Vec<EndedRun>,
     last_end_sequence: u64,
+    updated_us: u64,
 }
 
 impl Target {
@@ -79,6 +98,7 @@
             highest_numbers: FxHashMap::default(),
             unacknowledged_ends: Vec::new(),
             last_end_sequence: 0,
+            updated_us: now_us,
         }
     }
 
@@ -135,6 +155,7 @@
                 self.end(task, TargetEnd::Lapsed);
             }
         }
+        self.update_factors(now_us);
         self.last_end_sequence > before
     }
 
@@ -144,9 +165,34 @@
             return None;
         }
         let ends = self.runs.values().filter_map(|run| run.ends_us);
+        let change_us = self.spec.interference.next_change_us(self.updated_us);
+        let ends = ends.chain(change_us);
         Some(ends.min().unwrap_or(u64::MAX).min(self.lease_end_us))
     }
 
+    /// Recalculates the ends of runs whose neighbors have changed.
+    fn update_factors(&mut self, now_us: u64) {
+        self.updated_us = now_us;
+        let interference = self.spec.interference;
+        if interference == Interference::None {
+            return;
+        }
+        let kinds: Vec<usize> = self.runs.values().map(|run| run.kind).collect();
+        for (at, run) in self.runs.values_mut().enumerate() {
+            let others = kinds.iter().enumerate().filter(|(other, _)| *other != at);
+            let factor = interference.factor(now_us, run.kind, others.map(|(_, kind)| *kind));
+            if (factor - run.factor).abs() < 1e-9 {
+                continue;
+            }
+            run.left_us = run.left_us(now_us);
+            run.updated_us = now_us;
+            run.factor = factor;
+            if run.ends_us.is_some() {
+                run.ends_us = Some(now_us + (run.left_us * factor).max(0.0) as u64);
+            }
+        }
+    }
+
     fn end(&mut self, task: TaskRef, end: TargetEnd) {
         let Some(run) = self.runs.remove(&task) else {
             return;
@@ -193,12 +239,16 @@
         let takes_us = (order.work_us as f64 / speed) as u64;
         let run = TargetRun {
             number: order.number,
+            kind: order.kind,
             needs: order.needs,
-            started_us: now_us,
             ends_us: (!self.is_hanging).then_some(now_us + takes_us),
             work_us: takes_us,
+            left_us: takes_us as f64,
+            updated_us: now_us,
+            factor: 1.0,
         };
         self.runs.insert(order.task, run);
+        self.update_factors(now_us);
         StartOutcome::Started
     }
 
@@ -212,6 +262,7 @@
         *highest = (*highest).max(number);
         if self.runs.get(&task).is_some_and(|run| run.number <= number) {
             self.end(task, TargetEnd::Stopped);
+            self.update_factors(now_us);
         }
     }
 
@@ -237,7 +288,10 @@
     pub(crate) fn poll_answer(&mut self, now_us: u64) -> TargetPollOutcome {
         self.end_due_runs(now_us);
         let percent = |run: &TargetRun| match run.ends_us {
-            Some(_) => (100 * (now_us - run.started_us) / run.work_us.max(1)).min(99) as u8,
+            Some(_) => {
+                let work_us = run.work_us.max(1) as f64;
+                (100.0 * (work_us - run.left_us(now_us)) / work_us).clamp(0.0, 99.0) as u8
+            }
             None => 0,
         };
         let running = self.runs.iter().map(|(task, run)| RunningRun {
--- a/components/sim/src/world.rs
+++ b/components/sim/src/world.rs
@@ -33,6 +33,8 @@
     pub delay_us: (u64, u64),
     /// Placement rule of the entries.
     pub rule: PlacementRule,
+    /// Whether kinds of task that slow each other down are kept apart.
+    pub separates_interfering: bool,
 }
 
 /// A connection from an entry to a host.
