Compare runs of a host in batches instead of with a lagging speed

Hosts that alternate between normal and a third of their speed made a pair believed: the filter of the host's speed lags behind by some runs, in which the runs are long and stand beside more others. Each run is now compared with the other runs of its batch, also with those that end after it.

Tested: the 7 tests of the estimator pass; the one for slow hosts failed before.

--- a/components/interference/src/estimator.rs
+++ b/components/interference/src/estimator.rs
@@ -1,7 +1,6 @@
 //! Effects of kinds of task on each other, estimated at one host.
 
 use model::{KindKey, PairEffect};
-use run_times::{HostSpeed, SpeedSample};
 
 use crate::exposure::{Exposure, Exposures, Start};
 use crate::regression::{
@@ -18,6 +17,18 @@
 /// Bounds of the logarithm of measured over expected run time.
 const LOG_RATIO_RANGE: (f64, f64) = (-2.0, 3.0);
 
+/// Numbers of runs that are compared with each other: how slow the host is at a time follows from what
+/// they have in common. Few runs tell little, and the host may change while many complete.
+const MIN_BATCH: usize = 6;
+const MAX_BATCH: usize = 32;
+
+/// Times after which a batch is closed, in milliseconds: with enough runs, and in any case.
+const BATCH_MS: u64 = 1_000;
+const MAX_BATCH_MS: u64 = 4_000;
+
+/// Weight of the slowness in the batch before, in runs.
+const PREVIOUS_WEIGHT: f64 = 1.0;
+
 /// A completed run.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Measurement {
@@ -29,19 +40,31 @@
     pub exposure: Exposure,
 }
 
+/// A run that waits for its batch to close.
+#[derive(Debug, Clone, Copy)]
+struct Pending {
+    slot: usize,
+    inputs: Values,
+    log_ratio: f64,
+}
+
 /// Estimates the effects of the kinds on one host from its completed runs.
 #[derive(Debug, Clone)]
 pub struct Estimator {
     regressions: Vec<Regression>,
-    /// Speed of the host apart from the effects of kinds.
-    speed: HostSpeed,
+    batch: Vec<Pending>,
+    batch_opened_at_ms: u64,
+    /// Logarithm of the slowness of the host in the last batch, apart from the effects of kinds.
+    log_slowness: f64,
 }
 
 impl Default for Estimator {
     fn default() -> Self {
         Self {
             regressions: vec![Regression::default(); MAX_KINDS],
-            speed: HostSpeed::default(),
+            batch: Vec::with_capacity(MAX_BATCH),
+            batch_opened_at_ms: 0,
+            log_slowness: 0.0,
         }
     }
 }
@@ -49,25 +72,45 @@
 impl Estimator {
     /// Adds a completed run.
     pub fn record(&mut self, now_ms: u64, exposures: &Exposures, start: &Start, run: &Measurement) {
-        let count = COMMON + exposures.slots.len();
-        let regression = &mut self.regressions[start.slot()];
-        let inputs = inputs(&run.exposure);
+        self.close_due_batch(now_ms, exposures);
+        if self.batch.is_empty() {
+            self.batch_opened_at_ms = now_ms;
+        }
         let (least, most) = LOG_RATIO_RANGE;
         let log_ratio = (run.measured_ms.max(1.0) / run.expected_ms.max(1.0)).ln();
-        let log_slowness = -(f64::from(self.speed.permille(now_ms).max(1)) / 1_000.0).ln();
-        let sample = SpeedSample {
-            expected_ms: run.expected_ms.max(1.0) * regression.predict(&inputs).exp(),
-            elapsed_ms: run.measured_ms.max(1.0),
-            weight: 1.0,
-            log_deviation: regression.noise_variance().sqrt(),
-        };
-        regression.add(
-            now_ms,
-            count,
-            &inputs,
-            (log_ratio - log_slowness).clamp(least, most),
-        );
-        self.speed.add_sample(now_ms, &sample);
+        self.batch.push(Pending {
+            slot: start.slot(),
+            inputs: inputs(&run.exposure),
+            log_ratio: log_ratio.clamp(least, most),
+        });
+    }
+
+    fn close_due_batch(&mut self, now_ms: u64, exposures: &Exposures) {
+        let age_ms = now_ms.saturating_sub(self.batch_opened_at_ms);
+        let runs = self.batch.len();
+        let is_due = runs >= MAX_BATCH
+            || runs >= MIN_BATCH && age_ms >= BATCH_MS
+            || runs > 0 && age_ms >= MAX_BATCH_MS;
+        if is_due {
+            self.close_batch(now_ms, COMMON + exposures.slots.len());
+        }
+    }
+
+    /// Adds the runs of the batch to the regressions, each less the slowness of the host that the others
+    /// show.
+    fn close_batch(&mut self, now_ms: u64, count: usize) {
+        let batch = std::mem::take(&mut self.batch);
+        let regressions = &self.regressions;
+        let residual = |run: &Pending| run.log_ratio - regressions[run.slot].predict(&run.inputs);
+        let residuals: Vec<f64> = batch.iter().map(residual).collect();
+        let sum = residuals.iter().sum::<f64>() + PREVIOUS_WEIGHT * self.log_slowness;
+        let weight = batch.len() as f64 + PREVIOUS_WEIGHT;
+        for (run, residual) in batch.iter().zip(residuals) {
+            let log_slowness = (sum - residual) / (weight - 1.0);
+            let output = run.log_ratio - log_slowness;
+            self.regressions[run.slot].add(now_ms, count, &run.inputs, output);
+        }
+        self.log_slowness = sum / weight;
     }
 
     /// Forgets what is known of the kind that had a slot before.
@@ -75,6 +118,10 @@
         for regression in &mut self.regressions {
             regression.clear_slot(slot);
         }
+        self.batch.retain(|run| run.slot != slot);
+        for run in &mut self.batch {
+            run.inputs[COMMON + slot] = 0.0;
+        }
         self.regressions[slot] = Regression::default();
     }
 
@@ -82,6 +129,7 @@
     ///
     /// The choice does not depend on the effects, so that combining many hosts adds no bias.
     pub fn summary(&mut self, now_ms: u64, exposures: &Exposures) -> Vec<PairEffect> {
+        self.close_due_batch(now_ms, exposures);
         let kinds = exposures.slots.len();
         let mut pairs: Vec<(f64, PairEffect)> = Vec::new();
         for slot in 0..kinds {
