Place tasks of interfering kinds by lateness first, then extra run time

Tasks now go first by whether they are likely in time beside the kinds there, then by wait and extra run time, then by the room that they leave.

Views name the mean number of runs of the last second by kind as well, since a kind that comes and goes every few tenths of a second is likely to return.

--- a/components/hosting/src/host/mod.rs
+++ b/components/hosting/src/host/mod.rs
@@ -329,7 +329,7 @@
             speed_log_deviation_permille: (self.speed.log_deviation(now_ms) * 1_000.0) as u16,
             openings: self.openings(now_ms, |_| true),
             urgent_openings: self.openings(now_ms, |run| run.priority == MOST_URGENT),
-            neighbors: self.neighbor_runs(),
+            neighbors: self.neighbor_runs(now_ms),
         }
     }
 }
--- a/components/hosting/src/host/neighbors.rs
+++ b/components/hosting/src/host/neighbors.rs
@@ -1,6 +1,6 @@
 //! Records of what runs side by side, for the estimate of interference.
 
-use model::{KindKey, Neighbors, PairEffect, ProcessKey, TaskRef, count_runs};
+use model::{KindRuns, Neighbors, PairEffect, ProcessKey, TaskRef, count_runs};
 
 use super::Host;
 use crate::limits::EFFECTS_INTERVAL_MS;
@@ -69,14 +69,15 @@
     }
 
     /// Returns the kinds of the runs on the host, without the effects.
-    pub(super) fn neighbor_runs(&self) -> Neighbors {
-        let mut runs: Vec<(KindKey, u16)> = Vec::new();
-        if self.neighbors.is_none() {
+    pub(super) fn neighbor_runs(&self, now_ms: u64) -> Neighbors {
+        let mut runs: Vec<KindRuns> = Vec::new();
+        let Some(neighbors) = &self.neighbors else {
             return Neighbors::default();
-        }
+        };
         for run in self.runs.values() {
             count_runs(&mut runs, run.kind, 1);
         }
+        neighbors.add_recent(now_ms, &mut runs);
         runs.truncate(MAX_NAMED_KINDS);
         Neighbors {
             runs,
--- a/components/hosting/src/neighbors.rs
+++ b/components/hosting/src/neighbors.rs
@@ -1,7 +1,7 @@
 //! What runs side by side on the host, and how it slows each other down.
 
 use interference::{Estimator, Exposures, Measurement, Start};
-use model::{KindKey, PairEffect};
+use model::{KindKey, KindRuns, PairEffect};
 
 /// Time for which a summary is kept before it is made again, in milliseconds: several entries get the
 /// same one.
@@ -50,6 +50,11 @@
         self.estimator.record(now_ms, &self.exposures, start, &run);
     }
 
+    /// Adds the mean numbers of recent runs to runs by kind.
+    pub(crate) fn add_recent(&self, now_ms: u64, runs: &mut Vec<KindRuns>) {
+        self.exposures.add_recent(now_ms, runs);
+    }
+
     /// Records the end of a run, completed or not.
     pub(crate) fn end(&mut self, now_ms: u64, start: &Start) {
         self.exposures.end(now_ms, start);
--- a/components/hosting/tests/host/main.rs
+++ b/components/hosting/tests/host/main.rs
@@ -5,4 +5,5 @@
 mod harness;
 mod incarnations;
 mod leases;
+mod neighbors;
 mod queueing;
--- a/components/interference/src/exposure.rs
+++ b/components/interference/src/exposure.rs
@@ -1,12 +1,16 @@
 //! Shares of its time that a run spends beside other kinds of task.
 
-use model::KindKey;
+use model::{KindKey, KindRuns, count_runs};
 
 use crate::slots::{MAX_KINDS, Slots};
 
 /// Share of the host's cores from which on it counts as crowded.
 const CROWDED_SHARE: f64 = 0.75;
 
+/// Time over which recent runs are averaged, in milliseconds: tasks that take a few tenths of a second
+/// come and go in it several times.
+const RECENT_MS: f64 = 1_000.0;
+
 /// What a run was exposed to, averaged over its time.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Exposure {
@@ -52,6 +56,8 @@
     /// Number of times that the kind in a slot was replaced.
     generations: [u32; MAX_KINDS],
     runs: [u16; MAX_KINDS],
+    /// Mean numbers of runs over the last second.
+    recent: [f64; MAX_KINDS],
     used_share: f64,
     updated_at_ms: u64,
     clocks: Clocks,
@@ -75,6 +81,7 @@
         if assigned.is_reassigned {
             self.generations[slot] += 1;
             self.runs[slot] = 0;
+            self.recent[slot] = 0.0;
         }
         self.runs[slot] += 1;
         let start = Start {
@@ -94,6 +101,25 @@
         }
     }
 
+    /// Adds the mean numbers of recent runs to runs by kind; kinds with hardly any are left out.
+    pub fn add_recent(&self, now_ms: u64, runs: &mut Vec<KindRuns>) {
+        let elapsed_ms = now_ms.saturating_sub(self.updated_at_ms) as f64;
+        let kept = (-elapsed_ms / RECENT_MS).exp();
+        for slot in 0..self.slots.len() {
+            let now = f64::from(self.runs[slot]);
+            let recent = now + kept * (self.recent[slot] - now);
+            let recent_percent = (100.0 * recent).round() as u16;
+            let Some(kind) = self.slots.kind(slot).filter(|_| recent_percent > 0) else {
+                continue;
+            };
+            count_runs(runs, kind, 0);
+            let named = runs.iter_mut().find(|at| at.kind == kind);
+            if let Some(at) = named {
+                at.recent_percent = recent_percent;
+            }
+        }
+    }
+
     /// Returns what a run has been exposed to since its start; `None` if it has taken no time.
     pub fn since(&mut self, now_ms: u64, start: &Start) -> Option<Exposure> {
         self.advance(now_ms);
@@ -125,7 +151,10 @@
         if self.used_share > CROWDED_SHARE {
             self.clocks.crowded += elapsed_ms as f64;
         }
+        let kept = (-(elapsed_ms as f64) / RECENT_MS).exp();
         for slot in 0..self.slots.len() {
+            let now = f64::from(self.runs[slot]);
+            self.recent[slot] = now + kept * (self.recent[slot] - now);
             if self.runs[slot] >= 1 {
                 self.clocks.one[slot] += elapsed_ms;
             }
--- a/components/model/src/interference.rs
+++ b/components/model/src/interference.rs
@@ -7,12 +7,23 @@
 /// Kinds of task on a host, and their effects on each other.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Neighbors {
-    /// Number of runs by kind, at the target and waiting.
-    pub runs: Vec<(KindKey, u16)>,
+    /// The runs by kind.
+    pub runs: Vec<KindRuns>,
     /// Estimated effects; empty in most views, since they change slowly.
     pub effects: Vec<PairEffect>,
 }
 
+/// Runs of one kind on a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KindRuns {
+    /// The kind.
+    pub kind: KindKey,
+    /// Number of runs at the target and waiting.
+    pub count: u16,
+    /// Mean number of runs at the target over about the last second, in hundredths.
+    pub recent_percent: u16,
+}
+
 /// Estimated effect of runs of one kind on the run time of another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PairEffect {
@@ -27,9 +38,13 @@
 }
 
 /// Adds runs of a kind to the numbers of runs by kind.
-pub fn count_runs(runs: &mut Vec<(KindKey, u16)>, kind: KindKey, count: u16) {
-    match runs.iter_mut().find(|(at, _)| *at == kind) {
-        Some((_, total)) => *total = total.saturating_add(count),
-        None => runs.push((kind, count)),
+pub fn count_runs(runs: &mut Vec<KindRuns>, kind: KindKey, count: u16) {
+    match runs.iter_mut().find(|at| at.kind == kind) {
+        Some(at) => at.count = at.count.saturating_add(count),
+        None => runs.push(KindRuns {
+            kind,
+            count,
+            recent_percent: 0,
+        }),
     }
 }
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -12,7 +12,7 @@
 mod run;
 
 pub use answer::{Answer, Failure, FailureKind, FailureReason};
-pub use interference::{Neighbors, PairEffect, count_runs};
+pub use interference::{KindRuns, Neighbors, PairEffect, count_runs};
 pub use job::{JobMeta, JobSpec, TaskSpec};
 pub use keys::{
     Attempt, FirmKey, Generation, GroupKey, JobDigest, JobKey, KindKey, ProcessKey, ShardKey,
--- a/components/scheduling/src/disturbance.rs
+++ b/components/scheduling/src/disturbance.rs
@@ -5,7 +5,7 @@
 //! exactly if the wait is shorter.
 
 use interference::Beliefs;
-use model::KindKey;
+use model::{KindKey, KindRuns};
 
 /// A task's kind, with the beliefs that concern it.
 #[derive(Debug, Clone, Copy)]
@@ -36,16 +36,23 @@
     ///
     /// A kind disturbs by its presence, so that one more task of a kind that is already there adds only
     /// its share.
-    pub(crate) fn disturbance(&self, run_ms: f64, runs: &[(KindKey, u16)]) -> Disturbance {
-        let of_kind = runs.iter().find(|(kind, _)| *kind == self.kind);
-        let same_kind = of_kind.map_or(0, |(_, count)| *count);
+    pub(crate) fn disturbance(&self, run_ms: f64, runs: &[KindRuns]) -> Disturbance {
+        let of_kind = runs.iter().find(|at| at.kind == self.kind);
+        let same_kind = of_kind.map_or(0.0, expected_count);
         let mut disturbance = Disturbance::NONE;
-        for &(kind, count) in runs.iter().filter(|(_, count)| *count > 0) {
-            disturbance.own_factor *= self.beliefs.factor(self.kind, kind);
-            let extra_share = self.beliefs.factor(kind, self.kind) - 1.0;
-            disturbance.others_ms +=
-                f64::from(count) * extra_share * run_ms / f64::from(1 + same_kind);
+        for at in runs {
+            let count = expected_count(at);
+            let own_extra = self.beliefs.factor(self.kind, at.kind) - 1.0;
+            disturbance.own_factor *= 1.0 + count.min(1.0) * own_extra;
+            let others_extra = self.beliefs.factor(at.kind, self.kind) - 1.0;
+            disturbance.others_ms += count * others_extra * run_ms / (1.0 + same_kind);
         }
         disturbance
     }
 }
+
+/// Returns the number of runs of a kind that are expected while a task runs: those of now, or of the last
+/// second if there were more, since further ones are likely to come.
+fn expected_count(runs: &KindRuns) -> f64 {
+    f64::from(runs.count).max(f64::from(runs.recent_percent) / 100.0)
+}
--- a/components/scheduling/src/host.rs
+++ b/components/scheduling/src/host.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use model::{
-    HostUpdate, HostView, KindKey, Orders, PairEffect, ProcessKey, Resources, RunId, RunPermit,
+    HostUpdate, HostView, KindRuns, Orders, PairEffect, ProcessKey, Resources, RunId, RunPermit,
     StartOrder,
 };
 use slotmap::new_key_type;
@@ -142,7 +142,7 @@
 
     /// Returns the number of runs on the host by kind, with the orders that the view does not include
     /// yet.
-    pub(crate) fn runs_by_kind(&self) -> Vec<(KindKey, u16)> {
+    pub(crate) fn runs_by_kind(&self) -> Vec<KindRuns> {
         let view = self.view.as_ref();
         let mut runs = view.map_or_else(Vec::new, |view| view.neighbors.runs.clone());
         let sent = self.in_flight.iter().flat_map(|orders| &orders.starts);
--- a/components/scheduling/src/placement.rs
+++ b/components/scheduling/src/placement.rs
@@ -12,11 +12,13 @@
 use std::cmp::Ordering;
 use std::rc::Rc;
 
-use model::{KindKey, MOST_URGENT, Opening, Resources, count_runs, required_free_resources};
+use model::{
+    KindKey, KindRuns, MOST_URGENT, Opening, Resources, count_runs, required_free_resources,
+};
 use run_times::{Race, RunTime, chance_in_time};
 
 use crate::baseline::{self, PlacementRule};
-use crate::disturbance::{Disturbance, Separation};
+use crate::disturbance::Separation;
 use crate::host::HostSlot;
 
 /// Factor by which the wait may exceed its forecast in a safe placement.
@@ -62,7 +64,7 @@
     /// does not.
     pub(crate) closes_in_ms: f64,
     /// Number of runs there by kind; empty unless tasks are kept apart.
-    pub(crate) runs: Vec<(KindKey, u16)>,
+    pub(crate) runs: Vec<KindRuns>,
 }
 
 /// Requirements of a task for its host.
@@ -121,10 +123,12 @@
 /// Sort key of a candidate, compared field by field; the smallest is chosen.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 struct Rank {
-    /// 0 if the placement is safe, otherwise 1.
+    /// 0 if the placement is safe; for a task that has to be kept apart, if it is likely in time.
     tier: u8,
-    /// Class of wait and extra run time, if the placement is safe and the task has to be kept apart.
+    /// Class of wait and extra run time of a task that has to be kept apart.
     separation_class: f64,
+    /// Whether a task that has to be kept apart leaves no room for tasks of other entries.
+    fills_host: bool,
     speed_class: u32,
     time_class: f64,
     is_other_domain: bool,
@@ -304,17 +308,22 @@
             run_time,
             finish_ms: wait_ms + run_time.median_ms + ROUND_TRIP_MS,
             leaves_room,
-            is_safe: leaves_room && self.is_in_time_with_margins(requirements, wait_ms),
+            is_safe: leaves_room && self.is_in_time_with_margins(requirements, wait_ms, 1.0),
         }
     }
 
     /// Returns whether the task is very likely in time even if it waits longer than expected, and the
-    /// host is slower.
-    fn is_in_time_with_margins(&self, requirements: &Requirements<'_>, wait_ms: f64) -> bool {
+    /// host is slower; `factor` is that on its run time from its neighbors.
+    fn is_in_time_with_margins(
+        &self,
+        requirements: &Requirements<'_>,
+        wait_ms: f64,
+        factor: f64,
+    ) -> bool {
         let expected = self.race(requirements, wait_ms * WAIT_MARGIN_FACTOR);
         let speed_margin = (self.speed_log_deviation * SPEED_MARGIN_DEVIATIONS).exp();
         let cautious = Race {
-            slowness: expected.slowness * speed_margin,
+            slowness: expected.slowness * speed_margin * factor,
             ..expected
         };
         chance_in_time(&cautious) >= SAFE_CHANCE
@@ -322,20 +331,13 @@
 
     /// Returns the rank of this host for a task that expects this outlook.
     fn rank(&self, outlook: &Outlook, requirements: &Requirements<'_>) -> Rank {
-        let run_ms = outlook.run_time.median_ms;
-        let disturbance = self.disturbance(requirements, run_ms);
-        let extra_ms = (disturbance.own_factor - 1.0) * run_ms + disturbance.others_ms;
-        let finish_ms = outlook.finish_ms + extra_ms;
         let used_millis =
             self.capacity.cpu_millis - self.free.cpu_millis.min(self.capacity.cpu_millis);
         let is_safe = outlook.is_safe;
-        Rank {
+        let rank = Rank {
             tier: u8::from(!is_safe),
-            separation_class: if is_safe && requirements.separation.is_some() {
-                ((outlook.wait_ms + extra_ms) / TIME_CLASS_MS).floor()
-            } else {
-                0.0
-            },
+            separation_class: 0.0,
+            fills_host: false,
             speed_class: if is_safe {
                 self.speed_permille / SPEED_CLASS_PERMILLE
             } else {
@@ -344,21 +346,46 @@
             time_class: if is_safe {
                 (outlook.wait_ms / TIME_CLASS_MS).floor()
             } else {
-                (finish_ms / TIME_CLASS_MS).floor()
+                (outlook.finish_ms / TIME_CLASS_MS).floor()
             },
             is_other_domain: !self.is_same_domain,
             used_share: f64::from(used_millis) / f64::from(self.capacity.cpu_millis.max(1)),
-            finish_ms,
+            finish_ms: outlook.finish_ms,
+        };
+        match requirements.separation {
+            Some(separation) => self.rank_apart(&rank, outlook, requirements, &separation),
+            None => rank,
         }
     }
 
-    /// Returns how a task that takes `run_ms` and the runs there slow each other down.
-    fn disturbance(&self, requirements: &Requirements<'_>, run_ms: f64) -> Disturbance {
-        requirements
-            .separation
-            .map_or(Disturbance::NONE, |separation| {
-                separation.disturbance(run_ms, &self.runs)
-            })
+    /// Returns the rank for a task that has to be kept apart from some kinds.
+    ///
+    /// Extra run time comes before the room that a placement leaves, and after the task's own objective:
+    /// a task that waits too long for a place apart is worth less than what it spares the others.
+    fn rank_apart(
+        &self,
+        rank: &Rank,
+        outlook: &Outlook,
+        requirements: &Requirements<'_>,
+        separation: &Separation<'_>,
+    ) -> Rank {
+        let run_ms = outlook.run_time.median_ms;
+        let disturbance = separation.disturbance(run_ms, &self.runs);
+        let own_factor = disturbance.own_factor;
+        let is_in_time = self.is_in_time_with_margins(requirements, outlook.wait_ms, own_factor);
+        let finish_ms = outlook.finish_ms + (own_factor - 1.0) * run_ms;
+        let separation_ms = if is_in_time {
+            finish_ms - run_ms - ROUND_TRIP_MS
+        } else {
+            finish_ms
+        };
+        Rank {
+            tier: u8::from(!is_in_time),
+            separation_class: ((separation_ms + disturbance.others_ms) / TIME_CLASS_MS).floor(),
+            fills_host: !outlook.is_safe,
+            finish_ms,
+            ..*rank
+        }
     }
 
     fn reserve(&mut self, requirements: &Requirements<'_>) {
--- a/components/scheduling/tests/scheduler/main.rs
+++ b/components/scheduling/tests/scheduler/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler of an entry.
 
 mod forecasts;
+mod interference;
 mod jobs;
 mod support;
 mod warm_up;
--- a/components/sim/examples/interference.rs
+++ b/components/sim/examples/interference.rs
@@ -1,7 +1,7 @@
 //! Prints what interference between kinds of task costs, and how much of that is won back by keeping
 //! them apart.
 //!
-//! `cargo run --release -p sim --example interference [SEEDS] [LOAD_MS]`
+//! `cargo run --release -p sim --example interference [SEEDS] [LOAD_MS] [CASE]`
 
 use sim::{Fault, FaultKind, Interference, Report, Scenario, deployment, usual_load};
 
@@ -58,6 +58,7 @@
     };
     let seeds: u64 = next(4);
     let load_ms: u64 = next(40_000);
+    let only = std::env::args().nth(3);
     let pair = |one, other| Interference::Pair {
         kinds: (one, other),
         factor: 2.0,
@@ -103,6 +104,9 @@
         "case | seed | none | without | with | won back | first ms | believed | dropped | violations"
     );
     for (name, interference, faults) in cases {
+        if only.as_ref().is_some_and(|only| *only != name) {
+            continue;
+        }
         let (mut lost, mut won) = (0.0, 0.0);
         for seed in 1..=seeds {
             let clean = run(seed, load_ms, Interference::None, false, faults);
@@ -121,6 +125,7 @@
                 with.violations.len(),
             );
             if std::env::var_os("CHANGES").is_some() {
+                println!("{without}{with}");
                 for (at_ms, change) in &with.pair_changes {
                     println!("  {at_ms} {change:?}");
                 }
