--- a/components/interference/src/estimator.rs
+++ b/components/interference/src/estimator.rs
@@ -113,6 +113,13 @@
         self.log_slowness = sum / weight;
     }
 
+    /// Returns the memory that the estimates occupy, in bytes; it does not grow.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        let batch_bytes = MAX_BATCH * size_of::<Pending>();
+        size_of::<Self>() + MAX_KINDS * size_of::<Regression>() + batch_bytes
+    }
+
     /// Forgets what is known of the kind that had a slot before.
     pub fn clear_slot(&mut self, slot: usize) {
         for regression in &mut self.regressions {
