--- a/components/config/tests/settings.rs
+++ b/components/config/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 
-use config::{AgentSettings, EntrySettings, LogFormat, LogLevel};
+use config::{AgentSettings, EntrySettings, GatewaySettings, LogFormat, LogLevel, SidecarSettings};
 use errors::ExitCode;
 
 const ENTRY: &str = "listen_address = '127.0.0.1:8080'\npeer_address = '127.0.0.1:7100'\n\
@@ -127,3 +127,25 @@
     let error = AgentSettings::from_toml("agent.toml", &open).expect_err("not loopback");
     assert_eq!(error.faults[0].key, "announce_address");
 }
+
+/// Guards against separation that is on by default, and against a text that passes for a Boolean.
+#[test]
+fn tasks_are_kept_apart_only_if_the_setting_is_true() {
+    const GATEWAY: &str = "name = 'a'\nfailure_domain = 'b'\ncallers_address = '127.0.0.1:1'\n\
+                           readiness_address = '127.0.0.1:2'\npeer_address = '127.0.0.1:3'\n\
+                           store_address = '127.0.0.1:4'\n";
+    const SIDECAR: &str = "name = 'a'\nfailure_domain = 'b'\ntarget_address = '127.0.0.1:1'\n\
+                           reports_address = '127.0.0.1:2'\npeer_address = '127.0.0.1:3'\n\
+                           store_address = '127.0.0.1:4'\n";
+    for (line, is_on) in [
+        ("", Some(false)),
+        ("separate_interfering_tasks = true\n", Some(true)),
+        ("separate_interfering_tasks = 'true'\n", None),
+    ] {
+        let gateway = GatewaySettings::from_toml("gateway.toml", &format!("{GATEWAY}{line}"));
+        let sidecar = SidecarSettings::from_toml("sidecar.toml", &format!("{SIDECAR}{line}"));
+        let gateway_is_on = gateway.ok().map(|it| it.separate_interfering_tasks);
+        let sidecar_is_on = sidecar.ok().map(|it| it.separate_interfering_tasks);
+        assert_eq!((gateway_is_on, sidecar_is_on), (is_on, is_on), "{line}");
+    }
+}
