Collect the kinds on hosts only while a pair is kept apart

Entries with the setting on copied the kinds of every candidate host for every job, also without any believed pair.

--- a/components/interference/src/beliefs.rs
+++ b/components/interference/src/beliefs.rs
@@ -96,6 +96,12 @@
             .map_or(1.0, |log_factor| log_factor.exp())
     }
 
+    /// Returns whether no pair is believed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.log_factors.is_empty()
+    }
+
     /// Returns whether a kind is part of a believed pair.
     #[must_use]
     pub fn concerns(&self, kind: KindKey) -> bool {
--- a/components/scheduling/src/placement.rs
+++ b/components/scheduling/src/placement.rs
@@ -7,7 +7,9 @@
 //! slowest host with a safe placement, which keeps the fast hosts for the tasks that need them. A
 //! task without a safe placement goes to the host where it finishes first. How likely a task is in
 //! time follows from the observed error of the forecasts for its kind (`run_times`); the objective
-//! grows with the work, so that a wrong forecast costs little on a host of usual speed.
+//! grows with the work, so that a wrong forecast costs little on a host of usual speed. A task of a kind
+//! that slows others down, or is slowed down by them, weighs the extra run time like a wait
+//! (`disturbance`).
 
 use std::cmp::Ordering;
 use std::rc::Rc;
@@ -63,7 +65,7 @@
     /// Time in which a task must end because the agent shuts down, in milliseconds; infinite if it
     /// does not.
     pub(crate) closes_in_ms: f64,
-    /// Number of runs there by kind; empty unless tasks are kept apart.
+    /// Number of runs there by kind; empty unless a pair of kinds is kept apart.
     pub(crate) runs: Vec<KindRuns>,
 }
 
--- a/components/scheduling/src/scheduler/interference.rs
+++ b/components/scheduling/src/scheduler/interference.rs
@@ -95,6 +95,12 @@
         }
     }
 
+    /// Returns whether any pair of kinds is kept apart.
+    pub(super) fn has_beliefs(&self) -> bool {
+        let interference = self.interference.as_ref();
+        interference.is_some_and(|at| !at.beliefs.is_empty())
+    }
+
     /// Returns the beliefs, if there are any about a kind.
     pub(super) fn beliefs_about(&self, kind: KindKey) -> Option<&Beliefs> {
         let beliefs = &self.interference.as_ref()?.beliefs;
--- a/components/scheduling/src/scheduler/planning.rs
+++ b/components/scheduling/src/scheduler/planning.rs
@@ -131,7 +131,7 @@
             openings: openings_after(&view.openings, &pending),
             urgent_openings: openings_after(&view.urgent_openings, &pending),
             placed_tasks: 0,
-            runs: if self.interference.is_some() {
+            runs: if self.has_beliefs() {
                 host.runs_by_kind()
             } else {
                 Vec::new()
