--- a/components/config/src/settings/sidecar.rs
+++ b/components/config/src/settings/sidecar.rs
@@ -20,6 +20,7 @@
     Key::optional("seed_peers", Kind::Addresses { min_count: 0 }),
     Key::optional_integer("drain_timeout_ms", 0, 600_000),
     Key::optional_integer("evacuation_bound_ms", 2_000, 600_000),
+    Key::optional("separate_interfering_tasks", Kind::Boolean),
     Key::optional("log", Kind::Table(log::KEYS)),
 ];
 
@@ -54,6 +55,9 @@
     /// evacuated; absent if evacuations are not followed.
     #[serde(default)]
     pub evacuation_bound_ms: Option<u64>,
+    /// Whether kinds of task that slow each other down on one host are detected and kept apart.
+    #[serde(default)]
+    pub separate_interfering_tasks: bool,
     /// Format and levels of the log.
     #[serde(default)]
     pub log: LogSettings,
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -116,7 +116,8 @@
         let far_factor = settings.far_factor_percent as f64 / 100.0;
         let starting_until_ms = uptime_ms() + START_GRACE_MS;
         let scheduler = Scheduler::new(key, &settings.failure_domain, far_factor)
-            .with_hosts_expected_until(starting_until_ms);
+            .with_hosts_expected_until(starting_until_ms)
+            .separating_interfering_tasks(settings.separate_interfering_tasks);
         let own_address = settings.peer_address;
         let mut exchange = Exchange::new(uptime_ms(), Some(own_address), key.0);
         exchange.set_seeds(&settings.seed_peers);
@@ -310,6 +311,10 @@
                 })
             })
             .collect();
+        let pairs = scheduler.interfering_pairs().into_iter();
+        let interfering_pairs: Vec<Value> = pairs
+            .map(|(of, by, factor)| json!({ "kind": of, "beside": by, "factor": factor }))
+            .collect();
         let version = self
             .active_configuration
             .borrow()
@@ -324,6 +329,7 @@
             "jobs": scheduler.job_count(),
             "exchange": crate::bootstrap::state(self),
             "hosts": hosts,
+            "interfering_pairs": interfering_pairs,
         })
     }
 }
--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -181,6 +181,7 @@
             is_stalled: false,
         };
         let (id, owner) = (run.id, run.owner);
+        self.record_neighbors_at_start(now_ms, task);
         self.push_event(owner, id, RunEvent::Started);
     }
 
@@ -255,6 +256,7 @@
         if self.has_polling_gap {
             return;
         }
+        self.learn_effects(now_ms, task);
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
--- a/components/hosting/tests/host/main.rs
+++ b/components/hosting/tests/host/main.rs
@@ -6,5 +6,6 @@
 mod harness;
 mod incarnations;
 mod leases;
+mod neighbors;
 mod queueing;
 mod retries;
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod answer;
 mod evacuations;
+mod interference;
 mod job;
 mod keys;
 mod limits;
@@ -17,6 +18,7 @@
     MAX_EVACUATED_FAILURE_DOMAINS, MAX_FAILURE_DOMAIN_BYTES, is_failure_domain_name,
     names_in_one_text,
 };
+pub use interference::{KindRuns, Neighbors, PairEffect, count_runs};
 pub use job::{JobMeta, JobSpec, TaskSpec};
 pub use keys::{
     Attempt, FirmKey, Generation, GroupKey, JobDigest, JobKey, KindKey, ProcessKey, ShardKey,
--- a/components/scheduling/src/scheduler/mod.rs
+++ b/components/scheduling/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 mod evacuation;
 mod events;
 mod forecasts;
+mod interference;
 mod planning;
 mod recovery;
 mod warm_up;
@@ -13,6 +14,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use interference::Interference;
 use model::{HostUpdate, HostUpdateRequest, JobId, Orders, ProcessKey, RunEvent, RunId};
 use run_times::Kinds;
 use rustc_hash::FxHashMap;
@@ -88,6 +90,15 @@
         /// What happened.
         event: RunEvent,
     },
+    /// Log that a pair of kinds is now kept apart, or no longer.
+    LogInterference {
+        /// Name of the kind that takes longer.
+        of: String,
+        /// Name of the kind beside which it does.
+        by: String,
+        /// The change.
+        change: ::interference::Change,
+    },
     /// Record how well a duration was forecast.
     RecordForecast(ForecastOutcome),
     /// Log the placement of a task.
@@ -124,6 +135,8 @@
     evacuated_failure_domains: BTreeSet<Rc<str>>,
     /// Until when hosts may be known that have not been listed yet, in milliseconds.
     hosts_expected_until_ms: u64,
+    /// Beliefs about interference, if tasks are kept apart.
+    interference: Option<Interference>,
 }
 
 impl Scheduler {
@@ -149,6 +162,7 @@
             kinds: Kinds::default(),
             evacuated_failure_domains: BTreeSet::new(),
             hosts_expected_until_ms: 0,
+            interference: None,
         }
     }
 
@@ -275,6 +289,7 @@
         let speeds = candidates.iter().map(|candidate| candidate.speed_permille);
         let usual_speed_permille = run_times::reference_speed(&mut speeds.collect::<Vec<u32>>());
         let queue = Rc::clone(&request.queue.name);
+        self.record_kind_names(&queue, request.steps.len());
         let kinds = &mut self.kinds;
         Job::new(now_ms, request, usual_speed_permille, |at, step| {
             let kind = kinds.slot(now_ms, &queue, at);
@@ -373,6 +388,7 @@
     /// past their deadlines, and places waiting tasks.
     pub fn tick(&mut self, now_ms: u64, actions: &mut Vec<SchedulerAction>) {
         self.update_connections(now_ms, actions);
+        self.update_interference(now_ms, actions);
         let slots: Vec<JobSlot> = self.jobs.keys().collect();
         for slot in slots {
             self.recover_lost_runs(now_ms, slot, actions);
--- a/components/scheduling/tests/scheduler/main.rs
+++ b/components/scheduling/tests/scheduler/main.rs
@@ -2,6 +2,7 @@
 
 mod evacuation;
 mod forecasts;
+mod interference;
 mod jobs;
 mod support;
 mod warm_up;
--- a/components/sidecar/src/metrics.rs
+++ b/components/sidecar/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use hosting::{StartOutcome, TargetPollOutcome};
 use runtime::prometheus::{IntCounter, IntCounterVec, IntGauge};
-use runtime::{Metrics, MetricsError};
+use runtime::{Metrics, MetricsError, uptime_ms};
 
 use crate::process::Shared;
 
@@ -15,6 +15,7 @@
     running: IntGauge,
     evacuated_failure_domains: IntGauge,
     evacuated_tasks: IntCounter,
+    estimated_pairs: IntGauge,
     dropped_log_lines: IntGauge,
 }
 
@@ -50,6 +51,10 @@
                 "shallotcross_sidecar_evacuated_tasks_total",
                 "Tasks rejected because the failure domain of the host is evacuated.",
             )?,
+            estimated_pairs: metrics.gauge(
+                "shallotcross_sidecar_estimated_pairs",
+                "Pairs of kinds of task whose effect on each other is estimated.",
+            )?,
             dropped_log_lines: metrics.gauge(
                 "shallotcross_sidecar_log_lines_left_out",
                 "Log lines dropped by the rate limit or because the log reader is slow.",
@@ -112,6 +117,8 @@
         self.evacuated_tasks.reset();
         self.evacuated_tasks
             .inc_by(shared.host.borrow().evacuated_task_count());
+        let pairs = shared.host.borrow_mut().pair_effects(uptime_ms());
+        self.estimated_pairs.set(pairs.len() as i64);
         let counts = runtime::log_counts();
         let dropped = counts.dropped_over_rate + counts.dropped_over_buffer;
         self.dropped_log_lines.set(dropped as i64);
--- a/components/sim/src/event.rs
+++ b/components/sim/src/event.rs
@@ -60,7 +60,7 @@
         epoch: u64,
         call: u64,
         orders: Option<u64>,
-        update: HostUpdate,
+        update: Box<HostUpdate>,
     },
     /// An agent detects that an entry's connection has closed.
     LinkClosed {
--- a/components/sim/src/lib.rs
+++ b/components/sim/src/lib.rs
@@ -10,6 +10,7 @@
 mod evacuation;
 mod event;
 mod fault;
+mod interference;
 mod report;
 mod scenario;
 mod target;
@@ -17,6 +18,7 @@
 
 pub use client::{Burst, JobKind, Load};
 pub use fault::{Fault, FaultKind};
+pub use interference::Interference;
 pub use report::{ForecastReport, KindReport, Report, StageReport, Violation};
 pub use scenario::{Scenario, deployment, patterns, quarter_evacuated, usual_load};
 pub use target::TargetSpec;
