Start nothing while a run that had to end may still run

The lease end in a start call covers all runs of the target. While a run that had to end is overdue, polls withhold the lease, but each start renewed it, so that the run could go on for longer than docs/PLATFORM.md allows. Waiting tasks now stay waiting, and starts to be repeated wait, until the run has ended. The test for overdue runs is in one method.

--- a/components/hosting/src/host/ends.rs
+++ b/components/hosting/src/host/ends.rs
@@ -58,6 +58,15 @@
         });
     }
 
+    /// Returns whether a run that had to end may still be running. Until it has ended, neither a poll
+    /// nor a start may renew the lease, which covers all runs at the target.
+    pub(super) fn has_overdue_run(&self, now_ms: u64) -> bool {
+        self.runs.values().any(|run| {
+            matches!(run.state, RunState::Stopping { must_end_by_ms: Some(by_ms), .. }
+                if by_ms <= now_ms)
+        })
+    }
+
     /// Repeats the stops of runs that have not ended.
     pub(super) fn retry_stops(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
         for run in self.runs.values_mut() {
--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -22,11 +22,7 @@
     /// the target ends all runs.
     pub fn target_poll(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) -> TargetPoll {
         self.end_unauthorized(now_ms, actions);
-        let is_overdue = self.runs.values().any(|run| {
-            matches!(run.state, RunState::Stopping { must_end_by_ms: Some(by_ms), .. }
-                if by_ms <= now_ms)
-        });
-        let lease_end_ms = if is_overdue || self.runs.is_empty() {
+        let lease_end_ms = if self.has_overdue_run(now_ms) || self.runs.is_empty() {
             None
         } else {
             self.lease.grant(now_ms)
--- a/components/hosting/src/host/starts.rs
+++ b/components/hosting/src/host/starts.rs
@@ -146,7 +146,8 @@
         is_draining.then_some(NotStartedReason::Draining)
     }
 
-    /// Sends a start again, the first `immediate` times at once and then after growing pauses.
+    /// Sends a start again, the first `immediate` times at once and then after growing pauses; while
+    /// the lease may not be renewed it waits for [`Self::repeat_starts`].
     fn repeat_start(
         &mut self,
         now_ms: u64,
@@ -159,11 +160,14 @@
             self.resolve_refused_start(now_ms, task, NotStartedReason::Evacuated, actions);
             return;
         }
+        let may_send = !self.has_overdue_run(now_ms);
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
         match run.repeats.next_start_ms(now_ms, immediate) {
-            Some(at_ms) if at_ms <= now_ms => self.send_start(now_ms, task, number, actions),
+            Some(at_ms) if at_ms <= now_ms && may_send => {
+                self.send_start(now_ms, task, number, actions);
+            }
             repeat_at_ms @ Some(_) => {
                 run.state = RunState::Starting {
                     number,
@@ -176,12 +180,15 @@
 
     /// Sends the starts again whose pause is over; a draining or evacuated target gets none, since it
     /// may not have received an earlier copy. Without a target they wait for its report, which
-    /// resolves them if it is a new incarnation.
+    /// resolves them if it is a new incarnation. While a run is overdue they wait for its end.
     pub(super) fn repeat_starts(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
         if self.target.is_none() {
             return;
         }
         let obstacle = self.obstacle_to_repeats();
+        if obstacle.is_none() && self.has_overdue_run(now_ms) {
+            return;
+        }
         let due: Vec<(TaskRef, u32)> = self
             .runs
             .iter()
@@ -229,9 +236,11 @@
         });
     }
 
-    /// Starts waiting tasks in the order of [`QueuePosition`], as far as they fit.
+    /// Starts waiting tasks in the order of [`QueuePosition`], as far as they fit; none while a run is
+    /// overdue, since a start renews the lease.
     pub(super) fn start_waiting(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
-        if self.is_evacuated || now_ms < self.starts_paused_until_ms {
+        if self.is_evacuated || now_ms < self.starts_paused_until_ms || self.has_overdue_run(now_ms)
+        {
             return;
         }
         let Some(target) = self.usable_target(now_ms) else {
--- a/components/hosting/tests/host/main.rs
+++ b/components/hosting/tests/host/main.rs
@@ -8,3 +8,4 @@
 mod leases;
 mod queueing;
 mod retries;
+mod stops;
