Keep the earliest time by which a stopping run must end

When another entry ordered the task of a run that was already stopping, the new stop replaced the time by which the run must have ended by a later one, so that the lease was withheld later than docs/PLATFORM.md allows. The earlier time now stays in force.

--- a/components/hosting/src/host/ends.rs
+++ b/components/hosting/src/host/ends.rs
@@ -26,7 +26,7 @@
     }
 
     /// Sends a stop, also to a stopping run if that must end by a given time; does nothing if no
-    /// start was sent.
+    /// start was sent. The earliest time by which a run must end stays in force.
     pub(super) fn send_stop(
         &mut self,
         now_ms: u64,
@@ -41,9 +41,12 @@
         let Some(number) = run.number() else {
             return;
         };
-        if matches!(run.state, RunState::Stopping { .. }) && must_end_by_ms.is_none() {
-            return;
-        }
+        let present_ms = match run.state {
+            RunState::Stopping { .. } if must_end_by_ms.is_none() => return,
+            RunState::Stopping { must_end_by_ms, .. } => must_end_by_ms,
+            _ => None,
+        };
+        let must_end_by_ms = present_ms.into_iter().chain(must_end_by_ms).min();
         run.repeats = Repeats::of_stop(seed);
         run.state = RunState::Stopping {
             number,
--- a/components/hosting/tests/host/stops.rs
+++ b/components/hosting/tests/host/stops.rs
@@ -69,3 +69,13 @@
         assert_eq!(starts(&mut bench), 1, "{unanswered} unanswered");
     }
 }
+
+// A later order of the task by another entry postponed the time at which the lease is withheld.
+#[test]
+fn a_later_order_does_not_postpone_the_end_of_a_stopping_run() {
+    let mut bench = replaced_bench();
+    bench.advance(STOP_CONFIRM_MS - 50);
+    replace(&mut bench);
+    bench.advance(50);
+    assert!(!renews_lease(&mut bench));
+}
