Repeat a stop every 50 ms once its run must end by a given time

A withdrawn run is stopped without such a time. When its entry lost its authority later, the repeats of the stop could already be in their growing pauses, so that one or two stops were sent in the 250 ms in which five should be. The repeats begin anew then.

--- a/components/hosting/src/host/orders.rs
+++ b/components/hosting/src/host/orders.rs
@@ -143,20 +143,24 @@
             .collect();
         for (task, lost_at_ms) in lost {
             let must_end_by_ms = lost_at_ms + STOP_CONFIRM_MS;
-            match self.runs.get_mut(&task).map(|run| &mut run.state) {
-                Some(RunState::Waiting { .. }) => {
-                    self.reject(task, NotStartedReason::PermitExpired);
-                }
-                Some(RunState::Stopping {
+            let seed = self.jitter_seed(task);
+            let Some(run) = self.runs.get_mut(&task) else {
+                continue;
+            };
+            match &mut run.state {
+                RunState::Waiting { .. } => self.reject(task, NotStartedReason::PermitExpired),
+                RunState::Stopping {
                     must_end_by_ms: by_ms @ None,
                     retry_at_ms,
                     ..
-                }) => {
+                } => {
                     *by_ms = Some(must_end_by_ms);
                     *retry_at_ms = (*retry_at_ms).min(now_ms + STOP_RETRY_MS);
+                    // The stop may have been repeated so often that its pauses have grown.
+                    run.repeats = Repeats::of_stop(seed);
                 }
-                Some(RunState::Stopping { .. }) | None => {}
-                Some(_) => self.send_stop(now_ms, task, Some(must_end_by_ms), actions),
+                RunState::Stopping { .. } => {}
+                _ => self.send_stop(now_ms, task, Some(must_end_by_ms), actions),
             }
         }
     }
--- a/components/hosting/tests/host/stops.rs
+++ b/components/hosting/tests/host/stops.rs
@@ -1,6 +1,6 @@
 //! Runs that must have ended by a given time: their stops, and the lease if they do not end.
 
-use hosting::{STOP_CONFIRM_MS, StartOutcome, TargetCall};
+use hosting::{PERMIT_TTL_MS, STOP_CONFIRM_MS, StartOutcome, TargetCall};
 
 use crate::harness::{Bench, ENTRY, OTHER_ENTRY, order, task};
 
@@ -79,3 +79,28 @@
     bench.advance(50);
     assert!(!renews_lease(&mut bench));
 }
+
+// The stop of a withdrawn run that had been repeated five times was in its growing pauses when the
+// entry lost its authority, and was sent only once or twice before the run had to end.
+#[test]
+fn a_withdrawn_run_gets_five_stops_after_its_entry_lost_its_authority() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    bench.execute_starts();
+    bench.advance(100);
+    let mut withdrawal = bench.orders(ENTRY, Vec::new());
+    withdrawal.stops.push(bench.events[0].0);
+    bench.send(withdrawal);
+    bench.advance(2_000);
+    let advance = |bench: &mut Bench, ms: u64| {
+        for _ in 0..ms / 10 {
+            bench.now_ms += 10;
+            bench.poll_target();
+        }
+    };
+    advance(&mut bench, PERMIT_TTL_MS);
+    bench.stops();
+    advance(&mut bench, STOP_CONFIRM_MS);
+    let stops = bench.stops();
+    assert!(stops.len() >= 5, "{stops:?}");
+}
