Poll at short intervals after resets while runs depend on the lease

The pause after a poll that was reset grew to 200 ms also while runs were at the target, and the parallel polls waited for it too, so that resets for 500 ms let the lease lapse. While a run is at the target and its last answer is less than 700 ms old, the pause is 20 ms again, and parallel polls do not wait for it.

--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -12,7 +12,7 @@
     LEASE_MS, MAX_PARALLEL_POLLS, MIN_POLL_PAUSE_MS, MIN_STALL_MS, PARALLEL_POLL_MS,
     PARALLEL_POLL_WAIT_MS, TARGET_CALL_TIMEOUT_MS, TARGET_POLL_TIMEOUT_MS, TARGET_POLL_WAIT_MS,
 };
-use crate::run::RunState;
+use crate::run::{Run, RunState};
 use crate::target::{EndedRun, RunningRun, TargetEnd, TargetPollOutcome, TargetRuns};
 
 impl Host {
@@ -86,8 +86,24 @@
         self.next_poll_at_ms
     }
 
+    /// Returns the time from which on the target may be polled in parallel, in milliseconds: without a
+    /// pause while runs depend on the lease, since another connection may be answered.
+    #[must_use]
+    pub fn next_parallel_poll_at_ms(&self, now_ms: u64) -> u64 {
+        if self.depends_on_lease(now_ms) {
+            return now_ms;
+        }
+        self.next_poll_at_ms
+    }
+
+    /// Returns whether runs may be at the target whose lease the next poll can still renew.
+    fn depends_on_lease(&self, now_ms: u64) -> bool {
+        let is_silent = now_ms >= self.last_answer_at_ms + LEASE_MS;
+        !is_silent && self.runs.values().any(Run::occupies_resources)
+    }
+
     /// Sets the time of the next poll: after a pause if the last one failed immediately, since the
-    /// next one would fail likewise.
+    /// next one would fail likewise. The pause does not grow while runs depend on the lease.
     fn schedule_poll(&mut self, now_ms: u64, sent_at_ms: u64, outcome: &TargetPollOutcome) {
         let has_waited = now_ms.saturating_sub(sent_at_ms) >= MIN_POLL_PAUSE_MS;
         self.next_poll_at_ms = match outcome {
@@ -97,6 +113,9 @@
             }
             TargetPollOutcome::Unanswered => now_ms,
             TargetPollOutcome::Failed if has_waited => now_ms,
+            TargetPollOutcome::Failed if self.depends_on_lease(now_ms) => {
+                now_ms + MIN_POLL_PAUSE_MS
+            }
             TargetPollOutcome::NobodyListens | TargetPollOutcome::Failed => {
                 self.poll_backoff.record_failure(now_ms)
             }
--- a/components/hosting/src/limits.rs
+++ b/components/hosting/src/limits.rs
@@ -79,7 +79,8 @@
 pub(crate) const MIN_POLL_PAUSE_MS: u64 = 20;
 
 /// Longest pause before a poll that failed immediately is repeated, in milliseconds. The target's
-/// next report ends the pause.
+/// next report ends the pause. While runs depend on the lease, a poll that was reset is repeated after
+/// [`MIN_POLL_PAUSE_MS`]: with growing pauses, resets for 500 ms let the lease lapse.
 pub(crate) const MAX_POLL_PAUSE_MS: u64 = 200;
 
 /// Largest step by which a fencing token that is too low is raised: a year in milliseconds. The
--- a/components/sidecar/src/calls.rs
+++ b/components/sidecar/src/calls.rs
@@ -150,6 +150,12 @@
     next_ms.saturating_sub(uptime_ms())
 }
 
+fn parallel_poll_pause_ms(shared: &Shared) -> u64 {
+    let now_ms = uptime_ms();
+    let next_ms = shared.host.borrow().next_parallel_poll_at_ms(now_ms);
+    next_ms.saturating_sub(now_ms)
+}
+
 /// Polls in addition to [`poll_target`] for a time after the target left a call unanswered, so that
 /// one lost answer delays neither the renewal of the lease nor the news of an end; never returns.
 ///
@@ -157,7 +163,7 @@
 pub(crate) async fn poll_in_parallel(shared: Rc<Shared>, number: usize) {
     loop {
         let is_needed = shared.host.borrow().poll_count(uptime_ms()) > number;
-        if !is_needed || poll_pause_ms(&shared) > 0 {
+        if !is_needed || parallel_poll_pause_ms(&shared) > 0 {
             monoio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
             continue;
         }
--- a/components/sim/src/agent.rs
+++ b/components/sim/src/agent.rs
@@ -559,7 +559,13 @@
                 host.poll_ended(now_ms, poll.sent_ms, outcome, actions);
             });
         }
-        let next_us = self.agents[host].host.next_poll_at_ms() * 1_000;
+        let state = &self.agents[host].host;
+        let next_ms = if poll.lane == 0 {
+            state.next_poll_at_ms()
+        } else {
+            state.next_parallel_poll_at_ms(self.now_ms())
+        };
+        let next_us = next_ms * 1_000;
         let mut pause_us = next_us.saturating_sub(self.now_us);
         // Only the failures of the first lane are reported to the host.
         if !is_answered && !is_timeout && poll.lane > 0 {
