Hold a start that is due at once while the target is unknown

After a poll had met another incarnation, a start that failed was sent again at once although there was no target to name. The call was dropped, its outcome never came, and the run stayed in its state forever if the same incarnation returned. The start now waits for the target's report, as paused starts do.

--- a/components/hosting/src/host/starts.rs
+++ b/components/hosting/src/host/starts.rs
@@ -146,8 +146,8 @@
         is_draining.then_some(NotStartedReason::Draining)
     }
 
-    /// Sends a start again, the first `immediate` times at once and then after growing pauses; while
-    /// the lease may not be renewed it waits for [`Self::repeat_starts`].
+    /// Sends a start again, the first `immediate` times at once and then after growing pauses; without
+    /// a target, or while the lease may not be renewed, it waits for [`Self::repeat_starts`].
     fn repeat_start(
         &mut self,
         now_ms: u64,
@@ -160,7 +160,7 @@
             self.resolve_refused_start(now_ms, task, NotStartedReason::Evacuated, actions);
             return;
         }
-        let may_send = !self.has_overdue_run(now_ms);
+        let may_send = self.target.is_some() && !self.has_overdue_run(now_ms);
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
--- a/components/hosting/tests/host/retries.rs
+++ b/components/hosting/tests/host/retries.rs
@@ -320,3 +320,24 @@
     let next_ms = bench.host.next_poll_at_ms();
     assert_eq!(bench.host.next_parallel_poll_at_ms(bench.now_ms), next_ms);
 }
+
+// A start that was due at once was sent although the target was unknown since a poll had met another
+// incarnation; its call was dropped, and the run stayed in its state forever.
+#[test]
+fn a_start_is_not_repeated_without_a_target_but_on_its_report() {
+    for outcome in [
+        StartOutcome::Failed,
+        StartOutcome::Unanswered,
+        StartOutcome::Refused(StartRefusal::LeaseOver),
+    ] {
+        let mut bench = starting_bench();
+        end_poll(&mut bench, TargetPollOutcome::OtherIncarnation);
+        assert_eq!(end_start(&mut bench, outcome), [], "{outcome:?}");
+        bench.report(report(BORN_UNIX_MS, 2));
+        assert!(
+            matches!(bench.actions[..], [TargetCall::Start { number: 1, .. }]),
+            "{outcome:?}: {:?}",
+            bench.actions
+        );
+    }
+}
