Send no paused start to a target that leaves

A start whose pause ended after the target had announced that it shuts down was still sent there. The run now goes back as not started, or is stopped if an earlier copy may have arrived.

--- a/components/hosting/src/host/starts.rs
+++ b/components/hosting/src/host/starts.rs
@@ -139,6 +139,9 @@
         if self.is_evacuated {
             return Some(NotStartedReason::Evacuated);
         }
+        if self.is_target_gone {
+            return Some(NotStartedReason::NoTarget);
+        }
         let is_draining = self
             .target
             .as_ref()
@@ -178,8 +181,8 @@
         }
     }
 
-    /// Sends the starts again whose pause is over; a draining or evacuated target gets none, since it
-    /// may not have received an earlier copy. Without a target they wait for its report, which
+    /// Sends the starts again whose pause is over; a draining, leaving or evacuated target gets none,
+    /// since it may not have received an earlier copy. Without a target they wait for its report, which
     /// resolves them if it is a new incarnation. While a run is overdue they wait for its end.
     pub(super) fn repeat_starts(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
         if self.target.is_none() {
--- a/components/hosting/tests/host/retries.rs
+++ b/components/hosting/tests/host/retries.rs
@@ -341,3 +341,27 @@
         );
     }
 }
+
+// A paused start was sent to a target that had announced that it shuts down.
+#[test]
+fn a_paused_start_is_not_sent_to_a_target_that_leaves() {
+    let mut bench = starting_bench();
+    for _ in 0..5 {
+        end_start(&mut bench, StartOutcome::Refused(StartRefusal::LeaseOver));
+    }
+    for _ in 0..3 {
+        bench.end_start(task(2), 1, StartOutcome::Unanswered);
+    }
+    bench.actions.clear();
+    bench.host.target_left("target");
+    bench.now_ms += 50;
+    bench.request_update(ENTRY);
+    bench.host.tick(bench.now_ms, &mut bench.actions);
+    assert!(
+        matches!(bench.actions[..], [TargetCall::Stop { .. }]),
+        "{:?}",
+        bench.actions
+    );
+    assert_eq!(bench.stops(), [task(2)]);
+    assert_eq!(bench.outcome(1), Some(NO_TARGET));
+}
