Log the last failures before the store answers, and pause registrations by the backoff

The failures of the directory that were counted since the last line were never logged once the store answered again. They are now drained after the first list that succeeds.

`Backoff::is_due` and `Backoff::next_attempt_at_ms` were used by tests only and are removed; the tests check the remaining time instead, which is 0 exactly when an attempt is due.

No test covers the lines of the directory or the pauses of the registration.

--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -38,7 +38,7 @@
         .seed(shared.key.0)
         .build();
     loop {
-        match list_and_watch(&shared, &mut registered).await {
+        match list_and_watch(&shared, &mut registered, &mut failures).await {
             Ok(()) => backoff.record_success(),
             Err(error) => {
                 if let Some(count) = failures.record(uptime_ms(), ()) {
@@ -52,15 +52,25 @@
     }
 }
 
+/// Logs the failures that no line has counted, once the store answers again.
+fn log_uncounted_failures(failures: &mut RepeatedLines<()>) {
+    for ((), count) in failures.drain(uptime_ms()) {
+        log::info!(target: "gateway", event = "directory_unavailable", count = count;
+            "hosts could not be read from the store, which answers again");
+    }
+}
+
 /// Lists the hosts and applies watched changes; returns when a change may have been missed.
 async fn list_and_watch(
     shared: &Rc<Shared>,
     registered: &mut RegisteredAddresses,
+    failures: &mut RepeatedLines<()>,
 ) -> Result<(), StoreError> {
     let listed = shared.store.list(HOSTS_PREFIX, false).await;
     shared.metrics.record_store_call("list", listed.is_ok());
     bootstrap::record_store_read(shared, StorePart::Hosts, is_answered(&listed));
     let list = listed?;
+    log_uncounted_failures(failures);
     registered.clear();
     for item in &list.items {
         add_registered(shared, item, registered);
--- a/components/runtime/src/backoff.rs
+++ b/components/runtime/src/backoff.rs
@@ -20,7 +20,7 @@
 /// use runtime::Backoff;
 ///
 /// let mut backoff = Backoff::builder(20, 200).jitter_permille(0).build();
-/// assert!(backoff.is_due(1_000));
+/// assert_eq!(backoff.remaining_ms(1_000), 0);
 /// assert_eq!(backoff.record_failure(1_000), 1_020);
 /// assert_eq!(backoff.record_failure(1_020), 1_060);
 /// backoff.record_success();
@@ -35,6 +35,7 @@
     random: u64,
     /// Pause after the next failure, before jitter.
     next_pause_ms: u64,
+    /// Time of the next attempt; 0 unless the last one failed.
     next_attempt_at_ms: u64,
 }
 
@@ -50,18 +51,6 @@
         }
     }
 
-    /// Returns whether an attempt may be made at `now_ms`.
-    #[must_use]
-    pub fn is_due(&self, now_ms: u64) -> bool {
-        self.next_attempt_at_ms <= now_ms
-    }
-
-    /// Returns the time of the next attempt, in milliseconds; it is 0 unless the last one failed.
-    #[must_use]
-    pub fn next_attempt_at_ms(&self) -> u64 {
-        self.next_attempt_at_ms
-    }
-
     /// Returns the time until the next attempt, in milliseconds.
     #[must_use]
     pub fn remaining_ms(&self, now_ms: u64) -> u64 {
--- a/components/runtime/src/repeated_lines.rs
+++ b/components/runtime/src/repeated_lines.rs
@@ -42,6 +42,18 @@
         state.take_due(now_ms)
     }
 
+    /// Returns the causes with events that have not been logged, and the numbers of these events, without
+    /// waiting until their lines are due; for the end of a series of events.
+    pub fn drain(&mut self, now_ms: u64) -> Vec<(K, u64)> {
+        let unlogged = self
+            .causes
+            .iter_mut()
+            .filter(|(_, state)| state.unlogged > 0);
+        unlogged
+            .map(|(cause, state)| (*cause, state.take(now_ms)))
+            .collect()
+    }
+
     /// Returns the causes with events whose line is due, and the numbers of these events.
     pub fn take_due(&mut self, now_ms: u64) -> Vec<(K, u64)> {
         let mut due = Vec::new();
@@ -59,7 +71,11 @@
         if self.unlogged == 0 || now_ms < self.next_line_at_ms {
             return None;
         }
+        Some(self.take(now_ms))
+    }
+
+    fn take(&mut self, now_ms: u64) -> u64 {
         self.next_line_at_ms = now_ms + LINE_INTERVAL_MS;
-        Some(std::mem::take(&mut self.unlogged))
+        std::mem::take(&mut self.unlogged)
     }
 }
--- a/components/runtime/tests/backoff.rs
+++ b/components/runtime/tests/backoff.rs
@@ -32,7 +32,7 @@
     assert_eq!(backoff.record_failure(8_000), 8_500);
     assert_eq!(backoff.remaining_ms(8_100), 400);
     backoff.record_peer_start();
-    assert!(backoff.is_due(8_100));
+    assert_eq!(backoff.remaining_ms(8_100), 0);
     assert_eq!(backoff.record_failure(8_100), 8_110);
 }
 
--- a/components/runtime/tests/repeated_lines.rs
+++ b/components/runtime/tests/repeated_lines.rs
@@ -38,3 +38,17 @@
     assert_eq!(lines.take_due(1_000), [("reset", 2)]);
     assert_eq!(lines.take_due(2_000), []);
 }
+
+// The last failures before a store answered again were never logged: nothing asked for their count.
+#[test]
+fn the_events_at_the_end_of_a_series_are_drained_before_their_line_is_due() {
+    let mut lines = RepeatedLines::default();
+    assert_eq!(lines.record(0, "reset"), Some(1));
+    assert_eq!(lines.drain(5), []);
+    assert_eq!(lines.record(10, "reset"), None);
+    assert_eq!(lines.record(20, "reset"), None);
+    assert_eq!(lines.drain(30), [("reset", 2)]);
+    assert_eq!(lines.drain(2_000), []);
+    assert_eq!(lines.record(40, "reset"), None);
+    assert_eq!(lines.take_due(1_030), [("reset", 1)]);
+}
--- a/components/sidecar/src/registration.rs
+++ b/components/sidecar/src/registration.rs
@@ -7,7 +7,7 @@
 use hosting::TargetReport;
 use model::{HOSTS_PREFIX, HostRegistration, RegisteredTarget};
 use platform::StoreError;
-use runtime::uptime_ms;
+use runtime::{Backoff, pause_after_failure, uptime_ms};
 
 use crate::process::Shared;
 
@@ -29,6 +29,9 @@
 pub(crate) async fn maintain(shared: Rc<Shared>) {
     restore_target(&shared).await;
     let mut was_store_reachable = true;
+    let mut backoff = Backoff::builder(RETRY_PAUSE_MS, RETRY_PAUSE_MS)
+        .seed(shared.key.0)
+        .build();
     loop {
         let Err(error) = register(&shared).await;
         shared
@@ -41,7 +44,7 @@
                 "host cannot be registered in the store; retrying");
         }
         was_store_reachable = is_store_reachable;
-        monoio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+        pause_after_failure(&mut backoff).await;
     }
 }
 
