--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -12,7 +12,7 @@
     LEASE_MS, MAX_PARALLEL_POLLS, MIN_POLL_PAUSE_MS, MIN_STALL_MS, PARALLEL_POLL_MS,
     PARALLEL_POLL_WAIT_MS, TARGET_CALL_TIMEOUT_MS, TARGET_POLL_TIMEOUT_MS, TARGET_POLL_WAIT_MS,
 };
-use crate::run::RunState;
+use crate::run::{Run, RunState};
 use crate::target::{EndedRun, RunningRun, TargetEnd, TargetPollOutcome, TargetRuns};
 
 impl Host {
@@ -22,11 +22,7 @@
     /// the target ends all runs.
     pub fn target_poll(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) -> TargetPoll {
         self.end_unauthorized(now_ms, actions);
-        let is_overdue = self.runs.values().any(|run| {
-            matches!(run.state, RunState::Stopping { must_end_by_ms: Some(by_ms), .. }
-                if by_ms <= now_ms)
-        });
-        let lease_end_ms = if is_overdue || self.runs.is_empty() {
+        let lease_end_ms = if self.has_overdue_run(now_ms) || self.runs.is_empty() {
             None
         } else {
             self.lease.grant(now_ms)
@@ -76,7 +72,7 @@
                 self.reject_waiting(NotStartedReason::NoTarget);
             }
             TargetPollOutcome::OtherIncarnation => self.target = None,
-            TargetPollOutcome::Failed | TargetPollOutcome::Unanswered => {
+            TargetPollOutcome::Inconclusive | TargetPollOutcome::Unanswered => {
                 self.parallel_poll_until_ms = now_ms + PARALLEL_POLL_MS;
             }
         }
@@ -90,8 +86,24 @@
         self.next_poll_at_ms
     }
 
+    /// Returns the time from which on the target may be polled in parallel, in milliseconds: without a
+    /// pause while runs depend on the lease, since another connection may be answered.
+    #[must_use]
+    pub fn next_parallel_poll_at_ms(&self, now_ms: u64) -> u64 {
+        if self.depends_on_lease(now_ms) {
+            return now_ms;
+        }
+        self.next_poll_at_ms
+    }
+
+    /// Returns whether runs may be at the target whose lease the next poll can still renew.
+    fn depends_on_lease(&self, now_ms: u64) -> bool {
+        let is_silent = now_ms >= self.last_answer_at_ms + LEASE_MS;
+        !is_silent && self.runs.values().any(Run::occupies_resources)
+    }
+
     /// Sets the time of the next poll: after a pause if the last one failed immediately, since the
-    /// next one would fail likewise.
+    /// next one would fail likewise. The pause does not grow while runs depend on the lease.
     fn schedule_poll(&mut self, now_ms: u64, sent_at_ms: u64, outcome: &TargetPollOutcome) {
         let has_waited = now_ms.saturating_sub(sent_at_ms) >= MIN_POLL_PAUSE_MS;
         self.next_poll_at_ms = match outcome {
@@ -100,8 +112,11 @@
                 now_ms
             }
             TargetPollOutcome::Unanswered => now_ms,
-            TargetPollOutcome::Failed if has_waited => now_ms,
-            TargetPollOutcome::NobodyListens | TargetPollOutcome::Failed => {
+            TargetPollOutcome::Inconclusive if has_waited => now_ms,
+            TargetPollOutcome::Inconclusive if self.depends_on_lease(now_ms) => {
+                now_ms + MIN_POLL_PAUSE_MS
+            }
+            TargetPollOutcome::NobodyListens | TargetPollOutcome::Inconclusive => {
                 self.poll_backoff.record_failure(now_ms)
             }
             // The token is raised, or the identity left out, so that the next poll may succeed.
--- a/components/hosting/src/host/starts.rs
+++ b/components/hosting/src/host/starts.rs
@@ -38,9 +38,9 @@
             match outcome {
                 StartOutcome::Started => self.mark_running(now_ms, task, number, 0),
                 StartOutcome::NobodyListens => {
-                    self.resolve_refused_start(now_ms, task, NotStartedReason::NoTarget, actions);
+                    self.give_up_start(now_ms, task, NotStartedReason::NoTarget, actions);
                 }
-                StartOutcome::Failed => {
+                StartOutcome::Inconclusive => {
                     self.record_unanswered_start(now_ms, task);
                     self.repeat_start(now_ms, task, number, IMMEDIATE_AFTER_FAILURE, actions);
                 }
@@ -73,7 +73,7 @@
             // The run with this number may be the one that an earlier copy of the start began, and a
             // higher number would run the task again.
             StartRefusal::OldNumber if number == u32::MAX || self.may_have_arrived(task) => {
-                self.resolve_refused_start(now_ms, task, NotStartedReason::NoTarget, actions);
+                self.give_up_start(now_ms, task, NotStartedReason::NoTarget, actions);
             }
             StartRefusal::OldNumber => {
                 // The last number at the target is unknown; doubling exceeds it after few attempts.
@@ -87,10 +87,10 @@
             }
             StartRefusal::NoRoom => {
                 self.starts_paused_until_ms = now_ms + NO_ROOM_BACKOFF_MS;
-                self.resolve_refused_start(now_ms, task, NotStartedReason::NoRoom, actions);
+                self.give_up_start(now_ms, task, NotStartedReason::NoRoom, actions);
             }
             StartRefusal::Malformed => {
-                self.resolve_refused_start(now_ms, task, NotStartedReason::Malformed, actions);
+                self.give_up_start(now_ms, task, NotStartedReason::Malformed, actions);
             }
             // An earlier copy may have begun a run that ended with the earlier incarnation.
             StartRefusal::OtherIncarnation if self.may_have_arrived(task) => {
@@ -99,14 +99,14 @@
             StartRefusal::OtherIncarnation => self.reject(task, NotStartedReason::NoTarget),
             StartRefusal::Unhealthy => {
                 self.health.failed(now_ms, task.job);
-                self.resolve_refused_start(now_ms, task, NotStartedReason::NoTarget, actions);
+                self.give_up_start(now_ms, task, NotStartedReason::NoTarget, actions);
             }
         }
     }
 
-    /// Rejects a run whose start was refused, unless the target may still execute an earlier copy
-    /// of the start: then a stop has to prevent that first.
-    pub(super) fn resolve_refused_start(
+    /// Gives up the start of a run: rejects the run, or sends a stop if a copy of the start may have
+    /// arrived.
+    pub(super) fn give_up_start(
         &mut self,
         now_ms: u64,
         task: TaskRef,
@@ -120,17 +120,17 @@
         }
     }
 
-    /// Returns whether the target may still execute a copy of a run's start.
+    /// Returns whether a copy of a run's start may have arrived at the target.
     fn may_have_arrived(&self, task: TaskRef) -> bool {
         let run = self.runs.get(&task);
-        run.is_some_and(|run| run.has_unanswered_start)
+        run.is_some_and(|run| run.may_have_arrived)
     }
 
-    /// Records that the target may have received a start without an answer.
+    /// Records that a copy of a run's start may have arrived, since it had no conclusive answer.
     fn record_unanswered_start(&mut self, now_ms: u64, task: TaskRef) {
         self.parallel_poll_until_ms = now_ms + PARALLEL_POLL_MS;
         if let Some(run) = self.runs.get_mut(&task) {
-            run.has_unanswered_start = true;
+            run.may_have_arrived = true;
         }
     }
 
@@ -139,6 +139,9 @@
         if self.is_evacuated {
             return Some(NotStartedReason::Evacuated);
         }
+        if self.is_target_gone {
+            return Some(NotStartedReason::NoTarget);
+        }
         let is_draining = self
             .target
             .as_ref()
@@ -146,7 +149,8 @@
         is_draining.then_some(NotStartedReason::Draining)
     }
 
-    /// Sends a start again, the first `immediate` times at once and then after growing pauses.
+    /// Sends a start again, the first `immediate` times at once and then after growing pauses; without
+    /// a target, or while the lease may not be renewed, it waits for [`Self::repeat_starts`].
     fn repeat_start(
         &mut self,
         now_ms: u64,
@@ -156,32 +160,38 @@
         actions: &mut Vec<TargetCall>,
     ) {
         if self.is_evacuated {
-            self.resolve_refused_start(now_ms, task, NotStartedReason::Evacuated, actions);
+            self.give_up_start(now_ms, task, NotStartedReason::Evacuated, actions);
             return;
         }
+        let may_send = self.target.is_some() && !self.has_overdue_run(now_ms);
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
         match run.repeats.next_start_ms(now_ms, immediate) {
-            Some(at_ms) if at_ms <= now_ms => self.send_start(now_ms, task, number, actions),
+            Some(at_ms) if at_ms <= now_ms && may_send => {
+                self.send_start(now_ms, task, number, actions);
+            }
             repeat_at_ms @ Some(_) => {
                 run.state = RunState::Starting {
                     number,
                     repeat_at_ms,
                 };
             }
-            None => self.resolve_refused_start(now_ms, task, NotStartedReason::NoTarget, actions),
+            None => self.give_up_start(now_ms, task, NotStartedReason::NoTarget, actions),
         }
     }
 
-    /// Sends the starts again whose pause is over; a draining or evacuated target gets none, since it
-    /// may not have received an earlier copy. Without a target they wait for its report, which
-    /// resolves them if it is a new incarnation.
+    /// Sends the starts again whose pause is over; a draining, leaving or evacuated target gets none,
+    /// since it may not have received an earlier copy. Without a target they wait for its report, which
+    /// resolves them if it is a new incarnation. While a run is overdue they wait for its end.
     pub(super) fn repeat_starts(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
         if self.target.is_none() {
             return;
         }
         let obstacle = self.obstacle_to_repeats();
+        if obstacle.is_none() && self.has_overdue_run(now_ms) {
+            return;
+        }
         let due: Vec<(TaskRef, u32)> = self
             .runs
             .iter()
@@ -195,7 +205,7 @@
             .collect();
         for (task, number) in due {
             match obstacle {
-                Some(reason) => self.resolve_refused_start(now_ms, task, reason, actions),
+                Some(reason) => self.give_up_start(now_ms, task, reason, actions),
                 None => self.send_start(now_ms, task, number, actions),
             }
         }
@@ -210,7 +220,7 @@
         actions: &mut Vec<TargetCall>,
     ) {
         let Some(lease_end_ms) = self.lease.grant(now_ms) else {
-            self.resolve_refused_start(now_ms, task, NotStartedReason::NoTarget, actions);
+            self.give_up_start(now_ms, task, NotStartedReason::NoTarget, actions);
             return;
         };
         let Some(run) = self.runs.get_mut(&task) else {
@@ -229,9 +239,11 @@
         });
     }
 
-    /// Starts waiting tasks in the order of [`QueuePosition`], as far as they fit.
+    /// Starts waiting tasks in the order of [`QueuePosition`], as far as they fit; none while a run is
+    /// overdue, since a start renews the lease.
     pub(super) fn start_waiting(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
-        if self.is_evacuated || now_ms < self.starts_paused_until_ms {
+        if self.is_evacuated || now_ms < self.starts_paused_until_ms || self.has_overdue_run(now_ms)
+        {
             return;
         }
         let Some(target) = self.usable_target(now_ms) else {
--- a/components/hosting/src/limits.rs
+++ b/components/hosting/src/limits.rs
@@ -64,8 +64,8 @@
 /// call in twenty unanswered, one start in 8,000 needs a third repeat.
 pub(crate) const IMMEDIATE_AFTER_TIMEOUT: u32 = 2;
 
-/// Number of immediate repeats of a start whose call failed before its time limit: a connection
-/// that the target has just closed fails once.
+/// Number of immediate repeats of a start whose call was inconclusive before its time limit: a
+/// connection that the target has just closed fails once.
 pub(crate) const IMMEDIATE_AFTER_FAILURE: u32 = 1;
 
 /// Number of immediate repeats of a start that was refused for its token, number or lease; few
@@ -79,7 +79,8 @@
 pub(crate) const MIN_POLL_PAUSE_MS: u64 = 20;
 
 /// Longest pause before a poll that failed immediately is repeated, in milliseconds. The target's
-/// next report ends the pause.
+/// next report ends the pause. While runs depend on the lease, a poll that was reset is repeated after
+/// [`MIN_POLL_PAUSE_MS`]: with growing pauses, resets for 500 ms let the lease lapse.
 pub(crate) const MAX_POLL_PAUSE_MS: u64 = 200;
 
 /// Largest step by which a fencing token that is too low is raised: a year in milliseconds. The
--- a/components/hosting/tests/host/main.rs
+++ b/components/hosting/tests/host/main.rs
@@ -9,3 +9,4 @@
 mod neighbors;
 mod queueing;
 mod retries;
+mod stops;
