--- a/components/hosting/tests/host/evacuation.rs
+++ b/components/hosting/tests/host/evacuation.rs
@@ -72,6 +72,7 @@
     let durations = RunDurations {
         waited_ms: 0,
         ran_ms: 100,
+        was_host_busy: false,
     };
     let done = RunEvent::Ended(RunEnd::Done, durations);
     assert_eq!(bench.outcome(1), Some(done));
