Name outcomes that leave open whether a call arrived inconclusive

`StartOutcome::Failed` and `TargetPollOutcome::Failed` read as if the call had not arrived. They stand for a broken connection or an unreadable answer and are now `Inconclusive`; the label `failed` of starts and polls in `shallotcross_sidecar_target_calls_total` and the outcome in log lines change with them. A run's field and the method that reads it are both `may_have_arrived`, and `give_up_start` replaces `resolve_refused_start`, which handled more than refusals.

--- a/components/hosting/src/host/orders.rs
+++ b/components/hosting/src/host/orders.rs
@@ -56,7 +56,7 @@
                 start_by_ms: now_ms + u64::from(order.slack_ms),
                 priority: order.priority,
                 has_started_tasks: order.has_started_tasks,
-                has_unanswered_start: false,
+                may_have_arrived: false,
                 repeats: Repeats::of_start(self.jitter_seed(task)),
                 ordered_at_ms: now_ms,
                 state: RunState::Waiting {
--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -72,7 +72,7 @@
                 self.reject_waiting(NotStartedReason::NoTarget);
             }
             TargetPollOutcome::OtherIncarnation => self.target = None,
-            TargetPollOutcome::Failed | TargetPollOutcome::Unanswered => {
+            TargetPollOutcome::Inconclusive | TargetPollOutcome::Unanswered => {
                 self.parallel_poll_until_ms = now_ms + PARALLEL_POLL_MS;
             }
         }
@@ -112,11 +112,11 @@
                 now_ms
             }
             TargetPollOutcome::Unanswered => now_ms,
-            TargetPollOutcome::Failed if has_waited => now_ms,
-            TargetPollOutcome::Failed if self.depends_on_lease(now_ms) => {
+            TargetPollOutcome::Inconclusive if has_waited => now_ms,
+            TargetPollOutcome::Inconclusive if self.depends_on_lease(now_ms) => {
                 now_ms + MIN_POLL_PAUSE_MS
             }
-            TargetPollOutcome::NobodyListens | TargetPollOutcome::Failed => {
+            TargetPollOutcome::NobodyListens | TargetPollOutcome::Inconclusive => {
                 self.poll_backoff.record_failure(now_ms)
             }
             // The token is raised, or the identity left out, so that the next poll may succeed.
--- a/components/hosting/src/host/starts.rs
+++ b/components/hosting/src/host/starts.rs
@@ -38,9 +38,9 @@
             match outcome {
                 StartOutcome::Started => self.mark_running(now_ms, task, number, 0),
                 StartOutcome::NobodyListens => {
-                    self.resolve_refused_start(now_ms, task, NotStartedReason::NoTarget, actions);
+                    self.give_up_start(now_ms, task, NotStartedReason::NoTarget, actions);
                 }
-                StartOutcome::Failed => {
+                StartOutcome::Inconclusive => {
                     self.record_unanswered_start(now_ms, task);
                     self.repeat_start(now_ms, task, number, IMMEDIATE_AFTER_FAILURE, actions);
                 }
@@ -73,7 +73,7 @@
             // The run with this number may be the one that an earlier copy of the start began, and a
             // higher number would run the task again.
             StartRefusal::OldNumber if number == u32::MAX || self.may_have_arrived(task) => {
-                self.resolve_refused_start(now_ms, task, NotStartedReason::NoTarget, actions);
+                self.give_up_start(now_ms, task, NotStartedReason::NoTarget, actions);
             }
             StartRefusal::OldNumber => {
                 // The last number at the target is unknown; doubling exceeds it after few attempts.
@@ -87,10 +87,10 @@
             }
             StartRefusal::NoRoom => {
                 self.starts_paused_until_ms = now_ms + NO_ROOM_BACKOFF_MS;
-                self.resolve_refused_start(now_ms, task, NotStartedReason::NoRoom, actions);
+                self.give_up_start(now_ms, task, NotStartedReason::NoRoom, actions);
             }
             StartRefusal::Malformed => {
-                self.resolve_refused_start(now_ms, task, NotStartedReason::Malformed, actions);
+                self.give_up_start(now_ms, task, NotStartedReason::Malformed, actions);
             }
             // An earlier copy may have begun a run that ended with the earlier incarnation.
             StartRefusal::OtherIncarnation if self.may_have_arrived(task) => {
@@ -99,14 +99,14 @@
             StartRefusal::OtherIncarnation => self.reject(task, NotStartedReason::NoTarget),
             StartRefusal::Unhealthy => {
                 self.health.failed(now_ms, task.job);
-                self.resolve_refused_start(now_ms, task, NotStartedReason::NoTarget, actions);
+                self.give_up_start(now_ms, task, NotStartedReason::NoTarget, actions);
             }
         }
     }
 
-    /// Rejects a run whose start was refused, unless the target may still execute an earlier copy
-    /// of the start: then a stop has to prevent that first.
-    pub(super) fn resolve_refused_start(
+    /// Gives up the start of a run: rejects the run, or sends a stop if a copy of the start may have
+    /// arrived.
+    pub(super) fn give_up_start(
         &mut self,
         now_ms: u64,
         task: TaskRef,
@@ -120,17 +120,17 @@
         }
     }
 
-    /// Returns whether the target may still execute a copy of a run's start.
+    /// Returns whether a copy of a run's start may have arrived at the target.
     fn may_have_arrived(&self, task: TaskRef) -> bool {
         let run = self.runs.get(&task);
-        run.is_some_and(|run| run.has_unanswered_start)
+        run.is_some_and(|run| run.may_have_arrived)
     }
 
-    /// Records that the target may have received a start without an answer.
+    /// Records that a copy of a run's start may have arrived, since it had no conclusive answer.
     fn record_unanswered_start(&mut self, now_ms: u64, task: TaskRef) {
         self.parallel_poll_until_ms = now_ms + PARALLEL_POLL_MS;
         if let Some(run) = self.runs.get_mut(&task) {
-            run.has_unanswered_start = true;
+            run.may_have_arrived = true;
         }
     }
 
@@ -160,7 +160,7 @@
         actions: &mut Vec<TargetCall>,
     ) {
         if self.is_evacuated {
-            self.resolve_refused_start(now_ms, task, NotStartedReason::Evacuated, actions);
+            self.give_up_start(now_ms, task, NotStartedReason::Evacuated, actions);
             return;
         }
         let may_send = self.target.is_some() && !self.has_overdue_run(now_ms);
@@ -177,7 +177,7 @@
                     repeat_at_ms,
                 };
             }
-            None => self.resolve_refused_start(now_ms, task, NotStartedReason::NoTarget, actions),
+            None => self.give_up_start(now_ms, task, NotStartedReason::NoTarget, actions),
         }
     }
 
@@ -205,7 +205,7 @@
             .collect();
         for (task, number) in due {
             match obstacle {
-                Some(reason) => self.resolve_refused_start(now_ms, task, reason, actions),
+                Some(reason) => self.give_up_start(now_ms, task, reason, actions),
                 None => self.send_start(now_ms, task, number, actions),
             }
         }
@@ -220,7 +220,7 @@
         actions: &mut Vec<TargetCall>,
     ) {
         let Some(lease_end_ms) = self.lease.grant(now_ms) else {
-            self.resolve_refused_start(now_ms, task, NotStartedReason::NoTarget, actions);
+            self.give_up_start(now_ms, task, NotStartedReason::NoTarget, actions);
             return;
         };
         let Some(run) = self.runs.get_mut(&task) else {
--- a/components/hosting/src/limits.rs
+++ b/components/hosting/src/limits.rs
@@ -64,8 +64,8 @@
 /// call in twenty unanswered, one start in 8,000 needs a third repeat.
 pub(crate) const IMMEDIATE_AFTER_TIMEOUT: u32 = 2;
 
-/// Number of immediate repeats of a start whose call failed before its time limit: a connection
-/// that the target has just closed fails once.
+/// Number of immediate repeats of a start whose call was inconclusive before its time limit: a
+/// connection that the target has just closed fails once.
 pub(crate) const IMMEDIATE_AFTER_FAILURE: u32 = 1;
 
 /// Number of immediate repeats of a start that was refused for its token, number or lease; few
--- a/components/hosting/src/run.rs
+++ b/components/hosting/src/run.rs
@@ -78,8 +78,9 @@
     pub(crate) priority: u8,
     /// Whether any task of the job has started before, this one included.
     pub(crate) has_started_tasks: bool,
-    /// Whether a start was not answered, so that the target may still execute it.
-    pub(crate) has_unanswered_start: bool,
+    /// Whether a copy of the start had no conclusive answer, so that the target may have executed it or
+    /// may still do so.
+    pub(crate) may_have_arrived: bool,
     /// Repeats of the start, or of the stop once one was sent.
     pub(crate) repeats: Repeats,
     pub(crate) ordered_at_ms: u64,
--- a/components/hosting/src/target.rs
+++ b/components/hosting/src/target.rs
@@ -89,8 +89,9 @@
     OtherIncarnation,
     /// The connection was refused: no process listens at the target's address.
     NobodyListens,
-    /// The call failed before its time limit, as by a reset connection or an unreadable answer.
-    Failed,
+    /// The connection broke before the time limit, or the answer was unreadable; the poll may have
+    /// arrived.
+    Inconclusive,
     /// The target did not answer in time.
     Unanswered,
 }
@@ -127,9 +128,9 @@
     /// The connection was refused: no process listens at the target's address, so that this call
     /// cannot start the run.
     NobodyListens,
-    /// The call failed before its time limit, as by a reset connection; the run may have started or
-    /// may start later.
-    Failed,
+    /// The connection broke before the time limit, or the answer was unreadable; the run may have
+    /// started or may start later.
+    Inconclusive,
     /// No answer came in time; the run may have started or may start later.
     Unanswered,
 }
--- a/components/hosting/tests/host/authority.rs
+++ b/components/hosting/tests/host/authority.rs
@@ -60,7 +60,7 @@
 fn a_resumed_agent_does_not_repeat_a_start() {
     for outcome in [
         StartOutcome::Unanswered,
-        StartOutcome::Failed,
+        StartOutcome::Inconclusive,
         StartOutcome::NobodyListens,
         StartOutcome::Refused(StartRefusal::LeaseOver),
         StartOutcome::Refused(StartRefusal::StaleToken),
--- a/components/hosting/tests/host/retries.rs
+++ b/components/hosting/tests/host/retries.rs
@@ -110,8 +110,8 @@
     for (start, poll, max_polls) in [
         // One in 21 ms for the 700 ms of the lease; then five, and one in 160 ms at most.
         (
-            (StartOutcome::Failed, 1),
-            (TargetPollOutcome::Failed, 1),
+            (StartOutcome::Inconclusive, 1),
+            (TargetPollOutcome::Inconclusive, 1),
             34 + 37,
         ),
         (
@@ -193,7 +193,7 @@
         StartOutcome::Refused(StartRefusal::OtherIncarnation),
         StartOutcome::Refused(StartRefusal::NoRoom),
     ];
-    for first in [StartOutcome::Failed, StartOutcome::Unanswered] {
+    for first in [StartOutcome::Inconclusive, StartOutcome::Unanswered] {
         for last in refusals.into_iter().chain(others) {
             let mut bench = starting_bench();
             end_start(&mut bench, first);
@@ -284,8 +284,8 @@
             }
             match poll_sent {
                 Some((sent_ms, _)) if resets.contains(&sent_ms) && sent_ms < now_ms => {
-                    let (failed, actions) = (TargetPollOutcome::Failed, &mut bench.actions);
-                    bench.host.poll_ended(now_ms, sent_ms, failed, actions);
+                    let (reset, actions) = (TargetPollOutcome::Inconclusive, &mut bench.actions);
+                    bench.host.poll_ended(now_ms, sent_ms, reset, actions);
                     poll_sent = None;
                 }
                 Some((sent_ms, wait_ms)) if sent_ms + wait_ms <= now_ms => {
@@ -313,7 +313,7 @@
 #[test]
 fn parallel_polls_do_not_wait_for_the_pause_after_a_reset_while_runs_need_the_lease() {
     let mut bench = starting_bench();
-    end_poll(&mut bench, TargetPollOutcome::Failed);
+    end_poll(&mut bench, TargetPollOutcome::Inconclusive);
     assert!(bench.host.next_poll_at_ms() > bench.now_ms);
     assert!(bench.host.next_parallel_poll_at_ms(bench.now_ms) <= bench.now_ms);
     end_poll(&mut bench, TargetPollOutcome::NobodyListens);
@@ -326,7 +326,7 @@
 #[test]
 fn a_start_is_not_repeated_without_a_target_but_on_its_report() {
     for outcome in [
-        StartOutcome::Failed,
+        StartOutcome::Inconclusive,
         StartOutcome::Unanswered,
         StartOutcome::Refused(StartRefusal::LeaseOver),
     ] {
--- a/components/sidecar/src/calls.rs
+++ b/components/sidecar/src/calls.rs
@@ -199,7 +199,7 @@
         TargetPollOutcome::StaleToken => "stale_token",
         TargetPollOutcome::OtherIncarnation => "other_incarnation",
         TargetPollOutcome::NobodyListens => "nobody_listens",
-        TargetPollOutcome::Failed => "failed",
+        TargetPollOutcome::Inconclusive => "inconclusive",
         TargetPollOutcome::Unanswered => "unanswered",
     };
     log::warn!(target: "sidecar", event = "target_lost", reason = reason;
--- a/components/sidecar/src/metrics.rs
+++ b/components/sidecar/src/metrics.rs
@@ -64,7 +64,7 @@
             StartOutcome::Started => "ok",
             StartOutcome::Refused(reason) => reason.into(),
             StartOutcome::NobodyListens => "nobody_listens",
-            StartOutcome::Failed => "failed",
+            StartOutcome::Inconclusive => "inconclusive",
             StartOutcome::Unanswered => "unanswered",
         };
         self.target_calls
@@ -91,7 +91,7 @@
             TargetPollOutcome::StaleToken => "stale_token",
             TargetPollOutcome::OtherIncarnation => "other_incarnation",
             TargetPollOutcome::NobodyListens => "nobody_listens",
-            TargetPollOutcome::Failed => "failed",
+            TargetPollOutcome::Inconclusive => "inconclusive",
             TargetPollOutcome::Unanswered => "unanswered",
         };
         self.target_calls.with_label_values(&["hold", result]).inc();
