List the keys after every watch that returns events

A watch's answer with events whose revision was not above the one asked for was swallowed, and the same watch was sent again without a pause. An answer that lacked one of several events left the set wrong until the next change.

follow_keys now lists the keys after an answer with events and reports the listing: a set built from the events has the same revision as the listing after it, and a set of equal revision does not replace the known one. If the listing fails or is older than the answer, the events are applied as before. If the revision of the answer did not advance, the call returns, so that the caller pauses. The cost is one call per process and change.

--- a/components/platform/src/key_set.rs
+++ b/components/platform/src/key_set.rs
@@ -2,15 +2,15 @@
 
 use std::collections::BTreeSet;
 
-use adapter::WatchedChange;
+use adapter::{StoreList, WatchedChange};
 
 use crate::store::{StoreClient, StoreError};
 
 impl StoreClient {
     /// Follows the set of keys that begin with `prefix`; returns when a change may have been missed,
-    /// and the keys should be listed again by another call.
+    /// and the keys should be listed again by another call, after a pause.
     ///
-    /// Calls `on_set` with the revision of the store and the set after each read, and `on_call` with
+    /// Calls `on_set` with the revision of the store and the set after each change, and `on_call` with
     /// the kind of each call and whether it succeeded.
     ///
     /// # Errors
@@ -26,28 +26,58 @@
     ) -> Result<(), StoreError> {
         let listed = self.list(prefix, false).await;
         on_call("list", listed.is_ok());
-        let list = listed?;
-        let mut keys: BTreeSet<String> = list.items.into_iter().map(|item| item.key).collect();
-        let mut revision = list.revision;
+        let (mut revision, mut keys) = revision_and_keys(listed?);
         on_set(revision, &keys);
         loop {
             let watched = self.watch(prefix, revision, watch_wait_ms).await;
             on_call("watch", watched.is_ok());
             let watch = watched?;
+            if watch.changes.is_empty() && watch.revision == revision {
+                continue;
+            }
             // The store's revision advanced without an event: the watch may have missed a change.
-            if watch.changes.is_empty() && watch.revision != revision {
+            if watch.changes.is_empty() {
                 return Ok(());
             }
-            for change in watch.changes {
-                match change {
-                    WatchedChange::Put(item) => keys.insert(item.key),
-                    WatchedChange::Deleted { key } => keys.remove(&key),
-                };
-            }
-            if watch.revision != revision {
-                revision = watch.revision;
-                on_set(revision, &keys);
+            // The answer may lack one of several events. The set is listed before it is reported,
+            // since a later listing of the same revision would not replace the faulty set.
+            let listed = self.list(prefix, false).await;
+            on_call("list", listed.is_ok());
+            let error = match listed {
+                Ok(list) if list.revision >= watch.revision => {
+                    let previous_revision = revision;
+                    (revision, keys) = revision_and_keys(list);
+                    if revision > previous_revision {
+                        on_set(revision, &keys);
+                    }
+                    // Without an advance, the next watch could return the same events at once.
+                    if watch.revision <= previous_revision {
+                        return Ok(());
+                    }
+                    continue;
+                }
+                listed => listed.err(),
+            };
+            // Without a listing, the events are the best information on the change.
+            apply(watch.changes, &mut keys);
+            if watch.revision > revision {
+                on_set(watch.revision, &keys);
             }
+            return error.map_or(Ok(()), Err);
         }
     }
 }
+
+fn revision_and_keys(list: StoreList) -> (u64, BTreeSet<String>) {
+    let keys = list.items.into_iter().map(|item| item.key).collect();
+    (list.revision, keys)
+}
+
+fn apply(changes: Vec<WatchedChange>, keys: &mut BTreeSet<String>) {
+    for change in changes {
+        match change {
+            WatchedChange::Put(item) => keys.insert(item.key),
+            WatchedChange::Deleted { key } => keys.remove(&key),
+        };
+    }
+}
