Withdraw jobs that have not started when their hosts are evacuated

A job in progress of which no task had started was held to its deadline when every host was evacuated: only a refusal for overload led to a withdrawal. It is now also withdrawn if a host is evacuated and no candidate is left, unless other hosts are about to be in view. Without evacuations nothing changes.

Tests: the one for the refusal failed before the change; two more guard against a refusal while hosts are being connected or nothing is evacuated.

--- a/components/scheduling/src/scheduler/evacuation.rs
+++ b/components/scheduling/src/scheduler/evacuation.rs
@@ -11,7 +11,7 @@
 
 use super::{Scheduler, SchedulerAction};
 use crate::host::HostSlot;
-use crate::job::JobSlot;
+use crate::job::{Job, JobSlot};
 
 impl Scheduler {
     /// Sets the evacuated failure domains.
@@ -44,6 +44,14 @@
         hosts.any(|host| host.is_evacuated && host.is_followed(now_ms))
     }
 
+    /// Returns whether hosts are evacuated and no other host can take tasks of a job or is about to be
+    /// in view.
+    pub(super) fn are_hosts_evacuated(&self, now_ms: u64, job: &Job) -> bool {
+        self.has_evacuated_host(now_ms)
+            && !self.is_most_capacity_unseen(now_ms)
+            && self.candidates(now_ms, &job.request.queue.group).is_empty()
+    }
+
     pub(super) fn is_failure_domain_evacuated(&self, failure_domain: &str) -> bool {
         self.evacuated_failure_domains.contains(failure_domain)
     }
--- a/components/scheduling/src/scheduler/planning.rs
+++ b/components/scheduling/src/scheduler/planning.rs
@@ -242,7 +242,7 @@
     }
 
     /// Places the due tasks of a job, or withdraws the job if none of its tasks has started and it
-    /// would now be refused for overload.
+    /// would now be refused for overload or because its hosts are evacuated.
     pub(super) fn retry_placement(
         &mut self,
         now_ms: u64,
@@ -259,8 +259,15 @@
             self.retry_admission(now_ms, slot, plan, refusal_reason, actions);
             return;
         }
-        if refusal_reason == Some(NotRunReason::Overload) && !job.has_started_tasks {
-            self.withdraw(now_ms, slot, NotRunReason::Overload, actions);
+        let withdrawal_reason = match refusal_reason {
+            Some(NotRunReason::Overload) => Some(NotRunReason::Overload),
+            Some(NotRunReason::NoFittingHost) if self.are_hosts_evacuated(now_ms, job) => {
+                Some(NotRunReason::NoHosts)
+            }
+            _ => None,
+        };
+        if let Some(reason) = withdrawal_reason.filter(|_| !job.has_started_tasks) {
+            self.withdraw(now_ms, slot, reason, actions);
             return;
         }
         self.apply_plan(now_ms, slot, plan, actions);
--- a/components/scheduling/tests/scheduler/evacuation.rs
+++ b/components/scheduling/tests/scheduler/evacuation.rs
@@ -150,6 +150,49 @@
     assert!(wanted.count() <= 2 * MIN_CONNECTED_HOSTS);
 }
 
+// Jobs in progress were held to their deadlines while requests that arrived later were refused at once.
+#[test]
+fn a_job_that_has_not_started_is_refused_when_all_hosts_are_evacuated() {
+    let mut bench = Bench::in_failure_domains(&["zone-a", "zone-b"]);
+    bench.submit(job(1, 12));
+    bench.evacuate(&["zone-a", "zone-b"]);
+    bench.tick(100);
+    let verdict = bench.verdict();
+    assert!(
+        matches!(verdict, Some(Verdict::NotRun { .. })),
+        "{verdict:?}"
+    );
+}
+
+// A job must not be refused while the hosts that replace the evacuated ones are being connected.
+#[test]
+fn a_job_that_has_not_started_waits_for_hosts_that_are_being_connected() {
+    let mut bench = Bench::in_failure_domains(&["zone-a"]);
+    bench.submit(job(1, 1));
+    bench.add_host("zone-b");
+    bench.evacuate(&["zone-a"]);
+    bench.tick(100);
+    assert_eq!(bench.verdict(), None);
+    bench.connect(1);
+    bench.report(1, &[]);
+    bench.tick(100);
+    assert!(bench.orders(1).is_some());
+}
+
+// The withdrawal must not change installations in which nothing is evacuated.
+#[test]
+fn a_job_without_a_usable_host_waits_if_nothing_is_evacuated() {
+    let mut bench = Bench::in_failure_domains(&["zone-a"]);
+    bench.submit(job(1, 1));
+    let run = Bench::runs(&bench.orders(0).expect("orders"))[0];
+    let mut closed = view(8_000);
+    closed.is_open = false;
+    let returned = RunEvent::NotStarted(NotStartedReason::Draining);
+    bench.report_view(0, closed, &[(run, returned)]);
+    bench.tick(100);
+    assert_eq!(bench.verdict(), None);
+}
+
 impl Bench {
     fn add_host(&mut self, failure_domain: &str) {
         let name: Rc<str> = Rc::from(format!("host-{}", self.slots.len()));
