Count only hosts that are not evacuated in the cap of the subset

While all hosts were evacuated, each refused job recorded an unsafe placement, and the subset grew to the whole fleet. The cap on its size is now the number of known hosts that are not evacuated, or the minimum size.

--- a/components/scheduling/src/scheduler/connections.rs
+++ b/components/scheduling/src/scheduler/connections.rs
@@ -53,7 +53,9 @@
             return;
         }
         self.connections_updated_at_ms = now_ms;
-        let size = self.subset_size.update(now_ms, self.hosts_by_weight.len());
+        // Unsafe placements must not enlarge the subset by hosts that nothing can be placed on.
+        let in_use = self.hosts.values().filter(|host| !host.is_evacuated);
+        let size = self.subset_size.update(now_ms, in_use.count());
         let mut counted_hosts = 0;
         let mut evacuated_hosts = 0;
         for &slot in &self.hosts_by_weight {
--- a/components/scheduling/src/subset.rs
+++ b/components/scheduling/src/subset.rs
@@ -79,7 +79,8 @@
         self.pressure = (self.pressure + pressure_change).clamp(0.0, 2.0 * GROWTH_PRESSURE);
     }
 
-    /// Adjusts the size and returns it; `known` is the number of known hosts.
+    /// Adjusts the size and returns it; `known` is the number of known hosts
+    /// that are not evacuated.
     pub(crate) fn update(&mut self, now_ms: u64, known: usize) -> usize {
         let since_change_ms = now_ms.saturating_sub(self.changed_at_ms);
         if self.pressure >= GROWTH_PRESSURE {
--- a/components/scheduling/tests/scheduler/evacuation.rs
+++ b/components/scheduling/tests/scheduler/evacuation.rs
@@ -193,6 +193,22 @@
     assert_eq!(bench.verdict(), None);
 }
 
+// Each refused job recorded an unsafe placement, so that the subset grew to the whole fleet.
+#[test]
+fn the_subset_does_not_grow_while_all_hosts_are_evacuated() {
+    let zones = ["zone-a"].repeat(4 * MIN_CONNECTED_HOSTS);
+    let mut bench = Bench::in_failure_domains(&zones);
+    bench.evacuate(&["zone-a"]);
+    for number in 0..200 {
+        let outcome = bench.submit(job(number, 1));
+        assert!(is_refused_with_delay(&outcome), "{outcome:?}");
+        bench.tick(20);
+    }
+    let wanted = bench.slots.iter();
+    let wanted = wanted.filter(|&&slot| bench.scheduler.is_connection_wanted(slot));
+    assert_eq!(wanted.count(), MIN_CONNECTED_HOSTS);
+}
+
 impl Bench {
     fn add_host(&mut self, failure_domain: &str) {
         let name: Rc<str> = Rc::from(format!("host-{}", self.slots.len()));
