Back off with jitter when evacuations cannot be read from the store

All agents of a fleet called a store that refuses them every 500 ms, and in step. The pauses of an agent now grow from 0.5 to 5 s with jitter, and start anew after a successful watch. The pauses of an entry stay at 250 ms, with jitter. The agent has no metric of calls to the store, so that its calls for evacuations are not counted either.

Test: the time for three more refused listings at an agent; it failed before the change.

--- a/components/gateway/src/evacuation.rs
+++ b/components/gateway/src/evacuation.rs
@@ -4,7 +4,6 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use adapter::{EVACUATIONS_PREFIX, evacuated_failure_domain};
 use model::{
@@ -12,7 +11,7 @@
 };
 use platform::StoreError;
 use protocol::{HostLink, LinkError};
-use runtime::monotonic_us;
+use runtime::{Backoff, monotonic_us, pause_after_failure};
 use scheduling::HostSlot;
 use slotmap::SecondaryMap;
 use web::Notify;
@@ -22,8 +21,9 @@
 /// Longest time that a watch waits for a change, in milliseconds.
 const MAX_WATCH_WAIT_MS: u64 = 2_000;
 
-/// Pause before the keys are listed again after a failed call or a change that may have been missed,
-/// in milliseconds; a fraction of the bound, which is a few seconds.
+/// Longest pause before the keys are listed again after a failed call or a change that may have been
+/// missed, in milliseconds. It does not grow, since it must stay a fraction of the bound, which is a
+/// few seconds.
 const RELIST_PAUSE_MS: u64 = 250;
 
 /// Time limit of the call that passes a set on to an agent, in milliseconds.
@@ -62,6 +62,9 @@
         return;
     };
     let mut is_store_lost = false;
+    let mut backoff = Backoff::builder(RELIST_PAUSE_MS, RELIST_PAUSE_MS)
+        .seed(shared.key.0)
+        .build();
     loop {
         let followed = shared.store.follow_keys(
             EVACUATIONS_PREFIX,
@@ -84,7 +87,7 @@
                 reason = error.to_string();
                 "evacuations cannot be read from the store; the last ones stay in force");
         }
-        monoio::time::sleep(Duration::from_millis(RELIST_PAUSE_MS)).await;
+        pause_after_failure(&mut backoff).await;
     }
 }
 
--- a/components/sidecar/src/evacuation.rs
+++ b/components/sidecar/src/evacuation.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use adapter::{EVACUATIONS_PREFIX, evacuated_failure_domain};
 use model::{
@@ -10,6 +9,7 @@
     names_in_one_text,
 };
 use platform::StoreError;
+use runtime::{Backoff, pause_after_failure};
 
 use crate::process::Shared;
 
@@ -19,9 +19,13 @@
 /// to the agent.
 const WATCH_WAIT_MS: u64 = 20_000;
 
-/// Pause before the keys are listed again after a failed call or a change that may have been missed,
-/// in milliseconds.
-const RELIST_PAUSE_MS: u64 = 500;
+/// Pause before the keys are listed again after the first failed call or a change that may have been
+/// missed, in milliseconds.
+const MIN_RELIST_PAUSE_MS: u64 = 500;
+
+/// Longest pause before the keys are listed again, in milliseconds. A fleet has many agents, and
+/// entries pass sets on to them while the store fails.
+const MAX_RELIST_PAUSE_MS: u64 = 5_000;
 
 /// What an agent knows of evacuations.
 #[derive(Default)]
@@ -55,11 +59,19 @@
         return;
     }
     let mut is_store_lost = false;
+    let mut backoff = Backoff::builder(MIN_RELIST_PAUSE_MS, MAX_RELIST_PAUSE_MS)
+        .seed(shared.key.0)
+        .build();
     loop {
         let followed = shared.store.follow_keys(
             EVACUATIONS_PREFIX,
             WATCH_WAIT_MS,
-            |_, _| {},
+            // Listings alone may succeed at a store that fails every watch.
+            |call, is_ok| {
+                if call == "watch" && is_ok {
+                    backoff.record_success();
+                }
+            },
             |revision, keys| {
                 let names = keys.iter().filter_map(|key| evacuated_failure_domain(key));
                 merge(
@@ -77,7 +89,7 @@
                 reason = error.to_string();
                 "evacuations cannot be read from the store; entries pass them on");
         }
-        monoio::time::sleep(Duration::from_millis(RELIST_PAUSE_MS)).await;
+        pause_after_failure(&mut backoff).await;
     }
 }
 
--- a/tests/platform_evacuation.rs
+++ b/tests/platform_evacuation.rs
@@ -4,6 +4,7 @@
 
 use std::cell::Cell;
 use std::path::Path;
+use std::time::{Duration, Instant};
 
 use platform_standins::{
     CONFIGURATION_KEY, SharedLedger, StoreServer, TargetServer, TargetSettings, configuration,
@@ -171,6 +172,25 @@
     run.expect("the runtime starts");
 }
 
+// All agents of a fleet called a store that refuses them twice a second, and in step.
+#[test]
+fn an_agent_calls_a_store_that_refuses_it_less_and_less_often() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let run = runtime::run(async {
+        let system = System::start(folder.path(), BOUND).await;
+        let listings = || system.agent_store.listing_count(&evacuation_key(""));
+        wait_until("the keys are listed", async || listings() > 0).await;
+        system.agent_store.set_refusing(true);
+        let before = listings();
+        wait_until("the first listing is refused", async || listings() > before).await;
+        let refused_at = Instant::now();
+        wait_until("three more are refused", async || listings() >= before + 4).await;
+        // At least 0.5, 1 and 2 s less a fifth for jitter; 1.5 s if the pauses do not grow.
+        assert!(refused_at.elapsed() >= Duration::from_millis(2_800));
+    });
+    run.expect("the runtime starts");
+}
+
 // A watch whose history the store has discarded never reported the key.
 #[test]
 fn processes_list_the_keys_again_when_the_history_is_lost() {
