--- a/components/gateway/src/evacuation.rs
+++ b/components/gateway/src/evacuation.rs
@@ -113,7 +113,7 @@
     };
     log::warn!(target: "gateway", event = "evacuations", source = source, revision = revision,
         begun = names_in_one_text(&change.begun), ended = names_in_one_text(&change.ended);
-        "evacuated failure domains changed; tasks go only to the other ones");
+        "evacuated failure domains changed; tasks go only to failure domains that are not evacuated");
     let names: Vec<Rc<str>> = shared
         .evacuations
         .newest()
--- a/components/model/src/evacuations.rs
+++ b/components/model/src/evacuations.rs
@@ -153,14 +153,6 @@
             .is_some_and(|newest| newest.contains(failure_domain))
     }
 
-    /// Returns the newest set if a peer that knows the set of `known_revision` should get it.
-    #[must_use]
-    pub fn newer_than(&self, known_revision: Option<u64>) -> Option<&Evacuations> {
-        self.newest
-            .as_ref()
-            .filter(|newest| known_revision.is_none_or(|known| newest.revision > known))
-    }
-
     /// Returns the digest of the newest set.
     #[must_use]
     pub fn digest(&self) -> EvacuationsDigest {
