--- a/components/scheduling/tests/scheduler/evacuation.rs
+++ b/components/scheduling/tests/scheduler/evacuation.rs
@@ -150,6 +150,65 @@
     assert!(wanted.count() <= 2 * MIN_CONNECTED_HOSTS);
 }
 
+// Jobs in progress were held to their deadlines while requests that arrived later were refused at once.
+#[test]
+fn a_job_that_has_not_started_is_refused_when_all_hosts_are_evacuated() {
+    let mut bench = Bench::in_failure_domains(&["zone-a", "zone-b"]);
+    bench.submit(job(1, 12));
+    bench.evacuate(&["zone-a", "zone-b"]);
+    bench.tick(100);
+    let verdict = bench.verdict();
+    assert!(
+        matches!(verdict, Some(Verdict::NotRun { .. })),
+        "{verdict:?}"
+    );
+}
+
+// A job must not be refused while the hosts that replace the evacuated ones are being connected.
+#[test]
+fn a_job_that_has_not_started_waits_for_hosts_that_are_being_connected() {
+    let mut bench = Bench::in_failure_domains(&["zone-a"]);
+    bench.submit(job(1, 1));
+    bench.add_host("zone-b");
+    bench.evacuate(&["zone-a"]);
+    bench.tick(100);
+    assert_eq!(bench.verdict(), None);
+    bench.connect(1);
+    bench.report(1, &[]);
+    bench.tick(100);
+    assert!(bench.orders(1).is_some());
+}
+
+// The withdrawal must not change installations in which nothing is evacuated.
+#[test]
+fn a_job_without_a_usable_host_waits_if_nothing_is_evacuated() {
+    let mut bench = Bench::in_failure_domains(&["zone-a"]);
+    bench.submit(job(1, 1));
+    let run = Bench::runs(&bench.orders(0).expect("orders"))[0];
+    let mut closed = view(8_000);
+    closed.is_open = false;
+    let returned = RunEvent::NotStarted(NotStartedReason::Draining);
+    bench.report_view(0, closed, &[(run, returned)]);
+    bench.tick(100);
+    assert_eq!(bench.verdict(), None);
+}
+
+// Each refused job recorded an unsafe placement, so that the subset grew to the whole fleet.
+#[test]
+fn the_subset_does_not_grow_while_all_hosts_are_evacuated() {
+    let zones = ["zone-a"].repeat(4 * MIN_CONNECTED_HOSTS);
+    let mut bench = Bench::in_failure_domains(&zones);
+    bench.evacuate(&["zone-a"]);
+    for number in 0..200 {
+        let outcome = bench.submit(job(number, 1));
+        assert!(is_refused_with_delay(&outcome), "{outcome:?}");
+        bench.tick(20);
+    }
+    let wanted = bench.slots.iter();
+    let wanted = wanted.filter(|&&slot| bench.scheduler.is_connection_wanted(slot));
+    assert_eq!(wanted.count(), MIN_CONNECTED_HOSTS);
+}
+
 impl Bench {
     fn add_host(&mut self, failure_domain: &str) {
         let name: Rc<str> = Rc::from(format!("host-{}", self.slots.len()));
