Take hosts as listed only from replies that bring hosts

An entry set is_listed from any complete reply, also when it had not asked for hosts. A seed that was called back after an introduction believed that it had the listed hosts, ended the wait of jobs and told others so. Only replies with hosts count now, and only these are followed by the refresh interval. Peers with news are asked for hosts whenever the store does not answer.

Tests: the new test fails before the change; all tests of peers pass.

--- a/components/peers/src/exchange.rs
+++ b/components/peers/src/exchange.rs
@@ -177,7 +177,7 @@
         if need == Need::Refresh && !due.is_empty() {
             self.refresh_at_ms = now_ms + REFRESH_INTERVAL_MS;
         }
-        let wants_hosts = matches!(need, Need::Refresh | Need::State);
+        let wants_hosts = !self.is_store_answering();
         let calls = due.into_iter();
         calls
             .filter_map(|address| self.start_call(address, wants_hosts))
@@ -207,7 +207,9 @@
             peer.state.seen_hosts_digest = digest;
         }
         peer.state.known = Some(reply.knowledge);
-        let is_complete = reply.knowledge.is_complete() && reply.is_listed;
+        // Without its hosts, a reply says only that the peer has them.
+        let has_hosts = reply.hosts_digest.is_some();
+        let is_complete = has_hosts && reply.is_listed && reply.knowledge.is_complete();
         peer.due_at_ms = if is_complete {
             peer.backoff.record_success();
             now_ms + REFRESH_INTERVAL_MS
--- a/components/peers/tests/exchange.rs
+++ b/components/peers/tests/exchange.rs
@@ -178,6 +178,27 @@
     assert_eq!(asked(&mut seed, START_MS, NOTHING), [address(8)]);
 }
 
+// A seed took the host count of a reply without hosts for hosts of its own, ended the wait of jobs
+// and told others that it had them.
+#[test]
+fn only_a_reply_with_hosts_makes_them_known() {
+    let mut seed = exchange(&[1]);
+    seed.contacted(address(8), ALL, NOTHING, false);
+    let due = seed.take_due(START_MS, NOTHING);
+    assert!(due.len() == 1 && due[0].wants_hosts, "{due:?}");
+    let without_hosts = ReplySummary {
+        hosts_digest: None,
+        ..reply(ALL, true)
+    };
+    seed.answered(START_MS + 2, address(8), without_hosts);
+    assert!(!seed.is_listed());
+    seed.record_store_call(StorePart::Hosts, false);
+    let next = asked(&mut seed, START_MS + 60, NOTHING);
+    assert!(next.contains(&address(8)), "{next:?}");
+    seed.answered(START_MS + 62, address(8), reply(ALL, true));
+    assert!(seed.is_listed());
+}
+
 // Versions decide: a peer with an older configuration has nothing to tell.
 #[test]
 fn a_caller_that_knows_less_is_not_asked() {
