Ask a peer again whose news arrive during a call to it

The reply overwrote the time of the next call, so that news that the peer told while a call to it was in flight waited for a second. The call is now due as soon as the one in flight is answered.

Tests: the new test fails before the change; all tests of peers pass.

--- a/components/peers/src/exchange.rs
+++ b/components/peers/src/exchange.rs
@@ -216,6 +216,10 @@
         } else {
             peer.backoff.record_failure(now_ms)
         };
+        if peer.state.has_news {
+            // The peer has told its news since this call started; the reply may not contain them.
+            peer.due_at_ms = 0;
+        }
         self.is_listed |= is_complete;
     }
 
--- a/components/peers/tests/exchange.rs
+++ b/components/peers/tests/exchange.rs
@@ -199,6 +199,20 @@
     assert!(seed.is_listed());
 }
 
+// News from a peer during a call to it waited for the interval of refreshes.
+#[test]
+fn news_that_arrive_during_a_call_are_asked_for_when_it_ends() {
+    let mut exchange = refused(&[1]);
+    asked(&mut exchange, START_MS, ALL);
+    let newer = Knowledge { revision: 8, ..ALL };
+    exchange.contacted(address(1), newer, ALL, false);
+    assert!(asked(&mut exchange, START_MS + 1, ALL).is_empty());
+    exchange.answered(START_MS + 2, address(1), reply(ALL, true));
+    assert_eq!(asked(&mut exchange, START_MS + 2, ALL), [address(1)]);
+    exchange.answered(START_MS + 4, address(1), reply(newer, true));
+    assert!(asked(&mut exchange, START_MS + 4, newer).is_empty());
+}
+
 // Versions decide: a peer with an older configuration has nothing to tell.
 #[test]
 fn a_caller_that_knows_less_is_not_asked() {
