Let pauses to silent entries grow while the store is away

Pauses between announcements to an entry that does not answer stopped growing at 400 ms. That suits offers, which end after 10 s; announcements last as long as the store is away, and 760 agents would open thousands of connections a second to three silent seeds. Failures outside an offer now use a second backoff of up to 5 s, and the first announcement of each agent is put off by up to 200 ms.

The agent of the existing tests has the seed 0, for which the spread is 0, so that their exact times stay.

--- a/components/peers/src/announcer.rs
+++ b/components/peers/src/announcer.rs
@@ -2,14 +2,14 @@
 
 use std::net::SocketAddr;
 
-use model::ProcessKey;
+use model::{ProcessKey, mix64};
 use runtime::Backoff;
 use rustc_hash::FxHashMap;
 
 use crate::limits::{
-    ANNOUNCE_DELAY_MS, MAX_ANNOUNCE_PAUSE_MS, MAX_NAMED_PEERS, MAX_OFFER_PAUSE_MS,
-    MAX_PARALLEL_CALLS, MIN_ANNOUNCE_PAUSE_MS, MIN_OFFER_PAUSE_MS, OFFER_DELAY_MS,
-    OFFER_DURATION_MS,
+    ANNOUNCE_DELAY_MS, ANNOUNCE_SPREAD_MS, MAX_ANNOUNCE_PAUSE_MS, MAX_NAMED_PEERS,
+    MAX_OFFER_PAUSE_MS, MAX_PARALLEL_CALLS, MAX_SILENT_PAUSE_MS, MIN_ANNOUNCE_PAUSE_MS,
+    MIN_OFFER_PAUSE_MS, OFFER_DELAY_MS, OFFER_DURATION_MS,
 };
 use crate::peer_set::{Peer, PeerSet};
 
@@ -21,6 +21,8 @@
     offered_until_ms: u64,
     /// Pauses between announcements that the entry answers.
     repetition: Backoff,
+    /// Pauses between announcements that the entry does not answer while the host is not offered.
+    silence: Backoff,
 }
 
 /// Decides about the announcements of an agent.
@@ -28,6 +30,8 @@
 pub struct Announcer {
     entries: PeerSet<EntryState>,
     connected: FxHashMap<ProcessKey, SocketAddr>,
+    /// Time from the loss of the registration to the first announcement, in milliseconds.
+    announce_delay_ms: u64,
     /// Since when the store has not confirmed the registration, in milliseconds; `None` if it has.
     unconfirmed_since_ms: Option<u64>,
 }
@@ -38,14 +42,17 @@
     pub fn new(now_ms: u64, seed: u64) -> Self {
         let pauses = Backoff::builder(MIN_OFFER_PAUSE_MS, MAX_OFFER_PAUSE_MS).seed(seed);
         let repetition = Backoff::builder(MIN_ANNOUNCE_PAUSE_MS, MAX_ANNOUNCE_PAUSE_MS).seed(seed);
+        let silence = Backoff::builder(MIN_OFFER_PAUSE_MS, MAX_SILENT_PAUSE_MS).seed(seed);
         let initial_state = EntryState {
             connections: 0,
             offered_until_ms: 0,
             repetition: repetition.build(),
+            silence: silence.build(),
         };
         Self {
             entries: PeerSet::new(None, pauses.build(), initial_state),
             connected: FxHashMap::default(),
+            announce_delay_ms: ANNOUNCE_DELAY_MS + mix64(seed) % ANNOUNCE_SPREAD_MS,
             unconfirmed_since_ms: Some(now_ms),
         }
     }
@@ -62,6 +69,7 @@
         }
         for entry in self.entries.iter_mut() {
             entry.state.repetition.record_success();
+            entry.state.silence.record_success();
             if entry.state.offered_until_ms == 0 {
                 entry.due_at_ms = 0;
             }
@@ -98,6 +106,7 @@
         }
         self.connected.remove(&key);
         entry.expedite();
+        entry.state.silence.record_success();
         entry.due_at_ms = now_ms + OFFER_DELAY_MS;
         entry.state.offered_until_ms = now_ms + OFFER_DURATION_MS;
     }
@@ -128,6 +137,7 @@
             entry.is_in_flight = false;
             entry.confirm();
             entry.backoff.record_success();
+            entry.state.silence.record_success();
             entry.state.offered_until_ms = 0;
             // The announcement is repeated in case the entry restarts.
             entry.due_at_ms = entry.state.repetition.record_failure(now_ms);
@@ -140,6 +150,12 @@
     /// Records that an announcement to an entry failed.
     pub fn failed(&mut self, now_ms: u64, address: SocketAddr) {
         self.entries.failed(now_ms, address);
+        let Some(entry) = self.entries.get_mut(address) else {
+            return;
+        };
+        if now_ms >= entry.state.offered_until_ms {
+            entry.due_at_ms = entry.state.silence.record_failure(now_ms);
+        }
     }
 
     /// Returns the addresses of entries to pass on to the entry at `to`.
@@ -151,6 +167,6 @@
     /// Returns whether the host is announced because its registration is not confirmed.
     fn is_announcing(&self, now_ms: u64) -> bool {
         self.unconfirmed_since_ms
-            .is_some_and(|since_ms| now_ms >= since_ms + ANNOUNCE_DELAY_MS)
+            .is_some_and(|since_ms| now_ms >= since_ms + self.announce_delay_ms)
     }
 }
--- a/components/peers/src/limits.rs
+++ b/components/peers/src/limits.rs
@@ -40,6 +40,15 @@
 /// milliseconds: a call to the store times out after 500 ms.
 pub const ANNOUNCE_DELAY_MS: u64 = 600;
 
+/// Time over which the first announcements of agents are spread, in milliseconds: all agents lose the
+/// store at the same moment.
+pub const ANNOUNCE_SPREAD_MS: u64 = 200;
+
+/// Longest pause between announcements to an entry that does not answer, in milliseconds. The store
+/// may be away for long: with pauses of 400 ms, 760 agents would open thousands of connections a
+/// second to three seeds without power.
+pub(crate) const MAX_SILENT_PAUSE_MS: u64 = 5_000;
+
 /// Initial pause between two announcements to an entry that answers, in milliseconds.
 pub(crate) const MIN_ANNOUNCE_PAUSE_MS: u64 = 1_000;
 
@@ -57,6 +66,6 @@
 /// Initial pause between calls to an entry that does not answer an agent, in milliseconds.
 pub(crate) const MIN_OFFER_PAUSE_MS: u64 = 50;
 
-/// Longest pause between calls to an entry that does not answer an agent, in milliseconds; it delays
-/// the service of an entry that restarts while all seeds are down.
+/// Longest pause between offers to an entry that does not answer, in milliseconds; it delays the
+/// service of an entry that restarts while all seeds are down.
 pub(crate) const MAX_OFFER_PAUSE_MS: u64 = 400;
--- a/components/peers/tests/announcer.rs
+++ b/components/peers/tests/announcer.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use model::ProcessKey;
-use peers::{ANNOUNCE_DELAY_MS, Announcer, OFFER_DELAY_MS, OFFER_DURATION_MS};
+use peers::{ANNOUNCE_DELAY_MS, ANNOUNCE_SPREAD_MS, Announcer, OFFER_DELAY_MS, OFFER_DURATION_MS};
 
 const START_MS: u64 = 50_000;
 
@@ -13,8 +13,11 @@
     SocketAddr::from(([10, 0, 0, 1], 7_000 + number))
 }
 
+/// Seed of an agent whose first announcement is not put off by the spread.
+const SEED: u64 = 0;
+
 fn announcer() -> Announcer {
-    let mut announcer = Announcer::new(START_MS, 1);
+    let mut announcer = Announcer::new(START_MS, SEED);
     announcer.set_seeds(&[address(1)]);
     announcer
 }
@@ -58,6 +61,32 @@
     assert!(run(&mut announcer, START_MS, START_MS + 5_000, None).is_empty());
 }
 
+// 760 agents called three seeds without power every 400 ms for as long as the store was away.
+#[test]
+fn announcements_to_entries_that_do_not_answer_become_rare() {
+    let mut announcer = announcer();
+    run(&mut announcer, START_MS, START_MS + 20_000, None);
+    let calls = run(&mut announcer, START_MS + 20_000, START_MS + 60_000, None);
+    assert!((8..=10).contains(&calls.len()), "{calls:?}");
+}
+
+// All agents lose the store at once, and would announce their hosts in the same millisecond.
+#[test]
+fn the_first_announcements_of_agents_are_spread() {
+    let due_ms = START_MS + ANNOUNCE_DELAY_MS;
+    let mut counts = [0; 4];
+    for seed in 0..400 {
+        let mut announcer = Announcer::new(START_MS, seed);
+        announcer.set_seeds(&[address(1)]);
+        let is_due = |now_ms: &u64| !announcer.take_due(*now_ms).is_empty();
+        let mut times = START_MS..due_ms + ANNOUNCE_SPREAD_MS;
+        let first_ms = times.find(is_due).expect("an announcement");
+        assert!(first_ms >= due_ms);
+        counts[((first_ms - due_ms) * 4 / ANNOUNCE_SPREAD_MS) as usize] += 1;
+    }
+    assert!(counts.iter().all(|count| *count > 50), "{counts:?}");
+}
+
 // The store refuses an agent whose registration it has dropped.
 #[test]
 fn a_host_whose_registration_is_lost_is_announced_with_growing_pauses_until_it_is_registered() {
