Replace the entries not heard of for the longest time

64 confirmed addresses blocked new ones at an entry, and stale ones were named first. Each peer now has the time of its last contact. A full set drops a peer that does not answer, else the one whose last contact is the oldest, but no seed and none that is in flight or connected. Peers that were heard of last are named first. An address that was only named gives way before confirmed ones, so that a faulty peer displaces one entry at most at a time.

--- a/components/gateway/src/bootstrap.rs
+++ b/components/gateway/src/bootstrap.rs
@@ -64,10 +64,13 @@
             revision: request.revision,
             host_count: request.host_count as usize,
         };
-        shared
-            .exchange
-            .borrow_mut()
-            .contacted(address, theirs, known, has_newer_evacuations);
+        shared.exchange.borrow_mut().contacted(
+            uptime_ms(),
+            address,
+            theirs,
+            known,
+            has_newer_evacuations,
+        );
         call_due_peers(shared);
     }
     let active_configuration = shared.active_configuration.borrow();
--- a/components/peers/src/announcer.rs
+++ b/components/peers/src/announcer.rs
@@ -82,12 +82,13 @@
     }
 
     /// Records that an entry has connected and told its address.
-    pub fn entry_connected(&mut self, key: ProcessKey, address: SocketAddr) {
+    pub fn entry_connected(&mut self, now_ms: u64, key: ProcessKey, address: SocketAddr) {
         let Some(entry) = self.entries.insert(address) else {
             return;
         };
-        entry.confirm();
+        entry.confirm(now_ms);
         entry.state.connections += 1;
+        entry.is_connected = true;
         entry.state.offered_until_ms = 0;
         self.connected.insert(key, address);
     }
@@ -104,6 +105,8 @@
         if entry.state.connections > 0 {
             return;
         }
+        entry.is_connected = false;
+        entry.confirm(now_ms);
         self.connected.remove(&key);
         entry.expedite();
         entry.state.silence.record_success();
@@ -117,8 +120,7 @@
         let free = MAX_PARALLEL_CALLS.saturating_sub(self.entries.in_flight());
         let is_wanted = |entry: &&mut Peer<EntryState>| {
             let is_offered = now_ms < entry.state.offered_until_ms;
-            let is_connected = entry.state.connections > 0;
-            !is_connected && (is_announcing || is_offered) && entry.is_due(now_ms)
+            !entry.is_connected && (is_announcing || is_offered) && entry.is_due(now_ms)
         };
         let mut due: Vec<&mut Peer<EntryState>> =
             self.entries.iter_mut().filter(is_wanted).collect();
@@ -135,7 +137,7 @@
     pub fn answered(&mut self, now_ms: u64, address: SocketAddr, named: &[SocketAddr]) {
         if let Some(entry) = self.entries.get_mut(address) {
             entry.is_in_flight = false;
-            entry.confirm();
+            entry.confirm(now_ms);
             entry.backoff.record_success();
             entry.state.silence.record_success();
             entry.state.offered_until_ms = 0;
--- a/components/peers/src/exchange.rs
+++ b/components/peers/src/exchange.rs
@@ -201,7 +201,7 @@
             return;
         };
         peer.is_in_flight = false;
-        peer.confirm();
+        peer.confirm(now_ms);
         peer.state.is_introduced = true;
         if let Some(digest) = reply.hosts_digest {
             peer.state.seen_hosts_digest = digest;
@@ -235,6 +235,7 @@
     /// If it knows more than this entry, or has newer evacuations, it is asked immediately.
     pub fn contacted(
         &mut self,
+        now_ms: u64,
         address: SocketAddr,
         theirs: Knowledge,
         known: Knowledge,
@@ -244,7 +245,7 @@
         let Some(peer) = self.peers.insert(address) else {
             return;
         };
-        peer.confirm();
+        peer.confirm(now_ms);
         peer.state.is_introduced = true;
         peer.state.known = Some(theirs);
         let has_more_hosts = !is_store_answering && theirs.host_count > known.host_count;
--- a/components/peers/src/peer_set.rs
+++ b/components/peers/src/peer_set.rs
@@ -1,5 +1,6 @@
 //! A bounded set of the entries that a process may call.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use runtime::Backoff;
@@ -16,6 +17,10 @@
     /// named in messages, so that an address that is out of use does not circulate.
     pub(crate) is_confirmed: bool,
     pub(crate) is_in_flight: bool,
+    /// Whether the peer has a connection open to this process; it is not dropped meanwhile.
+    pub(crate) is_connected: bool,
+    /// When the peer last called this process or answered a call, in milliseconds; 0 if it has not.
+    last_contact_at_ms: u64,
     /// Time of the next call, in milliseconds.
     pub(crate) due_at_ms: u64,
     /// Pauses after calls that failed or brought nothing.
@@ -72,6 +77,8 @@
             is_seed: false,
             is_confirmed: false,
             is_in_flight: false,
+            is_connected: false,
+            last_contact_at_ms: 0,
             due_at_ms: 0,
             backoff: self.backoff,
             failures: 0,
@@ -80,14 +87,19 @@
         self.peers.last_mut()
     }
 
-    /// Drops the peer with the most failures if the set is full; returns whether there is room.
+    /// Drops a peer if the set is full: the one with the most failures of those that are not
+    /// confirmed, else the one whose last contact is the oldest. Returns whether there is room.
     fn make_room(&mut self) -> bool {
         if self.peers.len() < MAX_PEERS {
             return true;
         }
-        let droppable = |peer: &&Peer<T>| !peer.is_seed && !peer.is_in_flight && !peer.is_confirmed;
-        let candidates = self.peers.iter().filter(droppable);
-        let worst = candidates.max_by_key(|peer| peer.failures);
+        let is_droppable =
+            |peer: &&Peer<T>| !peer.is_seed && !peer.is_in_flight && !peer.is_connected;
+        let candidates = self.peers.iter().filter(is_droppable);
+        let worst = candidates.min_by_key(|peer| {
+            let failures = Reverse(peer.failures);
+            (peer.is_confirmed, failures, peer.last_contact_at_ms)
+        });
         let Some(address) = worst.map(|peer| peer.address) else {
             return false;
         };
@@ -126,19 +138,22 @@
         }
     }
 
-    /// Returns the addresses to pass on to the process at `to`.
+    /// Returns the addresses to pass on to the process at `to`: connected peers first, then those of
+    /// the most recent contact.
     pub(crate) fn named(&self, to: Option<SocketAddr>) -> Vec<SocketAddr> {
-        let confirmed = self.peers.iter().filter(|peer| peer.is_confirmed);
-        let addresses = confirmed.map(|peer| peer.address);
-        let others = addresses.filter(|address| Some(*address) != to);
-        others.take(MAX_NAMED_PEERS).collect()
+        let is_named = |peer: &&Peer<T>| peer.is_confirmed && Some(peer.address) != to;
+        let mut named: Vec<&Peer<T>> = self.peers.iter().filter(is_named).collect();
+        named.sort_by_key(|peer| Reverse((peer.is_connected, peer.last_contact_at_ms)));
+        let named = named.into_iter().take(MAX_NAMED_PEERS);
+        named.map(|peer| peer.address).collect()
     }
 }
 
 impl<T> Peer<T> {
     /// Records that the peer answered a call or called this process.
-    pub(crate) fn confirm(&mut self) {
+    pub(crate) fn confirm(&mut self, now_ms: u64) {
         self.is_confirmed = true;
+        self.last_contact_at_ms = now_ms;
         self.failures = 0;
     }
 
--- a/components/sidecar/src/entries.rs
+++ b/components/sidecar/src/entries.rs
@@ -34,7 +34,7 @@
         introduced
             .announcer
             .borrow_mut()
-            .entry_connected(key, address);
+            .entry_connected(uptime_ms(), key, address);
     };
     let evacuated = Rc::clone(&shared);
     let evacuations = move |from, newer| evacuation::entry_shared(&evacuated, from, newer);
