Replace the description of a host by the one that its agent gives

The first description of a host held until the host was forgotten. A peer may tell an old failure domain, with which the host is exempt from evacuations or remains in one. Registrations in the store and announcements now replace the name and the failure domain; the scheduler recomputes whether the host is evacuated, and places anew what has not been sent to it. Descriptions of peers replace nothing.

Tests: the new test of the scheduler fails if the first description is kept; all tests of scheduling and gateway pass. The call from the directory has no test of its own.

--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -108,6 +108,7 @@
         Ok(registration) => {
             registered.insert(item.key.clone(), registration.address.clone());
             add_host(shared, &registration, "store");
+            update_host(shared, &registration, "store");
         }
         Err(error) => {
             log::warn!(target: "gateway", event = "bad_registration", key = item.key.as_str(),
@@ -134,13 +135,12 @@
 pub(crate) fn add_announced_host(shared: &Rc<Shared>, host: &HostContact) {
     let address = host.address.to_string();
     let known = shared.addresses.borrow().get(&address).copied();
-    match known {
-        Some(slot) => {
-            let mut scheduler = shared.scheduler.borrow_mut();
-            scheduler.host_announced(uptime_ms(), slot);
-        }
-        None => add_host_from_peer(shared, host, "announcement"),
-    }
+    let Some(slot) = known else {
+        return add_host_from_peer(shared, host, "announcement");
+    };
+    let now_ms = uptime_ms();
+    shared.scheduler.borrow_mut().host_announced(now_ms, slot);
+    update_host(shared, &registration(host), "announcement");
 }
 
 /// Adds a host that a peer has told, unless its address is known or too many hosts are.
@@ -151,13 +151,16 @@
             "host told by a peer ignored: too many hosts are known");
         return;
     }
-    let registration = HostRegistration {
+    add_host(shared, &registration(host), source);
+}
+
+fn registration(host: &HostContact) -> HostRegistration {
+    HostRegistration {
         name: host.name.clone(),
         address: host.address.to_string(),
         failure_domain: host.failure_domain.clone(),
         target: None,
-    };
-    add_host(shared, &registration, source);
+    }
 }
 
 /// Adds a host unless its address is known, and starts to connect to its agent when needed.
@@ -180,6 +183,30 @@
     monoio::spawn(links::maintain(Rc::clone(shared), slot, address));
 }
 
+/// Replaces the name and the failure domain of a known host by those that its agent has given.
+fn update_host(shared: &Shared, registration: &HostRegistration, source: &str) {
+    let known = shared
+        .addresses
+        .borrow()
+        .get(&registration.address)
+        .copied();
+    let Some(slot) = known else {
+        return;
+    };
+    let (name, failure_domain) = (&registration.name, &registration.failure_domain);
+    let now_ms = uptime_ms();
+    let mut actions = Vec::new();
+    let mut scheduler = shared.scheduler.borrow_mut();
+    let is_changed = scheduler.update_host(now_ms, slot, name, failure_domain, &mut actions);
+    drop(scheduler);
+    if is_changed {
+        log::info!(target: "gateway", event = "host_changed", host = name.as_str(),
+            address = registration.address.as_str(), failure_domain = failure_domain.as_str(),
+            source = source; "name or failure domain of a host replaced");
+    }
+    shared.perform(actions);
+}
+
 /// Removes hosts that are no longer registered and have not answered for a long time.
 ///
 /// A deleted key alone doesn't remove a host: the connection to its agent shows whether it is
--- a/components/scheduling/src/scheduler/connections.rs
+++ b/components/scheduling/src/scheduler/connections.rs
@@ -1,5 +1,7 @@
 //! Choice of the hosts that the entry connects to.
 
+use std::rc::Rc;
+
 use super::{Scheduler, SchedulerAction};
 use crate::host::{HostInfo, HostRecord, HostSlot};
 
@@ -20,6 +22,34 @@
         slot
     }
 
+    /// Replaces the name and the failure domain of a host; returns whether they have changed.
+    ///
+    /// Peers may know an older description than the agent gives of itself, and an evacuation applies
+    /// to the failure domain that the host is in.
+    pub fn update_host(
+        &mut self,
+        now_ms: u64,
+        slot: HostSlot,
+        name: &str,
+        failure_domain: &str,
+        actions: &mut Vec<SchedulerAction>,
+    ) -> bool {
+        let is_evacuated = self.is_failure_domain_evacuated(failure_domain);
+        let Some(host) = self.hosts.get_mut(slot) else {
+            return false;
+        };
+        if &*host.info.name == name && &*host.info.failure_domain == failure_domain {
+            return false;
+        }
+        host.info.name = Rc::from(name);
+        host.info.failure_domain = Rc::from(failure_domain);
+        if host.is_evacuated != is_evacuated {
+            host.is_evacuated = is_evacuated;
+            self.apply_evacuations(now_ms, actions);
+        }
+        true
+    }
+
     /// Records that an agent has announced its host, which keeps it for another `HOST_RETENTION_MS`.
     pub fn host_announced(&mut self, now_ms: u64, slot: HostSlot) {
         if let Some(host) = self.hosts.get_mut(slot) {
--- a/components/scheduling/src/scheduler/evacuation.rs
+++ b/components/scheduling/src/scheduler/evacuation.rs
@@ -29,7 +29,12 @@
             host.is_evacuated = evacuated.contains(&host.info.failure_domain);
         }
         self.evacuated_failure_domains = evacuated;
-        // The hosts to follow change at once.
+        self.apply_evacuations(now_ms, actions);
+    }
+
+    /// Chooses the hosts to follow without delay, and places anew what has not been sent to evacuated
+    /// hosts.
+    pub(super) fn apply_evacuations(&mut self, now_ms: u64, actions: &mut Vec<SchedulerAction>) {
         self.connections_updated_at_ms = 0;
         self.update_connections(now_ms, actions);
         for (slot, run) in self.cancel_unsent_to_evacuated() {
--- a/components/scheduling/tests/scheduler/evacuation.rs
+++ b/components/scheduling/tests/scheduler/evacuation.rs
@@ -99,6 +99,23 @@
     assert_eq!(bench.hosts_of_job(1, 12), [0]);
 }
 
+// The first description of a host held until the host was forgotten: after a peer had told an old
+// failure domain, the host was exempt from evacuations or remained in one.
+#[test]
+fn a_host_whose_failure_domain_is_corrected_is_evacuated_or_not_accordingly() {
+    let mut bench = Bench::in_failure_domains(&["zone-a", "zone-b"]);
+    bench.evacuate(&["zone-b"]);
+    bench.submit(job(1, 1));
+    let sent = bench.orders(0).expect("orders");
+    bench.submit(job(2, 1));
+    assert!(bench.update_host(1, "zone-a") && bench.update_host(0, "zone-b"));
+    let moved = bench.orders(1).expect("orders");
+    assert_eq!(Bench::runs(&moved)[0].task.job, id(2));
+    bench.answer_orders(0, &sent);
+    assert!(bench.orders(0).is_none());
+    assert!(!bench.update_host(0, "zone-b"));
+}
+
 // Orders that wait for the answer to earlier ones would be sent to the evacuated host.
 #[test]
 fn orders_that_have_not_been_sent_are_placed_anew() {
@@ -151,6 +168,13 @@
 }
 
 impl Bench {
+    fn update_host(&mut self, host: usize, failure_domain: &str) -> bool {
+        let (now_ms, slot) = (self.now_ms, self.slots[host]);
+        let actions = &mut self.actions;
+        self.scheduler
+            .update_host(now_ms, slot, "renamed", failure_domain, actions)
+    }
+
     fn add_host(&mut self, failure_domain: &str) {
         let name: Rc<str> = Rc::from(format!("host-{}", self.slots.len()));
         let info = HostInfo {
