Bound the log lines about refused connections

Each refused connection wrote an info line, so that a host's misdirected HTTP calls filled the log. Lines of one reason are written once a second at most, with their count; events after the last line are counted by the next one.

--- a/components/protocol/src/server.rs
+++ b/components/protocol/src/server.rs
@@ -1,5 +1,6 @@
 //! Accepts and serves incoming connections.
 
+use std::cell::RefCell;
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
@@ -10,7 +11,7 @@
 use futures::{FutureExt, SinkExt, Stream};
 use model::{AgentEnvelope, OwnerEnvelope, ProcessKey};
 use monoio::net::{TcpListener, TcpStream};
-use runtime::StopSignal;
+use runtime::{RepeatedLines, StopSignal, uptime_ms};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tarpc::server::{BaseChannel, Channel, Config, Requests, Serve};
@@ -72,6 +73,7 @@
         service,
         settings,
         handshaking: LinkCounters::default(),
+        refusals: RefCell::default(),
     });
     while let Some(accepted) = server.accept(&listener).await {
         match accepted {
@@ -86,6 +88,8 @@
     settings: ServerSettings,
     // Counts the connections that are in the handshake.
     handshaking: LinkCounters,
+    // Bounds the lines about refused connections, of which a misdirected client causes many.
+    refusals: RefCell<RepeatedLines<&'static str>>,
 }
 
 impl Server {
@@ -148,7 +152,11 @@
 
     fn report_refusal(&self, event: LinkEvent) {
         self.settings.counters.count(event);
-        log::info!(target: LOG_TARGET, "Connection refused: {}.", <&str>::from(event));
+        let reason = <&str>::from(event);
+        let due = self.refusals.borrow_mut().record(uptime_ms(), reason);
+        if let Some(count) = due {
+            log::info!(target: LOG_TARGET, count = count; "Connection refused: {reason}.");
+        }
     }
 
     async fn handshake(
