Forget the pauses of an earlier loss of the store

After an offer that nobody answered, a confirmed registration did not end the pause to that entry, which may now be 5 s long. The end of the offer is cleared at the first failure after it.

Tests: the new test fails before the change; all tests of peers pass.

--- a/components/peers/src/announcer.rs
+++ b/components/peers/src/announcer.rs
@@ -156,6 +156,7 @@
             return;
         };
         if now_ms >= entry.state.offered_until_ms {
+            entry.state.offered_until_ms = 0;
             entry.due_at_ms = entry.state.silence.record_failure(now_ms);
         }
     }
--- a/components/peers/tests/announcer.rs
+++ b/components/peers/tests/announcer.rs
@@ -70,6 +70,22 @@
     assert!((8..=10).contains(&calls.len()), "{calls:?}");
 }
 
+// After an offer that nobody answered, the pause of an earlier loss of the store delayed the
+// announcements of the next one.
+#[test]
+fn pauses_of_an_earlier_loss_of_the_store_are_forgotten() {
+    for lost_ms in (START_MS + 55_000..START_MS + 60_000).step_by(1_000) {
+        let mut announcer = announcer();
+        announcer.entry_connected(START_MS, ENTRY, address(1));
+        announcer.entry_disconnected(START_MS, ENTRY);
+        run(&mut announcer, START_MS, lost_ms, None);
+        announcer.registration_confirmed();
+        announcer.registration_unconfirmed(lost_ms);
+        let calls = run(&mut announcer, lost_ms, lost_ms + 6_000, None);
+        assert_eq!(calls[0].0, lost_ms + ANNOUNCE_DELAY_MS);
+    }
+}
+
 // All agents lose the store at once, and would announce their hosts in the same millisecond.
 #[test]
 fn the_first_announcements_of_agents_are_spread() {
