Test that a registration replaces a known failure domain

An entry learns the host by the announcement of its agent, and then reads a registration with another failure domain from its store. Without the call from the directory the test times out. The call for announcements has no test.

--- a/tests/platform_peers.rs
+++ b/tests/platform_peers.rs
@@ -14,6 +14,7 @@
 use platform_support::{
     Entry, GROUP, HOST, PREFIX, free_address, seeds_setting, start_agent_with, start_entry_at,
 };
+use serde_json::{Value, json};
 use tempfile::TempDir;
 
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
@@ -174,6 +175,39 @@
     run.expect("the runtime starts");
 }
 
+// The first description of a host held until the host was forgotten.
+#[test]
+fn a_registration_replaces_the_failure_domain_that_was_known_before() {
+    let run = runtime::run(async {
+        let site = Site::start();
+        let seed = free_address();
+        let mut entry = site.entry_at(site.store.address(), seed, &[seed]);
+        let _agent = site.agent(refusing_store(), &[seed]);
+        let mut known = None;
+        wait_until("the host is announced", async || {
+            known = entry.process.find_line("\"event\":\"host_known\"");
+            known.is_some()
+        })
+        .await;
+        let known: Value = serde_json::from_str(&known.unwrap_or_default()).expect("a line");
+        assert_eq!(known["failure_domain"], "domain");
+        let registration = json!({"name": "host", "address": known["address"],
+            "failure_domain": "moved", "target": null});
+        let key = "shallotcross/hosts/host";
+        site.store.put(key, registration.to_string().as_bytes());
+        let mut changed = None;
+        wait_until("the failure domain is replaced", async || {
+            changed = entry.process.find_line("\"event\":\"host_changed\"");
+            changed.is_some()
+        })
+        .await;
+        let changed: Value = serde_json::from_str(&changed.unwrap_or_default()).expect("a line");
+        assert_eq!(changed["failure_domain"], "moved");
+        assert_eq!(changed["source"], "store");
+    });
+    run.expect("the runtime starts");
+}
+
 // Versions decide, not the order of arrival: the peer reads the older configuration from its store and
 // tells the entry its revision, and then takes the entry's newer one.
 #[test]
