--- a/components/peers/src/exchange.rs
+++ b/components/peers/src/exchange.rs
@@ -177,7 +177,7 @@
         if need == Need::Refresh && !due.is_empty() {
             self.refresh_at_ms = now_ms + REFRESH_INTERVAL_MS;
         }
-        let wants_hosts = matches!(need, Need::Refresh | Need::State);
+        let wants_hosts = !self.is_store_answering();
         let calls = due.into_iter();
         calls
             .filter_map(|address| self.start_call(address, wants_hosts))
@@ -201,19 +201,25 @@
             return;
         };
         peer.is_in_flight = false;
-        peer.confirm();
+        peer.confirm(now_ms);
         peer.state.is_introduced = true;
         if let Some(digest) = reply.hosts_digest {
             peer.state.seen_hosts_digest = digest;
         }
         peer.state.known = Some(reply.knowledge);
-        let is_complete = reply.knowledge.is_complete() && reply.is_listed;
+        // Without its hosts, a reply says only that the peer has them.
+        let has_hosts = reply.hosts_digest.is_some();
+        let is_complete = has_hosts && reply.is_listed && reply.knowledge.is_complete();
         peer.due_at_ms = if is_complete {
             peer.backoff.record_success();
             now_ms + REFRESH_INTERVAL_MS
         } else {
             peer.backoff.record_failure(now_ms)
         };
+        if peer.state.has_news {
+            // The peer has told its news since this call started; the reply may not contain them.
+            peer.due_at_ms = 0;
+        }
         self.is_listed |= is_complete;
     }
 
@@ -229,6 +235,7 @@
     /// If it knows more than this entry, or has newer evacuations, it is asked immediately.
     pub fn contacted(
         &mut self,
+        now_ms: u64,
         address: SocketAddr,
         theirs: Knowledge,
         known: Knowledge,
@@ -238,7 +245,7 @@
         let Some(peer) = self.peers.insert(address) else {
             return;
         };
-        peer.confirm();
+        peer.confirm(now_ms);
         peer.state.is_introduced = true;
         peer.state.known = Some(theirs);
         let has_more_hosts = !is_store_answering && theirs.host_count > known.host_count;
--- a/components/peers/tests/announcer.rs
+++ b/components/peers/tests/announcer.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use model::ProcessKey;
-use peers::{ANNOUNCE_DELAY_MS, Announcer, OFFER_DELAY_MS, OFFER_DURATION_MS};
+use peers::{ANNOUNCE_DELAY_MS, ANNOUNCE_SPREAD_MS, Announcer, OFFER_DELAY_MS, OFFER_DURATION_MS};
 
 const START_MS: u64 = 50_000;
 
@@ -13,8 +13,11 @@
     SocketAddr::from(([10, 0, 0, 1], 7_000 + number))
 }
 
+/// Seed of an agent whose first announcement is not put off by the spread.
+const SEED: u64 = 0;
+
 fn announcer() -> Announcer {
-    let mut announcer = Announcer::new(START_MS, 1);
+    let mut announcer = Announcer::new(START_MS, SEED);
     announcer.set_seeds(&[address(1)]);
     announcer
 }
@@ -58,6 +61,48 @@
     assert!(run(&mut announcer, START_MS, START_MS + 5_000, None).is_empty());
 }
 
+// 760 agents called three seeds without power every 400 ms for as long as the store was away.
+#[test]
+fn announcements_to_entries_that_do_not_answer_become_rare() {
+    let mut announcer = announcer();
+    run(&mut announcer, START_MS, START_MS + 20_000, None);
+    let calls = run(&mut announcer, START_MS + 20_000, START_MS + 60_000, None);
+    assert!((8..=10).contains(&calls.len()), "{calls:?}");
+}
+
+// After an offer that nobody answered, the pause of an earlier loss of the store delayed the
+// announcements of the next one.
+#[test]
+fn pauses_of_an_earlier_loss_of_the_store_are_forgotten() {
+    for lost_ms in (START_MS + 55_000..START_MS + 60_000).step_by(1_000) {
+        let mut announcer = announcer();
+        announcer.entry_connected(START_MS, ENTRY, address(1));
+        announcer.entry_disconnected(START_MS, ENTRY);
+        run(&mut announcer, START_MS, lost_ms, None);
+        announcer.registration_confirmed();
+        announcer.registration_unconfirmed(lost_ms);
+        let calls = run(&mut announcer, lost_ms, lost_ms + 6_000, None);
+        assert_eq!(calls[0].0, lost_ms + ANNOUNCE_DELAY_MS);
+    }
+}
+
+// All agents lose the store at once, and would announce their hosts in the same millisecond.
+#[test]
+fn the_first_announcements_of_agents_are_spread() {
+    let due_ms = START_MS + ANNOUNCE_DELAY_MS;
+    let mut counts = [0; 4];
+    for seed in 0..400 {
+        let mut announcer = Announcer::new(START_MS, seed);
+        announcer.set_seeds(&[address(1)]);
+        let is_due = |now_ms: &u64| !announcer.take_due(*now_ms).is_empty();
+        let mut times = START_MS..due_ms + ANNOUNCE_SPREAD_MS;
+        let first_ms = times.find(is_due).expect("an announcement");
+        assert!(first_ms >= due_ms);
+        counts[((first_ms - due_ms) * 4 / ANNOUNCE_SPREAD_MS) as usize] += 1;
+    }
+    assert!(counts.iter().all(|count| *count > 50), "{counts:?}");
+}
+
 // The store refuses an agent whose registration it has dropped.
 #[test]
 fn a_host_whose_registration_is_lost_is_announced_with_growing_pauses_until_it_is_registered() {
@@ -79,7 +124,7 @@
 fn a_host_is_offered_to_an_entry_whose_connection_was_lost_until_it_answers() {
     let mut announcer = announcer();
     announcer.registration_confirmed();
-    announcer.entry_connected(ENTRY, address(5));
+    announcer.entry_connected(START_MS, ENTRY, address(5));
     assert_eq!(announcer.named(address(1)), [address(5)]);
     let lost_ms = START_MS + 1_000;
     announcer.entry_disconnected(lost_ms, ENTRY);
@@ -95,9 +140,9 @@
 fn an_entry_that_reconnects_or_stays_away_is_not_called() {
     let mut announcer = announcer();
     announcer.registration_confirmed();
-    announcer.entry_connected(ENTRY, address(5));
+    announcer.entry_connected(START_MS, ENTRY, address(5));
     announcer.entry_disconnected(START_MS, ENTRY);
-    announcer.entry_connected(ProcessKey(4), address(5));
+    announcer.entry_connected(START_MS, ProcessKey(4), address(5));
     assert!(run(&mut announcer, START_MS, START_MS + 5_000, None).is_empty());
     let lost_ms = START_MS + 5_000;
     announcer.entry_disconnected(lost_ms, ProcessKey(4));
@@ -111,8 +156,8 @@
 fn an_entry_with_another_connection_is_not_lost() {
     let mut announcer = announcer();
     announcer.registration_confirmed();
-    announcer.entry_connected(ENTRY, address(5));
-    announcer.entry_connected(ENTRY, address(5));
+    announcer.entry_connected(START_MS, ENTRY, address(5));
+    announcer.entry_connected(START_MS, ENTRY, address(5));
     announcer.entry_disconnected(START_MS, ENTRY);
     assert!(run(&mut announcer, START_MS, START_MS + 5_000, None).is_empty());
 }
@@ -121,6 +166,20 @@
 #[test]
 fn connected_entries_get_no_announcements() {
     let mut announcer = announcer();
-    announcer.entry_connected(ENTRY, address(1));
+    announcer.entry_connected(START_MS, ENTRY, address(1));
     assert!(run(&mut announcer, START_MS, START_MS + 5_000, None).is_empty());
 }
+
+// An entry that connected first is still there, although others have called since.
+#[test]
+fn connected_entries_are_not_replaced_by_others() {
+    let mut announcer = announcer();
+    announcer.registration_confirmed();
+    announcer.entry_connected(START_MS, ENTRY, address(5));
+    for number in 10..200 {
+        let (now_ms, key) = (START_MS + u64::from(number), ProcessKey(number.into()));
+        announcer.entry_connected(now_ms, key, address(number));
+        announcer.entry_disconnected(now_ms, key);
+    }
+    assert_eq!(announcer.named(address(1))[..2], [5, 199].map(address));
+}
