--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -24,7 +24,7 @@
     pub fn spawn(command: &mut Command, from_stdout: bool) -> Self {
         command.stdin(Stdio::null());
         if from_stdout {
-            command.stdout(Stdio::piped()).stderr(Stdio::null());
+            command.stdout(Stdio::piped()).stderr(Stdio::inherit());
         } else {
             command.stdout(Stdio::null()).stderr(Stdio::piped());
         }
