Tell why a configuration does not arrive, and for how long

A failed read of the configuration left one line for a whole outage, without the call, its duration and what was received, so a slow link could not be told from a silent store. The line configuration_unavailable, once a second, has all three; a call that times out within a response says how many bytes came. A gauge has the time since the store last confirmed the configuration.

No logic is changed.

--- a/components/gateway/src/configuration.rs
+++ b/components/gateway/src/configuration.rs
@@ -6,7 +6,7 @@
 use adapter::{CONFIGURATION_KEY, CallerLimits, StoreItem, WatchedChange};
 use peers::StorePart;
 use platform::StoreError;
-use runtime::{Backoff, pause_after_failure};
+use runtime::{Backoff, RepeatedLines, pause_after_failure, uptime_ms};
 use scheduling::RouteTable;
 use web::Bytes;
 
@@ -42,26 +42,44 @@
     pub(crate) published: Bytes,
 }
 
+/// A failed read of the configuration.
+struct ReadFailure {
+    /// Kind of the call.
+    call: &'static str,
+    took_ms: u64,
+    error: StoreError,
+}
+
+impl ReadFailure {
+    fn new(call: &'static str, called_at_ms: u64, error: StoreError) -> Self {
+        Self {
+            call,
+            took_ms: uptime_ms().saturating_sub(called_at_ms),
+            error,
+        }
+    }
+}
+
 /// Applies each change of the configuration; never returns.
 pub(crate) async fn follow(shared: Rc<Shared>) {
-    let mut is_store_lost = false;
+    let mut failures = RepeatedLines::default();
     let mut backoff = Backoff::builder(RETRY_PAUSE_MS, RETRY_PAUSE_MS)
         .seed(shared.key.0)
         .build();
     loop {
-        let error = match read_and_watch(&shared).await {
+        let failure = match read_and_watch(&shared).await {
             Ok(()) => continue,
-            Err(error) => error,
+            Err(failure) => failure,
         };
-        if !is_store_lost {
-            log::warn!(target: "gateway", event = "store_lost", reason = error.to_string();
+        if let Some(count) = failures.record(uptime_ms(), failure.call) {
+            log::warn!(target: "gateway", event = "configuration_unavailable",
+                call = failure.call, took_ms = failure.took_ms,
+                reason = failure.error.to_string(), count = count;
                 "configuration cannot be read from the store; the last one stays in force");
         }
-        is_store_lost = true;
         pause_after_failure(&mut backoff).await;
         if shared.store.get(CONFIGURATION_KEY, false).await.is_ok() {
             log::info!(target: "gateway", event = "store_regained"; "the store answers again");
-            is_store_lost = false;
             backoff.record_success();
         }
     }
@@ -69,7 +87,8 @@
 
 /// Reads the configuration and applies watched changes; returns when a change may have been
 /// missed.
-async fn read_and_watch(shared: &Rc<Shared>) -> Result<(), StoreError> {
+async fn read_and_watch(shared: &Rc<Shared>) -> Result<(), ReadFailure> {
+    let called_at_ms = uptime_ms();
     let read = shared.store.get(CONFIGURATION_KEY, false).await;
     shared
         .metrics
@@ -81,9 +100,11 @@
             item.revision
         }
         Err(StoreError::Missing) => 0,
-        Err(error) => return Err(error),
+        Err(error) => return Err(ReadFailure::new("get", called_at_ms, error)),
     };
+    record_confirmation(shared);
     loop {
+        let called_at_ms = uptime_ms();
         let watched = shared
             .store
             .watch(CONFIGURATION_KEY, revision, WATCH_WAIT_MS)
@@ -95,8 +116,9 @@
                 monoio::time::sleep(Duration::from_millis(REREAD_PAUSE_MS)).await;
                 return Ok(());
             }
-            watched => watched?,
+            watched => watched.map_err(|error| ReadFailure::new("watch", called_at_ms, error))?,
         };
+        record_confirmation(shared);
         for change in &watch.changes {
             if let WatchedChange::Put(item) = change
                 && item.key == CONFIGURATION_KEY
@@ -112,6 +134,11 @@
     }
 }
 
+/// Records that the active configuration is the one that the store has.
+fn record_confirmation(shared: &Shared) {
+    shared.configuration_confirmed_at_ms.set(uptime_ms());
+}
+
 fn apply(shared: &Rc<Shared>, item: &StoreItem) {
     apply_published(shared, item.revision, &item.value, "store");
 }
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -37,6 +37,7 @@
     known_hosts: IntGauge,
     oldest_view_ms: IntGauge,
     configuration_version: IntGauge,
+    unconfirmed_configuration_ms: IntGauge,
     evacuated_failure_domains: IntGauge,
     dropped_log_lines: IntGauge,
     /// Runs that hosts turned back, by reason.
@@ -129,6 +130,10 @@
                 "shallotcross_gateway_configuration_version",
                 "Version of the configuration in force.",
             )?,
+            unconfirmed_configuration_ms: metrics.gauge(
+                "shallotcross_gateway_unconfirmed_configuration_milliseconds",
+                "Time since the store last confirmed the configuration in force.",
+            )?,
             evacuated_failure_domains: metrics.gauge(
                 "shallotcross_gateway_evacuated_failure_domains",
                 "Failure domains that the operator has evacuated.",
@@ -245,6 +250,9 @@
             .as_ref()
             .map_or(0, |config| config.version);
         self.configuration_version.set(version as i64);
+        let confirmed_at_ms = shared.configuration_confirmed_at_ms.get();
+        let unconfirmed_ms = now_ms.saturating_sub(confirmed_at_ms);
+        self.unconfirmed_configuration_ms.set(unconfirmed_ms as i64);
         let evacuations = shared.evacuations.newest();
         let evacuated = evacuations.map_or(0, |newest| newest.failure_domains().len());
         self.evacuated_failure_domains.set(evacuated as i64);
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -73,6 +73,9 @@
     /// Known hosts by the address of their agent.
     pub(crate) addresses: RefCell<FxHashMap<String, HostSlot>>,
     pub(crate) active_configuration: RefCell<Option<Rc<ActiveConfiguration>>>,
+    /// When the store last said that it has no newer configuration than the active one; the time of the
+    /// start before that.
+    pub(crate) configuration_confirmed_at_ms: Cell<u64>,
     /// Wakes the requests that wait for the first configuration.
     pub(crate) configuration_changed: Notify,
     /// End of the time in which requests wait for the configuration and the hosts.
@@ -129,6 +132,7 @@
             registrations: RefCell::default(),
             addresses: RefCell::default(),
             active_configuration: RefCell::default(),
+            configuration_confirmed_at_ms: Cell::new(uptime_ms()),
             configuration_changed: Notify::default(),
             starting_until_ms,
             evacuations: EvacuationState::default(),
--- a/components/web/src/call.rs
+++ b/components/web/src/call.rs
@@ -1,5 +1,7 @@
 //! Errors of a call, classified by whether the peer may have received the request.
 
+use std::cell::Cell;
+
 use derive_more::{Display, Error};
 
 /// A failed call.
@@ -16,9 +18,15 @@
 /// Cause of a failed call.
 #[derive(Debug, Display, Error, Clone, PartialEq, Eq)]
 pub enum CallFault {
-    /// The call timed out.
+    /// The call timed out before any byte of the response was received.
     #[display("timeout")]
     TimedOut,
+    /// The call timed out when a part of the response had been received.
+    #[display("timeout after {received_bytes} bytes of the response")]
+    Incomplete {
+        /// Number of bytes received.
+        received_bytes: u64,
+    },
     /// The connection was refused: no process listens at the address.
     #[display("connection refused")]
     Refused,
@@ -48,3 +56,22 @@
         }
     }
 }
+
+/// How far a call has got.
+#[derive(Debug, Default)]
+pub(crate) struct CallProgress {
+    /// Bytes of the request that the kernel has accepted.
+    pub(crate) written_bytes: Cell<u64>,
+    /// Bytes of the response that were read.
+    pub(crate) received_bytes: Cell<u64>,
+}
+
+impl CallProgress {
+    /// Returns the fault of a call that has timed out.
+    pub(crate) fn timeout_fault(&self) -> CallFault {
+        match self.received_bytes.get() {
+            0 => CallFault::TimedOut,
+            received_bytes => CallFault::Incomplete { received_bytes },
+        }
+    }
+}
--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -10,7 +10,7 @@
 use monoio::time::timeout;
 use monoio_http::common::body::HttpBody;
 
-use crate::call::{CallError, CallFault};
+use crate::call::{CallError, CallFault, CallProgress};
 use crate::connection::{BodyLength, body_length};
 use crate::counters::increment;
 use crate::exchange::{
@@ -98,10 +98,13 @@
     /// Fails with [`CallError::NotSent`] if no byte of the request was written, also after a
     /// timeout, and with [`CallError::Unknown`] if any byte may have been written.
     pub async fn call(&self, request: &Request, limit: Duration) -> Result<Response, CallError> {
-        let written_bytes = Cell::new(0);
-        let exchange = self.exchange(request, &written_bytes);
+        let progress = Rc::new(CallProgress::default());
+        let exchange = self.exchange(request, &progress);
         let result = timeout(limit, exchange).await;
-        self.classify(result.unwrap_or(Err(CallFault::TimedOut)), &written_bytes)
+        self.classify(
+            result.unwrap_or_else(|_| Err(progress.timeout_fault())),
+            &progress,
+        )
     }
 
     /// Sends a request whose response is a stream of lines.
@@ -116,19 +119,22 @@
         request: &Request,
         limit: Duration,
     ) -> Result<LineStream, CallError> {
-        let written_bytes = Cell::new(0);
-        let open = self.open_stream(request, &written_bytes);
+        let progress = Rc::new(CallProgress::default());
+        let open = self.open_stream(request, &progress);
         let result = timeout(limit, open).await;
-        self.classify(result.unwrap_or(Err(CallFault::TimedOut)), &written_bytes)
+        self.classify(
+            result.unwrap_or_else(|_| Err(progress.timeout_fault())),
+            &progress,
+        )
     }
 
     fn classify<T>(
         &self,
         result: Result<T, CallFault>,
-        written_bytes: &Cell<u64>,
+        progress: &CallProgress,
     ) -> Result<T, CallError> {
         result.map_err(|fault| {
-            if written_bytes.get() == 0 {
+            if progress.written_bytes.get() == 0 {
                 increment(&self.counters.not_sent);
                 CallError::NotSent(fault)
             } else {
@@ -141,16 +147,20 @@
     async fn exchange(
         &self,
         request: &Request,
-        written_bytes: &Cell<u64>,
+        progress: &Rc<CallProgress>,
     ) -> Result<Response, CallFault> {
         let encode = || encode_request(request, &self.host);
-        let (mut pooled, _permit, write_fault) = self.send(encode, written_bytes).await?;
+        let sent = self.send(encode, &progress.written_bytes).await?;
+        let (mut pooled, _permit, write_fault) = sent;
+        let call_progress = Some(Rc::clone(progress));
+        pooled.connection.set_call_progress(call_progress);
         let read = read_response(&mut pooled.connection, &request.method, self.max_body_bytes);
         let (response, reusable) = match (read.await, &write_fault) {
             (Ok(read), _) => read,
             (Err(_), Some(write_fault)) => return Err(write_fault.clone()),
             (Err(read_fault), None) => return Err(read_fault),
         };
+        pooled.connection.set_call_progress(None);
         if reusable && write_fault.is_none() {
             self.pool.put_back(pooled);
         }
@@ -160,10 +170,11 @@
     async fn open_stream(
         &self,
         request: &Request,
-        written_bytes: &Cell<u64>,
+        progress: &CallProgress,
     ) -> Result<LineStream, CallFault> {
         let encode = || encode_request(request, &self.host);
-        let (mut pooled, permit, write_fault) = self.send(encode, written_bytes).await?;
+        let sent = self.send(encode, &progress.written_bytes).await?;
+        let (mut pooled, permit, write_fault) = sent;
         if let Some(fault) = write_fault {
             return Err(fault);
         }
--- a/components/web/src/connection.rs
+++ b/components/web/src/connection.rs
@@ -1,6 +1,7 @@
 //! A TCP connection with a bounded read buffer.
 
 use std::io;
+use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
 use derive_more::Display;
@@ -9,6 +10,8 @@
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::ChunkedBodyDecoder;
 
+use crate::call::CallProgress;
+
 /// Size of the buffer for a single read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -54,6 +57,8 @@
     pub(crate) stream: TcpStream,
     buffer: BytesMut,
     read_buffer: Option<Vec<u8>>,
+    /// Progress of the call whose response is read, if any.
+    call_progress: Option<Rc<CallProgress>>,
 }
 
 impl Connection {
@@ -62,9 +67,15 @@
             stream,
             buffer: BytesMut::new(),
             read_buffer: None,
+            call_progress: None,
         }
     }
 
+    /// Sets the call to which the bytes that are read from now on belong.
+    pub(crate) fn set_call_progress(&mut self, call_progress: Option<Rc<CallProgress>>) {
+        self.call_progress = call_progress;
+    }
+
     pub(crate) fn buffered(&self) -> &[u8] {
         &self.buffer
     }
@@ -78,6 +89,10 @@
         let count = result?;
         self.buffer.extend_from_slice(&read_buffer[..count]);
         self.read_buffer = Some(read_buffer);
+        if let Some(call_progress) = &self.call_progress {
+            let received_bytes = &call_progress.received_bytes;
+            received_bytes.set(received_bytes.get() + count as u64);
+        }
         Ok(count)
     }
 
--- a/components/web/tests/client.rs
+++ b/components/web/tests/client.rs
@@ -184,6 +184,20 @@
     });
 }
 
+#[test]
+fn timeout_within_a_response_reports_how_much_was_received() {
+    run(async {
+        let partial = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab".to_vec();
+        let received_bytes = partial.len() as u64;
+        let server = ScriptedServer::start(vec![Step::Answer(partial)]);
+        let result = Client::new(server.address, 1)
+            .call(&get(), TIMEOUT_AFTER_WRITE)
+            .await;
+        let fault = CallFault::Incomplete { received_bytes };
+        assert_eq!(result.err(), Some(CallError::Unknown(fault)));
+    });
+}
+
 #[test]
 fn timeout_while_waiting_for_a_connection_reports_not_sent() {
     run(async {
