--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -141,6 +141,16 @@
         self.submit(id, body).await.map(|response| response.status)
     }
 
+    /// Requests the length of the queue with this path prefix and returns the status of the
+    /// response, if any.
+    pub async fn queue_status(&self, prefix: &str) -> Option<u16> {
+        let mut request = Request::new(Method::GET, prefix);
+        let host = HeaderValue::from_static(HOST);
+        request.headers.insert("host", host);
+        let response = call(self.callers, &request).await;
+        response.map(|response| response.status)
+    }
+
     /// Submits a job and returns the response, if any.
     pub async fn submit(&self, id: &str, body: &Value) -> Option<Response> {
         let mut request = Request::post_json(format!("{PREFIX}{id}"), body);
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -1,16 +1,16 @@
-//! A TCP relay that simulates a network cut in one or both directions.
+//! A TCP relay that simulates a network cut in one or both directions, or a slow link.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Interval at which a thread checks whether the relay was cut, healed or stopped.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-const BUFFER_BYTES: usize = 64 * 1024;
+const BUFFER_BYTES: usize = 16 * 1024;
 
 /// Directions that are cut. Connections stay open and bytes are held back until the cut is healed,
 /// as with TCP over a network that drops every packet.
@@ -32,6 +32,48 @@
     is_inwards_cut: AtomicBool,
     is_outwards_cut: AtomicBool,
     is_stopped: AtomicBool,
+    /// Rate of the link in each direction, in bytes per second; 0 if it is not limited.
+    rate_bytes_per_s: AtomicU64,
+    /// When the bytes that were passed on have crossed the link.
+    inwards_busy_until: Mutex<Option<Instant>>,
+    outwards_busy_until: Mutex<Option<Instant>>,
+}
+
+/// Direction of the bytes on a connection.
+#[derive(Clone, Copy)]
+enum Direction {
+    Inwards,
+    Outwards,
+}
+
+impl Shared {
+    fn is_cut(&self, direction: Direction) -> bool {
+        let is_cut = match direction {
+            Direction::Inwards => &self.is_inwards_cut,
+            Direction::Outwards => &self.is_outwards_cut,
+        };
+        is_cut.load(Ordering::SeqCst)
+    }
+
+    /// Waits until a link of the set rate, which all connections share, has carried the bytes.
+    fn carry(&self, direction: Direction, count: usize) {
+        let rate = self.rate_bytes_per_s.load(Ordering::SeqCst);
+        if rate == 0 {
+            return;
+        }
+        let busy_until = match direction {
+            Direction::Inwards => &self.inwards_busy_until,
+            Direction::Outwards => &self.outwards_busy_until,
+        };
+        let carried_at = {
+            let mut busy_until = busy_until.lock().expect("no thread panicked");
+            let now = Instant::now();
+            let begin = busy_until.map_or(now, |busy_until| busy_until.max(now));
+            let duration = Duration::from_secs_f64(count as f64 / rate as f64);
+            *busy_until.insert(begin + duration)
+        };
+        thread::sleep(carried_at.saturating_duration_since(Instant::now()));
+    }
 }
 
 /// A relay in front of one process.
@@ -66,6 +108,12 @@
             .is_outwards_cut
             .store(outwards, Ordering::SeqCst);
     }
+
+    /// Limits the bytes per second in each direction, over all connections.
+    pub fn limit_rate(&self, bytes_per_s: u64) {
+        let rate = &self.shared.rate_bytes_per_s;
+        rate.store(bytes_per_s, Ordering::SeqCst);
+    }
 }
 
 impl Drop for Relay {
@@ -93,21 +141,12 @@
         return;
     };
     let inwards = Arc::clone(shared);
-    thread::spawn(move || forward(client, server, &inwards, |shared| &shared.is_inwards_cut));
+    thread::spawn(move || forward(client, server, &inwards, Direction::Inwards));
     let outwards = Arc::clone(shared);
-    thread::spawn(move || {
-        forward(server_copy, client_copy, &outwards, |shared| {
-            &shared.is_outwards_cut
-        });
-    });
+    thread::spawn(move || forward(server_copy, client_copy, &outwards, Direction::Outwards));
 }
 
-fn forward(
-    mut from: TcpStream,
-    mut to: TcpStream,
-    shared: &Shared,
-    cut: fn(&Shared) -> &AtomicBool,
-) {
+fn forward(mut from: TcpStream, mut to: TcpStream, shared: &Shared, direction: Direction) {
     let _ = to.set_nodelay(true);
     let _ = from.set_read_timeout(Some(Duration::from_millis(50)));
     let mut buffer = vec![0; BUFFER_BYTES];
@@ -118,15 +157,16 @@
             Err(error) if is_timeout(&error) => continue,
             Err(_) => break,
         };
-        while cut(shared).load(Ordering::SeqCst) && !shared.is_stopped.load(Ordering::SeqCst) {
+        while shared.is_cut(direction) && !shared.is_stopped.load(Ordering::SeqCst) {
             thread::sleep(POLL_INTERVAL);
         }
+        shared.carry(direction, count);
         if to.write_all(&buffer[..count]).is_err() {
             break;
         }
     }
     // The end of a connection is held back by a cut, too.
-    while cut(shared).load(Ordering::SeqCst) && !shared.is_stopped.load(Ordering::SeqCst) {
+    while shared.is_cut(direction) && !shared.is_stopped.load(Ordering::SeqCst) {
         thread::sleep(POLL_INTERVAL);
     }
     let _ = to.shutdown(Shutdown::Write);
