Limit reads of the store by their progress instead of their total time

Cause: a call to the store had to end within 500 ms, the transfer of its response included. A configuration of 4,200 routes is 1.06 MB on the wire, which takes such a link 450 ms if nothing else uses it. A read that did not make it was broken off and begun again from nothing, so that the link was full and no read ever ended.

Change: the limit holds until the response begins and between its bytes; the transfer as a whole may take 10 s. A silent store and a broken connection are noticed as before. Links of all processes to the store use it, also those of the product's own interface.

--- a/components/platform/src/transport.rs
+++ b/components/platform/src/transport.rs
@@ -7,7 +7,7 @@
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use web::{CallError, CallFault, Client, LineStream, Request, Response};
+use web::{CallError, CallFault, CallLimits, Client, LineStream, Request, Response};
 
 use crate::counters::{PlatformCounters, increment};
 use crate::error::PlatformError;
@@ -16,6 +16,10 @@
 /// Maximum number of connections to one address; each open watch occupies one.
 const MAX_CONNECTIONS: usize = 32;
 
+/// Longest time that the transfer of a response may take, in milliseconds: a configuration of the
+/// largest size that the store accepts, on the slowest link.
+const TRANSFER_LIMIT_MS: u64 = 10_000;
+
 /// Whether a call changes the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum OperationKind {
@@ -65,7 +69,7 @@
     }
 
     /// Sends a prepared request and returns the response whatever its status; retries as
-    /// [`Self::call`] does.
+    /// [`Self::call`] does. `limit` is the longest time until the response begins.
     pub(crate) async fn send(
         &self,
         kind: OperationKind,
@@ -93,7 +97,8 @@
         loop {
             increment(counter);
             attempts_left -= 1;
-            let result = self.client().call(request, limit).await;
+            let limits = self.limits(limit);
+            let result = self.client().call_with_limits(request, limits).await;
             match result {
                 Err(CallError::NotSent(_)) if attempts_left > 0 => self.switch_address(),
                 Err(error) => {
@@ -129,6 +134,15 @@
         }
     }
 
+    /// Returns the limits of a call whose response begins within `response`.
+    fn limits(&self, response: Duration) -> CallLimits {
+        CallLimits {
+            response,
+            idle: self.call_timeout,
+            total: response + Duration::from_millis(TRANSFER_LIMIT_MS),
+        }
+    }
+
     pub(crate) fn call_timeout(&self) -> Duration {
         self.call_timeout
     }
--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -3,14 +3,15 @@
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use http::HeaderValue;
-use monoio::time::timeout;
+use monoio::time::{timeout, timeout_at};
 use monoio_http::common::body::HttpBody;
 
-use crate::call::{CallError, CallFault, CallProgress};
+use crate::call::{CallError, CallFault, CallLimits, CallProgress};
 use crate::connection::{BodyLength, body_length};
 use crate::counters::increment;
 use crate::exchange::{
@@ -98,13 +99,31 @@
     /// Fails with [`CallError::NotSent`] if no byte of the request was written, also after a
     /// timeout, and with [`CallError::Unknown`] if any byte may have been written.
     pub async fn call(&self, request: &Request, limit: Duration) -> Result<Response, CallError> {
-        let progress = Rc::new(CallProgress::default());
-        let exchange = self.exchange(request, &progress);
-        let result = timeout(limit, exchange).await;
-        self.classify(
-            result.unwrap_or_else(|_| Err(progress.timeout_fault())),
-            &progress,
-        )
+        self.call_with_limits(request, CallLimits::total(limit))
+            .await
+    }
+
+    /// Sends a request and waits for the whole response for as long as the limits allow.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::call`] does.
+    pub async fn call_with_limits(
+        &self,
+        request: &Request,
+        limits: CallLimits,
+    ) -> Result<Response, CallError> {
+        let progress = Rc::new(CallProgress::new());
+        let mut exchange = pin!(self.exchange(request, &progress));
+        loop {
+            let deadline = progress.deadline(limits);
+            if let Ok(result) = timeout_at(deadline, &mut exchange).await {
+                return self.classify(result, &progress);
+            }
+            if progress.deadline(limits) <= deadline {
+                return self.classify(Err(progress.timeout_fault()), &progress);
+            }
+        }
     }
 
     /// Sends a request whose response is a stream of lines.
@@ -119,7 +138,7 @@
         request: &Request,
         limit: Duration,
     ) -> Result<LineStream, CallError> {
-        let progress = Rc::new(CallProgress::default());
+        let progress = CallProgress::new();
         let open = self.open_stream(request, &progress);
         let result = timeout(limit, open).await;
         self.classify(
--- a/components/web/src/connection.rs
+++ b/components/web/src/connection.rs
@@ -90,8 +90,7 @@
         self.buffer.extend_from_slice(&read_buffer[..count]);
         self.read_buffer = Some(read_buffer);
         if let Some(call_progress) = &self.call_progress {
-            let received_bytes = &call_progress.received_bytes;
-            received_bytes.set(received_bytes.get() + count as u64);
+            call_progress.record_received(count);
         }
         Ok(count)
     }
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -19,7 +19,7 @@
 mod server;
 mod stop;
 
-pub use call::{CallError, CallFault};
+pub use call::{CallError, CallFault, CallLimits};
 pub use client::{Client, ClientCounters};
 pub use counters::ServerCounters;
 pub use limits::{CurrentLimits, ServerLimits, ServerLimitsBuilder};
--- a/components/web/tests/client.rs
+++ b/components/web/tests/client.rs
@@ -9,7 +9,7 @@
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
 use monoio::net::{TcpListener, TcpStream};
 use proptest::prelude::*;
-use web::{CallError, CallFault, Client, Method, Notify, Request};
+use web::{CallError, CallFault, CallLimits, Client, Method, Notify, Request};
 
 const LONG: Duration = Duration::from_secs(20);
 /// Long enough to write a request on loopback before the timeout.
@@ -28,6 +28,8 @@
 #[derive(Clone)]
 enum Step {
     Answer(Vec<u8>),
+    /// Answers byte by byte, with a pause after each.
+    Trickle(Vec<u8>, Duration),
     AnswerAndClose(Vec<u8>),
     Close,
     Hang,
@@ -93,6 +95,12 @@
         changed.notify_all();
         match &steps[index] {
             Step::Answer(bytes) => drop(stream.write_all(bytes.clone()).await),
+            Step::Trickle(bytes, pause) => {
+                for byte in bytes {
+                    drop(stream.write_all(vec![*byte]).await);
+                    monoio::time::sleep(*pause).await;
+                }
+            }
             Step::AnswerAndClose(bytes) => return drop(stream.write_all(bytes.clone()).await),
             Step::Close => return,
             Step::Hang => drop(stream.read(Vec::with_capacity(1)).await),
@@ -198,6 +206,52 @@
     });
 }
 
+const TRICKLE_PAUSE: Duration = Duration::from_millis(20);
+
+#[test]
+fn response_that_progresses_may_take_longer_than_the_time_until_it_begins() {
+    run(async {
+        let server = ScriptedServer::start(vec![Step::Trickle(ok("abc"), TRICKLE_PAUSE)]);
+        let limits = CallLimits {
+            response: TRICKLE_PAUSE * 20,
+            idle: TRICKLE_PAUSE * 20,
+            total: LONG,
+        };
+        let client = Client::new(server.address, 1);
+        let response = client.call_with_limits(&get(), limits).await;
+        assert_eq!(response.expect("an answer").body, "abc");
+    });
+}
+
+#[test]
+fn response_that_stalls_or_exceeds_the_total_limit_times_out() {
+    run(async {
+        let stalled = ok("abc")[..20].to_vec();
+        for (step, idle, total) in [
+            (Step::Answer(stalled), TRICKLE_PAUSE * 5, LONG),
+            (
+                Step::Trickle(ok("abc"), TRICKLE_PAUSE),
+                LONG,
+                TRICKLE_PAUSE * 20,
+            ),
+        ] {
+            let server = ScriptedServer::start(vec![step]);
+            let response = TIMEOUT_AFTER_WRITE;
+            let limits = CallLimits {
+                response,
+                idle,
+                total,
+            };
+            let result = Client::new(server.address, 1)
+                .call_with_limits(&get(), limits)
+                .await;
+            let error = result.expect_err("no answer");
+            let is_incomplete = matches!(error.fault(), CallFault::Incomplete { .. });
+            assert!(is_incomplete, "{error}");
+        }
+    });
+}
+
 #[test]
 fn timeout_while_waiting_for_a_connection_reports_not_sent() {
     run(async {
