Read the configuration again only when the history of the store is gone

What callers saw: late answers at entries on slow links while the configuration is large.

Cause: an entry read the whole configuration again after each change of any other key, since an answer without events might lack one, and every 0.7 s once the configuration had been unchanged for as long as the store keeps its history. Unchanged configurations of 1 MB took 1.1 MB/s on each entry's link, half of the smallest.

Change: the watch begins after the revision at which the key was read or last changed, and stays there while nothing is reported. A failed watch begins again at the same revision, without a read.

--- a/components/gateway/src/configuration.rs
+++ b/components/gateway/src/configuration.rs
@@ -23,9 +23,9 @@
 /// Pause after a failed call to the store, in milliseconds.
 const RETRY_PAUSE_MS: u64 = 300;
 
-/// Pause before the configuration is read again after the store has compacted the history that the
-/// watch needs, in milliseconds.
-const REREAD_PAUSE_MS: u64 = 700;
+/// Shortest time between two reads of the configuration while the store has compacted the history
+/// that the watch needs, in milliseconds.
+const READ_INTERVAL_MS: u64 = 700;
 
 /// The configuration in force.
 #[derive(Debug)]
@@ -63,74 +63,95 @@
 /// Applies each change of the configuration; never returns.
 pub(crate) async fn follow(shared: Rc<Shared>) {
     let mut failures = RepeatedLines::default();
+    let mut is_store_lost = false;
+    let mut next_read_at_ms = 0;
+    let mut known_revision = None;
     let mut backoff = Backoff::builder(RETRY_PAUSE_MS, RETRY_PAUSE_MS)
         .seed(shared.key.0)
         .build();
     loop {
-        let failure = match read_and_watch(&shared).await {
-            Ok(()) => continue,
-            Err(failure) => failure,
+        let result = match known_revision {
+            Some(revision) => watch(&shared, revision).await,
+            None => {
+                let pause_ms = u64::saturating_sub(next_read_at_ms, uptime_ms());
+                monoio::time::sleep(Duration::from_millis(pause_ms)).await;
+                next_read_at_ms = uptime_ms() + READ_INTERVAL_MS;
+                read(&shared).await
+            }
         };
-        if let Some(count) = failures.record(uptime_ms(), failure.call) {
-            log::warn!(target: "gateway", event = "configuration_unavailable",
-                call = failure.call, took_ms = failure.took_ms,
-                reason = failure.error.to_string(), count = count;
-                "configuration cannot be read from the store; the last one stays in force");
-        }
-        pause_after_failure(&mut backoff).await;
-        if shared.store.get(CONFIGURATION_KEY, false).await.is_ok() {
-            log::info!(target: "gateway", event = "store_regained"; "the store answers again");
-            backoff.record_success();
+        match result {
+            Ok(newest) => {
+                known_revision = newest;
+                backoff.record_success();
+                if std::mem::take(&mut is_store_lost) {
+                    log::info!(target: "gateway", event = "store_regained";
+                        "the store answers again");
+                }
+            }
+            Err(failure) => {
+                is_store_lost = true;
+                if let Some(count) = failures.record(uptime_ms(), failure.call) {
+                    log::warn!(target: "gateway", event = "configuration_unavailable",
+                        call = failure.call, took_ms = failure.took_ms,
+                        reason = failure.error.to_string(), count = count;
+                        "configuration cannot be read from the store; the last one stays in force");
+                }
+                pause_after_failure(&mut backoff).await;
+            }
         }
     }
 }
 
-/// Reads the configuration and applies watched changes; returns when a change may have been
-/// missed.
-async fn read_and_watch(shared: &Rc<Shared>) -> Result<(), ReadFailure> {
+/// Reads the configuration and applies it; returns the revision up to which all changes are known.
+async fn read(shared: &Rc<Shared>) -> Result<Option<u64>, ReadFailure> {
     let called_at_ms = uptime_ms();
     let read = shared.store.get(CONFIGURATION_KEY, false).await;
-    shared
-        .metrics
-        .record_store_call("get", read.is_ok() || read == Err(StoreError::Missing));
-    bootstrap::record_store_read(shared, StorePart::Configuration, is_answered(&read));
-    let mut revision = match read {
-        Ok(item) => {
-            apply(shared, &item);
-            item.revision
+    let is_answered = is_answered(&read);
+    shared.metrics.record_store_call("get", is_answered);
+    bootstrap::record_store_read(shared, StorePart::Configuration, is_answered);
+    let revision = match read {
+        Ok(read) => {
+            apply(shared, &read.item);
+            read.revision
         }
         Err(StoreError::Missing) => 0,
         Err(error) => return Err(ReadFailure::new("get", called_at_ms, error)),
     };
     record_confirmation(shared);
-    loop {
-        let called_at_ms = uptime_ms();
-        let watched = shared
-            .store
-            .watch(CONFIGURATION_KEY, revision, WATCH_WAIT_MS)
-            .await;
-        shared.metrics.record_store_call("watch", watched.is_ok());
-        bootstrap::record_store_read(shared, StorePart::Configuration, is_answered(&watched));
-        let watch = match watched {
-            Err(StoreError::Missing) => {
-                monoio::time::sleep(Duration::from_millis(REREAD_PAUSE_MS)).await;
-                return Ok(());
-            }
-            watched => watched.map_err(|error| ReadFailure::new("watch", called_at_ms, error))?,
-        };
-        record_confirmation(shared);
-        for change in &watch.changes {
-            if let WatchedChange::Put(item) = change
-                && item.key == CONFIGURATION_KEY
-            {
-                apply(shared, item);
-            }
-        }
-        // The store's revision advanced without an event: the watch may have missed a change.
-        if watch.changes.is_empty() && watch.revision != revision {
-            return Ok(());
+    Ok(Some(revision))
+}
+
+/// Waits for changes after a revision and applies them; returns the revision up to which all changes
+/// are known, `None` if the configuration must be read again.
+async fn watch(shared: &Rc<Shared>, revision: u64) -> Result<Option<u64>, ReadFailure> {
+    let called_at_ms = uptime_ms();
+    let watched = shared
+        .store
+        .watch(CONFIGURATION_KEY, revision, WATCH_WAIT_MS)
+        .await;
+    shared.metrics.record_store_call("watch", watched.is_ok());
+    bootstrap::record_store_read(shared, StorePart::Configuration, is_answered(&watched));
+    let watch = match watched {
+        Ok(watch) => watch,
+        Err(StoreError::Missing) => return Ok(None),
+        Err(error) => return Err(ReadFailure::new("watch", called_at_ms, error)),
+    };
+    record_confirmation(shared);
+    for change in &watch.changes {
+        if let WatchedChange::Put(item) = change
+            && item.key == CONFIGURATION_KEY
+        {
+            apply(shared, item);
         }
-        revision = watch.revision;
+    }
+    // The revision of the answer may include changes that the watch has missed; a watch from the last
+    // change reports them as long as the history contains them.
+    let newest = watch.changes.iter().map(WatchedChange::revision).max();
+    match newest {
+        None => Ok(Some(revision)),
+        // The next watch would return the same changes at once.
+        Some(newest) if newest <= revision => Ok(None),
+        Some(newest) => Ok(Some(newest)),
     }
 }
 
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -93,7 +93,7 @@
                         end_reconnect_pause(shared, address);
                     }
                 }
-                WatchedChange::Deleted { key } => {
+                WatchedChange::Deleted { key, .. } => {
                     registered.remove(key);
                 }
             }
--- a/components/platform/src/key_set.rs
+++ b/components/platform/src/key_set.rs
@@ -77,7 +77,7 @@
     for change in changes {
         match change {
             WatchedChange::Put(item) => keys.insert(item.key),
-            WatchedChange::Deleted { key } => keys.remove(&key),
+            WatchedChange::Deleted { key, .. } => keys.remove(&key),
         };
     }
 }
--- a/components/platform/src/store.rs
+++ b/components/platform/src/store.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use adapter::{DecodeError, StoreCodec, StoreItem, StoreList, StoreReply, StoreWatch};
+use adapter::{DecodeError, StoreCodec, StoreItem, StoreList, StoreRead, StoreReply, StoreWatch};
 use derive_more::{Display, Error};
 use web::{Request, Response};
 
@@ -62,7 +62,7 @@
     /// # Errors
     ///
     /// Fails with [`StoreError::Missing`] if the key does not exist.
-    pub async fn get(&self, key: &str, is_stale_allowed: bool) -> Result<StoreItem, StoreError> {
+    pub async fn get(&self, key: &str, is_stale_allowed: bool) -> Result<StoreRead, StoreError> {
         let request = StoreCodec::get_request(key, is_stale_allowed);
         let response = self.read(&request, self.transport.call_timeout()).await?;
         into_result(StoreCodec::decode_get(&response))
--- a/components/sidecar/src/registration.rs
+++ b/components/sidecar/src/registration.rs
@@ -52,7 +52,7 @@
 /// so that runs can start before the target's next report.
 async fn restore_target(shared: &Rc<Shared>) {
     let item = match shared.store.get(&key(shared), false).await {
-        Ok(item) => item,
+        Ok(read) => read.item,
         Err(error) => {
             log::info!(target: "sidecar", event = "nothing_recalled", reason = error.to_string();
                 "no earlier registration could be read; waiting for the target's report");
--- a/tests/platform_evacuation.rs
+++ b/tests/platform_evacuation.rs
@@ -178,7 +178,7 @@
     let folder = tempfile::tempdir().expect("a folder");
     let run = runtime::run(async {
         let system = System::start(folder.path(), BOUND).await;
-        let listings = || system.agent_store.listing_count(&evacuation_key(""));
+        let listings = || system.agent_store.read_count(&evacuation_key(""));
         wait_until("the keys are listed", async || listings() > 0).await;
         system.agent_store.set_refusing(true);
         let before = listings();
