Send configurations to other entries in parts

What callers see: an entry that the store refuses keeps an old configuration for as long as that lasts, if the configuration is large and its link slow: 404 for routes that were added.

A peer sent the whole configuration in one reply, which had to arrive within 300 ms.

Change: a reply has the first 32 KiB. The rest is requested in parts, each a call with its own limit; what was received is kept when a peer fails, and the next peer goes on. The package peers decides (Download). The protocol's version is 5.

Result: a_large_configuration_reaches_a_refused_entry_from_a_peer_on_a_slow_link failed before (not in force after 30 s) and passes.

--- a/components/gateway/src/bootstrap.rs
+++ b/components/gateway/src/bootstrap.rs
@@ -8,15 +8,17 @@
 use std::rc::Rc;
 
 use monoio::net::TcpListener;
-use peers::{Knowledge, MAX_HOSTS_IN_REPLY, Query, ReplySummary, StorePart};
+use peers::{Knowledge, MAX_HOSTS_IN_REPLY, MAX_PART_BYTES, Part, Query, ReplySummary, StorePart};
 use protocol::{
-    BootstrapLink, BootstrapReply, BootstrapRequest, HostAnnouncement, HostAnnouncementReply,
-    HostContact, LinkError, LinkFault, ServerSettings, serve_bootstrap,
+    BootstrapLink, BootstrapReply, BootstrapRequest, ConfigurationPart, ConfigurationPartRequest,
+    HostAnnouncement, HostAnnouncementReply, HostContact, LinkError, LinkFault, ServerSettings,
+    serve_bootstrap,
 };
 use runtime::{monotonic_us, uptime_ms};
 use rustc_hash::FxBuildHasher;
 use scheduling::{HostInfo, Scheduler};
 use serde_json::{Value, json};
+use web::Bytes;
 
 use crate::process::Shared;
 use crate::{configuration, directory, evacuation};
@@ -38,8 +40,10 @@
         .build();
     let asked = Rc::clone(&shared);
     let bootstrap = move |request: BootstrapRequest| answer(&asked, &request);
+    let source = Rc::clone(&shared);
+    let part = move |request: ConfigurationPartRequest| configuration_part(&source, request);
     let announce = move |announcement: HostAnnouncement| learn_host(&shared, &announcement);
-    serve_bootstrap(listener, settings, bootstrap, announce).await;
+    serve_bootstrap(listener, settings, bootstrap, part, announce).await;
 }
 
 /// Returns the address at which other processes reach the bootstrap service, if the entry takes part
@@ -73,10 +77,13 @@
         );
         call_due_peers(shared);
     }
-    let active_configuration = shared.active_configuration.borrow();
-    let newer = active_configuration
-        .as_ref()
-        .filter(|config| config.revision > request.revision);
+    let caller_revision = request.revision.max(request.downloading_revision);
+    let first_part = ConfigurationPartRequest {
+        revision: known.revision,
+        offset_bytes: 0,
+    };
+    let is_newer = known.revision > caller_revision;
+    let configuration = is_newer.then(|| configuration_part(shared, first_part));
     let scheduler = shared.scheduler.borrow();
     let hosts_digest = digest_hosts(&scheduler);
     let has_hosts = request.wants_hosts && request.seen_hosts_digest != hosts_digest;
@@ -85,7 +92,7 @@
     let exchange = shared.exchange.borrow();
     BootstrapReply {
         revision: known.revision,
-        configuration: newer.map(|config| config.published.clone()),
+        configuration,
         evacuations: evacuation::report_to(shared, request.evacuations),
         host_count: known.host_count as u32,
         is_listed: exchange.is_listed(),
@@ -95,6 +102,27 @@
     }
 }
 
+/// Returns a part of the configuration, or the first part if this entry has another revision.
+fn configuration_part(shared: &Shared, request: ConfigurationPartRequest) -> ConfigurationPart {
+    let active_configuration = shared.active_configuration.borrow();
+    let Some(config) = active_configuration.as_ref() else {
+        return ConfigurationPart::default();
+    };
+    let total_bytes = config.published.len();
+    let offset_bytes = if request.revision == config.revision {
+        usize::try_from(request.offset_bytes).map_or(total_bytes, |bytes| bytes.min(total_bytes))
+    } else {
+        0
+    };
+    let end_bytes = (offset_bytes + MAX_PART_BYTES).min(total_bytes);
+    ConfigurationPart {
+        revision: config.revision,
+        total_bytes: total_bytes as u64,
+        offset_bytes: offset_bytes as u64,
+        content: config.published.slice(offset_bytes..end_bytes),
+    }
+}
+
 /// Returns what to tell a peer of a host; `None` if the store had a malformed address of it.
 fn contact(info: &HostInfo) -> Option<HostContact> {
     Some(HostContact {
@@ -175,7 +203,10 @@
 
 async fn call_peer(shared: Rc<Shared>, query: Query) {
     match request_state(&shared, query).await {
-        Ok(reply) => apply(&shared, query, &reply),
+        Ok((link, reply)) => {
+            apply(&shared, query, &reply);
+            download_configuration(&shared, &link, query.address, reply.revision).await;
+        }
         Err(error) => {
             shared.metrics.record_peer_call(false);
             log::debug!(target: "gateway", event = "bootstrap_failed",
@@ -188,7 +219,10 @@
     call_due_peers(&shared);
 }
 
-async fn request_state(shared: &Rc<Shared>, query: Query) -> Result<BootstrapReply, LinkError> {
+async fn request_state(
+    shared: &Rc<Shared>,
+    query: Query,
+) -> Result<(BootstrapLink, BootstrapReply), LinkError> {
     let deadline_us = monotonic_us() + PEER_QUERY_TIMEOUT_MS * 1_000;
     let address = query.address.to_string();
     let traffic = shared.traffic.clone();
@@ -200,19 +234,79 @@
     let request = BootstrapRequest {
         address: own_address(shared),
         revision: known.revision,
+        downloading_revision: shared.download.borrow().revision(uptime_ms()),
         host_count: known.host_count as u32,
         evacuations: evacuation::digest(shared),
         wants_hosts: query.wants_hosts,
         seen_hosts_digest: query.seen_hosts_digest,
     };
-    link.bootstrap(request, deadline_us).await
+    let reply = link.bootstrap(request, deadline_us).await?;
+    Ok((link, reply))
+}
+
+/// Requests the parts of the configuration that are missing, unless they are requested from another
+/// peer, or the peer has another revision.
+async fn download_configuration(
+    shared: &Rc<Shared>,
+    link: &BootstrapLink,
+    address: SocketAddr,
+    peer_revision: u64,
+) {
+    let is_started = shared
+        .download
+        .borrow_mut()
+        .start(uptime_ms(), peer_revision);
+    if !is_started {
+        return;
+    }
+    loop {
+        let next = shared.download.borrow().next_part(uptime_ms());
+        let Some(next) = next else {
+            break;
+        };
+        let request = ConfigurationPartRequest {
+            revision: next.revision,
+            offset_bytes: next.offset_bytes as u64,
+        };
+        let deadline_us = monotonic_us() + PEER_QUERY_TIMEOUT_MS * 1_000;
+        let part = match link.configuration_part(request, deadline_us).await {
+            Ok(part) => part,
+            Err(error) => {
+                log::debug!(target: "gateway", event = "bootstrap_failed",
+                    address = address.to_string(), offset_bytes = next.offset_bytes,
+                    reason = error.to_string();
+                    "no further part of the configuration from this peer; asking another one");
+                break;
+            }
+        };
+        take_part(shared, &part, &address.to_string());
+        if shared.download.borrow().next_part(uptime_ms()) == Some(next) {
+            break;
+        }
+    }
+    shared.download.borrow_mut().stop();
+}
+
+/// Adds a part of the configuration, and applies the configuration if it is complete.
+fn take_part(shared: &Rc<Shared>, part: &ConfigurationPart, source: &str) {
+    let part = Part {
+        revision: part.revision,
+        total_bytes: part.total_bytes as usize,
+        offset_bytes: part.offset_bytes as usize,
+        content: &part.content,
+    };
+    let downloaded = shared.download.borrow_mut().add(uptime_ms(), part);
+    if let Some(downloaded) = downloaded {
+        let published = Bytes::from(downloaded.published);
+        configuration::apply_published(shared, downloaded.revision, &published, source);
+    }
 }
 
 fn apply(shared: &Rc<Shared>, query: Query, reply: &BootstrapReply) {
     shared.metrics.record_peer_call(true);
     let source = query.address.to_string();
-    if let Some(published) = &reply.configuration {
-        configuration::apply_published(shared, reply.revision, published, &source);
+    if let Some(part) = &reply.configuration {
+        take_part(shared, part, &source);
     }
     if let Some(report) = &reply.evacuations {
         evacuation::entry_reported(shared, &source, report);
--- a/components/gateway/src/configuration.rs
+++ b/components/gateway/src/configuration.rs
@@ -193,6 +193,7 @@
         limits: decoded.limits,
         published: published.clone(),
     }));
+    shared.download.borrow_mut().discard_up_to(revision);
     shared.refresh_limits();
     shared.configuration_changed.notify_all();
 }
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -10,7 +10,7 @@
 use futures::channel::oneshot;
 use model::ProcessKey;
 use monoio::net::TcpListener;
-use peers::Exchange;
+use peers::{Download, Exchange};
 use platform::StoreClient;
 use protocol::{LinkCounters, Traffic};
 use runtime::{StopSignal, SuspensionWatch, uptime_ms};
@@ -88,6 +88,8 @@
     pub(crate) traffic: Traffic,
     /// Decides which peers are asked for state.
     pub(crate) exchange: RefCell<Exchange>,
+    /// The configuration that is being received from peers.
+    pub(crate) download: RefCell<Download>,
     pub(crate) web: Rc<ServerCounters>,
     suspension_watch: SuspensionWatch,
 }
@@ -143,6 +145,7 @@
             link_counters: LinkCounters::default(),
             traffic: Traffic::default(),
             exchange: RefCell::new(exchange),
+            download: RefCell::default(),
             web: Rc::default(),
             suspension_watch: SuspensionWatch::new(
                 uptime_ms(),
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -5,13 +5,16 @@
 //! crates do the I/O; times are in milliseconds on a monotonic clock of the caller.
 
 mod announcer;
+mod download;
 mod exchange;
 mod limits;
 mod peer_set;
 
 pub use announcer::Announcer;
+pub use download::{Download, Downloaded, NextPart, Part};
 pub use exchange::{Exchange, Knowledge, PeerStatus, Query, ReplySummary, StorePart};
 pub use limits::{
-    ANNOUNCE_DELAY_MS, ANNOUNCE_SPREAD_MS, MAX_HOSTS_IN_REPLY, MAX_NAMED_PEERS, MAX_PARALLEL_CALLS,
-    MAX_PEERS, OFFER_DELAY_MS, OFFER_DURATION_MS, QUERY_DELAY_MS, REFRESH_INTERVAL_MS,
+    ANNOUNCE_DELAY_MS, ANNOUNCE_SPREAD_MS, MAX_CONFIGURATION_BYTES, MAX_HOSTS_IN_REPLY,
+    MAX_NAMED_PEERS, MAX_PARALLEL_CALLS, MAX_PART_BYTES, MAX_PEERS, OFFER_DELAY_MS,
+    OFFER_DURATION_MS, QUERY_DELAY_MS, REFRESH_INTERVAL_MS, RESUMABLE_PERIOD_MS,
 };
--- a/components/peers/src/limits.rs
+++ b/components/peers/src/limits.rs
@@ -13,6 +13,17 @@
 /// leave room for calls to others.
 pub const MAX_PARALLEL_CALLS: usize = 6;
 
+/// Largest configuration that is taken from peers, in bytes: four times what the store accepts.
+pub const MAX_CONFIGURATION_BYTES: usize = 4 * 1024 * 1024;
+
+/// Largest part of a configuration in one message, in bytes: a link of 2 Mbit/s carries it within half
+/// of the time limit of a call.
+pub const MAX_PART_BYTES: usize = 32 * 1024;
+
+/// Time after its last part in which an incomplete configuration may be continued, in milliseconds.
+/// After that, an older revision is taken from peers that do not have this one.
+pub const RESUMABLE_PERIOD_MS: u64 = 2_000;
+
 /// Time after its start after which an entry asks peers if the store has not answered, in
 /// milliseconds; the store usually answers within 4 ms.
 pub const QUERY_DELAY_MS: u64 = 100;
--- a/components/protocol/src/bootstrap_link.rs
+++ b/components/protocol/src/bootstrap_link.rs
@@ -10,7 +10,10 @@
 use crate::error::{LinkError, LinkFault};
 use crate::hello::Service;
 use crate::link::Link;
-use crate::message::{BootstrapReply, BootstrapRequest, HostAnnouncement, HostAnnouncementReply};
+use crate::message::{
+    BootstrapReply, BootstrapRequest, ConfigurationPart, ConfigurationPartRequest,
+    HostAnnouncement, HostAnnouncementReply,
+};
 use crate::server::accept_connections;
 use crate::service::{BootstrapService, BootstrapServiceRequest, BootstrapServiceResponse};
 use crate::settings::ServerSettings;
@@ -56,9 +59,24 @@
         let request = BootstrapServiceRequest::Bootstrap { request };
         match self.call(request, deadline_us).await? {
             BootstrapServiceResponse::Bootstrap(reply) => Ok(reply),
-            BootstrapServiceResponse::Announce(_) => {
-                Err(LinkError::Unknown(LinkFault::CrossedAnswer))
-            }
+            _ => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
+        }
+    }
+
+    /// Requests a part of the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer before the deadline or the connection ends.
+    pub async fn configuration_part(
+        &self,
+        request: ConfigurationPartRequest,
+        deadline_us: u64,
+    ) -> Result<ConfigurationPart, LinkError> {
+        let request = BootstrapServiceRequest::ConfigurationPart { request };
+        match self.call(request, deadline_us).await? {
+            BootstrapServiceResponse::ConfigurationPart(part) => Ok(part),
+            _ => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
         }
     }
 
@@ -75,9 +93,7 @@
         let request = BootstrapServiceRequest::Announce { announcement };
         match self.call(request, deadline_us).await? {
             BootstrapServiceResponse::Announce(reply) => Ok(reply),
-            BootstrapServiceResponse::Bootstrap(_) => {
-                Err(LinkError::Unknown(LinkFault::CrossedAnswer))
-            }
+            _ => Err(LinkError::Unknown(LinkFault::CrossedAnswer)),
         }
     }
 }
@@ -86,6 +102,7 @@
 #[derive(Clone)]
 struct BootstrapHandlers {
     bootstrap: Rc<dyn Fn(BootstrapRequest) -> BootstrapReply>,
+    configuration_part: Rc<dyn Fn(ConfigurationPartRequest) -> ConfigurationPart>,
     announce: Rc<dyn Fn(HostAnnouncement) -> HostAnnouncementReply>,
 }
 
@@ -94,6 +111,14 @@
         (self.bootstrap)(request)
     }
 
+    async fn configuration_part(
+        self,
+        _: Context,
+        request: ConfigurationPartRequest,
+    ) -> ConfigurationPart {
+        (self.configuration_part)(request)
+    }
+
     async fn announce(self, _: Context, announcement: HostAnnouncement) -> HostAnnouncementReply {
         (self.announce)(announcement)
     }
@@ -104,10 +129,12 @@
     listener: TcpListener,
     settings: ServerSettings,
     bootstrap: impl Fn(BootstrapRequest) -> BootstrapReply + 'static,
+    configuration_part: impl Fn(ConfigurationPartRequest) -> ConfigurationPart + 'static,
     announce: impl Fn(HostAnnouncement) -> HostAnnouncementReply + 'static,
 ) {
     let handlers = BootstrapHandlers {
         bootstrap: Rc::new(bootstrap),
+        configuration_part: Rc::new(configuration_part),
         announce: Rc::new(announce),
     };
     accept_connections(listener, Service::Bootstrap, handlers.serve(), settings).await;
--- a/components/protocol/src/hello.rs
+++ b/components/protocol/src/hello.rs
@@ -14,7 +14,7 @@
 pub const MAGIC: [u8; 8] = *b"shlcross";
 
 /// Version of the protocol that this program uses.
-pub const VERSION: u32 = 4;
+pub const VERSION: u32 = 5;
 
 /// Size of the hello, in bytes.
 pub const HELLO_BYTES: usize = 32;
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -31,9 +31,10 @@
 pub use host_link::{HostLink, serve_host};
 pub use link::Link;
 pub use message::{
-    AnnounceReply, BootstrapReply, BootstrapRequest, CancelReply, ConfigDocument, EntryPing,
-    EntryPong, HandoverOffer, HandoverReply, HostAnnouncement, HostAnnouncementReply, HostContact,
-    JobProgress, OwnedShard, OwnerHint, ShardOwner, StatusReply, SubmitReply, TeamInfo,
+    AnnounceReply, BootstrapReply, BootstrapRequest, CancelReply, ConfigDocument,
+    ConfigurationPart, ConfigurationPartRequest, EntryPing, EntryPong, HandoverOffer,
+    HandoverReply, HostAnnouncement, HostAnnouncementReply, HostContact, JobProgress, OwnedShard,
+    OwnerHint, ShardOwner, StatusReply, SubmitReply, TeamInfo,
 };
 pub use pool::{AgentPool, EntryPool, Pool};
 pub use server::{MAX_CALLS_PER_CONNECTION, serve_agent, serve_entry};
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -200,6 +200,8 @@
     pub address: Option<SocketAddr>,
     /// Revision of the caller's configuration; 0 if it has none.
     pub revision: u64,
+    /// Revision of the configuration that the caller is receiving in parts; 0 if there is none.
+    pub downloading_revision: u64,
     /// Number of hosts that the caller knows.
     pub host_count: u32,
     /// Digest of the evacuations that the caller knows; `None` if it does not follow them.
@@ -210,13 +212,35 @@
     pub seen_hosts_digest: u64,
 }
 
+/// A request for a part of the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationPartRequest {
+    /// Revision of the configuration.
+    pub revision: u64,
+    /// Position of the part, in bytes.
+    pub offset_bytes: u64,
+}
+
+/// A part of a configuration as published.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationPart {
+    /// Revision of the configuration; 0 if the entry has none.
+    pub revision: u64,
+    /// Size of the whole configuration, in bytes.
+    pub total_bytes: u64,
+    /// Position of the part, in bytes.
+    pub offset_bytes: u64,
+    /// Content of the part.
+    pub content: Bytes,
+}
+
 /// What an entry needs to serve while it cannot reach the platform.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BootstrapReply {
     /// Revision of the configuration; 0 if the entry has none.
     pub revision: u64,
-    /// The configuration as published, if newer than the caller's.
-    pub configuration: Option<Bytes>,
+    /// The first part of the configuration, if newer than those that the caller has or is receiving.
+    pub configuration: Option<ConfigurationPart>,
     /// The evacuations that the entry knows, if both follow them.
     pub evacuations: Option<EvacuationsReport>,
     /// Number of hosts that the entry knows.
--- a/components/protocol/src/service.rs
+++ b/components/protocol/src/service.rs
@@ -12,9 +12,9 @@
 };
 
 use crate::message::{
-    AnnounceReply, BootstrapReply, BootstrapRequest, CancelReply, EntryPing, EntryPong,
-    HandoverOffer, HandoverReply, HostAnnouncement, HostAnnouncementReply, StatusReply,
-    SubmitReply,
+    AnnounceReply, BootstrapReply, BootstrapRequest, CancelReply, ConfigurationPart,
+    ConfigurationPartRequest, EntryPing, EntryPong, HandoverOffer, HandoverReply, HostAnnouncement,
+    HostAnnouncementReply, StatusReply, SubmitReply,
 };
 
 /// Service of an agent.
@@ -59,8 +59,11 @@
 /// Service of an entry for entries and agents that the platform does not serve.
 #[tarpc::service]
 pub trait BootstrapService {
-    /// Returns the configuration, if newer than the caller's, and the hosts that the entry knows.
+    /// Returns the first part of the configuration, if newer than the caller's, and the hosts that the
+    /// entry knows.
     async fn bootstrap(request: BootstrapRequest) -> BootstrapReply;
+    /// Returns a part of the configuration, or the first part if the entry has another revision.
+    async fn configuration_part(request: ConfigurationPartRequest) -> ConfigurationPart;
     /// Makes a host known to the entry.
     async fn announce(announcement: HostAnnouncement) -> HostAnnouncementReply;
 }
--- a/components/protocol/tests/links.rs
+++ b/components/protocol/tests/links.rs
@@ -14,10 +14,10 @@
 use model::{Answer, EvacuationsDigest, FirmKey, Generation, JobKey};
 use monoio::net::TcpListener;
 use protocol::{
-    AgentLink, BootstrapLink, BootstrapReply, BootstrapRequest, CancelReply, EntryHandlers,
-    EntryLink, EntryPool, HandoverOffer, HostAnnouncement, HostAnnouncementReply, HostContact,
-    LinkError, LinkFault, MAX_FRAME_BYTES, ServerSettings, StatusReply, SubmitReply, Traffic,
-    serve_bootstrap,
+    AgentLink, BootstrapLink, BootstrapReply, BootstrapRequest, CancelReply, ConfigurationPart,
+    ConfigurationPartRequest, EntryHandlers, EntryLink, EntryPool, HandoverOffer, HostAnnouncement,
+    HostAnnouncementReply, HostContact, LinkError, LinkFault, MAX_FRAME_BYTES, ServerSettings,
+    StatusReply, SubmitReply, Traffic, serve_bootstrap,
 };
 
 async fn entry_link(server: &common::Server) -> EntryLink {
@@ -332,8 +332,15 @@
                 entries: announcement.entries,
             }
         };
+        let part = |request: ConfigurationPartRequest| ConfigurationPart {
+            revision: request.revision,
+            offset_bytes: request.offset_bytes,
+            ..ConfigurationPart::default()
+        };
         let settings = ServerSettings::builder(SERVER).build();
-        monoio::spawn(serve_bootstrap(listener, settings, bootstrap, announce));
+        monoio::spawn(serve_bootstrap(
+            listener, settings, bootstrap, part, announce,
+        ));
         let traffic = Traffic::default();
         let address = address.to_string();
         let link = BootstrapLink::connect(&address, CLIENT, deadline_us(), traffic.clone());
@@ -341,6 +348,7 @@
         let request = BootstrapRequest {
             address: Some(entries[0]),
             revision: 7,
+            downloading_revision: 0,
             host_count: 74,
             evacuations: Some(EvacuationsDigest::default()),
             wants_hosts: false,
@@ -356,6 +364,12 @@
         };
         let reply = link.bootstrap(request, deadline_us()).await;
         assert_eq!(reply.unwrap().hosts, [host_contact()]);
+        let request = ConfigurationPartRequest {
+            revision: 7,
+            offset_bytes: 32_768,
+        };
+        let part = link.configuration_part(request, deadline_us()).await;
+        assert_eq!(part.unwrap().offset_bytes, 32_768);
         let announcement = HostAnnouncement {
             host: host_contact(),
             entries: entries.clone(),
--- a/tests/platform_configuration.rs
+++ b/tests/platform_configuration.rs
@@ -6,7 +6,9 @@
 
 use platform_standins::{CONFIGURATION_KEY, StoreServer, add_routes, configuration};
 use platform_support::support::{Relay, wait_until};
-use platform_support::{Entry, GROUP, HOST, PREFIX, start_entry};
+use platform_support::{
+    Entry, GROUP, HOST, PREFIX, free_address, seeds_setting, start_entry, start_entry_at,
+};
 
 /// Time after its acknowledgement within which a change takes effect on a large deployment.
 const APPLY_LIMIT: Duration = Duration::from_millis(3_000);
@@ -74,6 +76,39 @@
     run.expect("the runtime starts");
 }
 
+// An entry that the store refused asked its peers again and again for a configuration that the link
+// does not carry within the time limit of one call.
+#[test]
+fn a_large_configuration_reaches_a_refused_entry_from_a_peer_on_a_slow_link() {
+    let run = runtime::run(async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let store = start_store();
+        let seed_address = free_address();
+        let settings = seeds_setting(&[seed_address]);
+        let seed = start_entry_at(
+            folder.path(),
+            store.address(),
+            seed_address,
+            "debug",
+            &settings,
+        );
+        let link = Relay::start();
+        link.set_upstream(seed_address);
+        link.limit_rate(SLOW_LINK_BYTES_PER_S);
+        let settings = seeds_setting(&[link.address]);
+        let (refusing_store, address) = (free_address(), free_address());
+        let refused = start_entry_at(folder.path(), refusing_store, address, "debug", &settings);
+        wait_until_in_force(&refused, PREFIX).await;
+        publish_large(&store, 2, LAST_PREFIX);
+        wait_until_in_force(&seed, LAST_PREFIX).await;
+        let known_at = Instant::now();
+        wait_until_in_force(&refused, LAST_PREFIX).await;
+        let took = known_at.elapsed();
+        assert!(took <= APPLY_LIMIT, "{took:?}");
+    });
+    run.expect("the runtime starts");
+}
+
 // Entries read the whole configuration again after every change of any other key.
 #[test]
 fn an_unchanged_configuration_is_not_read_again_when_other_keys_change() {
