Reproduce tasks that take all targets down in the model

A tenth of the quick jobs of the model have a task that crashes each target 8 ms after its start; the target is back after 3 s, and its connections break.

--- a/components/sim/src/agent.rs
+++ b/components/sim/src/agent.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 
 use crate::event::Event;
+use crate::fault::{Fault, FaultKind};
 use crate::target::{Target, TargetStart};
 use crate::world::World;
 
@@ -30,6 +31,12 @@
 /// Minimum and maximum delay of an order that is carried out late, in microseconds.
 const LATE_DELAY_US: (u64, u64) = (100_000, 12_000_000);
 
+/// Time from the start of a task that crashes its target to the crash, in microseconds.
+const CRASH_DELAY_US: u64 = 8_000;
+
+/// Time from such a crash until the target is back, in milliseconds.
+const RESTART_MS: u64 = 3_000;
+
 /// An entry's update request that the agent holds open.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PendingUpdateRequest {
@@ -667,6 +674,46 @@
             let id = job.id;
             self.record_violation(format!("job {id} starts after it was refused as not run"));
         }
+        if self.crashes_target(order.task) {
+            self.schedule_crash(host);
+        }
+        self.update_target_runs(host);
+    }
+
+    /// Returns whether a task that starts crashes its target, and counts the crash.
+    fn crashes_target(&mut self, task: TaskRef) -> bool {
+        let job = &mut self.jobs[self.job_by_id[&task.job]];
+        if !job.is_crashing || task.index > 0 {
+            return false;
+        }
+        job.crashes += 1;
+        let most_crashes = self.report.most_crashes_of_a_task.max(job.crashes);
+        self.report.most_crashes_of_a_task = most_crashes;
+        true
+    }
+
+    fn schedule_crash(&mut self, host: usize) {
+        let crash = Fault {
+            kind: FaultKind::CrashTarget,
+            place: host,
+            at_ms: 0,
+            for_ms: RESTART_MS,
+            strength: 1.0,
+        };
+        self.schedule(CRASH_DELAY_US, Event::FaultStart(crash.clone()));
+        let back_us = CRASH_DELAY_US + RESTART_MS * 1_000;
+        self.schedule(back_us, Event::FaultEnd(crash));
+    }
+
+    /// Crashes a target: its runs are gone, and its connections are reset.
+    pub(crate) fn crash_target(&mut self, host: usize) {
+        let node = &mut self.agents[host];
+        node.target.crash();
+        let pending = std::mem::take(&mut node.pending_target_polls);
+        for poll in pending {
+            let outcome = TargetPollOutcome::Inconclusive;
+            self.end_target_poll(host, poll, outcome, LOCAL_DELAY_US);
+        }
         self.update_target_runs(host);
     }
 
--- a/components/sim/src/client.rs
+++ b/components/sim/src/client.rs
@@ -26,6 +26,8 @@
     pub worth: f64,
     /// Period with a higher arrival rate.
     pub burst: Option<Burst>,
+    /// Share of the jobs whose first task crashes each target that starts it.
+    pub crashing_share: f64,
 }
 
 /// A period with a higher arrival rate.
@@ -82,6 +84,10 @@
     pub(crate) is_over: bool,
     pub(crate) has_started: bool,
     pub(crate) refused_attempt: u32,
+    /// Whether the first task crashes each target that starts it.
+    pub(crate) is_crashing: bool,
+    /// Number of targets that have crashed under the first task.
+    pub(crate) crashes: u32,
 }
 
 /// Samples an approximately log-normal distribution; `spread` is the standard deviation of the
@@ -154,6 +160,8 @@
         is_over: false,
         has_started: false,
         refused_attempt: 0,
+        is_crashing: job_kind.crashing_share > 0.0 && rng.random::<f64>() < job_kind.crashing_share,
+        crashes: 0,
     }
 }
 
--- a/components/sim/src/fault.rs
+++ b/components/sim/src/fault.rs
@@ -72,10 +72,7 @@
                     self.disconnect(entry, place);
                 }
             }
-            FaultKind::CrashTarget => {
-                self.agents[place].target.crash();
-                self.update_target_runs(place);
-            }
+            FaultKind::CrashTarget => self.crash_target(place),
             FaultKind::HangTarget => self.agents[place].target.is_hanging = true,
             FaultKind::FailTarget => self.agents[place].target.is_failing = true,
             FaultKind::SlowTarget => self.agents[place].target.slowdown = fault.strength,
--- a/components/sim/src/lib.rs
+++ b/components/sim/src/lib.rs
@@ -20,6 +20,6 @@
 pub use fault::{Fault, FaultKind};
 pub use interference::Interference;
 pub use report::{ForecastReport, KindReport, Report, StageReport, Violation};
-pub use scenario::{Scenario, deployment, patterns, quarter_evacuated, usual_load};
+pub use scenario::{Scenario, crashing_tasks, deployment, patterns, quarter_evacuated, usual_load};
 pub use target::TargetSpec;
 pub use world::{Deployment, World};
--- a/components/sim/src/report.rs
+++ b/components/sim/src/report.rs
@@ -116,6 +116,8 @@
     pub messages: u64,
     /// Tasks started.
     pub starts: u64,
+    /// Largest number of targets that have crashed under one task.
+    pub most_crashes_of_a_task: u32,
     /// Calls to targets that timed out; each of them costs a connection.
     pub timed_out_calls: u64,
     /// Longest time from the acknowledgement of an evacuation to a start in the failure domain, in
--- a/components/sim/src/scenario.rs
+++ b/components/sim/src/scenario.rs
@@ -80,6 +80,7 @@
         priority,
         worth,
         burst: None,
+        crashing_share: 0.0,
     };
     Load {
         kinds: vec![
@@ -173,6 +174,14 @@
     ]
 }
 
+/// Returns a pattern in which a tenth of the quick jobs have a task that crashes targets.
+#[must_use]
+pub fn crashing_tasks() -> Scenario {
+    let mut load = usual_load(11, 1.0);
+    load.kinds[0].crashing_share = 0.1;
+    scenario("crashing_tasks", load, Vec::new())
+}
+
 /// Returns a pattern in which a quarter of the hosts is evacuated in a burst of 2.3 times the load.
 #[must_use]
 pub fn quarter_evacuated() -> Scenario {
