Tell which runs had just started when their target crashed

All runs at a target that was gone were reported as lost, so that neither the log nor the entry could tell the task that had crashed it from those that were there by chance. They are reported as crashed now, and as crashed at their start if that was at most 30 ms before the first call that broke off. A target that had announced its end leaves its runs as lost, as before.

Entries treat both ends like lost runs: no decision changes.

--- a/components/hosting/src/host/incarnations.rs
+++ b/components/hosting/src/host/incarnations.rs
@@ -65,6 +65,7 @@
         let current = self.target.as_ref();
         if current.is_some_and(|target| &*target.instance == instance) {
             self.is_target_gone = true;
+            self.has_target_left = true;
             self.reject_waiting(NotStartedReason::NoTarget);
         }
     }
@@ -81,10 +82,11 @@
         if is_first {
             return;
         }
+        self.end_all_with_target(self.last_answer_at_ms);
+        self.has_target_left = false;
+        self.first_broken_call_ms = None;
         // The capacity of the new incarnation comes with its report; until then nothing starts.
         self.target = None;
-        let now_ms = self.last_answer_at_ms;
-        self.end_all_as_lost(now_ms);
         self.lease.reset();
         self.acknowledged = 0;
         self.speed = HostSpeed::default();
--- a/components/hosting/src/host/mod.rs
+++ b/components/hosting/src/host/mod.rs
@@ -1,5 +1,6 @@
 //! State of a host: its target, its runs, and the entries that ordered them.
 
+mod crashes;
 mod drain;
 mod ends;
 mod evacuation;
@@ -61,6 +62,10 @@
     token_step: u64,
     target: Option<TargetReport>,
     is_target_gone: bool,
+    /// Whether the target has announced that it shuts down.
+    has_target_left: bool,
+    /// When the first call since the target's last answer broke off, in milliseconds.
+    first_broken_call_ms: Option<u64>,
     /// When the runs must have ended because the agent shuts down, in milliseconds.
     closes_at_ms: Option<u64>,
     /// Whether the operator has evacuated the failure domain of the host.
@@ -105,6 +110,8 @@
             token_step: FIRST_TOKEN_STEP,
             target: None,
             is_target_gone: false,
+            has_target_left: false,
+            first_broken_call_ms: None,
             closes_at_ms: None,
             is_evacuated: false,
             evacuated_tasks: 0,
--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -68,12 +68,15 @@
             TargetPollOutcome::StaleToken => self.raise_token(),
             TargetPollOutcome::NobodyListens => {
                 self.is_target_gone = true;
-                self.end_all_as_lost(now_ms);
+                self.end_all_with_target(now_ms);
                 self.reject_waiting(NotStartedReason::NoTarget);
             }
             TargetPollOutcome::OtherIncarnation => self.target = None,
             TargetPollOutcome::Inconclusive | TargetPollOutcome::Unanswered => {
                 self.parallel_poll_until_ms = now_ms + PARALLEL_POLL_MS;
+                if outcome == TargetPollOutcome::Inconclusive {
+                    self.record_broken_call(now_ms);
+                }
             }
         }
         self.tick(now_ms, actions);
@@ -143,6 +146,7 @@
         self.has_polling_gap = now_ms > self.last_answer_at_ms + usual_ms;
         self.last_answer_at_ms = now_ms;
         self.is_target_gone = false;
+        self.first_broken_call_ms = None;
         self.lease.record_clock(now_ms, target_runs.clock_ms);
         for ended in &target_runs.ended {
             self.apply_end(now_ms, ended);
--- a/components/hosting/src/host/starts.rs
+++ b/components/hosting/src/host/starts.rs
@@ -25,7 +25,11 @@
     ) {
         // The agent may have been suspended since it sent the start.
         self.end_unauthorized(now_ms, actions);
+        if outcome == StartOutcome::Inconclusive {
+            self.record_broken_call(now_ms);
+        }
         if outcome == StartOutcome::NobodyListens {
+            self.record_broken_call(now_ms);
             self.is_target_gone = true;
             self.reject_waiting(NotStartedReason::NoTarget);
         }
--- a/components/hosting/tests/host/main.rs
+++ b/components/hosting/tests/host/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions of an agent.
 
 mod authority;
+mod crashes;
 mod drain;
 mod evacuation;
 mod harness;
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -221,8 +221,12 @@
     Failed,
     /// An order stopped the run.
     Stopped,
-    /// The run ended without a result, such as when the target is gone or the runs' lease expired.
+    /// The run ended without a result, such as when the target has left or the runs' lease expired.
     Lost,
+    /// The target crashed while the run was there.
+    Crashed,
+    /// The target crashed right after it had started the run, which may be the cause.
+    CrashedAtStart,
 }
 
 /// Why a run was not started.
--- a/components/scheduling/src/scheduler/events.rs
+++ b/components/scheduling/src/scheduler/events.rs
@@ -50,7 +50,10 @@
                 self.handle_done(now_ms, slot, run, actions);
             }
             RunEvent::Ended(RunEnd::Failed, _) => self.handle_failed(now_ms, slot, run, actions),
-            RunEvent::Ended(RunEnd::Stopped | RunEnd::Lost, _) => {
+            RunEvent::Ended(
+                RunEnd::Stopped | RunEnd::Lost | RunEnd::Crashed | RunEnd::CrashedAtStart,
+                _,
+            ) => {
                 // A lost run may not have started; it counts as started.
                 self.mark_started(slot, run);
                 self.requeue_task(now_ms, slot, run, now_ms, actions);
