Give a task up when targets keep crashing under it

What callers saw: one request with a task that crashes targets took all of them down, one after the other, and nobody was served for seconds.

Cause: a run that was lost with its target did not count against its task, so the task was placed on host after host until its caller left: 75 attempts and ten crashes in 0.6 s in the trace.

Change: a job fails, and its caller is told so at once, when two targets have crashed right after they started one of its tasks, or three while they ran it.

Most requests of all queues are still refused while the crashes last: each new task of the kind crashes two targets, and each target is away for three seconds.

--- a/components/scheduling/src/job.rs
+++ b/components/scheduling/src/job.rs
@@ -5,6 +5,7 @@
 use slotmap::new_key_type;
 
 use crate::host::HostSlot;
+use crate::limits::{MAX_CRASHES, MAX_CRASHES_AT_START};
 use crate::request::{JobRequest, StepRequest};
 use crate::verdict::NotRunReason;
 
@@ -58,9 +59,20 @@
     pub(crate) state: TaskState,
     pub(crate) attempts: u32,
     pub(crate) failures: u32,
+    /// Number of targets that have crashed while they ran the task.
+    pub(crate) crashes: u32,
+    /// Number of those that crashed right after they had started it.
+    pub(crate) crashes_at_start: u32,
     pub(crate) avoided_hosts: Vec<HostSlot>,
 }
 
+impl Task {
+    /// Returns whether so many targets have crashed under the task that it must not start again.
+    pub(crate) fn is_given_up(&self) -> bool {
+        self.crashes >= MAX_CRASHES || self.crashes_at_start >= MAX_CRASHES_AT_START
+    }
+}
+
 /// A withdrawal whose confirmation by the agents is outstanding.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Withdrawal {
@@ -105,6 +117,8 @@
             state: TaskState::Waiting { not_before_ms: 0 },
             attempts: 0,
             failures: 0,
+            crashes: 0,
+            crashes_at_start: 0,
             avoided_hosts: Vec::new(),
         };
         let steps = request
--- a/components/scheduling/src/limits.rs
+++ b/components/scheduling/src/limits.rs
@@ -42,6 +42,13 @@
 /// Maximum number of tasks of one job.
 pub(crate) const MAX_TASKS: usize = 4_096;
 
+/// Number of targets that may crash while they run a task before its job fails.
+pub(crate) const MAX_CRASHES: u32 = 3;
+
+/// Number of targets that may crash right after they have started a task before its job fails: it is
+/// unlikely that a task is twice the last one to start by chance.
+pub(crate) const MAX_CRASHES_AT_START: u32 = 2;
+
 /// Delay before a retry of the placement when the host still has another run of the task, in
 /// milliseconds.
 pub(crate) const OCCUPIED_RETRY_MS: u64 = 60;
--- a/components/scheduling/tests/scheduler/main.rs
+++ b/components/scheduling/tests/scheduler/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler of an entry.
 
+mod crashes;
 mod evacuation;
 mod forecasts;
 mod interference;
