Confine queues whose tasks crash targets to a quarter of the hosts

What callers saw: nobody was served for seconds, whatever the queue, while a tenth of the requests of one queue crashed targets.

Cause: each such task takes two targets down before it is given up, and a target is away for three seconds; at three tasks a second that is all of them, and every queue used the same hosts.

Change: a task that is the likely cause of crashes puts its queue into quarantine. Until 10 s after the last crash its tasks go to a quarter of the hosts, the same ones at all entries, and those of other queues to the rest first. Entries learn of quarantines from each other by way of the agents. Agents tell apart whether only one job had just started (caused_crash): only that, twice for one task, or three crashes at its start count as evidence, so that a target that crashes by itself confines no queue.

--- a/components/gateway/src/actions.rs
+++ b/components/gateway/src/actions.rs
@@ -42,6 +42,15 @@
                     "no recent evidence that tasks slow each other down; they are no longer kept apart");
             }
         }
+        SchedulerAction::LogQuarantine { queue, is_begun } => {
+            if is_begun {
+                log::warn!(target: "gateway", event = "quarantine", queue = &*queue;
+                    "tasks of a queue crash targets; they go to a quarter of the hosts only");
+            } else {
+                log::info!(target: "gateway", event = "quarantine_over", queue = &*queue;
+                    "tasks of a queue have crashed no target lately; they go to all hosts again");
+            }
+        }
         SchedulerAction::RecordForecast(outcome) => shared.metrics.record_forecast(&outcome),
         SchedulerAction::LogPlacement {
             run,
--- a/components/gateway/src/links.rs
+++ b/components/gateway/src/links.rs
@@ -5,7 +5,7 @@
 
 use futures::future::{Either, select};
 use protocol::{HostLink, LinkError};
-use runtime::{Backoff, monotonic_us, pause_after_failure};
+use runtime::{Backoff, monotonic_us, pause_after_failure, uptime_ms};
 use scheduling::{HostSlot, UPDATE_TIMEOUT_MS};
 use slotmap::Key;
 use web::Notify;
@@ -161,7 +161,8 @@
     // After the first view, which jobs may be waiting for.
     let mut is_introduced = false;
     loop {
-        let Some(mut request) = shared.scheduler.borrow().update_request(slot) else {
+        let now_ms = uptime_ms();
+        let Some(mut request) = shared.scheduler.borrow().update_request(now_ms, slot) else {
             return LinkError::NotSent(protocol::LinkFault::Closed);
         };
         request.evacuations = evacuation::digest(shared);
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -322,6 +322,11 @@
         let interfering_pairs: Vec<Value> = pairs
             .map(|(of, by, factor)| json!({ "kind": of, "beside": by, "factor": factor }))
             .collect();
+        let quarantined_queues: Vec<String> = scheduler
+            .quarantined_queues(now_ms)
+            .iter()
+            .map(ToString::to_string)
+            .collect();
         let version = self
             .active_configuration
             .borrow()
@@ -333,6 +338,7 @@
             "traffic": self.traffic.iter().collect::<BTreeMap<&str, u64>>(),
             "configuration_version": version,
             "evacuations": self.evacuations.newest(),
+            "quarantined_queues": quarantined_queues,
             "jobs": scheduler.job_count(),
             "exchange": crate::bootstrap::state(self),
             "hosts": hosts,
--- a/components/hosting/src/host/crashes.rs
+++ b/components/hosting/src/host/crashes.rs
@@ -3,7 +3,9 @@
 //! Handles tasks that crash each target that starts them: on a busy host a dozen runs are lost with the
 //! target, and the age of a run at the crash tells which of them may be the cause.
 
-use model::{RunEnd, TaskRef};
+use std::collections::BTreeSet;
+
+use model::{JobId, RunEnd, TaskRef};
 
 use super::Host;
 use crate::limits::SUSPECT_AGE_MS;
@@ -23,15 +25,19 @@
                 .as_ref()
                 .is_some_and(|target| target.is_draining);
         let crashed_at_ms = self.first_broken_call_ms.unwrap_or(now_ms);
-        let at_target = self.runs.iter().filter(|(_, run)| run.occupies_resources());
-        let ends: Vec<(TaskRef, RunEnd)> = at_target
+        let at_target = || self.runs.iter().filter(|(_, run)| run.occupies_resources());
+        let suspects = at_target().filter(|(_, run)| is_suspect(run, crashed_at_ms));
+        let suspect_jobs: BTreeSet<JobId> = suspects.map(|(task, _)| task.job).collect();
+        let ends: Vec<(TaskRef, RunEnd)> = at_target()
             .map(|(task, run)| {
                 let end = if is_expected {
                     RunEnd::Lost
-                } else if is_suspect(run, crashed_at_ms) {
+                } else if !is_suspect(run, crashed_at_ms) {
+                    RunEnd::Crashed
+                } else if suspect_jobs.len() > 1 {
                     RunEnd::CrashedAtStart
                 } else {
-                    RunEnd::Crashed
+                    RunEnd::CausedCrash
                 };
                 (*task, end)
             })
--- a/components/hosting/src/host/mod.rs
+++ b/components/hosting/src/host/mod.rs
@@ -15,8 +15,8 @@
 use std::rc::Rc;
 
 use model::{
-    HostUpdate, HostUpdateRequest, HostView, MOST_URGENT, Orders, ProcessKey, Resources, RunEvent,
-    RunId, RunPermit, TaskRef,
+    HostUpdate, HostUpdateRequest, HostView, MOST_URGENT, Orders, ProcessKey, Quarantines,
+    Resources, RunEvent, RunId, RunPermit, TaskRef,
 };
 use run_times::HostSpeed;
 use runtime::Backoff;
@@ -95,6 +95,8 @@
     incarnation_unix_ms: Option<u64>,
     /// Records for the estimate of interference, if it is on.
     neighbors: Option<NeighborEffects>,
+    /// Quarantines that entries have told, passed on to other entries.
+    quarantines: Quarantines,
 }
 
 impl Host {
@@ -133,6 +135,7 @@
             last_run_numbers: FxHashMap::default(),
             incarnation_unix_ms: None,
             neighbors: None,
+            quarantines: Quarantines::default(),
         }
     }
 
@@ -200,6 +203,8 @@
     ) {
         self.end_unauthorized(now_ms, actions);
         self.renew_authority(now_ms, request.from, request.permit);
+        self.quarantines.take_ended(now_ms);
+        self.quarantines.merge(now_ms, &request.quarantines);
         if let Some(session) = self.sessions.get_mut(&request.from) {
             session.acknowledge(request.last_seen_event);
         }
@@ -235,6 +240,7 @@
                 .get(&to)
                 .map_or_else(Vec::new, Session::events),
             evacuations: None,
+            quarantines: self.quarantines.known(now_ms),
         }
     }
 
--- a/components/hosting/tests/host/crashes.rs
+++ b/components/hosting/tests/host/crashes.rs
@@ -39,6 +39,15 @@
     bench.now_ms += 25;
     bench.end_poll(TargetPollOutcome::NobodyListens);
     assert_eq!(bench.end_of(1), Some(RunEnd::Crashed));
+    assert_eq!(bench.end_of(2), Some(RunEnd::CausedCrash));
+}
+
+#[test]
+fn no_job_is_the_likely_cause_of_a_crash_if_several_had_just_started() {
+    let mut bench = Bench::new();
+    bench.start_two(0);
+    bench.end_poll(TargetPollOutcome::NobodyListens);
+    assert_eq!(bench.end_of(1), Some(RunEnd::CrashedAtStart));
     assert_eq!(bench.end_of(2), Some(RunEnd::CrashedAtStart));
 }
 
--- a/components/hosting/tests/host/harness.rs
+++ b/components/hosting/tests/host/harness.rs
@@ -139,6 +139,7 @@
             last_seen_event: self.last_seen_event,
             wait_ms: 0,
             evacuations: None,
+            quarantines: Vec::new(),
         };
         self.host
             .update_requested(self.now_ms, &request, &mut self.actions);
--- a/components/hosting/tests/host/retries.rs
+++ b/components/hosting/tests/host/retries.rs
@@ -207,7 +207,7 @@
             let Some(RunEvent::Ended(end, _)) = lost else {
                 panic!("{lost:?}");
             };
-            let lost_ends = [RunEnd::Lost, RunEnd::Crashed, RunEnd::CrashedAtStart];
+            let lost_ends = [RunEnd::Lost, RunEnd::Crashed, RunEnd::CausedCrash];
             assert!(lost_ends.contains(&end), "{end:?}");
         }
     }
--- a/components/model/src/keys.rs
+++ b/components/model/src/keys.rs
@@ -57,6 +57,21 @@
     }
 }
 
+/// Identifies a queue by the hash of its name, in messages about it.
+#[derive(
+    Debug, Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{_0:08x}")]
+pub struct QueueKey(pub u32);
+
+impl QueueKey {
+    /// Derives the key from the queue's name.
+    #[must_use]
+    pub fn from_name(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()) as u32)
+    }
+}
+
 /// Identifies one incarnation of a process; a restarted process has a new key.
 #[derive(
     Debug, Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod message;
 mod mix;
+mod quarantine;
 mod roster;
 mod run;
 
@@ -21,8 +22,8 @@
 pub use interference::{KindRuns, Neighbors, PairEffect, count_runs};
 pub use job::{JobMeta, JobSpec, TaskSpec};
 pub use keys::{
-    Attempt, FirmKey, Generation, GroupKey, JobDigest, JobKey, KindKey, ProcessKey, ShardKey,
-    TaskKey,
+    Attempt, FirmKey, Generation, GroupKey, JobDigest, JobKey, KindKey, ProcessKey, QueueKey,
+    ShardKey, TaskKey,
 };
 pub use limits::{
     AUTHORITY_TTL_MS, CLOCK_SKEW_MS, HEARTBEAT_INTERVAL_MS, IDLE_HEARTBEAT_INTERVAL_MS,
@@ -34,6 +35,7 @@
     TaskRecord, TaskStart, TaskState,
 };
 pub use mix::mix64;
+pub use quarantine::{QUARANTINE_MS, Quarantines, QueueQuarantine};
 pub use roster::{AgentInfo, EntryInfo, Member, MemberState, ShardRecord, TargetInfo};
 pub use run::{
     HOSTS_PREFIX, HostRegistration, HostUpdate, HostUpdateRequest, HostView, JOB_ID_DIGITS, JobId,
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -8,7 +8,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{EvacuationsDigest, EvacuationsReport, KindKey, Neighbors, ProcessKey};
+use crate::{
+    EvacuationsDigest, EvacuationsReport, KindKey, Neighbors, ProcessKey, QueueQuarantine,
+};
 
 /// Length of a job's id, in hexadecimal digits.
 pub const JOB_ID_DIGITS: usize = 16;
@@ -186,7 +188,7 @@
 }
 
 /// An entry's long poll for events at an agent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostUpdateRequest {
     /// Incarnation of the entry.
     pub from: ProcessKey,
@@ -198,6 +200,8 @@
     pub wait_ms: u32,
     /// Digest of the newest set of evacuations that the entry knows; `None` if it follows none.
     pub evacuations: Option<EvacuationsDigest>,
+    /// The quarantines that the entry knows.
+    pub quarantines: Vec<QueueQuarantine>,
 }
 
 /// How a run ended.
@@ -225,8 +229,12 @@
     Lost,
     /// The target crashed while the run was there.
     Crashed,
-    /// The target crashed right after it had started the run, which may be the cause.
+    /// The target crashed right after it had started the run and runs of other jobs, any of which may
+    /// be the cause.
     CrashedAtStart,
+    /// The target crashed right after it had started the run, and only runs of the same job, which is
+    /// the likely cause.
+    CausedCrash,
 }
 
 /// Why a run was not started.
@@ -346,6 +354,8 @@
     /// What the agent knows of evacuations; only in the answer to an update request that has a
     /// digest, and if the agent follows evacuations.
     pub evacuations: Option<EvacuationsReport>,
+    /// The quarantines that the agent has learned from entries.
+    pub quarantines: Vec<QueueQuarantine>,
 }
 
 /// Urgency class of the queues that are served before all others.
--- a/components/scheduling/src/host.rs
+++ b/components/scheduling/src/host.rs
@@ -1,11 +1,13 @@
 //! State of a host as an entry knows it, and the orders to its agent.
 
+use std::hash::BuildHasher;
 use std::rc::Rc;
 
 use model::{
     HostUpdate, HostView, KindRuns, Orders, PairEffect, ProcessKey, Resources, RunId, RunPermit,
     StartOrder,
 };
+use rustc_hash::FxBuildHasher;
 use slotmap::new_key_type;
 
 use crate::limits::{
@@ -71,6 +73,8 @@
     added_at_ms: u64,
     /// Rendezvous hashing weight of the host for this entry.
     pub(crate) weight: u64,
+    /// Order in which hosts become quarantine hosts; the same at all entries.
+    pub(crate) quarantine_weight: u64,
     /// Whether the entry should be connected to the host.
     pub(crate) is_connection_wanted: bool,
     /// Time of the last change of `is_connection_wanted`, in milliseconds.
@@ -80,6 +84,7 @@
 impl HostRecord {
     pub(crate) fn new(now_ms: u64, info: HostInfo, weight: u64) -> Self {
         Self {
+            quarantine_weight: FxBuildHasher.hash_one(&info.address),
             info,
             added_at_ms: now_ms,
             weight,
--- a/components/scheduling/src/job.rs
+++ b/components/scheduling/src/job.rs
@@ -63,13 +63,21 @@
     pub(crate) crashes: u32,
     /// Number of those that crashed right after they had started it.
     pub(crate) crashes_at_start: u32,
+    /// Whether one of those had started only tasks of this job.
+    pub(crate) is_likely_cause: bool,
     pub(crate) avoided_hosts: Vec<HostSlot>,
 }
 
 impl Task {
     /// Returns whether so many targets have crashed under the task that it must not start again.
     pub(crate) fn is_given_up(&self) -> bool {
-        self.crashes >= MAX_CRASHES || self.crashes_at_start >= MAX_CRASHES_AT_START
+        self.crashes >= MAX_CRASHES || self.is_cause()
+    }
+
+    /// Returns whether the task is considered to be the cause of crashes.
+    pub(crate) fn is_cause(&self) -> bool {
+        self.crashes_at_start >= MAX_CRASHES
+            || self.crashes_at_start >= MAX_CRASHES_AT_START && self.is_likely_cause
     }
 }
 
@@ -119,6 +127,7 @@
             failures: 0,
             crashes: 0,
             crashes_at_start: 0,
+            is_likely_cause: false,
             avoided_hosts: Vec::new(),
         };
         let steps = request
--- a/components/scheduling/src/lib.rs
+++ b/components/scheduling/src/lib.rs
@@ -15,6 +15,7 @@
 mod job;
 mod limits;
 mod placement;
+mod quarantine;
 mod request;
 mod routes;
 mod scheduler;
--- a/components/scheduling/src/limits.rs
+++ b/components/scheduling/src/limits.rs
@@ -45,8 +45,8 @@
 /// Number of targets that may crash while they run a task before its job fails.
 pub(crate) const MAX_CRASHES: u32 = 3;
 
-/// Number of targets that may crash right after they have started a task before its job fails: it is
-/// unlikely that a task is twice the last one to start by chance.
+/// Number of targets that may crash right after they have started a task before its job fails, if one
+/// of them had started no other job: by chance, that is unlikely to happen to a task twice.
 pub(crate) const MAX_CRASHES_AT_START: u32 = 2;
 
 /// Delay before a retry of the placement when the host still has another run of the task, in
--- a/components/scheduling/src/placement.rs
+++ b/components/scheduling/src/placement.rs
@@ -22,6 +22,7 @@
 use crate::baseline::{self, PlacementRule};
 use crate::disturbance::Separation;
 use crate::host::HostSlot;
+use crate::quarantine::HostChoice;
 
 /// Factor by which the wait may exceed its forecast in a safe placement.
 const WAIT_MARGIN_FACTOR: f64 = 1.5;
@@ -65,6 +66,8 @@
     /// Time in which a task must end because the agent shuts down, in milliseconds; infinite if it
     /// does not.
     pub(crate) closes_in_ms: f64,
+    /// Whether quarantined tasks go to this host.
+    pub(crate) is_quarantine_host: bool,
     /// Number of runs there by kind; empty unless a pair of kinds is kept apart.
     pub(crate) runs: Vec<KindRuns>,
 }
@@ -92,6 +95,7 @@
     pub(crate) remote_data_factor: f64,
     pub(crate) max_per_host: Option<u16>,
     pub(crate) avoided_hosts: &'a [HostSlot],
+    pub(crate) host_choice: HostChoice,
 }
 
 /// A host chosen for a task, with the expected times from now.
@@ -125,6 +129,8 @@
 /// Sort key of a candidate, compared field by field; the smallest is chosen.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 struct Rank {
+    /// Whether another host should be used because of a quarantine.
+    is_second_choice: bool,
     /// 0 if the placement is safe; for a task that has to be kept apart, if it is likely in time.
     tier: u8,
     /// Class of wait and extra run time of a task that has to be kept apart.
@@ -186,7 +192,9 @@
 impl Candidate {
     pub(crate) fn is_eligible(&self, requirements: &Requirements<'_>) -> bool {
         let has_label = |label: &Rc<str>| self.labels.contains(label);
-        self.capacity.can_fit(&requirements.needs)
+        let is_confined = requirements.host_choice == HostChoice::QuarantineOnly;
+        (self.is_quarantine_host || !is_confined)
+            && self.capacity.can_fit(&requirements.needs)
             && requirements.required_label.is_none_or(has_label)
             && requirements
                 .max_per_host
@@ -337,6 +345,11 @@
             self.capacity.cpu_millis - self.free.cpu_millis.min(self.capacity.cpu_millis);
         let is_safe = outlook.is_safe;
         let rank = Rank {
+            is_second_choice: match requirements.host_choice {
+                HostChoice::Any | HostChoice::QuarantineOnly => false,
+                HostChoice::QuarantineFirst => !self.is_quarantine_host,
+                HostChoice::OthersFirst => self.is_quarantine_host,
+            },
             tier: u8::from(!is_safe),
             separation_class: 0.0,
             fills_host: false,
--- a/components/scheduling/src/scheduler/events.rs
+++ b/components/scheduling/src/scheduler/events.rs
@@ -50,9 +50,11 @@
                 self.handle_done(now_ms, slot, run, actions);
             }
             RunEvent::Ended(RunEnd::Failed, _) => self.handle_failed(now_ms, slot, run, actions),
-            RunEvent::Ended(end @ (RunEnd::Crashed | RunEnd::CrashedAtStart), _) => {
-                let is_at_start = end == RunEnd::CrashedAtStart;
-                self.handle_crash(now_ms, slot, run, is_at_start, actions);
+            RunEvent::Ended(
+                end @ (RunEnd::Crashed | RunEnd::CrashedAtStart | RunEnd::CausedCrash),
+                _,
+            ) => {
+                self.handle_crash(now_ms, slot, run, end, actions);
             }
             RunEvent::Ended(RunEnd::Stopped | RunEnd::Lost, _) => {
                 // A lost run may not have started; it counts as started.
@@ -141,32 +143,6 @@
         self.requeue_task(now_ms, slot, run, now_ms, actions);
     }
 
-    /// Processes the crash of a target that ran a task: the task is placed elsewhere, unless it is likely
-    /// to be the cause.
-    pub(super) fn handle_crash(
-        &mut self,
-        now_ms: u64,
-        slot: JobSlot,
-        run: RunId,
-        is_at_start: bool,
-        actions: &mut Vec<SchedulerAction>,
-    ) {
-        self.mark_started(slot, run);
-        let Some(job) = self.jobs.get_mut(slot) else {
-            return;
-        };
-        let Some((task, _)) = job.current_run(run) else {
-            return;
-        };
-        task.crashes += 1;
-        task.crashes_at_start += u32::from(is_at_start);
-        if task.is_given_up() {
-            self.answer(now_ms, slot, Verdict::Failed, actions);
-            return;
-        }
-        self.requeue_task(now_ms, slot, run, now_ms, actions);
-    }
-
     pub(super) fn handle_not_started(
         &mut self,
         now_ms: u64,
--- a/components/scheduling/src/scheduler/mod.rs
+++ b/components/scheduling/src/scheduler/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod connections;
+mod crashes;
 mod evacuation;
 mod events;
 mod forecasts;
@@ -28,6 +29,7 @@
 use crate::job::{Job, JobSlot};
 use crate::limits::UPDATE_WAIT_MS;
 use crate::placement::Candidate;
+use crate::quarantine::Quarantine;
 use crate::request::JobRequest;
 use crate::subset::{MIN_CONNECTED_HOSTS, SubsetSize};
 use crate::verdict::{NotRunReason, Verdict};
@@ -99,6 +101,13 @@
         /// The change.
         change: ::interference::Change,
     },
+    /// Log that a queue is now in quarantine, or no longer.
+    LogQuarantine {
+        /// Name of the queue.
+        queue: Rc<str>,
+        /// Whether the quarantine begins.
+        is_begun: bool,
+    },
     /// Record how well a duration was forecast.
     RecordForecast(ForecastOutcome),
     /// Log the placement of a task.
@@ -137,6 +146,8 @@
     hosts_expected_until_ms: u64,
     /// Beliefs about interference, if tasks are kept apart.
     interference: Option<Interference>,
+    /// Queues whose tasks crash targets.
+    quarantine: Quarantine,
 }
 
 impl Scheduler {
@@ -163,6 +174,7 @@
             evacuated_failure_domains: BTreeSet::new(),
             hosts_expected_until_ms: 0,
             interference: None,
+            quarantine: Quarantine::default(),
         }
     }
 
@@ -336,7 +348,7 @@
 
     /// Returns the next update request to a host.
     #[must_use]
-    pub fn update_request(&self, slot: HostSlot) -> Option<HostUpdateRequest> {
+    pub fn update_request(&self, now_ms: u64, slot: HostSlot) -> Option<HostUpdateRequest> {
         let host = self.hosts.get(slot)?;
         Some(HostUpdateRequest {
             from: self.key,
@@ -348,6 +360,7 @@
                 0
             },
             evacuations: None,
+            quarantines: self.quarantine.known(now_ms),
         })
     }
 
@@ -373,6 +386,7 @@
             host.complete_orders(number);
         }
         host.apply_update(now_ms, update);
+        self.learn_quarantines(now_ms, &update.quarantines, actions);
         for &(number, run, event) in &update.events {
             let Some(host) = self.hosts.get_mut(slot) else {
                 return;
@@ -389,6 +403,7 @@
     pub fn tick(&mut self, now_ms: u64, actions: &mut Vec<SchedulerAction>) {
         self.update_connections(now_ms, actions);
         self.update_interference(now_ms, actions);
+        self.end_quarantines(now_ms, actions);
         let slots: Vec<JobSlot> = self.jobs.keys().collect();
         for slot in slots {
             self.recover_lost_runs(now_ms, slot, actions);
--- a/components/scheduling/src/scheduler/planning.rs
+++ b/components/scheduling/src/scheduler/planning.rs
@@ -55,7 +55,9 @@
     ) -> Option<Choice> {
         let step = &job.request.steps[usize::from(task.step)];
         let record = job.task(task)?;
-        let kind = KindKey::of_step(&job.request.queue.name, task.step);
+        let queue = &job.request.queue.name;
+        let is_suspect = record.crashes_at_start > 0;
+        let kind = KindKey::of_step(queue, task.step);
         let beliefs = self.beliefs_about(kind);
         let requirements = Requirements {
             kind,
@@ -73,6 +75,7 @@
             remote_data_factor: self.remote_data_factor,
             max_per_host: step.max_per_host,
             avoided_hosts: &record.avoided_hosts,
+            host_choice: self.quarantine.host_choice(now_ms, queue, is_suspect),
         };
         let number = self.choice_count.get();
         self.choice_count.set(number + 1);
@@ -82,6 +85,7 @@
     /// Returns the usable hosts of a group.
     pub(super) fn candidates(&self, now_ms: u64, group: &Rc<str>) -> Vec<Candidate> {
         let usable = self.hosts.iter().filter(|(_, host)| host.is_usable(now_ms));
+        let quarantine_hosts = self.quarantine_hosts(now_ms, group);
         let mut candidates = Vec::new();
         for (slot, host) in usable {
             let Some(view) = &host.view else {
@@ -90,7 +94,10 @@
             if view.group != *group {
                 continue;
             }
-            candidates.push(self.candidate(now_ms, slot, host, view));
+            candidates.push(Candidate {
+                is_quarantine_host: quarantine_hosts.contains(&slot),
+                ..self.candidate(now_ms, slot, host, view)
+            });
         }
         candidates
     }
@@ -131,6 +138,7 @@
             openings: openings_after(&view.openings, &pending),
             urgent_openings: openings_after(&view.urgent_openings, &pending),
             placed_tasks: 0,
+            is_quarantine_host: false,
             runs: if self.has_beliefs() {
                 host.runs_by_kind()
             } else {
--- a/components/scheduling/tests/scheduler/support.rs
+++ b/components/scheduling/tests/scheduler/support.rs
@@ -161,6 +161,7 @@
             view,
             events: Vec::new(),
             evacuations: None,
+            quarantines: Vec::new(),
         }
     }
 
--- a/components/sim/src/entry.rs
+++ b/components/sim/src/entry.rs
@@ -258,8 +258,9 @@
     }
 
     fn request_update(&mut self, entry: usize, host: usize) {
+        let now_ms = self.now_ms();
         let node = &self.entries[entry];
-        let Some(request) = node.scheduler.update_request(node.slots[host]) else {
+        let Some(request) = node.scheduler.update_request(now_ms, node.slots[host]) else {
             return;
         };
         let call = self.new_call_id();
@@ -380,7 +381,7 @@
                     let at_ms = self.now_ms().saturating_sub(WARMUP_MS);
                     self.report.pair_changes.push((at_ms, change));
                 }
-                SchedulerAction::LogPlacement { .. } => {}
+                SchedulerAction::LogPlacement { .. } | SchedulerAction::LogQuarantine { .. } => {}
             }
         }
     }
