--- a/components/hosting/src/limits.rs
+++ b/components/hosting/src/limits.rs
@@ -39,8 +39,8 @@
 /// one blocks its successor for that time and [`TARGET_CALL_TIMEOUT_MS`].
 pub(crate) const PARALLEL_POLL_WAIT_MS: u64 = 40;
 
-/// Age of a run at the crash of its target up to which it may be the cause, in milliseconds. A task that
-/// crashes its target does so when it begins; on a busy host a run starts every 14 ms.
+/// Age of a run at the crash of its target up to which it may be the cause, in milliseconds: long enough
+/// for a task to begin its work, and so short that few runs start in it on a busy host.
 pub(crate) const SUSPECT_AGE_MS: u64 = 30;
 
 /// How long the runs of an entry may take to end after it lost its authority, in milliseconds:
--- a/components/scheduling/src/quarantine.rs
+++ b/components/scheduling/src/quarantine.rs
@@ -36,7 +36,7 @@
     quarantines: Quarantines,
     /// Until when tasks may be placed that may have caused a crash, in milliseconds.
     suspects_until_ms: u64,
-    /// Names of the queues of which this entry has had jobs, for the log.
+    /// Names of the queues whose quarantine this entry has begun, for the log.
     names: FxHashMap<QueueKey, Rc<str>>,
 }
 
