--- a/components/scheduling/src/job.rs
+++ b/components/scheduling/src/job.rs
@@ -74,7 +74,8 @@
         self.crashes >= MAX_CRASHES || self.is_cause()
     }
 
-    /// Returns whether the task is considered to be the cause of crashes.
+    /// Returns whether the task is considered to be the cause of crashes: there is evidence against it
+    /// alone, or it had just started at each of many crashes.
     pub(crate) fn is_cause(&self) -> bool {
         self.crashes_at_start >= MAX_CRASHES
             || self.crashes_at_start >= MAX_CRASHES_AT_START && self.is_likely_cause
--- a/components/scheduling/src/placement.rs
+++ b/components/scheduling/src/placement.rs
@@ -95,6 +95,7 @@
     pub(crate) remote_data_factor: f64,
     pub(crate) max_per_host: Option<u16>,
     pub(crate) avoided_hosts: &'a [HostSlot],
+    /// Which hosts the task goes to because of a quarantine.
     pub(crate) host_choice: HostChoice,
 }
 
--- a/components/scheduling/src/quarantine.rs
+++ b/components/scheduling/src/quarantine.rs
@@ -12,8 +12,8 @@
 /// Divisor of the number of hosts that gives the number of quarantine hosts.
 const QUARANTINE_DIVISOR: usize = 4;
 
-/// Time after a crash in which tasks that may have caused it are placed again, in milliseconds; their
-/// callers wait hardly longer.
+/// Time after a crash in which tasks that may have caused it are placed again, in milliseconds; hardly
+/// any caller waits longer.
 const SUSPICION_MS: u64 = 2_000;
 
 /// Which hosts a task goes to while some are set apart for quarantined tasks.
--- a/components/web/src/call.rs
+++ b/components/web/src/call.rs
@@ -74,7 +74,7 @@
 }
 
 impl CallLimits {
-    /// Returns limits that end a call after this time in any case.
+    /// Returns limits that end a call after this time, whether it progresses or not.
     #[must_use]
     pub fn total(limit: Duration) -> Self {
         Self {
