Run the release in production beside this build in tests

Cause: a peer of another protocol version is refused on every connection, and no test ran two builds together, so that each landing that changed a message would have split the system during its upgrade.

Its programs are built from the history in a work tree under target/production, and tests run entries and agents of both builds together, on the product's own form and on the users' platform: jobs, evacuations, configurations, announcements, planned stops, replaced agents, and an upgrade that is taken back.

--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -4,6 +4,7 @@
 //! faults from outside, and checks the guarantees: no task runs on two targets at the same time, no
 //! refused job runs, and jobs are completed again after the last fault.
 
+mod builds;
 mod clients;
 mod evacuation;
 mod faults;
@@ -11,6 +12,7 @@
 mod proxy;
 mod soak;
 
+pub use builds::{Profile, production_commit, production_programs};
 pub use faults::FaultKind;
 pub use process::Programs;
 pub use soak::{Outcome, Plan, run};
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -10,7 +10,7 @@
 use std::process::Command;
 
 use serde_json::Value;
-use support::{Process, call};
+use support::{Build, Process, call};
 use web::{HeaderValue, Method, Request, Response};
 
 /// Host name of the queue used in the tests.
@@ -37,7 +37,7 @@
     platform_standins::free_address().expect("a port")
 }
 
-fn spawn(program: &str, command: &str, settings: &Path, text: &str) -> Process {
+fn spawn(program: &Path, command: &str, settings: &Path, text: &str) -> Process {
     std::fs::write(settings, text).expect("the file is written");
     let mut process = Command::new(program);
     process.arg(command).arg("--settings").arg(settings);
@@ -70,6 +70,18 @@
     peer_address: SocketAddr,
     level: &str,
     more: &str,
+) -> Entry {
+    start_entry_of(Build::Current, folder, store, peer_address, level, more)
+}
+
+/// Starts an entry of a build at an address for its peers, with more lines of settings.
+pub fn start_entry_of(
+    build: Build,
+    folder: &Path,
+    store: SocketAddr,
+    peer_address: SocketAddr,
+    level: &str,
+    more: &str,
 ) -> Entry {
     let callers = free_address();
     let readiness = free_address();
@@ -80,9 +92,9 @@
          log = {{ format = \"json\", level = \"{level}\" }}\n",
     );
     let settings = folder.join(format!("entry-{}.toml", peer_address.port()));
-    let program = env!("CARGO_BIN_EXE_shallotcross");
+    let program = build.programs().entry;
     Entry {
-        process: spawn(program, "gateway", &settings, &text),
+        process: spawn(&program, "gateway", &settings, &text),
         settings,
         text,
         callers,
@@ -111,6 +123,19 @@
     level: &str,
     more: &str,
 ) -> Process {
+    write_agent_settings(folder, store, target, reports, level, more);
+    restart_agent(folder)
+}
+
+/// Writes the settings with which [] and [] start an agent.
+pub fn write_agent_settings(
+    folder: &Path,
+    store: SocketAddr,
+    target: SocketAddr,
+    reports: SocketAddr,
+    level: &str,
+    more: &str,
+) {
     let text = format!(
         "name = \"host\"\nfailure_domain = \"domain\"\ntarget_address = \"{target}\"\n\
          reports_address = \"{reports}\"\npeer_address = \"{}\"\nstore_address = \"{store}\"\n\
@@ -119,15 +144,19 @@
         free_address(),
     );
     std::fs::write(folder.join("agent.toml"), text).expect("the file is written");
-    restart_agent(folder)
 }
 
 /// Starts an agent with the settings of the last one.
 pub fn restart_agent(folder: &Path) -> Process {
+    restart_agent_of(Build::Current, folder)
+}
+
+/// Starts an agent of a build with the settings of the last one.
+pub fn restart_agent_of(build: Build, folder: &Path) -> Process {
     let settings = folder.join("agent.toml");
     let text = std::fs::read_to_string(&settings).expect("the file is read");
-    let program = env!("CARGO_BIN_EXE_shallotcross-agent");
-    spawn(program, "sidecar", &settings, &text)
+    let program = build.programs().agent;
+    spawn(&program, "sidecar", &settings, &text)
 }
 
 impl Entry {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,7 @@
     reason = "each test file uses only some items"
 )]
 
+mod build;
 mod jobs;
 mod load;
 mod process;
@@ -20,6 +21,7 @@
 use serde_json::Value;
 use web::{Client, HeaderValue, Method, Request, Response};
 
+pub use build::Build;
 pub use jobs::{job, named_job, submit};
 pub use load::{Load, Outcome};
 pub use process::Process;
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -96,6 +96,12 @@
         let _ = self.child.wait();
     }
 
+    /// Returns whether the process has exited.
+    pub fn has_exited(&mut self) -> bool {
+        let status = self.child.try_wait().expect("the process is a child");
+        status.is_some()
+    }
+
     /// Waits until the process exits.
     pub fn wait_for_exit(&mut self) -> std::process::ExitStatus {
         let until_us = monotonic_us() + WAIT_TIMEOUT_US;
--- a/tests/support/spawn.rs
+++ b/tests/support/spawn.rs
@@ -54,7 +54,7 @@
         );
         let path = self.settings_file(&settings);
         let mut process = Process::spawn(
-            Command::new(env!("CARGO_BIN_EXE_shallotcross"))
+            Command::new(self.entry_build.programs().entry)
                 .args(["serve", "--settings"])
                 .arg(path),
             false,
@@ -111,7 +111,7 @@
         );
         let path = self.settings_file(&settings);
         let mut agent = Process::spawn(
-            Command::new(env!("CARGO_BIN_EXE_shallotcross-agent"))
+            Command::new(self.agent_build.programs().agent)
                 .arg("--settings")
                 .arg(path),
             false,
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -10,6 +10,7 @@
 use tempfile::TempDir;
 use web::{Method, Request};
 
+use super::build::Build;
 use super::process::{Process, address_after, example};
 use super::relay::Relay;
 use super::{CONSORCIO, Firm, OPERATORS_TOKEN, VEMBANAD, call, get_state, wait_until};
@@ -45,6 +46,10 @@
     pub platform_address: SocketAddr,
     pub entries: Vec<Entry>,
     pub hosts: Vec<Host>,
+    /// Build of the entries that are started next.
+    pub entry_build: Build,
+    /// Build of the agents that are started next.
+    pub agent_build: Build,
     pub(super) ip: IpAddr,
     pub(super) settings_file_count: usize,
 }
@@ -64,6 +69,8 @@
             platform,
             entries: Vec::new(),
             hosts: Vec::new(),
+            entry_build: Build::default(),
+            agent_build: Build::default(),
             ip: next_ip(),
             settings_file_count: 0,
         };
@@ -108,7 +115,7 @@
         let folder = self.folder.path().join("config");
         fs::create_dir_all(&folder).expect("the folder can be made");
         fs::write(folder.join(file), text).expect("the file can be written");
-        Command::new(env!("CARGO_BIN_EXE_shallotcross"))
+        Command::new(self.entry_build.programs().entry)
             .arg("publish")
             .arg(&folder)
             .args(["--platform", &self.platform_address.to_string()])
