--- a/components/agent/src/http.rs
+++ b/components/agent/src/http.rs
@@ -94,7 +94,7 @@
     /// Returns the state of the process.
     pub fn state(&self) -> serde_json::Value {
         let links: BTreeMap<_, _> = self.link_counters.iter().collect();
-        let traffic: BTreeMap<_, _> = self.traffic.iter().collect();
+        let traffic: BTreeMap<_, _> = self.connector.traffic().iter().collect();
         serde_json::json!({
             "agent": self.key.to_string(),
             "address": self.peer_address,
@@ -102,6 +102,7 @@
             "draining": self.is_draining.get(),
             "links": links,
             "traffic": traffic,
+            "connections_by_version": self.connector.versions().open_connections(),
             "decisions": self.agent.borrow().state(),
         })
     }
--- a/components/agent/src/metrics.rs
+++ b/components/agent/src/metrics.rs
@@ -18,6 +18,7 @@
     link_events: IntCounterVec,
     web_events: IntCounterVec,
     traffic: IntCounterVec,
+    peer_connections: IntGaugeVec,
 }
 
 impl AgentMetrics {
@@ -66,6 +67,11 @@
                 "Events on HTTP connections from the target and operators.",
                 &["event"],
             )?,
+            peer_connections: metrics.gauge_vec(
+                "shallotcross_agent_peer_connections",
+                "Open connections with other processes by protocol version.",
+                &["version"],
+            )?,
             traffic: metrics.counter_vec(
                 "shallotcross_agent_traffic_total",
                 "Frames and bytes on connections with entries.",
@@ -100,7 +106,12 @@
         for (event, count) in shared.web_counters.iter() {
             raise_to(&self.web_events, event, count);
         }
-        for (name, count) in shared.traffic.iter() {
+        for (version, count) in shared.connector.versions().open_connections() {
+            self.peer_connections
+                .with_label_values(&[&version.to_string()])
+                .set(count as i64);
+        }
+        for (name, count) in shared.connector.traffic().iter() {
             raise_to(&self.traffic, name, count);
         }
         self.metrics.encode()
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -9,7 +9,7 @@
 use execution::{Agent, AgentAction, AgentBuilder};
 use model::{AgentEnvelope, AgentInfo, OwnerEnvelope, ProcessKey};
 use monoio::net::TcpListener;
-use protocol::{EntryPool, LinkCounters, ServerSettings, Traffic, serve_agent};
+use protocol::{Connector, EntryPool, LinkCounters, ServerSettings, serve_agent};
 use runtime::{StopSignal, monotonic_us, unix_ms};
 use web::{ServerCounters, ServerLimits};
 
@@ -47,7 +47,7 @@
     pub is_draining: Cell<bool>,
     pub metrics: AgentMetrics,
     pub link_counters: LinkCounters,
-    pub traffic: Traffic,
+    pub connector: Connector,
     pub web_counters: Rc<ServerCounters>,
 }
 
@@ -77,7 +77,7 @@
             .max_result_bytes(settings.limits.max_held_bytes as usize)
             .build();
         let seeds = settings.entries.iter().map(ToString::to_string);
-        let traffic = Traffic::default();
+        let connector = Connector::new(key);
         let shared = Shared {
             key,
             peer_address: settings.advertised_peer_address(peer_address).to_string(),
@@ -85,12 +85,12 @@
             target_client: RefCell::default(),
             outgoing_batches: RefCell::default(),
             directory: RefCell::new(Directory::new(seeds)),
-            entries: EntryPool::new(key).with_traffic(traffic.clone()),
+            entries: EntryPool::new(connector.clone()),
             is_draining: Cell::new(false),
             metrics: AgentMetrics::new()
                 .map_err(|error| Error::new(ExitCode::Failure, error.to_string()))?,
             link_counters: LinkCounters::default(),
-            traffic,
+            connector,
             web_counters: Rc::default(),
             settings,
         };
@@ -127,7 +127,7 @@
         let stop = StopSignal::new();
         let settings = ServerSettings::builder(shared.key)
             .counters(shared.link_counters.clone())
-            .traffic(shared.traffic.clone())
+            .connector(&shared.connector)
             .stop(stop.clone())
             .build();
         let handler = Rc::clone(&shared);
--- a/components/entry/src/http.rs
+++ b/components/entry/src/http.rs
@@ -258,7 +258,7 @@
             });
         }
         let links: BTreeMap<_, _> = self.link_counters.iter().collect();
-        let traffic: BTreeMap<_, _> = self.traffic.iter().collect();
+        let traffic: BTreeMap<_, _> = self.connector.traffic().iter().collect();
         serde_json::json!({
             "entry": self.own_info.key.to_string(),
             "address": self.own_info.address,
@@ -272,6 +272,7 @@
             "platform_calls": self.platform.counters().calls(),
             "links": links,
             "traffic": traffic,
+            "connections_by_version": self.connector.versions().open_connections(),
             "decisions": decisions,
         })
     }
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -20,6 +20,7 @@
     link_events: IntCounterVec,
     web_events: IntCounterVec,
     traffic: IntCounterVec,
+    peer_connections: IntGaugeVec,
     shard_tasks: IntGaugeVec,
     shard_jobs: IntGaugeVec,
     authority_ms: IntGaugeVec,
@@ -66,6 +67,11 @@
                 "Events on HTTP connections from callers.",
                 &["event"],
             )?,
+            peer_connections: metrics.gauge_vec(
+                "shallotcross_entry_peer_connections",
+                "Open connections with other processes by protocol version.",
+                &["version"],
+            )?,
             traffic: metrics.counter_vec(
                 "shallotcross_entry_traffic_total",
                 "Frames and bytes on connections with agents and other entries.",
@@ -148,7 +154,12 @@
         for (event, count) in shared.web_counters.iter() {
             raise_to(&self.web_events, event, count);
         }
-        for (name, count) in shared.traffic.iter() {
+        for (version, count) in shared.connector.versions().open_connections() {
+            self.peer_connections
+                .with_label_values(&[&version.to_string()])
+                .set(count as i64);
+        }
+        for (name, count) in shared.connector.traffic().iter() {
             raise_to(&self.traffic, name, count);
         }
         self.metrics.encode()
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -13,7 +13,7 @@
 use model::{Answer, EntryInfo, ProcessKey};
 use monoio::net::TcpListener;
 use platform::PlatformClient;
-use protocol::{AgentPool, EntryPool, LinkCounters, ServerSettings, Traffic, serve_entry};
+use protocol::{AgentPool, Connector, EntryPool, LinkCounters, ServerSettings, serve_entry};
 use runtime::{StopSignal, monotonic_us};
 use web::{Notify, ServerCounters, ServerLimits};
 
@@ -73,7 +73,7 @@
     pub in_flight_submissions: Cell<u64>,
     pub metrics: EntryMetrics,
     pub link_counters: LinkCounters,
-    pub traffic: Traffic,
+    pub connector: Connector,
     pub web_counters: Rc<ServerCounters>,
 }
 
@@ -106,7 +106,7 @@
         };
         let metrics = EntryMetrics::new()
             .map_err(|error| Error::new(ExitCode::Failure, error.to_string()))?;
-        let traffic = Traffic::default();
+        let connector = Connector::new(key);
         let shared = Shared {
             dispatcher: RefCell::new(Dispatcher::new(own_info.clone(), Policy::default(), key.0)),
             own_info,
@@ -116,8 +116,8 @@
             wakeup: Notify::default(),
             is_wakeup_pending: Cell::new(true),
             owners_changed: Notify::default(),
-            agents: AgentPool::new(key).with_traffic(traffic.clone()),
-            entries: EntryPool::new(key).with_traffic(traffic.clone()),
+            agents: AgentPool::new(connector.clone()),
+            entries: EntryPool::new(connector.clone()),
             platform: PlatformClient::new(settings.platform_addresses.clone(), PLATFORM_TIMEOUT_MS),
             last_platform_response_us: Cell::new(0),
             known_entries: RefCell::default(),
@@ -126,7 +126,7 @@
             in_flight_submissions: Cell::new(0),
             metrics,
             link_counters: LinkCounters::default(),
-            traffic,
+            connector,
             web_counters: Rc::default(),
             settings,
         };
@@ -164,7 +164,7 @@
         let web_stop = web::StopSignal::new();
         let settings = ServerSettings::builder(shared.own_info.key)
             .counters(shared.link_counters.clone())
-            .traffic(shared.traffic.clone())
+            .connector(&shared.connector)
             .stop(stop.clone())
             .build();
         let Ok(handlers) = crate::peers::handlers(&shared) else {
--- a/components/gateway/src/bootstrap.rs
+++ b/components/gateway/src/bootstrap.rs
@@ -36,7 +36,7 @@
     let settings = ServerSettings::builder(shared.key)
         .connection_limit(MAX_CONNECTIONS)
         .counters(shared.link_counters.clone())
-        .traffic(shared.traffic.clone())
+        .connector(&shared.connector)
         .build();
     let asked = Rc::clone(&shared);
     let bootstrap = move |request: BootstrapRequest| answer(&asked, &request);
@@ -225,8 +225,7 @@
 ) -> Result<(BootstrapLink, BootstrapReply), LinkError> {
     let deadline_us = monotonic_us() + PEER_QUERY_TIMEOUT_MS * 1_000;
     let address = query.address.to_string();
-    let traffic = shared.traffic.clone();
-    let link = BootstrapLink::connect(&address, shared.key, deadline_us, traffic).await?;
+    let link = BootstrapLink::connect(&shared.connector, &address, deadline_us).await?;
     if link.peer() == shared.key {
         return Err(LinkError::NotSent(LinkFault::BadAddress));
     }
--- a/components/gateway/src/links.rs
+++ b/components/gateway/src/links.rs
@@ -60,8 +60,7 @@
         let limit_ms =
             (BASE_CONNECT_TIMEOUT_MS + backoff.next_pause_ms()).min(MAX_CONNECT_TIMEOUT_MS);
         let deadline_us = monotonic_us() + limit_ms * 1_000;
-        let traffic = shared.traffic.clone();
-        match HostLink::connect(&address, shared.key, deadline_us, traffic).await {
+        match HostLink::connect(&shared.connector, &address, deadline_us).await {
             Ok(link) => {
                 backoff.record_success();
                 serve(&shared, slot, &address, &link, &link_notifier).await;
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 
 use model::{RunEvent, RunId};
-use runtime::prometheus::{HistogramVec, IntCounterVec, IntGauge};
+use runtime::prometheus::{HistogramVec, IntCounterVec, IntGauge, IntGaugeVec};
 use runtime::{Metrics, MetricsError, RepeatedLines, uptime_ms};
 use scheduling::ForecastOutcome;
 
@@ -32,6 +32,7 @@
     link_events: IntCounterVec,
     peer_calls: IntCounterVec,
     web_events: IntCounterVec,
+    peer_connections: IntGaugeVec,
     jobs: IntGauge,
     usable_hosts: IntGauge,
     known_hosts: IntGauge,
@@ -138,6 +139,11 @@
                 "shallotcross_gateway_evacuated_failure_domains",
                 "Failure domains that the operator has evacuated.",
             )?,
+            peer_connections: metrics.gauge_vec(
+                "shallotcross_gateway_peer_connections",
+                "Open connections with other processes by protocol version.",
+                &["version"],
+            )?,
             dropped_log_lines: metrics.gauge(
                 "shallotcross_gateway_log_lines_left_out",
                 "Log lines dropped by the rate limit or because the log reader is slow.",
@@ -264,6 +270,11 @@
             counter.reset();
             counter.inc_by(count);
         }
+        for (version, count) in shared.connector.versions().open_connections() {
+            self.peer_connections
+                .with_label_values(&[&version.to_string()])
+                .set(count as i64);
+        }
         self.metrics.encode()
     }
 }
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -12,7 +12,7 @@
 use monoio::net::TcpListener;
 use peers::{Download, Exchange};
 use platform::StoreClient;
-use protocol::{LinkCounters, Traffic};
+use protocol::{Connector, LinkCounters, VERSION};
 use runtime::{StopSignal, SuspensionWatch, uptime_ms};
 use rustc_hash::FxHashMap;
 use scheduling::{HostSlot, JobSlot, Scheduler, SchedulerAction, Verdict};
@@ -85,7 +85,7 @@
     pub(crate) is_draining: Cell<bool>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) link_counters: LinkCounters,
-    pub(crate) traffic: Traffic,
+    pub(crate) connector: Connector,
     /// Decides which peers are asked for state.
     pub(crate) exchange: RefCell<Exchange>,
     /// The configuration that is being received from peers.
@@ -143,7 +143,7 @@
             metrics: GatewayMetrics::new()
                 .map_err(|error| Error::new(ExitCode::Failure, error.to_string()))?,
             link_counters: LinkCounters::default(),
-            traffic: Traffic::default(),
+            connector: Connector::new(key),
             exchange: RefCell::new(exchange),
             download: RefCell::default(),
             web: Rc::default(),
@@ -181,7 +181,7 @@
     pub async fn run(self, drain: StopSignal) {
         let shared = self.shared;
         let settings = shared.settings();
-        log::info!(target: "gateway", event = "started", entry = shared.key.to_string(),
+        log::info!(target: "gateway", event = "started", entry = shared.key.to_string(), protocol_version = VERSION,
             host = settings.name.as_str(),
             failure_domain = settings.failure_domain.as_str(); "entry started");
         let web_stop = web::StopSignal::new();
@@ -335,7 +335,8 @@
         json!({
             "entry": self.key.to_string(),
             "is_draining": self.is_draining.get(),
-            "traffic": self.traffic.iter().collect::<BTreeMap<&str, u64>>(),
+            "traffic": self.connector.traffic().iter().collect::<BTreeMap<&str, u64>>(),
+            "connections_by_version": self.connector.versions().open_connections(),
             "configuration_version": version,
             "evacuations": self.evacuations.newest(),
             "quarantined_queues": quarantined_queues,
--- a/components/model/src/evacuations.rs
+++ b/components/model/src/evacuations.rs
@@ -88,8 +88,10 @@
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvacuationsDigest {
     /// Revision of the store that held the set.
+    #[serde(rename = "r")]
     pub revision: u64,
     /// Hash of the names.
+    #[serde(rename = "h")]
     pub names_hash: u64,
 }
 
@@ -97,8 +99,10 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvacuationsReport {
     /// Digest of the newest set that the agent knows.
+    #[serde(rename = "d")]
     pub digest: EvacuationsDigest,
     /// That set, if it is newer than the entry's and differs.
+    #[serde(rename = "n")]
     pub newer: Option<Evacuations>,
 }
 
--- a/components/model/src/interference.rs
+++ b/components/model/src/interference.rs
@@ -8,8 +8,10 @@
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Neighbors {
     /// The runs by kind.
+    #[serde(rename = "r")]
     pub runs: Vec<KindRuns>,
     /// Estimated effects; empty in most views, since they change slowly.
+    #[serde(rename = "e")]
     pub effects: Vec<PairEffect>,
 }
 
@@ -17,10 +19,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KindRuns {
     /// The kind.
+    #[serde(rename = "k")]
     pub kind: KindKey,
     /// Number of runs at the target and waiting.
+    #[serde(rename = "c")]
     pub count: u16,
     /// Mean number of runs at the target over about the last second, in hundredths.
+    #[serde(rename = "r")]
     pub recent_percent: u16,
 }
 
@@ -28,12 +33,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PairEffect {
     /// Kind that takes longer.
+    #[serde(rename = "o")]
     pub of: KindKey,
     /// Kind beside which it does.
+    #[serde(rename = "b")]
     pub by: KindKey,
     /// Logarithm of the factor on the run time, in thousandths.
+    #[serde(rename = "f")]
     pub log_factor_permille: i16,
     /// Standard deviation of that logarithm, in thousandths.
+    #[serde(rename = "d")]
     pub deviation_permille: u16,
 }
 
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -10,6 +10,7 @@
 mod message;
 mod mix;
 mod quarantine;
+mod resources_row;
 mod roster;
 mod run;
 
--- a/components/model/src/quarantine.rs
+++ b/components/model/src/quarantine.rs
@@ -17,8 +17,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueueQuarantine {
     /// The queue.
+    #[serde(rename = "q")]
     pub queue: QueueKey,
     /// Time until the quarantine is over, in milliseconds.
+    #[serde(rename = "r")]
     pub remaining_ms: u32,
 }
 
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -1,13 +1,14 @@
 //! Runs of tasks on hosts, and the messages about them between entries and agents.
 //!
 //! Used for jobs that belong to no shard: each is answered when it has ended, and no state is
-//! persisted.
+//! persisted. Fields have short names on the wire, since these messages are the most frequent ones.
 
 use std::fmt;
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
 
+use crate::resources_row;
 use crate::{
     EvacuationsDigest, EvacuationsReport, KindKey, Neighbors, ProcessKey, QueueQuarantine,
 };
@@ -51,10 +52,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskRef {
     /// The job.
+    #[serde(rename = "j")]
     pub job: JobId,
     /// Number of the step, from 0.
+    #[serde(rename = "s")]
     pub step: u16,
     /// Number of the task within the step, from 0.
+    #[serde(rename = "i")]
     pub index: u16,
 }
 
@@ -62,8 +66,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RunId {
     /// The task.
+    #[serde(rename = "t")]
     pub task: TaskRef,
     /// Number of the attempt; a task that is placed again gets a higher one.
+    #[serde(rename = "a")]
     pub attempt: u32,
 }
 
@@ -134,8 +140,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunPermit {
     /// Incarnation of the agent that issued the permit.
+    #[serde(rename = "a")]
     pub agent: ProcessKey,
     /// Time of issue on the agent's clock, in milliseconds.
+    #[serde(rename = "i")]
     pub issued_ms: u64,
 }
 
@@ -143,30 +151,43 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartOrder {
     /// The job.
+    #[serde(rename = "j")]
     pub job: JobId,
     /// Number of the step.
+    #[serde(rename = "s")]
     pub step: u16,
     /// The tasks, each as its number within the step and the number of the attempt.
+    #[serde(rename = "t")]
     pub tasks: Vec<(u16, u32)>,
     /// What each task executes; passed to the target unchanged.
+    #[serde(rename = "sp")]
     pub specification: Rc<str>,
     /// Resources that each task needs.
+    #[serde(rename = "n", with = "resources_row")]
     pub needs: Resources,
     /// Expected run time on a target of speed 1, in milliseconds.
+    #[serde(rename = "e")]
     pub estimate_ms: u32,
     /// Standard deviation of the logarithm of the expected run time, in thousandths.
+    #[serde(rename = "d")]
     pub log_deviation_permille: u16,
     /// Time by which the tasks should start to meet the job's deadline, in milliseconds from now.
+    #[serde(rename = "sl")]
     pub slack_ms: u32,
     /// Maximum time that the tasks may be queued at the host, in milliseconds.
+    #[serde(rename = "q")]
     pub queue_timeout_ms: u32,
     /// Urgency class of the queue; [`MOST_URGENT`] comes first.
+    #[serde(rename = "p")]
     pub priority: u8,
     /// Whether any task of the job, these included, has started before, or may have.
+    #[serde(rename = "st")]
     pub has_started_tasks: bool,
     /// Kind of the tasks, by queue and step.
+    #[serde(rename = "k")]
     pub kind: KindKey,
     /// Whether the target is away from the data of the tasks, so that they take longer there.
+    #[serde(rename = "r")]
     pub is_data_remote: bool,
 }
 
@@ -174,16 +195,22 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Orders {
     /// Incarnation of the entry.
+    #[serde(rename = "f")]
     pub from: ProcessKey,
     /// Sequence number of the orders; a resend has the same number.
+    #[serde(rename = "n")]
     pub number: u64,
     /// The newest permit of the agent that the entry has.
+    #[serde(rename = "p")]
     pub permit: Option<RunPermit>,
     /// Number of the last event that the entry has seen.
+    #[serde(rename = "l")]
     pub last_seen_event: u64,
     /// Tasks to run.
+    #[serde(rename = "s")]
     pub starts: Vec<StartOrder>,
     /// Runs to stop, or not to start if they have not started yet.
+    #[serde(rename = "x")]
     pub stops: Vec<RunId>,
 }
 
@@ -191,16 +218,22 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostUpdateRequest {
     /// Incarnation of the entry.
+    #[serde(rename = "f")]
     pub from: ProcessKey,
     /// The newest permit of the agent that the entry has.
+    #[serde(rename = "p")]
     pub permit: Option<RunPermit>,
     /// Number of the last event that the entry has seen.
+    #[serde(rename = "l")]
     pub last_seen_event: u64,
     /// How long the agent may wait for an event before it answers, in milliseconds.
+    #[serde(rename = "w")]
     pub wait_ms: u32,
     /// Digest of the newest set of evacuations that the entry knows; `None` if it follows none.
+    #[serde(rename = "e")]
     pub evacuations: Option<EvacuationsDigest>,
     /// The quarantines that the entry knows.
+    #[serde(rename = "q")]
     pub quarantines: Vec<QueueQuarantine>,
 }
 
@@ -274,10 +307,13 @@
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunDurations {
     /// Time from the order to the start, in milliseconds.
+    #[serde(rename = "w")]
     pub waited_ms: u32,
     /// Time from the start to the end, in milliseconds.
+    #[serde(rename = "r")]
     pub ran_ms: u32,
     /// Whether more than half of the host's cores were in use by other runs when the run started.
+    #[serde(rename = "b")]
     pub was_host_busy: bool,
 }
 
@@ -285,12 +321,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunEvent {
     /// The run has started.
+    #[serde(rename = "s")]
     Started,
     /// The run has ended.
+    #[serde(rename = "e")]
     Ended(RunEnd, RunDurations),
     /// The run was not started and never will be.
+    #[serde(rename = "n")]
     NotStarted(NotStartedReason),
     /// The run makes no progress.
+    #[serde(rename = "x")]
     Stalled,
 }
 
@@ -298,36 +338,50 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostView {
     /// Whether the host accepts tasks.
+    #[serde(rename = "o")]
     pub is_open: bool,
     /// Time in which tasks must have ended because the agent shuts down, in milliseconds; `None` if
     /// it does not.
+    #[serde(rename = "cl")]
     pub closes_in_ms: Option<u32>,
     /// Group of interchangeable targets that the host belongs to, as the configuration names it.
+    #[serde(rename = "g")]
     pub group: Rc<str>,
     /// Labels of the target: its kind and its rack.
+    #[serde(rename = "l")]
     pub labels: Vec<Rc<str>>,
     /// Total resources of the host.
+    #[serde(rename = "c", with = "resources_row")]
     pub capacity: Resources,
     /// Resources that no run uses.
+    #[serde(rename = "f", with = "resources_row")]
     pub free: Resources,
     /// Remaining work of running and queued tasks: the CPU of each multiplied by its expected
     /// remaining run time, in core milliseconds.
+    #[serde(rename = "b")]
     pub backlog_core_ms: u32,
     /// The part of the backlog that has not started, in core milliseconds.
+    #[serde(rename = "w")]
     pub waiting_core_ms: u32,
     /// The part of the queued work that is of the most urgent class, in core milliseconds.
+    #[serde(rename = "u")]
     pub urgent_core_ms: u32,
     /// Speed of the target relative to the estimates, in thousandths.
+    #[serde(rename = "s")]
     pub speed_permille: u32,
     /// Standard deviation of the logarithm of that speed, in thousandths.
+    #[serde(rename = "d")]
     pub speed_log_deviation_permille: u16,
     /// Resources expected to be free for a further task, in the order of time; the first is the
     /// state once all queued tasks have started. Empty without a target.
+    #[serde(rename = "op")]
     pub openings: Vec<Opening>,
     /// The same for a task of the most urgent class, which waits only for queued ones of its class.
+    #[serde(rename = "uo")]
     pub urgent_openings: Vec<Opening>,
     /// Kinds of task on the host, and how they slow each other down; empty unless the agent records
     /// that.
+    #[serde(rename = "n")]
     pub neighbors: Neighbors,
 }
 
@@ -335,8 +389,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Opening {
     /// Time from the making of the view, in milliseconds.
+    #[serde(rename = "i")]
     pub in_ms: u32,
     /// Resources that no run is expected to use then.
+    #[serde(rename = "f", with = "resources_row")]
     pub free: Resources,
 }
 
@@ -344,17 +400,23 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostUpdate {
     /// Permit for further orders.
+    #[serde(rename = "p")]
     pub permit: RunPermit,
     /// Whether every run of an earlier incarnation of the agent has ended.
+    #[serde(rename = "ne")]
     pub has_no_earlier_runs: bool,
     /// Capacity and load of the host.
+    #[serde(rename = "v")]
     pub view: HostView,
     /// Events in order, each as its sequence number, the run and the event.
+    #[serde(rename = "ev")]
     pub events: Vec<(u64, RunId, RunEvent)>,
     /// What the agent knows of evacuations; only in the answer to an update request that has a
     /// digest, and if the agent follows evacuations.
+    #[serde(rename = "e")]
     pub evacuations: Option<EvacuationsReport>,
     /// The quarantines that the agent has learned from entries.
+    #[serde(rename = "q")]
     pub quarantines: Vec<QueueQuarantine>,
 }
 
--- a/components/protocol/examples/round_trip.rs
+++ b/components/protocol/examples/round_trip.rs
@@ -11,7 +11,7 @@
     OwnerEnvelope, OwnerMessage, Permit, ProcessKey, Start, TaskStart,
 };
 use monoio::net::TcpListener;
-use protocol::{AgentLink, LinkError, ServerSettings, serve_agent};
+use protocol::{AgentLink, Connector, LinkError, ServerSettings, serve_agent};
 
 const AGENT: ProcessKey = ProcessKey(1);
 const ENTRY: ProcessKey = ProcessKey(2);
@@ -37,7 +37,13 @@
     monoio::spawn(serve_agent(listener, settings, |envelope| {
         answer(&envelope)
     }));
-    let link = AgentLink::connect(&address.to_string(), ENTRY, Some(AGENT), deadline_us()).await?;
+    let link = AgentLink::connect(
+        &Connector::new(ENTRY),
+        &address.to_string(),
+        Some(AGENT),
+        deadline_us(),
+    )
+    .await?;
     call_sequentially(&link, &Rc::new(Cell::new(CALL_COUNT / 10))).await?;
 
     let remaining = Rc::new(Cell::new(CALL_COUNT));
--- a/components/protocol/src/agent_link.rs
+++ b/components/protocol/src/agent_link.rs
@@ -2,11 +2,11 @@
 
 use model::{AgentEnvelope, OwnerEnvelope, ProcessKey};
 
+use crate::connector::Connector;
 use crate::error::LinkError;
 use crate::hello::Service;
 use crate::link::Link;
 use crate::service::{AgentServiceRequest, AgentServiceResponse};
-use crate::traffic::Traffic;
 
 /// A connection to the service of an agent.
 pub type AgentLink = Link<AgentServiceRequest, AgentServiceResponse>;
@@ -20,21 +20,12 @@
     /// Fails if the agent cannot be reached before `deadline_us` on the monotonic clock,
     /// or refuses the connection.
     pub async fn connect(
+        connector: &Connector,
         address: &str,
-        own_key: ProcessKey,
         expected: Option<ProcessKey>,
         deadline_us: u64,
     ) -> Result<Self, LinkError> {
-        let traffic = Traffic::default();
-        Self::connect_to(
-            Service::Agent,
-            address,
-            own_key,
-            expected,
-            deadline_us,
-            traffic,
-        )
-        .await
+        Self::connect_to(connector, Service::Agent, address, expected, deadline_us).await
     }
 
     /// Sends messages from an owner and returns the messages that the agent has for it.
--- a/components/protocol/src/bootstrap_link.rs
+++ b/components/protocol/src/bootstrap_link.rs
@@ -3,10 +3,10 @@
 
 use std::rc::Rc;
 
-use model::ProcessKey;
 use monoio::net::TcpListener;
 use tarpc::context::Context;
 
+use crate::connector::Connector;
 use crate::error::{LinkError, LinkFault};
 use crate::hello::Service;
 use crate::link::Link;
@@ -17,7 +17,6 @@
 use crate::server::accept_connections;
 use crate::service::{BootstrapService, BootstrapServiceRequest, BootstrapServiceResponse};
 use crate::settings::ServerSettings;
-use crate::traffic::Traffic;
 
 /// A connection to the bootstrap service of an entry.
 pub type BootstrapLink = Link<BootstrapServiceRequest, BootstrapServiceResponse>;
@@ -30,20 +29,11 @@
     /// Fails if the entry cannot be reached before `deadline_us` on the monotonic clock,
     /// or refuses the connection.
     pub async fn connect(
+        connector: &Connector,
         address: &str,
-        own_key: ProcessKey,
         deadline_us: u64,
-        traffic: Traffic,
     ) -> Result<Self, LinkError> {
-        Self::connect_to(
-            Service::Bootstrap,
-            address,
-            own_key,
-            None,
-            deadline_us,
-            traffic,
-        )
-        .await
+        Self::connect_to(connector, Service::Bootstrap, address, None, deadline_us).await
     }
 
     /// Requests what the entry knows and the caller does not.
--- a/components/protocol/src/codec.rs
+++ b/components/protocol/src/codec.rs
@@ -1,11 +1,10 @@
-//! Framing and encoding of calls.
+//! Framing of calls, and their encoding in each version.
 
 use std::io;
 use std::marker::PhantomData;
 use std::pin::Pin;
 use std::time::Duration;
 
-use bincode::Options;
 use bytes::{Bytes, BytesMut};
 use monoio::net::TcpStream;
 use monoio_compat::TcpStreamCompat;
@@ -17,6 +16,8 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::traffic::Traffic;
+use crate::version::encoding;
+use crate::{named, positional};
 
 /// Largest frame that is sent or accepted, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
@@ -29,8 +30,15 @@
 
 const STREAM_BUFFER_BYTES: usize = 16 * 1024;
 
-// Position of `Request` among the variants of `tarpc::ClientMessage`.
-const REQUEST_VARIANT: u32 = 0;
+/// How messages are encoded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Encoding {
+    /// Fields in a fixed order, without their names.
+    Positional,
+    /// Fields with their names: those that the receiver does not know are skipped, and optional ones
+    /// may be missing.
+    Named,
+}
 
 pub(crate) type ServerTransport<Req, Resp> =
     Transport<TcpStreamCompat, ClientMessage<Req>, Response<Resp>, ServerCodec<Req, Resp>>;
@@ -40,18 +48,21 @@
 
 /// Decodes requests and encodes responses.
 pub(crate) struct ServerCodec<Req, Resp> {
+    encoding: Encoding,
     traffic: Traffic,
     calls: PhantomData<(Req, Resp)>,
 }
 
 /// Encodes requests and decodes responses.
 pub(crate) struct ClientCodec<Req, Resp> {
+    encoding: Encoding,
     traffic: Traffic,
     calls: PhantomData<(Req, Resp)>,
 }
 
 pub(crate) fn server_transport<Req, Resp>(
     stream: TcpStream,
+    encoding: Encoding,
     traffic: Traffic,
 ) -> ServerTransport<Req, Resp>
 where
@@ -61,6 +72,7 @@
     serde_transport::new(
         frame_codec().new_framed(buffered(stream)),
         ServerCodec {
+            encoding,
             traffic,
             calls: PhantomData,
         },
@@ -69,6 +81,7 @@
 
 pub(crate) fn client_transport<Req, Resp>(
     stream: TcpStream,
+    encoding: Encoding,
     traffic: Traffic,
 ) -> ClientTransport<Req, Resp>
 where
@@ -78,6 +91,7 @@
     serde_transport::new(
         frame_codec().new_framed(buffered(stream)),
         ClientCodec {
+            encoding,
             traffic,
             calls: PhantomData,
         },
@@ -94,39 +108,11 @@
     TcpStreamCompat::new_with_buffer_size(stream, STREAM_BUFFER_BYTES, STREAM_BUFFER_BYTES)
 }
 
-fn bincode_options() -> impl Options + Copy {
-    bincode::DefaultOptions::new()
-}
-
-fn invalid(error: bincode::Error) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, error)
-}
-
-fn encode<T: Serialize>(item: &T) -> io::Result<Bytes> {
-    bincode_options()
-        .serialize(item)
-        .map(Bytes::from)
-        .map_err(invalid)
-}
-
-fn decode<T: DeserializeOwned>(frame: &[u8]) -> io::Result<T> {
-    bincode_options().deserialize(frame).map_err(invalid)
-}
-
-/// Refuses a request whose deadline is further away than [`MAX_CALL_MS`].
+/// Checks that the deadline of a request is at most [`MAX_CALL_MS`] away.
 ///
 /// `tarpc` adds the time left to its clock and timer without an overflow check, and panics if
 /// it is out of range.
-fn check_deadline(mut frame: &[u8]) -> io::Result<()> {
-    let variant: u32 = bincode_options()
-        .deserialize_from(&mut frame)
-        .map_err(invalid)?;
-    if variant != REQUEST_VARIANT {
-        return Ok(());
-    }
-    let time_left: Duration = bincode_options()
-        .deserialize_from(&mut frame)
-        .map_err(invalid)?;
+pub(crate) fn check_time_left(time_left: Duration) -> io::Result<()> {
     if time_left > Duration::from_millis(MAX_CALL_MS) {
         return Err(io::Error::new(
             io::ErrorKind::InvalidData,
@@ -136,6 +122,40 @@
     Ok(())
 }
 
+/// Encodes a message as in the frames of a version, for tests and measurements.
+///
+/// # Errors
+///
+/// Fails if the message cannot be encoded.
+pub fn encode_message<T: Serialize>(version: u32, message: &T) -> io::Result<Bytes> {
+    match encoding(version) {
+        Encoding::Positional => positional::encode(message),
+        Encoding::Named => named::encode(message),
+    }
+}
+
+/// Decodes a message as in the frames of a version, for tests and measurements.
+///
+/// # Errors
+///
+/// Fails if the bytes are not such a message.
+pub fn decode_message<T: DeserializeOwned>(version: u32, bytes: &[u8]) -> io::Result<T> {
+    match encoding(version) {
+        Encoding::Positional => positional::decode(bytes),
+        Encoding::Named => named::decode(bytes),
+    }
+}
+
+fn encode_response<Resp: Serialize>(
+    encoding: Encoding,
+    response: &Response<Resp>,
+) -> io::Result<Bytes> {
+    match encoding {
+        Encoding::Positional => positional::encode(response),
+        Encoding::Named => named::encode_response(response),
+    }
+}
+
 impl<Req, Resp> Deserializer<ClientMessage<Req>> for ServerCodec<Req, Resp>
 where
     Req: DeserializeOwned,
@@ -144,8 +164,10 @@
 
     fn deserialize(self: Pin<&mut Self>, frame: &BytesMut) -> io::Result<ClientMessage<Req>> {
         self.traffic.received(frame.len());
-        check_deadline(frame)?;
-        decode(frame)
+        match self.encoding {
+            Encoding::Positional => positional::decode_request(frame),
+            Encoding::Named => named::decode_request(frame),
+        }
     }
 }
 
@@ -156,14 +178,15 @@
     type Error = io::Error;
 
     fn serialize(self: Pin<&mut Self>, response: &Response<Resp>) -> io::Result<Bytes> {
-        let mut frame = encode(response)?;
+        let mut frame = encode_response(self.encoding, response)?;
         if frame.len() > MAX_FRAME_BYTES {
             // Returning an error would close the connection and fail all its calls.
             let detail = ANSWER_TOO_LARGE.to_owned();
-            frame = encode(&Response::<Resp> {
+            let error = Response::<Resp> {
                 request_id: response.request_id,
                 message: Err(ServerError::new(io::ErrorKind::InvalidData, detail)),
-            })?;
+            };
+            frame = encode_response(self.encoding, &error)?;
         }
         self.traffic.sent(frame.len());
         Ok(frame)
@@ -178,7 +201,10 @@
 
     fn deserialize(self: Pin<&mut Self>, frame: &BytesMut) -> io::Result<Response<Resp>> {
         self.traffic.received(frame.len());
-        decode(frame)
+        match self.encoding {
+            Encoding::Positional => positional::decode(frame),
+            Encoding::Named => named::decode_response(frame),
+        }
     }
 }
 
@@ -189,7 +215,10 @@
     type Error = io::Error;
 
     fn serialize(self: Pin<&mut Self>, message: &ClientMessage<Req>) -> io::Result<Bytes> {
-        let frame = encode(message)?;
+        let frame = match self.encoding {
+            Encoding::Positional => positional::encode(message),
+            Encoding::Named => named::encode_request(message),
+        }?;
         self.traffic.sent(frame.len());
         Ok(frame)
     }
--- a/components/protocol/src/connect.rs
+++ b/components/protocol/src/connect.rs
@@ -8,8 +8,12 @@
 use monoio::net::TcpStream;
 
 use crate::codec::MAX_CALL_MS;
+use crate::connector::Connector;
 use crate::error::{LinkError, LinkFault};
-use crate::hello::{self, Hello, Reply, Service, VERSION};
+use crate::hello::{self, Hello, Reply, ReplyCode, Service};
+use crate::version::{PeerVersions, VersionRange};
+
+const LOG_TARGET: &str = "protocol";
 
 // The connection to an unresponsive host breaks after 5 s + 3 * 2 s = 11 s.
 const KEEPALIVE_IDLE_MS: u64 = 5_000;
@@ -34,56 +38,112 @@
     (left_us > 0).then(|| Duration::from_micros(left_us))
 }
 
-pub(crate) fn client_hello(
-    service: Service,
-    own_key: ProcessKey,
-    expected: Option<ProcessKey>,
-) -> Hello {
-    Hello {
-        version: VERSION,
-        service: service.number(),
-        from: own_key,
-        expected,
-    }
+/// An accepted connection.
+pub(crate) struct OpenedConnection {
+    pub(crate) stream: TcpStream,
+    pub(crate) peer: ProcessKey,
+    pub(crate) version: u32,
 }
 
+/// Opens a connection in the newest version that both sides use.
 pub(crate) async fn open_connection(
+    connector: &Connector,
+    service: Service,
     address: &str,
-    hello: Hello,
+    expected: Option<ProcessKey>,
     deadline_us: u64,
-) -> Result<(TcpStream, ProcessKey), LinkError> {
-    let Ok(address) = address.parse() else {
+) -> Result<OpenedConnection, LinkError> {
+    let Ok(socket_address) = address.parse() else {
         return Err(LinkError::NotSent(LinkFault::BadAddress));
     };
     let Some(time_left) = time_left(deadline_us) else {
         return Err(LinkError::NotSent(LinkFault::DeadlinePassed));
     };
-    match monoio::time::timeout(time_left, handshake(address, hello)).await {
+    let hello_with = |versions| Hello {
+        versions,
+        service: service.number(),
+        from: connector.own_key,
+        expected,
+    };
+    let negotiated = async {
+        let offer = connector.versions.offer_for(address);
+        let (stream, reply) = exchange_hello(socket_address, hello_with(offer)).await?;
+        let Some(offer) = next_offer(&connector.versions, address, offer, reply) else {
+            return accept(stream, offer, reply);
+        };
+        let (stream, reply) = exchange_hello(socket_address, hello_with(offer)).await?;
+        accept(stream, offer, reply)
+    };
+    match monoio::time::timeout(time_left, negotiated).await {
         Ok(result) => result.map_err(LinkError::NotSent),
         Err(_) => Err(LinkError::NotSent(LinkFault::DeadlinePassed)),
     }
 }
 
-async fn handshake(
-    address: SocketAddr,
-    hello: Hello,
-) -> Result<(TcpStream, ProcessKey), LinkFault> {
-    let (stream, reply) = match exchange_hello(address, hello).await {
-        Ok(received) => received,
-        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            return Err(LinkFault::NobodyListens);
+/// Returns the versions with which to connect once more: the peer's if it is older than those
+/// offered, or all if the offer was older than what the peer uses by now.
+fn next_offer(
+    versions: &PeerVersions,
+    address: &str,
+    offer: VersionRange,
+    reply: Reply,
+) -> Option<VersionRange> {
+    let own = versions.own();
+    let is_refused = reply.code == ReplyCode::Version;
+    let is_older = is_refused && reply.version < offer.newest;
+    if is_older && own.contains(reply.version) {
+        if versions.remember(address, reply.key, reply.version) {
+            log::info!(
+                target: LOG_TARGET,
+                "Peer {} at {address} uses protocol version {}; this process uses that version \
+                 instead of {} with it.",
+                reply.key,
+                reply.version,
+                own.newest
+            );
         }
-        Err(error) => return Err(LinkFault::Connect(error.to_string())),
-    };
-    let reply = reply.ok_or(LinkFault::NotProtocol)?;
-    let key = reply.accepted().map_err(LinkFault::Refused)?;
-    Ok((stream, key))
+        return Some(VersionRange::single(reply.version));
+    }
+    let is_newer = reply.newest_version > offer.newest || (is_refused && !is_older);
+    if offer != own && is_newer {
+        versions.forget(address);
+        return Some(own);
+    }
+    None
+}
+
+fn accept(
+    stream: TcpStream,
+    offer: VersionRange,
+    reply: Reply,
+) -> Result<OpenedConnection, LinkFault> {
+    let peer = reply.accepted().map_err(LinkFault::Refused)?;
+    if !offer.contains(reply.version) {
+        return Err(LinkFault::NotProtocol);
+    }
+    Ok(OpenedConnection {
+        stream,
+        peer,
+        version: reply.version,
+    })
 }
 
 async fn exchange_hello(
     address: SocketAddr,
     hello: Hello,
-) -> io::Result<(TcpStream, Option<Reply>)> {
+) -> Result<(TcpStream, Reply), LinkFault> {
+    let (stream, reply) = send_hello(address, hello).await.map_err(|error| {
+        if error.kind() == io::ErrorKind::ConnectionRefused {
+            LinkFault::NobodyListens
+        } else {
+            LinkFault::Connect(error.to_string())
+        }
+    })?;
+    let reply = reply.ok_or(LinkFault::NotProtocol)?;
+    Ok((stream, reply))
+}
+
+async fn send_hello(address: SocketAddr, hello: Hello) -> io::Result<(TcpStream, Option<Reply>)> {
     let mut stream = TcpStream::connect_addr(address).await?;
     set_socket_options(&stream)?;
     hello::write_hello(&mut stream, &hello).await?;
--- a/components/protocol/src/entry_link.rs
+++ b/components/protocol/src/entry_link.rs
@@ -2,6 +2,7 @@
 
 use model::{AgentEnvelope, AgentInfo, JobKey, JobSpec, OwnerEnvelope, ProcessKey};
 
+use crate::connector::Connector;
 use crate::error::{LinkError, LinkFault};
 use crate::hello::Service;
 use crate::link::Link;
@@ -10,7 +11,6 @@
     SubmitReply,
 };
 use crate::service::{EntryServiceRequest, EntryServiceResponse};
-use crate::traffic::Traffic;
 
 /// A connection to the service of an entry.
 pub type EntryLink = Link<EntryServiceRequest, EntryServiceResponse>;
@@ -24,21 +24,12 @@
     /// Fails if the entry cannot be reached before `deadline_us` on the monotonic clock,
     /// or refuses the connection.
     pub async fn connect(
+        connector: &Connector,
         address: &str,
-        own_key: ProcessKey,
         expected: Option<ProcessKey>,
         deadline_us: u64,
     ) -> Result<Self, LinkError> {
-        let traffic = Traffic::default();
-        Self::connect_to(
-            Service::Entry,
-            address,
-            own_key,
-            expected,
-            deadline_us,
-            traffic,
-        )
-        .await
+        Self::connect_to(connector, Service::Entry, address, expected, deadline_us).await
     }
 
     /// Announces an agent that has the configuration of revision `known_config_revision`.
--- a/components/protocol/src/hello.rs
+++ b/components/protocol/src/hello.rs
@@ -1,7 +1,10 @@
 //! The handshake at the start of every connection: a hello from the client and a reply.
 //!
-//! Its format is the same in all versions of the protocol, so that a peer of another version
-//! can be refused with the reason. All numbers are big-endian.
+//! Its format is the same in all versions of the protocol, so that peers can agree on a version, or
+//! be refused with the reason. All numbers are big-endian.
+//!
+//! Processes that use a single version up to 5 send zeros in place of their oldest version and of
+//! their newest one in the reply.
 
 use std::io;
 
@@ -10,12 +13,11 @@
 use monoio::io::{AsyncReadRentExt, AsyncWriteRentExt};
 use monoio::net::TcpStream;
 
+use crate::version::{VERSION, VersionRange};
+
 /// First bytes of a connection in both directions.
 pub const MAGIC: [u8; 8] = *b"shlcross";
 
-/// Version of the protocol that this program uses.
-pub const VERSION: u32 = 5;
-
 /// Size of the hello, in bytes.
 pub const HELLO_BYTES: usize = 32;
 
@@ -25,6 +27,9 @@
 const REPLY_BYTES: usize = 32;
 const ANY_KEY: u64 = 0;
 
+// In place of the oldest version: the sender uses its newest one only.
+const ONLY_NEWEST: u16 = 0;
+
 /// The services that a process can offer; each connection is to one of them.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Service {
@@ -45,10 +50,10 @@
 /// First message on a connection, sent by the client.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Hello {
-    /// Protocol version of the sender.
-    pub version: u32,
+    /// Protocol versions that the sender offers.
+    pub versions: VersionRange,
     /// Number of the requested service.
-    pub service: u32,
+    pub service: u16,
     /// Incarnation of the sender.
     pub from: ProcessKey,
     /// Incarnation that the receiver must be; `None` accepts any.
@@ -58,12 +63,12 @@
 /// Why a connection was refused.
 #[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
-    /// The peers use different versions of the protocol.
+    /// The peers have no version of the protocol in common.
     #[display("peer uses protocol version {peer_version}, this process version {own_version}")]
     Version {
-        /// Version of the peer that refused the connection.
+        /// Newest version of the peer that refused the connection.
         peer_version: u32,
-        /// Version of this process.
+        /// Newest version of this process.
         own_version: u32,
     },
     /// The peer does not offer the service.
@@ -89,7 +94,10 @@
 /// Reply to a [`Hello`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Reply {
+    /// Version of the connection, or the newest of the sender if it refuses the connection.
     pub(crate) version: u32,
+    /// Newest version of the sender; 0 if it is no newer than that of the connection.
+    pub(crate) newest_version: u32,
     pub(crate) code: ReplyCode,
     pub(crate) key: ProcessKey,
 }
@@ -107,7 +115,7 @@
 impl Service {
     /// Returns the number of the service in a hello.
     #[must_use]
-    pub fn number(self) -> u32 {
+    pub fn number(self) -> u16 {
         match self {
             Self::Agent => 1,
             Self::Entry => 2,
@@ -147,25 +155,39 @@
     pub fn encode(&self) -> [u8; HELLO_BYTES] {
         let mut bytes = [0; HELLO_BYTES];
         bytes[..8].copy_from_slice(&MAGIC);
-        bytes[8..12].copy_from_slice(&self.version.to_be_bytes());
-        bytes[12..16].copy_from_slice(&self.service.to_be_bytes());
+        bytes[8..12].copy_from_slice(&self.versions.newest.to_be_bytes());
+        bytes[12..14].copy_from_slice(&self.oldest_on_wire().to_be_bytes());
+        bytes[14..16].copy_from_slice(&self.service.to_be_bytes());
         bytes[16..24].copy_from_slice(&self.from.0.to_be_bytes());
         let expected = self.expected.map_or(ANY_KEY, |key| key.0);
         bytes[24..].copy_from_slice(&expected.to_be_bytes());
         bytes
     }
 
+    fn oldest_on_wire(&self) -> u16 {
+        if self.versions.oldest == self.versions.newest {
+            return ONLY_NEWEST;
+        }
+        u16::try_from(self.versions.oldest).unwrap_or(ONLY_NEWEST)
+    }
+
     /// Decodes a hello; returns `None` if the bytes are not a hello of this protocol.
     #[must_use]
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let rest = bytes.strip_prefix(&MAGIC)?;
-        let (version, rest) = rest.split_first_chunk()?;
+        let (newest, rest) = rest.split_first_chunk()?;
+        let (oldest, rest) = rest.split_first_chunk()?;
         let (service, rest) = rest.split_first_chunk()?;
         let (from, rest) = rest.split_first_chunk()?;
         let expected = u64::from_be_bytes(rest.try_into().ok()?);
+        let newest = u32::from_be_bytes(*newest);
+        let oldest = match u16::from_be_bytes(*oldest) {
+            ONLY_NEWEST => newest,
+            oldest => u32::from(oldest),
+        };
         Some(Self {
-            version: u32::from_be_bytes(*version),
-            service: u32::from_be_bytes(*service),
+            versions: VersionRange { oldest, newest },
+            service: u16::from_be_bytes(*service),
             from: ProcessKey(u64::from_be_bytes(*from)),
             expected: (expected != ANY_KEY).then_some(ProcessKey(expected)),
         })
@@ -179,6 +201,7 @@
         bytes[8..12].copy_from_slice(&self.version.to_be_bytes());
         bytes[12..16].copy_from_slice(&self.code.number().to_be_bytes());
         bytes[16..24].copy_from_slice(&self.key.0.to_be_bytes());
+        bytes[24..28].copy_from_slice(&self.newest_version.to_be_bytes());
         bytes
     }
 
@@ -186,9 +209,11 @@
         let rest = bytes.strip_prefix(&MAGIC)?;
         let (version, rest) = rest.split_first_chunk()?;
         let (code, rest) = rest.split_first_chunk()?;
-        let (key, _) = rest.split_first_chunk()?;
+        let (key, rest) = rest.split_first_chunk()?;
+        let (newest_version, _) = rest.split_first_chunk()?;
         Some(Self {
             version: u32::from_be_bytes(*version),
+            newest_version: u32::from_be_bytes(*newest_version),
             code: ReplyCode::from_number(u32::from_be_bytes(*code)),
             key: ProcessKey(u64::from_be_bytes(*key)),
         })
--- a/components/protocol/src/host_link.rs
+++ b/components/protocol/src/host_link.rs
@@ -11,13 +11,13 @@
 use monoio::net::TcpListener;
 use tarpc::context::Context;
 
+use crate::connector::Connector;
 use crate::error::{LinkError, LinkFault};
 use crate::hello::Service;
 use crate::link::Link;
 use crate::server::accept_connections;
 use crate::service::{HostService, HostServiceRequest, HostServiceResponse};
 use crate::settings::ServerSettings;
-use crate::traffic::Traffic;
 
 /// A connection to the host service of an agent.
 pub type HostLink = Link<HostServiceRequest, HostServiceResponse>;
@@ -30,12 +30,11 @@
     /// Fails if the agent cannot be reached before `deadline_us` on the monotonic clock,
     /// or refuses the connection.
     pub async fn connect(
+        connector: &Connector,
         address: &str,
-        own_key: ProcessKey,
         deadline_us: u64,
-        traffic: Traffic,
     ) -> Result<Self, LinkError> {
-        Self::connect_to(Service::Host, address, own_key, None, deadline_us, traffic).await
+        Self::connect_to(connector, Service::Host, address, None, deadline_us).await
     }
 
     /// Sends orders and returns the agent's immediate reply.
--- a/components/protocol/src/link.rs
+++ b/components/protocol/src/link.rs
@@ -5,7 +5,6 @@
 
 use futures::future;
 use model::ProcessKey;
-use monoio::net::TcpStream;
 use runtime::StopSignal;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -14,10 +13,11 @@
 use tarpc::context;
 
 use crate::codec::client_transport;
-use crate::connect::{client_hello, open_connection, time_left};
+use crate::connect::{OpenedConnection, open_connection, time_left};
+use crate::connector::Connector;
 use crate::error::{LinkError, LinkFault};
 use crate::hello::Service;
-use crate::traffic::Traffic;
+use crate::version::encoding;
 
 const MAX_CALLS_IN_FLIGHT: usize = 65_536;
 const PENDING_CALL_BUFFER: usize = 1_024;
@@ -66,20 +66,25 @@
 {
     /// Connects to a service of the process at `address`, an `ip:port`.
     pub(crate) async fn connect_to(
+        connector: &Connector,
         service: Service,
         address: &str,
-        own_key: ProcessKey,
         expected: Option<ProcessKey>,
         deadline_us: u64,
-        traffic: Traffic,
     ) -> Result<Self, LinkError> {
-        let hello = client_hello(service, own_key, expected);
-        let (stream, peer) = open_connection(address, hello, deadline_us).await?;
-        Ok(Self::start(stream, peer, traffic))
+        let opened = open_connection(connector, service, address, expected, deadline_us).await?;
+        Ok(Self::start(opened, connector))
     }
 
-    fn start(stream: TcpStream, peer: ProcessKey, traffic: Traffic) -> Self {
-        let transport = client_transport(stream, traffic);
+    fn start(opened: OpenedConnection, connector: &Connector) -> Self {
+        let OpenedConnection {
+            stream,
+            peer,
+            version,
+        } = opened;
+        let traffic = connector.traffic.clone();
+        let transport = client_transport(stream, encoding(version), traffic);
+        let open = connector.versions.track_open(version);
         let NewClient { client, dispatch } = tarpc::client::new(config(), transport);
         let closed = StopSignal::new();
         let ended = closed.clone();
@@ -88,6 +93,7 @@
         monoio::spawn(async move {
             // In-flight calls return the error of the dispatch; only its end matters here.
             future::select(dropped, Box::pin(dispatch)).await;
+            drop(open);
             ended.stop();
         });
         Self {
--- a/components/protocol/src/message.rs
+++ b/components/protocol/src/message.rs
@@ -9,6 +9,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::address_list;
+
 /// Owner of a shard, as far as the sender knows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerHint {
@@ -186,10 +188,13 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostContact {
     /// Name of the host.
+    #[serde(rename = "n")]
     pub name: String,
     /// Address of its agent for entries.
+    #[serde(rename = "a")]
     pub address: SocketAddr,
     /// Failure domain of the host.
+    #[serde(rename = "f")]
     pub failure_domain: String,
 }
 
@@ -197,18 +202,25 @@
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BootstrapRequest {
     /// Address of the caller's bootstrap service; `None` if others cannot reach it.
+    #[serde(rename = "a")]
     pub address: Option<SocketAddr>,
     /// Revision of the caller's configuration; 0 if it has none.
+    #[serde(rename = "r")]
     pub revision: u64,
     /// Revision of the configuration that the caller is receiving in parts; 0 if there is none.
+    #[serde(rename = "dr")]
     pub downloading_revision: u64,
     /// Number of hosts that the caller knows.
+    #[serde(rename = "hc")]
     pub host_count: u32,
     /// Digest of the evacuations that the caller knows; `None` if it does not follow them.
+    #[serde(rename = "e")]
     pub evacuations: Option<EvacuationsDigest>,
     /// Whether the caller wants hosts.
+    #[serde(rename = "w")]
     pub wants_hosts: bool,
     /// Digest of the hosts in the receiver's last reply to the caller; 0 if there was none.
+    #[serde(rename = "sh")]
     pub seen_hosts_digest: u64,
 }
 
@@ -216,8 +228,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigurationPartRequest {
     /// Revision of the configuration.
+    #[serde(rename = "r")]
     pub revision: u64,
     /// Position of the part, in bytes.
+    #[serde(rename = "o")]
     pub offset_bytes: u64,
 }
 
@@ -225,12 +239,16 @@
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigurationPart {
     /// Revision of the configuration; 0 if the entry has none.
+    #[serde(rename = "r")]
     pub revision: u64,
     /// Size of the whole configuration, in bytes.
+    #[serde(rename = "t")]
     pub total_bytes: u64,
     /// Position of the part, in bytes.
+    #[serde(rename = "o")]
     pub offset_bytes: u64,
     /// Content of the part.
+    #[serde(rename = "c")]
     pub content: Bytes,
 }
 
@@ -238,20 +256,28 @@
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BootstrapReply {
     /// Revision of the configuration; 0 if the entry has none.
+    #[serde(rename = "r")]
     pub revision: u64,
     /// The first part of the configuration, if newer than those that the caller has or is receiving.
+    #[serde(rename = "c")]
     pub configuration: Option<ConfigurationPart>,
     /// The evacuations that the entry knows, if both follow them.
+    #[serde(rename = "e")]
     pub evacuations: Option<EvacuationsReport>,
     /// Number of hosts that the entry knows.
+    #[serde(rename = "hc")]
     pub host_count: u32,
     /// Whether these include the hosts that the store listed, to this entry or to one that it asked.
+    #[serde(rename = "l")]
     pub is_listed: bool,
     /// Digest of these hosts.
+    #[serde(rename = "hd")]
     pub hosts_digest: u64,
     /// The hosts, if the caller wants them and has not seen them.
+    #[serde(rename = "h")]
     pub hosts: Vec<HostContact>,
     /// Addresses of the bootstrap services of other entries.
+    #[serde(rename = "en", with = "address_list")]
     pub entries: Vec<SocketAddr>,
 }
 
@@ -261,6 +287,7 @@
     /// The agent's host.
     pub host: HostContact,
     /// Addresses of the bootstrap services of other entries.
+    #[serde(with = "address_list")]
     pub entries: Vec<SocketAddr>,
 }
 
@@ -268,5 +295,6 @@
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostAnnouncementReply {
     /// Addresses of the bootstrap services of other entries.
+    #[serde(with = "address_list")]
     pub entries: Vec<SocketAddr>,
 }
--- a/components/protocol/src/pool.rs
+++ b/components/protocol/src/pool.rs
@@ -9,6 +9,7 @@
 use tarpc::RequestName;
 
 use crate::agent_link::AgentLink;
+use crate::connector::Connector;
 use crate::entry_link::EntryLink;
 use crate::error::LinkError;
 use crate::hello::Service;
@@ -16,7 +17,6 @@
 use crate::service::{
     AgentServiceRequest, AgentServiceResponse, EntryServiceRequest, EntryServiceResponse,
 };
-use crate::traffic::Traffic;
 
 /// Timeout for opening a connection, in microseconds.
 ///
@@ -32,29 +32,20 @@
 
 /// A pool of connections to one service, opened on first use and reopened after they close.
 pub struct Pool<Req, Resp> {
-    own_key: ProcessKey,
-    traffic: Traffic,
+    connector: Connector,
     links: RefCell<HashMap<String, Link<Req, Resp>>>,
 }
 
 impl<Req, Resp> Pool<Req, Resp> {
-    /// Builds an empty pool for the process with the key `own_key`.
+    /// Builds an empty pool.
     #[must_use]
-    pub fn new(own_key: ProcessKey) -> Self {
+    pub fn new(connector: Connector) -> Self {
         Self {
-            own_key,
-            traffic: Traffic::default(),
+            connector,
             links: RefCell::default(),
         }
     }
 
-    /// Sets the counters of traffic for connections that are opened later.
-    #[must_use]
-    pub fn with_traffic(mut self, traffic: Traffic) -> Self {
-        self.traffic = traffic;
-        self
-    }
-
     /// Closes the connection to an address.
     pub fn remove(&self, address: &str) {
         self.links.borrow_mut().remove(address);
@@ -105,16 +96,8 @@
             return Ok(link);
         }
         let deadline_us = runtime::monotonic_us() + CONNECT_TIMEOUT_US;
-        let traffic = self.traffic.clone();
-        let link = Link::connect_to(
-            service,
-            address,
-            self.own_key,
-            expected,
-            deadline_us,
-            traffic,
-        )
-        .await?;
+        let connector = &self.connector;
+        let link = Link::connect_to(connector, service, address, expected, deadline_us).await?;
         self.store(address, &link);
         Ok(link)
     }
--- a/components/protocol/src/server.rs
+++ b/components/protocol/src/server.rs
@@ -22,9 +22,10 @@
 use crate::counters::{LinkCounters, LinkEvent, OpenConnectionGuard};
 use crate::eof_as_error::EofAsError;
 use crate::handlers::{AgentHandlers, EntryHandlers};
-use crate::hello::{self, HELLO_TIMEOUT_MS, Hello, Reply, ReplyCode, Service, VERSION};
+use crate::hello::{self, HELLO_TIMEOUT_MS, Hello, Reply, ReplyCode, Service};
 use crate::service::{AgentService, EntryService};
 use crate::settings::ServerSettings;
+use crate::version::{OpenVersionGuard, VERSION, encoding};
 
 /// Maximum number of in-flight calls on one connection.
 pub const MAX_CALLS_PER_CONNECTION: usize = 65_536;
@@ -73,7 +74,7 @@
         service,
         settings,
         handshaking: LinkCounters::default(),
-        refusals: RefCell::default(),
+        reports: RefCell::default(),
     });
     while let Some(accepted) = server.accept(&listener).await {
         match accepted {
@@ -88,8 +89,17 @@
     settings: ServerSettings,
     // Counts the connections that are in the handshake.
     handshaking: LinkCounters,
-    // Bounds the lines about refused connections, of which a misdirected client causes many.
-    refusals: RefCell<RepeatedLines<&'static str>>,
+    // Bounds the lines about refused connections, of which a misdirected client causes many, and about
+    // peers that use an older version.
+    reports: RefCell<RepeatedLines<&'static str>>,
+}
+
+/// A peer whose hello was accepted.
+struct AcceptedPeer {
+    key: ProcessKey,
+    version: u32,
+    _open: OpenConnectionGuard,
+    _open_version: OpenVersionGuard,
 }
 
 impl Server {
@@ -135,34 +145,50 @@
         S::Req: RequestName + DeserializeOwned + 'static,
         S::Resp: Serialize + 'static,
     {
-        let (_open_guard, peer) = match self.handshake(&mut stream).await {
-            Ok(connection) => connection,
+        let peer = match self.handshake(&mut stream).await {
+            Ok(peer) => peer,
             Err(event) => return self.report_refusal(event),
         };
         drop(handshaking);
         self.settings.counters.count(LinkEvent::Accepted);
-        if let Err(error) = serve_calls(stream, serve, &self.settings).await {
+        if peer.version < self.settings.versions.own().newest {
+            self.report_older_peer(&peer);
+        }
+        if let Err(error) = serve_calls(stream, serve, peer.version, &self.settings).await {
             self.settings.counters.count(LinkEvent::Broken);
             log::warn!(target: LOG_TARGET, "Connection broke: {error}.");
         }
         if let Some(on_closed) = &self.settings.on_closed {
-            (on_closed.0)(peer);
+            (on_closed.0)(peer.key);
+        }
+    }
+
+    fn report_older_peer(&self, peer: &AcceptedPeer) {
+        let due = self
+            .reports
+            .borrow_mut()
+            .record(uptime_ms(), "older_version");
+        if let Some(count) = due {
+            log::info!(
+                target: LOG_TARGET, count = count;
+                "Peer {} uses protocol version {}; this process uses that version instead of \
+                 {VERSION} with it.",
+                peer.key,
+                peer.version
+            );
         }
     }
 
     fn report_refusal(&self, event: LinkEvent) {
         self.settings.counters.count(event);
         let reason = <&str>::from(event);
-        let due = self.refusals.borrow_mut().record(uptime_ms(), reason);
+        let due = self.reports.borrow_mut().record(uptime_ms(), reason);
         if let Some(count) = due {
             log::info!(target: LOG_TARGET, count = count; "Connection refused: {reason}.");
         }
     }
 
-    async fn handshake(
-        &self,
-        stream: &mut TcpStream,
-    ) -> Result<(OpenConnectionGuard, ProcessKey), LinkEvent> {
+    async fn handshake(&self, stream: &mut TcpStream) -> Result<AcceptedPeer, LinkEvent> {
         let hello_timeout = Duration::from_millis(HELLO_TIMEOUT_MS);
         match monoio::time::timeout(hello_timeout, self.exchange_hello(stream)).await {
             Ok(Ok(outcome)) => outcome,
@@ -173,37 +199,42 @@
     async fn exchange_hello(
         &self,
         stream: &mut TcpStream,
-    ) -> io::Result<Result<(OpenConnectionGuard, ProcessKey), LinkEvent>> {
+    ) -> io::Result<Result<AcceptedPeer, LinkEvent>> {
         connect::set_socket_options(stream)?;
         let Some(hello) = hello::read_hello(stream).await? else {
             return Ok(Err(LinkEvent::Garbage));
         };
         let checked = self.check_hello(&hello);
-        let code = match checked {
-            Ok(_) => ReplyCode::Accepted,
-            Err((code, _)) => code,
+        let own_newest = self.settings.versions.own().newest;
+        let (version, code) = match &checked {
+            Ok(accepted) => (accepted.version, ReplyCode::Accepted),
+            Err((code, _)) => (own_newest, *code),
         };
         let reply = Reply {
-            version: VERSION,
+            version,
+            newest_version: if version < own_newest { own_newest } else { 0 },
             code,
             key: self.settings.own_key,
         };
         hello::write_reply(stream, reply).await?;
-        Ok(checked
-            .map(|open| (open, hello.from))
-            .map_err(|(_, event)| event))
+        Ok(checked.map_err(|(_, event)| event))
     }
 
-    fn check_hello(&self, hello: &Hello) -> Result<OpenConnectionGuard, (ReplyCode, LinkEvent)> {
-        if hello.version != VERSION {
+    fn check_hello(&self, hello: &Hello) -> Result<AcceptedPeer, (ReplyCode, LinkEvent)> {
+        let own = self.settings.versions.own();
+        let Some(version) = own.newest_common(hello.versions) else {
             log::warn!(
                 target: LOG_TARGET,
-                "Refused peer {}: it uses protocol version {}, this process uses {VERSION}.",
+                "Refused peer {}: it uses protocol versions {} to {}, this process uses \
+                 {} to {}. Upgrade the older of the two.",
                 hello.from,
-                hello.version
+                hello.versions.oldest,
+                hello.versions.newest,
+                own.oldest,
+                own.newest
             );
             return Err((ReplyCode::Version, LinkEvent::RefusedVersion));
-        }
+        };
         if hello.service != self.service.number() {
             return Err((ReplyCode::Service, LinkEvent::RefusedService));
         }
@@ -216,13 +247,23 @@
         if self.settings.counters.open_connections() >= self.settings.connection_limit {
             return Err((ReplyCode::Limit, LinkEvent::RefusedLimit));
         }
-        Ok(self.settings.counters.track_open())
+        Ok(AcceptedPeer {
+            key: hello.from,
+            version,
+            _open: self.settings.counters.track_open(),
+            _open_version: self.settings.versions.track_open(version),
+        })
     }
 }
 
 /// Serves the calls of one connection until it ends, or until the server is stopped and no call
 /// is in flight.
-async fn serve_calls<S>(stream: TcpStream, serve: S, settings: &ServerSettings) -> io::Result<()>
+async fn serve_calls<S>(
+    stream: TcpStream,
+    serve: S,
+    version: u32,
+    settings: &ServerSettings,
+) -> io::Result<()>
 where
     S: Serve + Clone + 'static,
     S::Req: RequestName + DeserializeOwned + 'static,
@@ -233,6 +274,7 @@
     };
     let transport = EofAsError::new(server_transport::<S::Req, S::Resp>(
         stream,
+        encoding(version),
         settings.traffic.clone(),
     ));
     let channel = BaseChannel::new(config, transport);
--- a/components/protocol/src/settings.rs
+++ b/components/protocol/src/settings.rs
@@ -6,8 +6,10 @@
 use model::ProcessKey;
 use runtime::StopSignal;
 
+use crate::connector::Connector;
 use crate::counters::LinkCounters;
 use crate::traffic::Traffic;
+use crate::version::PeerVersions;
 
 /// Default maximum number of concurrent connections of a server.
 pub const DEFAULT_CONNECTION_LIMIT: usize = 4_096;
@@ -29,6 +31,7 @@
     pub(crate) connection_limit: usize,
     pub(crate) counters: LinkCounters,
     pub(crate) traffic: Traffic,
+    pub(crate) versions: PeerVersions,
     pub(crate) stop: StopSignal,
     pub(crate) on_closed: Option<ClosedHook>,
 }
@@ -43,6 +46,7 @@
                 connection_limit: DEFAULT_CONNECTION_LIMIT,
                 counters: LinkCounters::default(),
                 traffic: Traffic::default(),
+                versions: PeerVersions::default(),
                 stop: StopSignal::new(),
                 on_closed: None,
             },
@@ -71,10 +75,12 @@
         self
     }
 
-    /// Sets the counters of traffic on the connections.
+    /// Counts the traffic and the versions of peers together with those of the connections that the
+    /// process opens.
     #[must_use]
-    pub fn traffic(mut self, traffic: Traffic) -> Self {
-        self.settings.traffic = traffic;
+    pub fn connector(mut self, connector: &Connector) -> Self {
+        self.settings.traffic = connector.traffic.clone();
+        self.settings.versions = connector.versions.clone();
         self
     }
 
--- a/components/protocol/tests/common/mod.rs
+++ b/components/protocol/tests/common/mod.rs
@@ -11,8 +11,8 @@
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
 use monoio::net::{TcpListener, TcpStream};
 use protocol::{
-    AnnounceReply, CancelReply, EntryHandlers, EntryHandlersBuilder, EntryPing, EntryPong,
-    HandoverReply, LinkCounters, OwnedShard, ServerSettings, StatusReply, SubmitReply, Traffic,
+    AnnounceReply, CancelReply, Connector, EntryHandlers, EntryHandlersBuilder, EntryPing,
+    EntryPong, HandoverReply, LinkCounters, OwnedShard, ServerSettings, StatusReply, SubmitReply,
     serve_agent, serve_entry,
 };
 use runtime::StopSignal;
@@ -27,7 +27,7 @@
 pub struct Server {
     pub address: SocketAddr,
     pub counters: LinkCounters,
-    pub traffic: Traffic,
+    pub connector: Connector,
     pub stop: StopSignal,
 }
 
@@ -45,13 +45,13 @@
     let server = Server {
         address,
         counters: LinkCounters::default(),
-        traffic: Traffic::default(),
+        connector: Connector::new(SERVER),
         stop: StopSignal::new(),
     };
     let settings = ServerSettings::builder(SERVER)
         .connection_limit(connection_limit)
         .counters(server.counters.clone())
-        .traffic(server.traffic.clone())
+        .connector(&server.connector)
         .stop(server.stop.clone())
         .build();
     (settings, server)
--- a/components/protocol/tests/links.rs
+++ b/components/protocol/tests/links.rs
@@ -15,14 +15,20 @@
 use monoio::net::TcpListener;
 use protocol::{
     AgentLink, BootstrapLink, BootstrapReply, BootstrapRequest, CancelReply, ConfigurationPart,
-    ConfigurationPartRequest, EntryHandlers, EntryLink, EntryPool, HandoverOffer, HostAnnouncement,
-    HostAnnouncementReply, HostContact, LinkError, LinkFault, MAX_FRAME_BYTES, ServerSettings,
-    StatusReply, SubmitReply, Traffic, serve_bootstrap,
+    ConfigurationPartRequest, Connector, EntryHandlers, EntryLink, EntryPool, HandoverOffer,
+    HostAnnouncement, HostAnnouncementReply, HostContact, LinkError, LinkFault, MAX_FRAME_BYTES,
+    ServerSettings, StatusReply, SubmitReply, serve_bootstrap,
 };
 
 async fn entry_link(server: &common::Server) -> EntryLink {
     let address = server.address.to_string();
-    let link = EntryLink::connect(&address, CLIENT, Some(SERVER), deadline_us()).await;
+    let link = EntryLink::connect(
+        &Connector::new(CLIENT),
+        &address,
+        Some(SERVER),
+        deadline_us(),
+    )
+    .await;
     link.unwrap()
 }
 
@@ -35,7 +41,7 @@
     runtime::run(async {
         let server = start_agent(1);
         let address = server.address.to_string();
-        let link = AgentLink::connect(&address, CLIENT, None, deadline_us())
+        let link = AgentLink::connect(&Connector::new(CLIENT), &address, None, deadline_us())
             .await
             .unwrap();
         let envelope = common::owner_envelope(SERVER);
@@ -51,8 +57,9 @@
 fn both_ends_count_the_same_traffic() {
     runtime::run(async {
         let server = start_entry(entry_handlers());
-        let traffic = Traffic::default();
-        let pool = EntryPool::new(CLIENT).with_traffic(traffic.clone());
+        let connector = Connector::new(CLIENT);
+        let traffic = connector.traffic();
+        let pool = EntryPool::new(connector.clone());
         let address = server.address.to_string();
         let link = pool.link(&address, Some(SERVER)).await.unwrap();
         let job = JobKey::new(FirmKey::from_name("north"), "a");
@@ -60,8 +67,14 @@
             link.status(job, deadline_us()).await.unwrap();
         }
         assert_eq!((traffic.sent_frames(), traffic.received_frames()), (3, 3));
-        assert_eq!(traffic.sent_bytes(), server.traffic.received_bytes());
-        assert_eq!(traffic.received_bytes(), server.traffic.sent_bytes());
+        assert_eq!(
+            traffic.sent_bytes(),
+            server.connector.traffic().received_bytes()
+        );
+        assert_eq!(
+            traffic.received_bytes(),
+            server.connector.traffic().sent_bytes()
+        );
         assert!(traffic.sent_bytes() > 3 * 4);
     })
     .unwrap();
@@ -193,7 +206,9 @@
         let error = link.ping(common::ping(), 0).await;
         assert_eq!(error, Err(LinkError::NotSent(LinkFault::DeadlinePassed)));
         let address = server.address.to_string();
-        let error = EntryLink::connect(&address, CLIENT, None, 0).await.err();
+        let error = EntryLink::connect(&Connector::new(CLIENT), &address, None, 0)
+            .await
+            .err();
         assert_eq!(error, Some(LinkError::NotSent(LinkFault::DeadlinePassed)));
     })
     .unwrap();
@@ -275,7 +290,8 @@
         let error = link.ping(common::ping(), deadline_us()).await;
         assert_eq!(error, Err(LinkError::NotSent(LinkFault::Closed)));
         let address = server.address.to_string();
-        let refused = EntryLink::connect(&address, CLIENT, None, deadline_us()).await;
+        let refused =
+            EntryLink::connect(&Connector::new(CLIENT), &address, None, deadline_us()).await;
         let expected = LinkError::NotSent(LinkFault::NobodyListens);
         assert_eq!(refused.err(), Some(expected));
     })
@@ -341,9 +357,10 @@
         monoio::spawn(serve_bootstrap(
             listener, settings, bootstrap, part, announce,
         ));
-        let traffic = Traffic::default();
+        let connector = Connector::new(CLIENT);
+        let traffic = connector.traffic();
         let address = address.to_string();
-        let link = BootstrapLink::connect(&address, CLIENT, deadline_us(), traffic.clone());
+        let link = BootstrapLink::connect(&connector, &address, deadline_us());
         let link = link.await.unwrap();
         let request = BootstrapRequest {
             address: Some(entries[0]),
--- a/components/protocol/tests/refusals.rs
+++ b/components/protocol/tests/refusals.rs
@@ -8,15 +8,19 @@
 use monoio::net::TcpListener;
 use proptest::prelude::*;
 use protocol::{
-    AgentLink, EntryLink, Hello, LinkError, LinkEvent, LinkFault, MAGIC, MAX_FRAME_BYTES, Refusal,
-    Service, VERSION,
+    AgentLink, Connector, EntryLink, Hello, LinkError, LinkEvent, LinkFault, MAGIC,
+    MAX_FRAME_BYTES, OLDEST_VERSION, Refusal, Service, VERSION, VersionRange,
 };
 
 const REPLY_BYTES: usize = 32;
 
 fn hello() -> Hello {
+    hello_of(VersionRange::OWN)
+}
+
+fn hello_of(versions: VersionRange) -> Hello {
     Hello {
-        version: VERSION,
+        versions,
         service: Service::Agent.number(),
         from: CLIENT,
         expected: None,
@@ -40,9 +44,14 @@
 
 async fn assert_serves(server: &common::Server) {
     let address = server.address.to_string();
-    let link = AgentLink::connect(&address, CLIENT, Some(SERVER), deadline_us())
-        .await
-        .unwrap();
+    let link = AgentLink::connect(
+        &Connector::new(CLIENT),
+        &address,
+        Some(SERVER),
+        deadline_us(),
+    )
+    .await
+    .unwrap();
     let envelope = common::owner_envelope(SERVER);
     assert!(link.exchange(envelope, deadline_us()).await.is_ok());
 }
@@ -51,13 +60,12 @@
 fn hello_of_another_version_is_refused_and_counted() {
     runtime::run(async {
         let server = start_agent(4);
-        let newer = Hello {
-            version: VERSION + 1,
-            ..hello()
-        };
-        let received = send_raw(server.address, newer.encode().to_vec()).await;
-        assert_eq!(received, reply(VERSION, 1));
-        assert_eq!(server.counters.get(LinkEvent::RefusedVersion), 1);
+        for version in [VERSION + 1, OLDEST_VERSION - 1] {
+            let other = hello_of(VersionRange::single(version));
+            let received = send_raw(server.address, other.encode().to_vec()).await;
+            assert_eq!(received, reply(VERSION, 1));
+        }
+        assert_eq!(server.counters.get(LinkEvent::RefusedVersion), 2);
         assert_serves(&server).await;
     })
     .unwrap();
@@ -74,7 +82,8 @@
             result.unwrap();
             stream.write_all(reply(9, 1)).await.0.unwrap();
         });
-        let error = AgentLink::connect(&address, CLIENT, None, deadline_us()).await;
+        let error =
+            AgentLink::connect(&Connector::new(CLIENT), &address, None, deadline_us()).await;
         let refusal = Refusal::Version {
             peer_version: 9,
             own_version: VERSION,
@@ -94,12 +103,12 @@
         let server = start_agent(4);
         let address = server.address.to_string();
         let other = Some(ProcessKey(99));
-        let error = AgentLink::connect(&address, CLIENT, other, deadline_us())
+        let error = AgentLink::connect(&Connector::new(CLIENT), &address, other, deadline_us())
             .await
             .err();
         let refusal = Refusal::Key { actual: SERVER };
         assert_eq!(error, Some(LinkError::NotSent(LinkFault::Refused(refusal))));
-        let error = EntryLink::connect(&address, CLIENT, None, deadline_us())
+        let error = EntryLink::connect(&Connector::new(CLIENT), &address, None, deadline_us())
             .await
             .err();
         let refusal = Refusal::Service;
@@ -116,10 +125,10 @@
     runtime::run(async {
         let server = start_agent(1);
         let address = server.address.to_string();
-        let first = AgentLink::connect(&address, CLIENT, None, deadline_us())
+        let first = AgentLink::connect(&Connector::new(CLIENT), &address, None, deadline_us())
             .await
             .unwrap();
-        let error = AgentLink::connect(&address, CLIENT, None, deadline_us())
+        let error = AgentLink::connect(&Connector::new(CLIENT), &address, None, deadline_us())
             .await
             .err();
         let refusal = LinkFault::Refused(Refusal::Limit);
@@ -161,13 +170,21 @@
     runtime::run(async {
         let server = start_agent(4);
         // A request whose time left is u64::MAX seconds.
-        let mut body = vec![0, 253];
-        body.extend([255; 8]);
-        body.extend([0; 64]);
-        let mut bytes = hello().encode().to_vec();
-        bytes.extend(frame(&body));
-        send_raw(server.address, bytes).await;
-        assert_eq!(server.counters.get(LinkEvent::Broken), 1);
+        let mut positional = vec![0, 253];
+        positional.extend([255; 8]);
+        positional.extend([0; 64]);
+        // The same in microseconds, with the fields of the call.
+        let mut named = b"\x81\xa4call\x83\xa2id\x00\xa7left_us\xcf".to_vec();
+        named.extend([255; 8]);
+        named.extend(b"\xa4call\x81\xa8Exchange\x81\xa8envelope\x84\xa4from\x00");
+        named.extend(b"\xa2to\x00\xacfrom_address\xa0\xa8messages\x90");
+        for (version, body) in [(5, positional), (6, named)] {
+            let hello = hello_of(VersionRange::single(version));
+            let mut bytes = hello.encode().to_vec();
+            bytes.extend(frame(&body));
+            send_raw(server.address, bytes).await;
+        }
+        assert_eq!(server.counters.get(LinkEvent::Broken), 2);
         assert_serves(&server).await;
     })
     .unwrap();
@@ -183,12 +200,12 @@
             stream.write_all(vec![b'x'; REPLY_BYTES]).await.0.unwrap();
             stream
         });
-        let error = AgentLink::connect(&address, CLIENT, None, deadline_us())
+        let error = AgentLink::connect(&Connector::new(CLIENT), &address, None, deadline_us())
             .await
             .err();
         assert_eq!(error, Some(LinkError::NotSent(LinkFault::NotProtocol)));
         drop(peer.await);
-        let error = AgentLink::connect("nowhere", CLIENT, None, deadline_us())
+        let error = AgentLink::connect(&Connector::new(CLIENT), "nowhere", None, deadline_us())
             .await
             .err();
         assert_eq!(error, Some(LinkError::NotSent(LinkFault::BadAddress)));
@@ -205,11 +222,11 @@
             let (mut stream, _) = listener.accept().await.unwrap();
             stream.write_all(reply(VERSION, 0)).await.0.unwrap();
             stream.read_exact(vec![0; 36]).await.0.unwrap();
-            // Response to request 0: no error, variant 6 (`HandOver`), accepted.
-            stream.write_all(frame(&[0, 0, 6, 1])).await.0.unwrap();
+            let answer = b"\x82\xa2id\x00\xa6answer\x81\xa8HandOver\x81\xa8accepted\xc3";
+            stream.write_all(frame(answer)).await.0.unwrap();
             stream
         });
-        let link = EntryLink::connect(&address, CLIENT, None, deadline_us())
+        let link = EntryLink::connect(&Connector::new(CLIENT), &address, None, deadline_us())
             .await
             .unwrap();
         let error = link.ping(common::ping(), deadline_us()).await;
@@ -221,9 +238,10 @@
 
 proptest! {
     #[test]
-    fn hello_round_trips(version: u32, service: u32, from: u64, expected: u64) {
+    fn hello_round_trips(oldest in 1_u16.., newer: u16, service: u16, from: u64, expected: u64) {
+        let oldest = u32::from(oldest);
         let hello = Hello {
-            version,
+            versions: VersionRange { oldest, newest: oldest + u32::from(newer) },
             service,
             from: ProcessKey(from),
             expected: (expected != 0).then_some(ProcessKey(expected)),
@@ -243,11 +261,13 @@
 
     #[test]
     fn malformed_frames_do_not_stop_the_server(
+        version in OLDEST_VERSION..=VERSION,
         bodies in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 1..8),
     ) {
         runtime::run(async {
             let server = start_agent(4);
-            let mut bytes = hello().encode().to_vec();
+            let hello = hello_of(VersionRange::single(version));
+            let mut bytes = hello.encode().to_vec();
             bodies.iter().for_each(|body| bytes.extend(frame(body)));
             // This length is above the limit, so the connection ends whatever the frames contain.
             bytes.extend([255; 4]);
--- a/components/sidecar/src/announcements.rs
+++ b/components/sidecar/src/announcements.rs
@@ -51,9 +51,8 @@
     address: SocketAddr,
 ) -> Result<HostAnnouncementReply, LinkError> {
     let deadline_us = monotonic_us() + ANNOUNCEMENT_TIMEOUT_MS * 1_000;
-    let traffic = shared.traffic.clone();
     let entry = address.to_string();
-    let link = BootstrapLink::connect(&entry, shared.key, deadline_us, traffic).await?;
+    let link = BootstrapLink::connect(&shared.connector, &entry, deadline_us).await?;
     let settings = shared.settings();
     let announcement = HostAnnouncement {
         host: HostContact {
--- a/components/sidecar/src/entries.rs
+++ b/components/sidecar/src/entries.rs
@@ -16,7 +16,7 @@
     let closing = Rc::clone(&shared);
     let settings = ServerSettings::builder(shared.key)
         .counters(shared.link_counters.clone())
-        .traffic(shared.traffic.clone())
+        .connector(&shared.connector)
         .on_closed(move |entry| {
             log::info!(target: "sidecar", event = "link_down", entry = entry.to_string();
                 "connection from an entry closed");
--- a/components/sidecar/src/metrics.rs
+++ b/components/sidecar/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of an agent.
 
 use hosting::{StartOutcome, TargetPollOutcome};
-use runtime::prometheus::{IntCounter, IntCounterVec, IntGauge};
+use runtime::prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 use runtime::{Metrics, MetricsError, uptime_ms};
 
 use crate::process::Shared;
@@ -11,6 +11,7 @@
     metrics: Metrics,
     target_calls: IntCounterVec,
     announcements: IntCounterVec,
+    peer_connections: IntGaugeVec,
     waiting: IntGauge,
     running: IntGauge,
     evacuated_failure_domains: IntGauge,
@@ -55,6 +56,11 @@
                 "shallotcross_sidecar_estimated_pairs",
                 "Pairs of kinds of task whose effect on each other is estimated.",
             )?,
+            peer_connections: metrics.gauge_vec(
+                "shallotcross_sidecar_peer_connections",
+                "Open connections with other processes by protocol version.",
+                &["version"],
+            )?,
             dropped_log_lines: metrics.gauge(
                 "shallotcross_sidecar_log_lines_left_out",
                 "Log lines dropped by the rate limit or because the log reader is slow.",
@@ -122,6 +128,11 @@
         let counts = runtime::log_counts();
         let dropped = counts.dropped_over_rate + counts.dropped_over_buffer;
         self.dropped_log_lines.set(dropped as i64);
+        for (version, count) in shared.connector.versions().open_connections() {
+            self.peer_connections
+                .with_label_values(&[&version.to_string()])
+                .set(count as i64);
+        }
         self.metrics.encode()
     }
 }
--- a/components/sidecar/src/process.rs
+++ b/components/sidecar/src/process.rs
@@ -8,11 +8,11 @@
 use config::SidecarSettings;
 use errors::{Error, ExitCode};
 use hosting::{Host, StartOutcome, TargetCall};
-use model::ProcessKey;
+use model::{HostView, Opening, ProcessKey, Resources};
 use monoio::net::TcpListener;
 use peers::Announcer;
 use platform::StoreClient;
-use protocol::{LinkCounters, Traffic};
+use protocol::{Connector, LinkCounters, VERSION};
 use runtime::{RepeatedLines, StopSignal, monotonic_us, unix_ms, uptime_ms};
 use serde_json::{Value, json};
 use web::{Client, Notify};
@@ -46,7 +46,7 @@
     /// Starts that did not succeed, by their outcome.
     pub(crate) failed_starts: RefCell<RepeatedLines<StartOutcome>>,
     pub(crate) link_counters: LinkCounters,
-    pub(crate) traffic: Traffic,
+    pub(crate) connector: Connector,
     /// Decides to which entries the host is announced.
     pub(crate) announcer: RefCell<Announcer>,
 }
@@ -92,7 +92,7 @@
                 .map_err(|error| Error::new(ExitCode::Failure, error.to_string()))?,
             failed_starts: RefCell::default(),
             link_counters: LinkCounters::default(),
-            traffic: Traffic::default(),
+            connector: Connector::new(key),
             announcer: RefCell::new(announcer),
             settings: RefCell::new(Rc::new(settings)),
         };
@@ -128,7 +128,7 @@
     pub async fn run(self, drain: StopSignal) {
         let shared = self.shared;
         let settings = shared.settings();
-        log::info!(target: "sidecar", event = "started", agent = shared.key.to_string(),
+        log::info!(target: "sidecar", event = "started", agent = shared.key.to_string(), protocol_version = VERSION,
             host = settings.name.as_str(),
             failure_domain = settings.failure_domain.as_str(); "agent started");
         monoio::spawn(crate::reports::serve(Rc::clone(&shared), self.reports));
@@ -205,15 +205,46 @@
         json!({
             "agent": self.key.to_string(),
             "is_draining": self.is_draining.get(),
-            "traffic": self.traffic.iter().collect::<BTreeMap<&str, u64>>(),
+            "traffic": self.connector.traffic().iter().collect::<BTreeMap<&str, u64>>(),
+            "connections_by_version": self.connector.versions().open_connections(),
             "is_evacuated": host.is_evacuated(),
             "evacuations": self.evacuations.newest(),
             "target": host.target().map(|target| target.instance.to_string()),
             "token": host.token(),
             "waiting": waiting,
             "running": running,
-            "view": host.view(uptime_ms()),
+            "view": view_state(&host.view(uptime_ms())),
             "pair_effects": pair_effects,
         })
     }
 }
+
+/// Returns a view for state dumps.
+fn view_state(view: &HostView) -> Value {
+    let opening = |opening: &Opening| {
+        let Resources {
+            cpu_millis,
+            memory_mib,
+            gpus,
+        } = opening.free;
+        json!({
+            "in_ms": opening.in_ms, "cpu_millis": cpu_millis, "memory_mib": memory_mib, "gpus": gpus,
+        })
+    };
+    let openings = |openings: &[Opening]| openings.iter().map(opening).collect::<Vec<Value>>();
+    json!({
+        "is_open": view.is_open,
+        "closes_in_ms": view.closes_in_ms,
+        "group": view.group,
+        "labels": view.labels,
+        "capacity": view.capacity,
+        "free": view.free,
+        "backlog_core_ms": view.backlog_core_ms,
+        "waiting_core_ms": view.waiting_core_ms,
+        "urgent_core_ms": view.urgent_core_ms,
+        "speed_permille": view.speed_permille,
+        "speed_log_deviation_permille": view.speed_log_deviation_permille,
+        "openings": openings(&view.openings),
+        "urgent_openings": openings(&view.urgent_openings),
+    })
+}
