--- a/components/protocol/src/connect.rs
+++ b/components/protocol/src/connect.rs
@@ -94,12 +94,8 @@
     if is_older && own.contains(reply.version) {
         if versions.remember(address, reply.key, reply.version) {
             log::info!(
-                target: LOG_TARGET,
-                "Peer {} at {address} uses protocol version {}; this process uses that version \
-                 instead of {} with it.",
-                reply.key,
-                reply.version,
-                own.newest
+                target: LOG_TARGET, address = address;
+                "Peer {} uses the older protocol version {}.", reply.key, reply.version
             );
         }
         return Some(VersionRange::single(reply.version));
--- a/components/protocol/src/server.rs
+++ b/components/protocol/src/server.rs
@@ -25,7 +25,7 @@
 use crate::hello::{self, HELLO_TIMEOUT_MS, Hello, Reply, ReplyCode, Service};
 use crate::service::{AgentService, EntryService};
 use crate::settings::ServerSettings;
-use crate::version::{OpenVersionGuard, VERSION, encoding};
+use crate::version::{OpenVersionGuard, encoding};
 
 /// Maximum number of in-flight calls on one connection.
 pub const MAX_CALLS_PER_CONNECTION: usize = 65_536;
@@ -171,10 +171,7 @@
         if let Some(count) = due {
             log::info!(
                 target: LOG_TARGET, count = count;
-                "Peer {} uses protocol version {}; this process uses that version instead of \
-                 {VERSION} with it.",
-                peer.key,
-                peer.version
+                "Peer {} uses the older protocol version {}.", peer.key, peer.version
             );
         }
     }
@@ -225,8 +222,7 @@
         let Some(version) = own.newest_common(hello.versions) else {
             log::warn!(
                 target: LOG_TARGET,
-                "Refused peer {}: it uses protocol versions {} to {}, this process uses \
-                 {} to {}. Upgrade the older of the two.",
+                "Refused peer {}: it uses protocol versions {} to {}, this process {} to {}.",
                 hello.from,
                 hello.versions.oldest,
                 hello.versions.newest,
