Upgrade processes in the soak, and close connections of callers that an entry cannot serve

Change: an entry that is not ready answers a refusal with connection: close; the decision is in caller_connections. Evacuated entries are ready and keep their callers.

Measured: the test of the connections fails without the change.

--- a/components/gateway/src/callers.rs
+++ b/components/gateway/src/callers.rs
@@ -11,10 +11,14 @@
 use scheduling::{AdmissionInputs, JobRequest, JobSlot, Route, SubmitOutcome, Verdict};
 use web::{HeaderValue, Request, Response, StopSignal};
 
+use crate::caller_connections::{EntryState, is_closed_after};
 use crate::configuration::ActiveConfiguration;
 use crate::process::{JobAnswer, Shared};
 
 const HOST_HEADER: &str = "host";
+/// Status of the answer to a request that has not run and will not.
+const NOT_RUN_STATUS: u16 = 503;
+
 const CONNECTION_HEADER: &str = "connection";
 
 /// Retry delay given to callers of an entry that cannot serve yet, in milliseconds; the balancer
@@ -33,7 +37,11 @@
 
 async fn handle(shared: Rc<Shared>, request: Request) -> Response {
     let mut response = answer(&shared, &request).await;
-    if shared.is_draining.get() {
+    let state = EntryState {
+        is_draining: shared.is_draining.get(),
+        is_ready: shared.is_ready(),
+    };
+    if is_closed_after(state, response.status == NOT_RUN_STATUS) {
         let close = HeaderValue::from_static("close");
         response.headers.insert(CONNECTION_HEADER, close);
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod actions;
 mod bootstrap;
+mod caller_connections;
 mod callers;
 mod configuration;
 mod directory;
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod process;
 mod proxy;
 mod soak;
+mod upgrade;
 
 pub use builds::{Profile, production_commit, production_programs};
 pub use faults::FaultKind;
--- a/components/soak/src/process.rs
+++ b/components/soak/src/process.rs
@@ -32,6 +32,8 @@
 #[derive(Debug)]
 pub(crate) struct Process {
     program: PathBuf,
+    /// Program of the other build, if there is one.
+    other_program: Option<PathBuf>,
     subcommand: &'static str,
     settings_path: PathBuf,
     log_path: PathBuf,
@@ -39,9 +41,10 @@
 }
 
 impl Process {
-    /// Writes the settings to a file and starts the process.
+    /// Writes the settings to a file and starts the process with the first of the programs; the second
+    /// is that of the other build, if there is one.
     pub(crate) fn start(
-        program: &Path,
+        (program, other_program): (&Path, Option<&Path>),
         subcommand: &'static str,
         folder: &Path,
         name: &str,
@@ -51,6 +54,7 @@
         fs::write(&path, settings)?;
         let mut process = Self {
             program: program.to_owned(),
+            other_program: other_program.map(Path::to_owned),
             subcommand,
             settings_path: path,
             log_path: folder.join(format!("{name}.log")),
@@ -81,6 +85,13 @@
         Ok(())
     }
 
+    /// Uses the other build, if there is one, from the next start on.
+    pub(crate) fn use_other_build(&mut self) {
+        if let Some(other) = &mut self.other_program {
+            std::mem::swap(&mut self.program, other);
+        }
+    }
+
     pub(crate) fn is_running(&mut self) -> bool {
         match self.child.as_mut().map(Child::try_wait) {
             Some(Ok(None)) => true,
--- a/components/soak/src/soak.rs
+++ b/components/soak/src/soak.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,7 @@
 use crate::faults::{FaultKind, inject, random_kind};
 use crate::process::{Process, Programs};
 use crate::proxy::Proxy;
+use crate::upgrade::upgrade;
 
 /// Jobs sent per second while faults are injected.
 const JOBS_PER_S: u64 = 40;
@@ -47,6 +49,8 @@
     pub faults_per_s: f64,
     /// Paths of the programs under test.
     pub programs: Programs,
+    /// Programs of the release in production, if the soak upgrades from it to the others and back.
+    pub production: Option<Programs>,
     /// Folder for the settings files and logs of the processes.
     pub folder: std::path::PathBuf,
 }
@@ -138,8 +142,12 @@
             self.store.address(),
         );
         let name = format!("host-{number}");
-        let agent = &plan.programs.agent;
-        let process = Process::start(agent, "sidecar", &plan.folder, &name, &settings)?;
+        let production = plan.production.as_ref();
+        let programs = build_order(
+            &plan.programs.agent,
+            production.map(|programs| programs.agent.as_path()),
+        );
+        let process = Process::start(programs, "sidecar", &plan.folder, &name, &settings)?;
         Ok(HostNode {
             process: RefCell::new(process),
             target,
@@ -159,8 +167,12 @@
             self.store.address(),
         );
         let name = format!("entry-{number}");
-        let entry = &plan.programs.entry;
-        let process = Process::start(entry, "gateway", &plan.folder, &name, &settings)?;
+        let production = plan.production.as_ref();
+        let programs = build_order(
+            &plan.programs.entry,
+            production.map(|programs| programs.entry.as_path()),
+        );
+        let process = Process::start(programs, "gateway", &plan.folder, &name, &settings)?;
         Ok(EntryNode {
             process: RefCell::new(process),
             client: Client::new(callers_address, 64),
@@ -201,6 +213,17 @@
     }
 }
 
+/// Returns the program to start with and the one to upgrade to: the release in production first.
+fn build_order<'a>(
+    current: &'a Path,
+    production: Option<&'a Path>,
+) -> (&'a Path, Option<&'a Path>) {
+    match production {
+        Some(production) => (production, Some(current)),
+        None => (current, None),
+    }
+}
+
 /// Runs a soak: sends jobs while faults are injected, lets the system recover, and checks that it
 /// completes jobs again.
 ///
@@ -221,6 +244,9 @@
         Rc::clone(&faults),
         Rc::clone(&has_finished),
     ));
+    if plan.production.is_some() {
+        monoio::spawn(upgrade(Rc::clone(&system), Rc::clone(&has_finished)));
+    }
     while !has_finished.get() {
         next_job += 1;
         let (system, rng, tally) = (system.clone(), rng.clone(), tally.clone());
--- a/tests/platform_evacuation.rs
+++ b/tests/platform_evacuation.rs
@@ -107,6 +107,8 @@
         assert_eq!(response.status, 503);
         let retry_after = response.headers.get("retry-after");
         assert!(retry_after.is_some(), "{:?}", response.headers);
+        // No other entry could serve the caller either.
+        assert_eq!(response.headers.get("connection"), None);
         assert_eq!(self.ledger.borrow().starts, starts);
     }
 }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,11 +2,11 @@
 
 use std::path::Path;
 
-use soak::{Plan, Programs, run};
+use soak::{Plan, Profile, Programs, production_programs, run};
 
 const FAULTS_MS: u64 = 4_000;
 
-fn plan(seed: u64, folder: &Path) -> Plan {
+fn plan(seed: u64, folder: &Path, production: Option<Programs>) -> Plan {
     Plan {
         seed,
         entries: 2,
@@ -17,6 +17,7 @@
             entry: env!("CARGO_BIN_EXE_shallotcross").into(),
             agent: env!("CARGO_BIN_EXE_shallotcross-agent").into(),
         },
+        production,
         folder: folder.to_owned(),
     }
 }
@@ -24,7 +25,20 @@
 #[test]
 fn short_soak_completes_jobs_without_violations() {
     let folder = tempfile::tempdir().expect("a folder");
-    let outcome = runtime::run(run(plan(1, folder.path())));
+    check(plan(1, folder.path(), None));
+}
+
+#[test]
+fn short_soak_of_an_upgrade_completes_jobs_without_violations() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let repository = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let production = production_programs(repository, Profile::current());
+    let production = production.expect("the release in production is built");
+    check(plan(2, folder.path(), Some(production)));
+}
+
+fn check(plan: Plan) {
+    let outcome = runtime::run(run(plan));
     let outcome = outcome.expect("a runtime").expect("processes and ports");
     assert_eq!(outcome.violations, Vec::<String>::new());
     assert!(outcome.completed > 0, "{outcome:?}");
