--- a/tests/platform_connections.rs
+++ b/tests/platform_connections.rs
@@ -2,11 +2,11 @@
 
 mod platform_support;
 
-use platform_standins::{
-    CONFIGURATION_KEY, SharedLedger, StoreServer, TargetServer, TargetSettings, configuration, job,
-};
+use platform_standins::{CONFIGURATION_KEY, SharedLedger, StoreServer, configuration, job};
 use platform_support::support::wait_until;
-use platform_support::{Entry, GROUP, HOST, PREFIX, free_address, start_agent, start_entry};
+use platform_support::{
+    Entry, GROUP, HOST, PREFIX, free_address, start_agent, start_entry, start_target,
+};
 
 /// Submits a job; returns the status of the answer, and whether it closes the connection.
 async fn submit(entry: &Entry, id: u64) -> (u16, bool) {
@@ -27,13 +27,7 @@
         let published = configuration(1, HOST, PREFIX, GROUP).to_string();
         store.put(CONFIGURATION_KEY, published.as_bytes());
         let reports_address = free_address();
-        let settings = TargetSettings {
-            number: 0,
-            group: GROUP.to_owned(),
-            cpu_millis: 8_000,
-            reports_address,
-        };
-        let target = TargetServer::start(settings, SharedLedger::default()).expect("a target");
+        let target = start_target(reports_address, &SharedLedger::default());
         let entry = start_entry(folder.path(), store.address(), "info");
         assert_eq!(submit(&entry, 1).await, (503, true));
         let mut agent = start_agent(
--- a/tests/platform_evacuation.rs
+++ b/tests/platform_evacuation.rs
@@ -7,12 +7,12 @@
 use std::time::{Duration, Instant};
 
 use platform_standins::{
-    CONFIGURATION_KEY, SharedLedger, StoreServer, TargetServer, TargetSettings, configuration,
-    evacuation_key, job,
+    CONFIGURATION_KEY, SharedLedger, StoreServer, configuration, evacuation_key, job,
 };
 use platform_support::support::{Process, call, wait_until};
 use platform_support::{
-    Entry, GROUP, HOST, PREFIX, free_address, restart_agent, start_agent_with, start_entry_with,
+    Entry, GROUP, HOST, PREFIX, free_address, line_of, restart_agent, start_agent_with,
+    start_entry_with, start_target,
 };
 use web::{Method, Request};
 
@@ -20,17 +20,6 @@
 
 const EVACUATED: &str = "\"event\":\"evacuations\"";
 
-/// Waits for a line without blocking the stand-ins, and returns it.
-async fn line_of(process: &mut Process, text: &str) -> String {
-    let mut line = None;
-    wait_until(text, async || {
-        line = process.find_line(text);
-        line.is_some()
-    })
-    .await;
-    line.unwrap_or_default()
-}
-
 /// An entry, a host, and a store that serves each of the two processes on a port of its own.
 struct System {
     entry_store: StoreServer,
@@ -49,14 +38,8 @@
         let published = configuration(7, HOST, PREFIX, GROUP);
         entry_store.put(CONFIGURATION_KEY, published.to_string().as_bytes());
         let reports_address = free_address();
-        let settings = TargetSettings {
-            number: 0,
-            group: GROUP.to_owned(),
-            cpu_millis: 8_000,
-            reports_address,
-        };
         let ledger = SharedLedger::default();
-        let target = TargetServer::start(settings, ledger.clone()).expect("a target");
+        let target = start_target(reports_address, &ledger);
         let entry = start_entry_with(folder, entry_store.address(), "info", more_settings);
         let agent = start_agent_with(
             folder,
--- a/tests/platform_logs.rs
+++ b/tests/platform_logs.rs
@@ -4,11 +4,9 @@
 
 use std::collections::BTreeSet;
 
-use platform_standins::{
-    CONFIGURATION_KEY, SharedLedger, StoreServer, TargetServer, TargetSettings, configuration, job,
-};
+use platform_standins::{CONFIGURATION_KEY, SharedLedger, StoreServer, configuration, job};
 use platform_support::support::{Process, wait_until};
-use platform_support::{GROUP, HOST, PREFIX, free_address, start_agent, start_entry};
+use platform_support::{GROUP, HOST, PREFIX, free_address, start_agent, start_entry, start_target};
 use serde_json::Value;
 
 /// Fields that every line must have.
@@ -33,13 +31,7 @@
         let published = configuration(7, HOST, PREFIX, GROUP);
         store.put(CONFIGURATION_KEY, published.to_string().as_bytes());
         let reports_address = free_address();
-        let settings = TargetSettings {
-            number: 0,
-            group: GROUP.to_owned(),
-            cpu_millis: 8_000,
-            reports_address,
-        };
-        let target = TargetServer::start(settings, SharedLedger::default()).expect("a target");
+        let target = start_target(reports_address, &SharedLedger::default());
         let mut entry = start_entry(folder.path(), store.address(), "debug");
         let (store_address, target_address) = (store.address(), target.address());
         let mut agent = start_agent(
--- a/tests/platform_peers.rs
+++ b/tests/platform_peers.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use platform_standins::{
-    CONFIGURATION_KEY, SharedLedger, StoreServer, TargetServer, TargetSettings, configuration,
-    evacuation_key, job,
+    CONFIGURATION_KEY, SharedLedger, StoreServer, TargetServer, configuration, evacuation_key, job,
 };
 use platform_support::support::{Process, wait_until};
 use platform_support::{
     Entry, GROUP, HOST, PREFIX, free_address, seeds_setting, start_agent_with, start_entry_at,
+    start_target,
 };
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -33,16 +33,10 @@
         let store = StoreServer::start().expect("a store");
         publish(&store, 1, PREFIX);
         let reports = free_address();
-        let settings = TargetSettings {
-            number: 0,
-            group: GROUP.to_owned(),
-            cpu_millis: 8_000,
-            reports_address: reports,
-        };
         Self {
             folder: tempfile::tempdir().expect("a folder"),
             store,
-            target: TargetServer::start(settings, SharedLedger::default()).expect("a target"),
+            target: start_target(reports, &SharedLedger::default()),
             reports,
             job_count: 0,
         }
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -9,8 +9,9 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
+use platform_standins::{SharedLedger, TargetServer, TargetSettings};
 use serde_json::Value;
-use support::{Build, Process, call};
+use support::{Build, Process, call, wait_until};
 use web::{HeaderValue, Method, Request, Response};
 
 /// Host name of the queue used in the tests.
@@ -103,6 +104,28 @@
     }
 }
 
+/// Starts a target with eight cores that reports to an address.
+pub fn start_target(reports_address: SocketAddr, ledger: &SharedLedger) -> TargetServer {
+    let settings = TargetSettings {
+        number: 0,
+        group: GROUP.to_owned(),
+        cpu_millis: 8_000,
+        reports_address,
+    };
+    TargetServer::start(settings, ledger.clone()).expect("a target")
+}
+
+/// Waits for a line without blocking the stand-ins, and returns it.
+pub async fn line_of(process: &mut Process, text: &str) -> String {
+    let mut line = None;
+    wait_until(text, async || {
+        line = process.find_line(text);
+        line.is_some()
+    })
+    .await;
+    line.unwrap_or_default()
+}
+
 /// Starts an agent for a target.
 pub fn start_agent(
     folder: &Path,
--- a/tests/platform_upgrade.rs
+++ b/tests/platform_upgrade.rs
@@ -6,13 +6,12 @@
 use std::path::Path;
 
 use platform_standins::{
-    CONFIGURATION_KEY, SharedLedger, StoreServer, TargetServer, TargetSettings, configuration,
-    evacuation_key, job,
+    CONFIGURATION_KEY, SharedLedger, StoreServer, TargetServer, configuration, evacuation_key, job,
 };
 use platform_support::support::{Build, Process, wait_until};
 use platform_support::{
-    Entry, GROUP, HOST, PREFIX, free_address, restart_agent_of, seeds_setting, start_entry_of,
-    write_agent_settings,
+    Entry, GROUP, HOST, PREFIX, free_address, line_of, restart_agent_of, seeds_setting,
+    start_entry_of, start_target, write_agent_settings,
 };
 use rstest::rstest;
 use tempfile::TempDir;
@@ -49,14 +48,8 @@
         let agent_store = entry_store.start_second().expect("a second port");
         publish(&entry_store, 1, PREFIX);
         let reports_address = free_address();
-        let settings = TargetSettings {
-            number: 0,
-            group: GROUP.to_owned(),
-            cpu_millis: 8_000,
-            reports_address,
-        };
         let ledger = SharedLedger::default();
-        let target = TargetServer::start(settings, ledger.clone()).expect("a target");
+        let target = start_target(reports_address, &ledger);
         let seeds = vec![free_address(), free_address()];
         let more = format!("{BOUND}{}", seeds_setting(&seeds));
         write_agent_settings(
@@ -146,17 +139,6 @@
     store.put(CONFIGURATION_KEY, body.to_string().as_bytes());
 }
 
-/// Waits for a line without blocking the stand-ins, and returns it.
-async fn line_of(process: &mut Process, text: &str) -> String {
-    let mut line = None;
-    wait_until(text, async || {
-        line = process.find_line(text);
-        line.is_some()
-    })
-    .await;
-    line.unwrap_or_default()
-}
-
 // New agents refused old entries, and old agents new entries: half-way through an upgrade an entry
 // reached only the hosts whose agents had its own version.
 #[rstest]
