--- a/review/standins/executor.rs
+++ b/review/standins/executor.rs
@@ -151,7 +151,9 @@
         let (serving, ledger) = (Arc::clone(&shared), Arc::clone(record));
         let (own_name, memory_mb) = (name.to_owned(), 65_536);
         let address = http::serve(move |request, accepted| {
-            answer(&serving, &ledger, &own_name, cpu, memory_mb, request, accepted)
+            answer(
+                &serving, &ledger, &own_name, cpu, memory_mb, request, accepted,
+            )
         });
         let (timed, ledger) = (Arc::clone(&shared), Arc::clone(record));
         thread::spawn(move || {
@@ -235,7 +237,8 @@
         for run in runs.values() {
             self.record.end(run.span, "lost with the executor");
         }
-        self.record.line(&format!("{} is down, silently", self.name));
+        self.record
+            .line(&format!("{} is down, silently", self.name));
     }
 
     /// The executor starts again under its id; it knows nothing of before.
@@ -243,7 +246,10 @@
         let mut state = self.shared.0.lock().unwrap();
         let life = state.life + 1;
         *state = new_life(life);
-        self.record.line(&format!("{} starts again, born {}", self.name, state.born_unix_ms));
+        self.record.line(&format!(
+            "{} starts again, born {}",
+            self.name, state.born_unix_ms
+        ));
     }
 }
 
@@ -302,7 +308,9 @@
             }
             let specification = body.str("specification").unwrap_or_default().to_owned();
             // The specification gives work, cpu and memory: "900 3100 64".
-            let mut words = specification.split(' ').filter_map(|word| word.parse().ok());
+            let mut words = specification
+                .split(' ')
+                .filter_map(|word| word.parse().ok());
             let work_ms = words.next().unwrap_or(100);
             let run_cpu = words.next().unwrap_or(1_000);
             let run_memory = words.next().unwrap_or(64);
@@ -335,7 +343,9 @@
                 && run.how != "stopped"
             {
                 run.how = "stopped";
-                run.ends_at = run.ends_at.min(Instant::now() + Duration::from_millis(STOP_MS));
+                run.ends_at = run
+                    .ends_at
+                    .min(Instant::now() + Duration::from_millis(STOP_MS));
                 record.line(&format!("{name} is told to stop {task} run {number}"));
             }
             state.accept()
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -57,7 +57,9 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let code = (bytes[at] == b'%').then(|| value.get(at + 1..at + 3)).flatten();
+        let code = (bytes[at] == b'%')
+            .then(|| value.get(at + 1..at + 3))
+            .flatten();
         match code.and_then(|code| u8::from_str_radix(code, 16).ok()) {
             Some(byte) => {
                 out.push(byte);
@@ -174,7 +176,10 @@
     for (key, value) in headers {
         head.push_str(&format!("{key}: {value}\r\n"));
     }
-    if !headers.iter().any(|(key, _)| key.eq_ignore_ascii_case("host")) {
+    if !headers
+        .iter()
+        .any(|(key, _)| key.eq_ignore_ascii_case("host"))
+    {
         head.push_str(&format!("host: {address}\r\n"));
     }
     head.push_str(&format!("content-length: {}\r\n\r\n", body.len()));
@@ -189,7 +194,9 @@
             return Some(Response { status, body });
         }
         let left = deadline.checked_duration_since(Instant::now())?;
-        stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).ok()?;
+        stream
+            .set_read_timeout(Some(left.max(Duration::from_millis(1))))
+            .ok()?;
         match stream.read(&mut chunk) {
             Ok(count) if count > 0 => buffer.extend_from_slice(&chunk[..count]),
             _ => return None,
--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -85,7 +85,8 @@
             .spawn();
         match child {
             Ok(child) => {
-                self.record.line(&format!("{program} {command} started as {name}"));
+                self.record
+                    .line(&format!("{program} {command} started as {name}"));
                 Process { child }
             }
             Err(error) => {
@@ -96,7 +97,13 @@
     }
 
     /// Starts `shallotcross gateway` with the settings that `platform/gateway.toml` gives.
-    pub fn gateway(&self, name: &str, entry: &Entry, store: SocketAddr, seeds: &[Entry]) -> Process {
+    pub fn gateway(
+        &self,
+        name: &str,
+        entry: &Entry,
+        store: SocketAddr,
+        seeds: &[Entry],
+    ) -> Process {
         let settings = format!(
             "name = \"{name}\"\nfailure_domain = \"kochi-a\"\ncallers_address = \"{}\"\n\
              readiness_address = \"{}\"\npeer_address = \"{}\"\nmetrics_address = \"{}\"\n\
@@ -148,7 +155,10 @@
 }
 
 fn seed_list(seeds: &[Entry]) -> String {
-    let seeds: Vec<String> = seeds.iter().map(|at| format!("\"{}\"", at.control)).collect();
+    let seeds: Vec<String> = seeds
+        .iter()
+        .map(|at| format!("\"{}\"", at.control))
+        .collect();
     format!("[{}]", seeds.join(", "))
 }
 
@@ -209,7 +219,10 @@
         ("estimatedMs", num(work_ms)),
     ];
     if !after.is_empty() {
-        fields.push(("after", Json::Arr(after.iter().map(|at| num(*at)).collect())));
+        fields.push((
+            "after",
+            Json::Arr(after.iter().map(|at| num(*at)).collect()),
+        ));
     }
     obj(fields)
 }
--- a/review/standins/record.rs
+++ b/review/standins/record.rs
@@ -63,7 +63,10 @@
         let span = &mut spans[number];
         span.end_ms = Some(self.now_ms());
         span.how = how.to_owned();
-        let line = format!("{} ends {} run {} {how}", span.executor, span.task, span.run);
+        let line = format!(
+            "{} ends {} run {} {how}",
+            span.executor, span.task, span.run
+        );
         drop(spans);
         self.line(&line);
     }
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -50,7 +50,8 @@
             created,
             lease,
         };
-        self.history.push((revision, key.to_owned(), encode(key, &item)));
+        self.history
+            .push((revision, key.to_owned(), encode(key, &item)));
         self.items.insert(key.to_owned(), item);
     }
 
@@ -115,7 +116,11 @@
 
     pub fn keys(&self, prefix: &str) -> usize {
         let state = self.shared.0.lock().unwrap();
-        state.items.keys().filter(|key| key.starts_with(prefix)).count()
+        state
+            .items
+            .keys()
+            .filter(|key| key.starts_with(prefix))
+            .count()
     }
 }
 
@@ -140,7 +145,10 @@
         }
         ("GET", "/kv-range") => {
             let prefix = request.query("prefix");
-            let items = state.items.iter().filter(|(key, _)| key.starts_with(&prefix));
+            let items = state
+                .items
+                .iter()
+                .filter(|(key, _)| key.starts_with(&prefix));
             let items = items.map(|(key, item)| encode(key, item)).collect();
             let body = obj(vec![
                 ("items", Json::Arr(items)),
@@ -204,7 +212,10 @@
             let lease = state.next_lease;
             let until = Instant::now() + Duration::from_millis(ttl_ms);
             state.leases.insert(lease, (until, ttl_ms));
-            http::json(200, &obj(vec![("lease", num(lease)), ("ttlMs", num(ttl_ms))]))
+            http::json(
+                200,
+                &obj(vec![("lease", num(lease)), ("ttlMs", num(ttl_ms))]),
+            )
         }
         ("POST", path) if path.starts_with("/kv-keep/") => {
             let lease: u64 = path["/kv-keep/".len()..].parse().unwrap_or(0);
