--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -41,7 +41,9 @@
         executor.send_heartbeats(reports);
         hosts.push((executor, reports));
     }
-    entries.iter().for_each(|entry| case.wait_until_ready(entry));
+    entries
+        .iter()
+        .for_each(|entry| case.wait_until_ready(entry));
     thread::sleep(Duration::from_secs(3));
 
     // Convoy slot plans of four tasks, four a second.
@@ -49,7 +51,11 @@
     for number in 0..JOBS {
         let (record, entries) = (Arc::clone(&case.record), entries.clone());
         clients.push(thread::spawn(move || {
-            let job = kit::job(TASK_MS, TASK_CPU, vec![kit::step(4, TASK_CPU, TASK_MS, &[])]);
+            let job = kit::job(
+                TASK_MS,
+                TASK_CPU,
+                vec![kit::step(4, TASK_CPU, TASK_MS, &[])],
+            );
             let path = format!("{PREFIX}{number:016x}");
             kit::hand_in(&record, &entries, number, &path, 1_500, &job, 3)
         }));
@@ -64,19 +70,39 @@
     thread::sleep(Duration::from_secs(1));
     let calls = hosts[0].0.calls() - calls_before;
 
-    let served = statuses.iter().filter(|status| **status == Some(200)).count();
-    case.record.line(&format!("{served} of {JOBS} jobs were answered with 200"));
-    case.record.line(&format!("the idle executor i-0 got {calls} calls in the last second"));
-    let last = case.record.spans().into_iter().filter(|span| span.executor == "i-0");
+    let served = statuses
+        .iter()
+        .filter(|status| **status == Some(200))
+        .count();
+    case.record
+        .line(&format!("{served} of {JOBS} jobs were answered with 200"));
+    case.record.line(&format!(
+        "the idle executor i-0 got {calls} calls in the last second"
+    ));
+    let last = case
+        .record
+        .spans()
+        .into_iter()
+        .filter(|span| span.executor == "i-0");
     let last = last.map(|span| span.begin_ms).max().unwrap_or(0);
-    case.record.line(&format!("the last run on i-0 began at {:.3} s", last as f64 / 1_000.0));
+    case.record.line(&format!(
+        "the last run on i-0 began at {:.3} s",
+        last as f64 / 1_000.0
+    ));
     let overlaps = case.record.overlaps();
     for (one, other, overlap_ms) in &overlaps {
         case.record.line(&format!(
             "TWICE: {} at work on {} (run {}, {} to {:?} ms) and on {} (run {}, {} to {:?} ms): \
              {overlap_ms} ms at the same time",
-            one.task, one.executor, one.run, one.begin_ms, one.end_ms, other.executor, other.run,
-            other.begin_ms, other.end_ms
+            one.task,
+            one.executor,
+            one.run,
+            one.begin_ms,
+            one.end_ms,
+            other.executor,
+            other.run,
+            other.begin_ms,
+            other.end_ms
         ));
     }
     drop(processes);
@@ -101,14 +127,19 @@
         ("coldRemainingMs", num(0)),
         (
             "capacity",
-            obj(vec![("cpu", num(8_000)), ("memoryRequestMb", num(8_192)), ("gpu", num(0))]),
+            obj(vec![
+                ("cpu", num(8_000)),
+                ("memoryRequestMb", num(8_192)),
+                ("gpu", num(0)),
+            ]),
         ),
         ("labels", Json::Arr(vec![text("a"), text("r1-1")])),
         ("clockMs", num(1_000)),
         ("sequence", num(1)),
         ("born", num(executor::unix_ms() - 1_000)),
     ]);
-    case.record.line("another writer sends PUT /instances/i-77 to the agent of i-0");
+    case.record
+        .line("another writer sends PUT /instances/i-77 to the agent of i-0");
     let limit = Duration::from_secs(1);
     let path = "/instances/i-77";
     let response = http::call(reports, "PUT", path, &[], body.write().as_bytes(), limit);
