--- a/review/standins/executor.rs
+++ b/review/standins/executor.rs
@@ -207,7 +207,7 @@
         ])
     }
 
-    fn send_heartbeat(&self, reports: SocketAddr) {
+    pub fn send_heartbeat(&self, reports: SocketAddr) {
         let body = self.heartbeat().write();
         let path = format!("/instances/{}", self.name);
         let limit = Duration::from_millis(1_000);
--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -182,12 +182,23 @@
 
 /// A route of the configuration.
 pub fn route(name: &str, prefix: &str, service: &str, timeout_ms: u64) -> Json {
+    route_with_target(name, prefix, service, timeout_ms, 60)
+}
+
+/// A route whose jobs may take `target_ms` in addition to `stretch` times their work.
+pub fn route_with_target(
+    name: &str,
+    prefix: &str,
+    service: &str,
+    timeout_ms: u64,
+    target_ms: u64,
+) -> Json {
     obj(vec![
         ("name", text(name)),
         ("host", text(HOST)),
         ("prefix", text(prefix)),
         ("timeoutMs", num(timeout_ms)),
-        ("targetDurationMs", num(60)),
+        ("targetDurationMs", num(target_ms)),
         ("priority", num(0)),
         ("service", text(service)),
         ("maxAttempts", num(3)),
