--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -6,10 +6,12 @@
 pub mod record;
 pub mod store;
 
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -21,9 +23,18 @@
 
 pub const HOST: &str = "callers.example";
 
+/// Returns an address whose port is free, from below the range that the system gives to connections.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    for _ in 0..10_000 {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed) + std::process::id() * 37;
+        let address = SocketAddr::from(([127, 0, 0, 1], 18_000 + (number % 12_000) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    eprintln!("no port is free");
+    std::process::exit(2);
 }
 
 /// A process of the project; it is killed when the value is dropped.
@@ -85,6 +96,7 @@
             .spawn();
         match child {
             Ok(child) => {
+                self.note_process(child.id());
                 self.record
                     .line(&format!("{program} {command} started as {name}"));
                 Process { child }
@@ -96,6 +108,16 @@
         }
     }
 
+    /// Notes a process for `run.sh`, which ends it if the script is stopped before it does so itself.
+    fn note_process(&self, process: u32) {
+        let path = self.folder.join("processes");
+        let file = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(path);
+        let _ = file.and_then(|mut file| writeln!(file, "{process}"));
+    }
+
     /// Starts `shallotcross gateway` with the settings that `platform/gateway.toml` gives.
     pub fn gateway(
         &self,
