--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -1,5 +1,4 @@
-//! A few jobs that can never be done, of very many tasks, are handed in while others are served. The
-//! script plays the platform: it kills a process that exceeds its memory, and starts it again.
+//! Executors lose power while tasks wait at their hosts, and come back as executors of another kind.
 
 #[path = "../standins/kit.rs"]
 #[allow(dead_code)]
@@ -11,126 +10,139 @@
 use std::time::Duration;
 
 use kit::executor::Executor;
+use kit::json::{Json, text};
+use kit::record::RunSpan;
 use kit::{Case, Entry, free_address};
 
 const SERVICE: &str = "escort-planner";
-const PREFIX: &str = "/window/";
-const HOSTS: usize = 3;
-/// Jobs, of which twenty a second are handed in.
-const JOBS: usize = 300;
-/// One job in twenty can never be done, for three seconds.
-const POISON_SHARE: usize = 20;
-const POISON_FROM: usize = 60;
-const POISON_UNTIL: usize = 120;
-/// Memory of an entry (`limits.memoryMb`); a process that exceeds it is killed.
-const MEMORY_MB: u64 = 260;
-/// Steps of a job that can never be done, and tasks of each step.
-const STEPS: u64 = 60;
-const TASKS: u64 = 60_000;
-/// How often a client hands a job in at most.
-const TRIES: usize = 5;
+const PREFIX: &str = "/plan/";
+const DEADLINE_MS: u64 = 1_500;
+/// Kinds of the executors at the start.
+const KINDS: [&str; 7] = ["a", "a", "b", "a", "b", "a", "b"];
+const CPU: u64 = 32_000;
+const TASK_CPU: u64 = 3_100;
+const TASK_MS: u64 = 900;
+const TASKS: u64 = 4;
+/// Jobs in a row of which three need kind a and two need kind b.
+const NEEDS: [&str; 5] = ["a", "b", "a", "b", "a"];
+const JOBS_PER_S: u64 = 20;
+/// Crashes, of one of the seven executors at a time.
+const CRASHES: usize = 10;
+const DARK: Duration = Duration::from_millis(400);
+const BETWEEN: Duration = Duration::from_millis(3_000);
 
 fn main() {
-    let case = Arc::new(Case::from_arguments());
+    let case = Case::from_arguments();
     let store = kit::store::Store::start();
-    let routes = vec![kit::route("berth-window", PREFIX, SERVICE, 1_500)];
+    let routes = vec![kit::route("convoy-slot-plan", PREFIX, SERVICE, DEADLINE_MS)];
     store.put("op/config", &kit::configuration(3, routes, &[SERVICE]));
     let entries = vec![Entry::new(), Entry::new()];
-    let is_over = Arc::new(AtomicBool::new(false));
-    let mut platform = Vec::new();
-    for number in 0..entries.len() {
-        let (case, entries, store) = (Arc::clone(&case), entries.clone(), store.address);
-        let is_over = Arc::clone(&is_over);
-        platform.push(thread::spawn(move || {
-            let name = format!("frontend-{number}");
-            let mut ends = 0;
-            let mut process = case.gateway(&name, &entries[number], store, &entries);
-            while !is_over.load(Ordering::Relaxed) {
-                thread::sleep(Duration::from_millis(5));
-                let has_ended = process.child.try_wait().ok().flatten().is_some();
-                let memory_mb = memory_mb(process.child.id()).unwrap_or(0);
-                if !has_ended && memory_mb <= MEMORY_MB {
-                    continue;
-                }
-                ends += 1;
-                case.record.line(&format!(
-                    "{name} is killed: it has {memory_mb} MB of {MEMORY_MB} (end {ends})"
-                ));
-                drop(process);
-                thread::sleep(Duration::from_millis(500));
-                process = case.gateway(&name, &entries[number], store, &entries);
-            }
-            ends
-        }));
-    }
     let mut processes = Vec::new();
-    for number in 0..HOSTS {
-        let executor = Executor::start(&format!("i-{number}"), SERVICE, 32_000, &case.record);
+    for (number, entry) in entries.iter().enumerate() {
+        let name = format!("frontend-{number}");
+        processes.push(case.gateway(&name, entry, store.address, &entries));
+    }
+    let mut hosts = Vec::new();
+    for (number, kind) in KINDS.into_iter().enumerate() {
+        let name = format!("i-{number}");
+        let executor = Executor::start_as(&name, SERVICE, kind, CPU, &case.record);
         let reports = free_address();
         let name = format!("side-{number}");
         let address = executor.address;
         processes.push(case.sidecar(&name, address, reports, store.address, &entries));
         thread::sleep(Duration::from_millis(100));
         executor.send_heartbeats(reports);
+        hosts.push((executor, reports));
     }
     entries
         .iter()
         .for_each(|entry| case.wait_until_ready(entry));
     thread::sleep(Duration::from_secs(3));
 
-    let mut clients = Vec::new();
-    for number in 0..JOBS {
-        let (record, all) = (Arc::clone(&case.record), entries.clone());
-        let is_poison = case.has_trouble
-            && (POISON_FROM..POISON_UNTIL).contains(&number)
-            && number % POISON_SHARE == 0;
-        clients.push(thread::spawn(move || {
-            let steps = if is_poison {
-                (0..STEPS)
-                    .map(|_| kit::step(TASKS, 3_100, 200, &[]))
-                    .collect()
-            } else {
-                vec![kit::step(2, 3_100, 200, &[])]
-            };
-            let job = kit::job(200, 3_100, steps);
-            if is_poison {
-                let bytes = job.write().len();
-                record.line(&format!(
-                    "job {number:016x} can never be done; it has {bytes} bytes"
-                ));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let (ending, record, all) = (
+        Arc::clone(&is_over),
+        Arc::clone(&case.record),
+        entries.clone(),
+    );
+    let traffic = thread::spawn(move || {
+        let mut clients = Vec::new();
+        for number in 0.. {
+            if ending.load(Ordering::Relaxed) {
+                break;
             }
-            let path = format!("{PREFIX}{number:016x}");
-            let status = kit::hand_in(&record, &all, number / 2, &path, 1_500, &job, TRIES);
-            (is_poison, status)
-        }));
-        thread::sleep(Duration::from_millis(50));
+            let (record, all) = (Arc::clone(&record), all.clone());
+            clients.push(thread::spawn(move || {
+                let job = job(NEEDS[number % NEEDS.len()]);
+                let path = format!("{PREFIX}{number:016x}");
+                kit::hand_in(&record, &all, number, &path, DEADLINE_MS, &job, 2)
+            }));
+            thread::sleep(Duration::from_millis(1_000 / JOBS_PER_S));
+        }
+        let results = clients.into_iter().map(|client| client.join().unwrap());
+        results.collect::<Vec<Option<u16>>>()
+    });
+    for number in 0..CRASHES {
+        thread::sleep(BETWEEN - DARK);
+        if case.has_trouble {
+            let (executor, reports) = &hosts[number % hosts.len()];
+            executor.go_dark();
+            thread::sleep(DARK);
+            let kind = if executor.kind() == "a" { "b" } else { "a" };
+            executor.come_back_as(&format!("{}-{}", executor.name, number + 2), kind);
+            executor.send_heartbeat(*reports);
+        }
     }
-    let results: Vec<(bool, Option<u16>)> = clients
-        .into_iter()
-        .map(|client| client.join().unwrap())
-        .collect();
     is_over.store(true, Ordering::Relaxed);
-    let ends: Vec<u32> = platform
-        .into_iter()
-        .map(|thread| thread.join().unwrap())
+    let statuses = traffic.join().unwrap();
+    thread::sleep(Duration::from_secs(2));
+
+    let served = statuses
+        .iter()
+        .filter(|status| **status == Some(200))
+        .count();
+    case.record.line(&format!(
+        "{served} of {} jobs were answered with 200",
+        statuses.len()
+    ));
+    let spans = case.record.spans();
+    let misplaced: Vec<&RunSpan> = spans
+        .iter()
+        .filter(|span| span.specification.split(' ').nth(3) != Some(span.kind.as_str()))
         .collect();
-    let others = || results.iter().filter(|(is_poison, _)| !is_poison);
-    let served = others().filter(|(_, status)| *status == Some(200)).count();
-    let line = format!(
-        "{served} of {} other jobs were answered with 200; ends of the entries by themselves: {ends:?}",
-        others().count()
-    );
-    case.record.line(&line);
-    println!("{line}");
+    for span in &misplaced {
+        case.record.line(&format!(
+            "ROUTE: {} (specification `{}`, which ends with the label required) began at {} ms on {}, \
+             which is of kind {}; it ended {}",
+            span.task, span.specification, span.begin_ms, span.executor, span.kind, span.how
+        ));
+    }
     drop(processes);
-    // Two machines at least, three times in the day.
-    let is_broken = ends.iter().filter(|ends| **ends >= 3).count() >= 2;
-    std::process::exit(i32::from(is_broken));
+    println!(
+        "{} of {} starts were on an executor without the label that their step requires",
+        misplaced.len(),
+        spans.len()
+    );
+    if served == 0 {
+        std::process::exit(2);
+    }
+    std::process::exit(i32::from(!misplaced.is_empty()));
 }
 
-fn memory_mb(process: u32) -> Option<u64> {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
-    let kb: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
-    Some(kb / 1_024)
+/// A job whose tasks require a label, which is also the last word of its specification.
+fn job(label: &str) -> Json {
+    let mut step = kit::step(TASKS, TASK_CPU, TASK_MS, &[]);
+    if let Json::Obj(fields) = &mut step {
+        fields.push(("requirements".to_owned(), text(label)));
+    }
+    let mut job = kit::job(TASK_MS, TASK_CPU, vec![step]);
+    if let Json::Obj(fields) = &mut job {
+        let specification = text(&format!("{TASK_MS} {TASK_CPU} 64 {label}"));
+        for (name, value) in fields {
+            if name == "specification" {
+                *value = specification.clone();
+            }
+        }
+    }
+    job
 }
--- a/review/standins/executor.rs
+++ b/review/standins/executor.rs
@@ -31,6 +31,8 @@
 /// One life of the executor.
 struct State {
     life: u64,
+    id: String,
+    kind: String,
     is_dark: bool,
     born_unix_ms: u64,
     born_at: Instant,
@@ -47,7 +49,6 @@
 pub struct Executor {
     pub name: String,
     pub service: String,
-    pub label: String,
     pub cpu: u64,
     pub memory_mb: u64,
     pub address: SocketAddr,
@@ -60,9 +61,11 @@
     now.map_or(0, |now| now.as_millis() as u64)
 }
 
-fn new_life(life: u64) -> State {
+fn new_life(life: u64, id: &str, kind: &str) -> State {
     State {
         life,
+        id: id.to_owned(),
+        kind: kind.to_owned(),
         is_dark: false,
         born_unix_ms: unix_ms(),
         born_at: Instant::now(),
@@ -145,9 +148,20 @@
 }
 
 impl Executor {
-    /// Starts an executor; it sends heartbeats once [`Self::send_heartbeats`] is called.
+    /// Starts an executor of kind `a`; it sends heartbeats once [`Self::send_heartbeats`] is called.
     pub fn start(name: &str, service: &str, cpu: u64, record: &Arc<Record>) -> Arc<Executor> {
-        let shared = Arc::new((Mutex::new(new_life(1)), Condvar::new()));
+        Executor::start_as(name, service, "a", cpu, record)
+    }
+
+    /// Starts an executor of a kind, which is one of its labels.
+    pub fn start_as(
+        name: &str,
+        service: &str,
+        kind: &str,
+        cpu: u64,
+        record: &Arc<Record>,
+    ) -> Arc<Executor> {
+        let shared = Arc::new((Mutex::new(new_life(1, name, kind)), Condvar::new()));
         let (serving, ledger) = (Arc::clone(&shared), Arc::clone(record));
         let (own_name, memory_mb) = (name.to_owned(), 65_536);
         let address = http::serve(move |request, accepted| {
@@ -168,7 +182,6 @@
         Arc::new(Executor {
             name: name.to_owned(),
             service: service.to_owned(),
-            label: "a".to_owned(),
             cpu,
             memory_mb,
             address,
@@ -200,7 +213,7 @@
                     ("gpu", num(0)),
                 ]),
             ),
-            ("labels", Json::Arr(vec![text(&self.label), text("r1-1")])),
+            ("labels", Json::Arr(vec![text(&state.kind), text("r1-1")])),
             ("clockMs", num(state.clock_ms())),
             ("sequence", num(state.sequence)),
             ("born", num(state.born_unix_ms)),
@@ -209,7 +222,8 @@
 
     pub fn send_heartbeat(&self, reports: SocketAddr) {
         let body = self.heartbeat().write();
-        let path = format!("/instances/{}", self.name);
+        let id = self.shared.0.lock().unwrap().id.clone();
+        let path = format!("/instances/{id}");
         let limit = Duration::from_millis(1_000);
         http::call(reports, "PUT", &path, &[], body.as_bytes(), limit);
     }
@@ -243,14 +257,27 @@
 
     /// The executor starts again under its id; it knows nothing of before.
     pub fn come_back(&self) {
+        let (id, kind) = {
+            let state = self.shared.0.lock().unwrap();
+            (state.id.clone(), state.kind.clone())
+        };
+        self.come_back_as(&id, &kind);
+    }
+
+    /// A new incarnation starts at the address of the executor, with an id and a kind of its own.
+    pub fn come_back_as(&self, id: &str, kind: &str) {
         let mut state = self.shared.0.lock().unwrap();
         let life = state.life + 1;
-        *state = new_life(life);
+        *state = new_life(life, id, kind);
         self.record.line(&format!(
-            "{} starts again, born {}",
+            "{} starts again as {id} of kind {kind}, born {}",
             self.name, state.born_unix_ms
         ));
     }
+
+    pub fn kind(&self) -> String {
+        self.shared.0.lock().unwrap().kind.clone()
+    }
 }
 
 fn answer(
@@ -272,7 +299,7 @@
     state.calls += 1;
     let life = state.life;
     if let Some(expected) = request.header("expected-instance")
-        && expected != name
+        && expected != state.id
     {
         let body = obj(vec![
             ("born", num(state.born_unix_ms)),
@@ -320,7 +347,7 @@
                 return state.refuse("room");
             }
             state.highest.insert(task.clone(), number);
-            let span = record.begin(name, &task, number, &specification);
+            let span = record.begin(name, &state.kind, &task, number, &specification);
             let begun = Instant::now();
             let run = Run {
                 run: number,
--- a/review/standins/record.rs
+++ b/review/standins/record.rs
@@ -12,6 +12,8 @@
     pub task: String,
     pub run: u64,
     pub executor: String,
+    /// Kind of the executor when the run began.
+    pub kind: String,
     pub specification: String,
     pub begin_ms: u64,
     pub end_ms: Option<u64>,
@@ -43,13 +45,21 @@
         let _ = writeln!(file, "{:>8.3} s  {line}", now_ms as f64 / 1_000.0);
     }
 
-    pub fn begin(&self, executor: &str, task: &str, run: u64, specification: &str) -> usize {
+    pub fn begin(
+        &self,
+        executor: &str,
+        kind: &str,
+        task: &str,
+        run: u64,
+        specification: &str,
+    ) -> usize {
         self.line(&format!("{executor} begins {task} run {run}"));
         let mut spans = self.spans.lock().unwrap();
         spans.push(RunSpan {
             task: task.to_owned(),
             run,
             executor: executor.to_owned(),
+            kind: kind.to_owned(),
             specification: specification.to_owned(),
             begin_ms: self.now_ms(),
             end_ms: None,
