Reports of other incarnations are claims until the target confirms them

Cause: an agent took any readable report with a later start for the end of its target, reported all runs as crashed, and dropped the target's own reports and lists as old.

Change: a report that names another incarnation is recorded as a claim. The agent polls the target under the name in the report, and uses the report once the target answers under that name with the same start. The present incarnation ends when a poll sent after its first answer is answered with another start, higher or lower. A registration of an earlier agent is such a claim as well. Reports that change group or labels of a target that runs are refused. Checks are logged and counted.

Two tests of incarnations now let the target confirm the reports that they deliver; their assertions stay.

--- a/components/hosting/src/action.rs
+++ b/components/hosting/src/action.rs
@@ -4,6 +4,8 @@
 
 use model::TaskRef;
 
+use crate::incarnation::TargetIdentity;
+
 /// A call to the target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TargetCall {
@@ -30,4 +32,12 @@
         /// Fencing token.
         token: u64,
     },
+    /// Ask whether the target is an incarnation that a report names: poll it by that instance name,
+    /// with no wait, no lease and no acknowledgement.
+    Check {
+        /// The incarnation.
+        identity: TargetIdentity,
+        /// Fencing token.
+        token: u64,
+    },
 }
--- a/components/hosting/src/host/mod.rs
+++ b/components/hosting/src/host/mod.rs
@@ -11,6 +11,8 @@
 mod polls;
 mod starts;
 
+pub use incarnations::{CheckOutcome, ReportOutcome};
+
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -24,6 +26,7 @@
 
 use crate::action::TargetCall;
 use crate::health::Health;
+use crate::incarnation::{Claims, Incarnation};
 use crate::lease::Lease;
 use crate::limits::{
     MAX_POLL_PAUSE_MS, MAX_RUNS, MIN_POLL_PAUSE_MS, PERMIT_TTL_MS, RUN_NUMBER_RETENTION_MS,
@@ -60,6 +63,7 @@
     key: ProcessKey,
     token: u64,
     token_step: u64,
+    /// Last report of the target that has answered under its name.
     target: Option<TargetReport>,
     is_target_gone: bool,
     /// Whether the target has announced that it shuts down.
@@ -91,8 +95,12 @@
     runs: BTreeMap<TaskRef, Run>,
     sessions: FxHashMap<ProcessKey, Session>,
     last_run_numbers: FxHashMap<TaskRef, LastRunNumber>,
-    /// When the current incarnation of the target started, in milliseconds since the Unix epoch.
-    incarnation_unix_ms: Option<u64>,
+    /// The incarnation of the target that has answered last.
+    incarnation: Option<Incarnation>,
+    /// Reports of incarnations that have not answered.
+    claims: Claims,
+    /// When the report of the present target was confirmed, in milliseconds.
+    target_since_ms: u64,
     /// Records for the estimate of interference, if it is on.
     neighbors: Option<NeighborEffects>,
     /// Quarantines that entries have told, passed on to other entries.
@@ -133,7 +141,9 @@
             runs: BTreeMap::new(),
             sessions: FxHashMap::default(),
             last_run_numbers: FxHashMap::default(),
-            incarnation_unix_ms: None,
+            incarnation: None,
+            claims: Claims::default(),
+            target_since_ms: 0,
             neighbors: None,
             quarantines: Quarantines::default(),
         }
@@ -145,7 +155,7 @@
         self.token
     }
 
-    /// Returns the target, if it has reported.
+    /// Returns the target, if it has reported and confirmed the report.
     #[must_use]
     pub fn target(&self) -> Option<&TargetReport> {
         self.target.as_ref()
@@ -255,6 +265,7 @@
     pub fn tick(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
         self.end_unauthorized(now_ms, actions);
         self.end_lapsed(now_ms);
+        self.check_claims(now_ms, actions);
         self.retry_stops(now_ms, actions);
         self.repeat_starts(now_ms, actions);
         self.reject_overdue(now_ms);
--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -71,7 +71,12 @@
                 self.end_all_with_target(now_ms);
                 self.reject_waiting(NotStartedReason::NoTarget);
             }
-            TargetPollOutcome::OtherIncarnation => self.target = None,
+            // A poll that was sent before the present target was confirmed named an earlier one.
+            TargetPollOutcome::OtherIncarnation => {
+                if sent_at_ms >= self.target_since_ms {
+                    self.target = None;
+                }
+            }
             TargetPollOutcome::Inconclusive | TargetPollOutcome::Unanswered => {
                 self.parallel_poll_until_ms = now_ms + PARALLEL_POLL_MS;
                 if outcome == TargetPollOutcome::Inconclusive {
@@ -129,7 +134,7 @@
         };
     }
 
-    /// Applies an answer of the target, unless it is from an earlier incarnation.
+    /// Applies an answer of the target, unless it may be from an earlier incarnation.
     pub(super) fn apply_target_runs(
         &mut self,
         now_ms: u64,
@@ -137,10 +142,16 @@
         target_runs: &TargetRuns,
         actions: &mut Vec<TargetCall>,
     ) {
-        if self.incarnation_unix_ms > Some(target_runs.born_unix_ms) {
+        let born_unix_ms = target_runs.born_unix_ms;
+        if self.may_be_earlier_answer(sent_at_ms, born_unix_ms) {
             return;
         }
-        self.set_incarnation(target_runs.born_unix_ms);
+        if !self.is_incarnation(born_unix_ms) {
+            self.begin_incarnation(now_ms, born_unix_ms);
+        }
+        if let Some(incarnation) = &mut self.incarnation {
+            incarnation.last_poll_sent_at_ms = incarnation.last_poll_sent_at_ms.max(sent_at_ms);
+        }
         // After a gap it is uncertain when the reported progress was made.
         let usual_ms = TARGET_POLL_WAIT_MS + SPEED_SAMPLE_SLACK_MS;
         self.has_polling_gap = now_ms > self.last_answer_at_ms + usual_ms;
--- a/components/hosting/src/lib.rs
+++ b/components/hosting/src/lib.rs
@@ -10,6 +10,7 @@
 mod forecast;
 mod health;
 mod host;
+mod incarnation;
 mod lease;
 mod limits;
 mod neighbors;
@@ -20,7 +21,8 @@
 mod target;
 
 pub use action::TargetCall;
-pub use host::Host;
+pub use host::{CheckOutcome, Host, ReportOutcome};
+pub use incarnation::TargetIdentity;
 pub use lease::TargetPoll;
 pub use limits::{
     LEASE_MS, MAX_PARALLEL_POLLS, PERMIT_TTL_MS, RECONNECT_GRACE_MS, STOP_CONFIRM_MS,
--- a/components/hosting/src/limits.rs
+++ b/components/hosting/src/limits.rs
@@ -87,6 +87,13 @@
 /// [`MIN_POLL_PAUSE_MS`]: with growing pauses, resets for 500 ms let the lease lapse.
 pub(crate) const MAX_POLL_PAUSE_MS: u64 = 200;
 
+/// Most incarnations of the target that are known from reports only; the oldest are dropped.
+pub(crate) const MAX_CLAIMS: usize = 8;
+
+/// How long the target is asked about an incarnation that only a report names, in milliseconds: three
+/// intervals of its reports.
+pub(crate) const CLAIM_RETENTION_MS: u64 = 4_500;
+
 /// Largest step by which a fencing token that is too low is raised: a year in milliseconds. The
 /// token would overflow after some 54 doubled steps.
 pub(crate) const MAX_TOKEN_STEP: u64 = 31_536_000_000;
--- a/components/hosting/src/target.rs
+++ b/components/hosting/src/target.rs
@@ -4,6 +4,8 @@
 
 use model::{Resources, TaskRef};
 
+use crate::incarnation::TargetIdentity;
+
 /// Status report of a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetReport {
@@ -23,6 +25,17 @@
     pub is_draining: bool,
 }
 
+impl TargetReport {
+    /// Returns the incarnation that the report names.
+    #[must_use]
+    pub fn identity(&self) -> TargetIdentity {
+        TargetIdentity {
+            instance: Rc::clone(&self.instance),
+            born_unix_ms: self.born_unix_ms,
+        }
+    }
+}
+
 /// A run that the target lists as running.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RunningRun {
--- a/components/hosting/tests/host/harness.rs
+++ b/components/hosting/tests/host/harness.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use hosting::{
-    EndedRun, Host, RunningRun, StartOutcome, TargetCall, TargetEnd, TargetPollOutcome,
-    TargetReport, TargetRuns,
+    EndedRun, Host, ReportOutcome, RunningRun, StartOutcome, TargetCall, TargetEnd, TargetIdentity,
+    TargetPollOutcome, TargetReport, TargetRuns,
 };
 use model::{
     HostUpdate, HostUpdateRequest, JobId, KindKey, Orders, ProcessKey, Resources, RunEvent, RunId,
@@ -70,6 +70,8 @@
 /// A host, and the state of its simulated target and entry.
 pub struct Bench {
     pub host: Host,
+    /// The incarnation of the target that answers.
+    pub identity: TargetIdentity,
     pub now_ms: u64,
     pub actions: Vec<TargetCall>,
     pub running: Vec<RunningRun>,
@@ -94,6 +96,7 @@
     pub fn without_target() -> Self {
         Self {
             host: Host::new(AGENT, 5),
+            identity: report(BORN_UNIX_MS, 1).identity(),
             now_ms: 10_000,
             actions: Vec::new(),
             running: Vec::new(),
@@ -105,14 +108,49 @@
         }
     }
 
+    /// Delivers a report of the target, which is the incarnation that the report names.
     pub fn report(&mut self, report: TargetReport) {
-        self.host
+        self.identity = report.identity();
+        self.foreign_report(report);
+    }
+
+    /// Delivers a report that is not of the target's present incarnation.
+    pub fn foreign_report(&mut self, report: TargetReport) -> ReportOutcome {
+        let outcome = self
+            .host
             .handle_target_report(self.now_ms, report, &mut self.actions);
+        self.execute_checks();
+        outcome
+    }
+
+    /// Answers the questions of the host about the target's incarnation.
+    pub fn execute_checks(&mut self) {
+        for action in std::mem::take(&mut self.actions) {
+            let TargetCall::Check { identity, .. } = action else {
+                self.actions.push(action);
+                continue;
+            };
+            let outcome = if identity.instance == self.identity.instance {
+                TargetPollOutcome::Answered(self.target_runs())
+            } else {
+                TargetPollOutcome::OtherIncarnation
+            };
+            let (now_ms, actions) = (self.now_ms, &mut self.actions);
+            self.host
+                .check_ended(now_ms, now_ms, &identity, &outcome, actions);
+        }
+    }
+
+    /// Restores the report that an earlier agent received.
+    pub fn restore_target(&mut self, report: TargetReport) {
+        self.host
+            .restore_target(self.now_ms, report, &mut self.actions);
+        self.execute_checks();
     }
 
     pub fn target_runs(&self) -> TargetRuns {
         TargetRuns {
-            born_unix_ms: BORN_UNIX_MS,
+            born_unix_ms: self.identity.born_unix_ms,
             clock_ms: self.now_ms,
             running: self.running.clone(),
             ended: self.ended.clone(),
@@ -218,7 +256,7 @@
     pub fn stops(&mut self) -> Vec<TaskRef> {
         let stops = self.actions.iter().filter_map(|action| match action {
             TargetCall::Stop { task, .. } => Some(*task),
-            TargetCall::Start { .. } => None,
+            TargetCall::Start { .. } | TargetCall::Check { .. } => None,
         });
         let stops = stops.collect();
         self.actions.clear();
--- a/components/hosting/tests/host/incarnations.rs
+++ b/components/hosting/tests/host/incarnations.rs
@@ -1,6 +1,8 @@
 //! Restarts of targets and of agents.
 
-use hosting::{RunningRun, TargetPollOutcome};
+use std::rc::Rc;
+
+use hosting::{ReportOutcome, RunningRun, TargetPollOutcome, TargetReport};
 use model::{RunEnd, RunEvent};
 
 use crate::harness::{BORN_UNIX_MS, Bench, ENTRY, report, task};
@@ -14,7 +16,6 @@
         percent: 40,
     });
     bench.report(report(BORN_UNIX_MS, 1));
-    bench.poll_target();
     assert!(!bench.request_update(ENTRY).has_no_earlier_runs);
     assert!(!bench.host.view(bench.now_ms).is_open);
     assert_eq!(bench.stops(), [task(9)]);
@@ -37,11 +38,133 @@
     ));
 }
 
+/// Returns a whole and readable report of a target elsewhere, which started later.
+fn foreign_report() -> TargetReport {
+    TargetReport {
+        instance: Rc::from("elsewhere"),
+        group: Rc::from("other group"),
+        ..report(BORN_UNIX_MS + 9_000, 1)
+    }
+}
+
+// The runs were reported as lost in a crash and repeated elsewhere while the target worked on them, and
+// the target's own reports and lists were ignored from then on.
+#[test]
+fn a_report_of_another_target_ends_no_run_and_leaves_the_host_open() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    bench.execute_starts();
+    bench.advance(60);
+    assert_eq!(
+        bench.foreign_report(foreign_report()),
+        ReportOutcome::Unconfirmed
+    );
+    bench.advance(50);
+    assert_eq!(bench.outcome(1), Some(RunEvent::Started));
+    assert!(bench.request_update(ENTRY).view.is_open);
+    bench.start([2]);
+    assert_eq!(bench.execute_starts().len(), 1);
+    bench.end_run(task(1), hosting::TargetEnd::Done);
+    bench.advance(50);
+    let done = bench.outcome(1);
+    assert!(matches!(done, Some(RunEvent::Ended(RunEnd::Done, _))));
+    bench.foreign_report(report(BORN_UNIX_MS, 2));
+    let sequence = bench.host.target().map(|target| target.sequence);
+    assert_eq!(sequence, Some(2));
+}
+
+// The same, with the instance name of the host's own target.
+#[test]
+fn a_report_of_an_incarnation_that_the_target_denies_ends_no_run() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    bench.execute_starts();
+    bench.foreign_report(report(BORN_UNIX_MS + 9_000, 1));
+    bench.advance(50);
+    assert_eq!(bench.outcome(1), Some(RunEvent::Started));
+    assert!(bench.request_update(ENTRY).view.is_open);
+}
+
+// A group that no queue uses took the host out of use.
+#[test]
+fn a_report_cannot_change_group_or_labels_of_a_target_that_runs() {
+    let mut bench = Bench::new();
+    let other = TargetReport {
+        group: Rc::from("other group"),
+        ..report(BORN_UNIX_MS, 50)
+    };
+    let outcome = bench.foreign_report(other);
+    assert_eq!(outcome, ReportOutcome::Contradictory);
+    let labelled = TargetReport {
+        labels: vec![Rc::from("label")],
+        ..report(BORN_UNIX_MS, 60)
+    };
+    let outcome = bench.foreign_report(labelled);
+    assert_eq!(outcome, ReportOutcome::Contradictory);
+    let mut draining = report(BORN_UNIX_MS, 2);
+    draining.is_draining = true;
+    assert_eq!(bench.foreign_report(draining), ReportOutcome::Changed);
+}
+
+// Reports and lists of a target that started again after its clock had been set back were ignored.
+#[test]
+fn an_incarnation_that_started_earlier_by_its_clock_is_used_once_it_answers() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    bench.execute_starts();
+    bench.advance(60);
+    bench.running.clear();
+    bench.report(report(BORN_UNIX_MS - 500, 1));
+    let end = bench.outcome(1);
+    assert!(matches!(end, Some(RunEvent::Ended(RunEnd::Crashed, _))));
+    assert!(bench.request_update(ENTRY).view.is_open);
+}
+
+// An answer of the earlier incarnation that arrives late would end the runs of the present one.
+#[test]
+fn a_late_answer_of_an_earlier_incarnation_ends_no_run() {
+    let mut bench = Bench::new();
+    let earlier = bench.target_runs();
+    let sent_ms = bench.now_ms;
+    bench.advance(60);
+    bench.report(report(BORN_UNIX_MS + 500, 1));
+    bench.request_update(ENTRY);
+    bench.start([1]);
+    bench.execute_starts();
+    let late = TargetPollOutcome::Answered(earlier);
+    bench
+        .host
+        .poll_ended(bench.now_ms, sent_ms, late, &mut bench.actions);
+    assert_eq!(bench.outcome(1), Some(RunEvent::Started));
+    assert!(bench.request_update(ENTRY).view.is_open);
+}
+
+#[test]
+fn a_target_that_answers_late_is_asked_again_about_its_report() {
+    let mut bench = Bench::without_target();
+    let restarted = report(BORN_UNIX_MS, 1);
+    let identity = restarted.identity();
+    let (now_ms, actions) = (bench.now_ms, &mut bench.actions);
+    bench.host.handle_target_report(now_ms, restarted, actions);
+    bench.actions.clear();
+    for _ in 0..3 {
+        let unanswered = TargetPollOutcome::Unanswered;
+        let (now_ms, actions) = (bench.now_ms, &mut bench.actions);
+        let host = &mut bench.host;
+        host.check_ended(now_ms, now_ms, &identity, &unanswered, actions);
+        assert!(!bench.host.view(bench.now_ms).is_open);
+        bench.now_ms += 200;
+        bench.host.tick(bench.now_ms, &mut bench.actions);
+    }
+    bench.execute_checks();
+    assert!(bench.host.view(bench.now_ms).is_open);
+}
+
 #[test]
 fn a_late_report_of_an_earlier_incarnation_is_ignored() {
     let mut bench = Bench::new();
     bench.report(report(BORN_UNIX_MS + 500, 1));
-    bench.report(report(BORN_UNIX_MS, 99));
+    bench.foreign_report(report(BORN_UNIX_MS, 99));
     let born = bench.host.target().map(|target| target.born_unix_ms);
     assert_eq!(born, Some(BORN_UNIX_MS + 500));
 }
@@ -78,7 +201,7 @@
 #[test]
 fn a_restored_target_is_dropped_when_another_incarnation_answers() {
     let mut bench = Bench::without_target();
-    bench.host.restore_target(report(BORN_UNIX_MS - 500, 3));
+    bench.restore_target(report(BORN_UNIX_MS - 500, 3));
     let now_ms = bench.now_ms;
     let other = TargetPollOutcome::OtherIncarnation;
     bench
@@ -93,7 +216,7 @@
 #[test]
 fn a_restored_target_opens_the_host_before_its_report() {
     let mut bench = Bench::without_target();
-    bench.host.restore_target(report(BORN_UNIX_MS, 3));
+    bench.restore_target(report(BORN_UNIX_MS, 3));
     bench.poll_target();
     assert!(bench.host.view(bench.now_ms).is_open);
 }
--- a/components/hosting/tests/host/retries.rs
+++ b/components/hosting/tests/host/retries.rs
@@ -65,6 +65,7 @@
                     starts.push((now_ms, task, number));
                 }
                 TargetCall::Stop { .. } => calls.stops += 1,
+                TargetCall::Check { .. } => {}
             }
         }
     }
--- a/components/sidecar/src/calls.rs
+++ b/components/sidecar/src/calls.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use futures::future::select;
-use hosting::{StartOutcome, TARGET_CALL_TIMEOUT_MS, TargetCall, TargetPollOutcome};
+use hosting::{
+    CheckOutcome, StartOutcome, TARGET_CALL_TIMEOUT_MS, TargetCall, TargetIdentity, TargetPoll,
+    TargetPollOutcome,
+};
 use model::TaskRef;
 use runtime::uptime_ms;
 use web::Request;
@@ -51,6 +54,9 @@
             let request = adapter::stop_request(&instance, task, number, token);
             monoio::spawn(stop(shared, request, task, number));
         }
+        TargetCall::Check { identity, token } => {
+            monoio::spawn(check(shared, identity, token));
+        }
     }
 }
 
@@ -110,6 +116,42 @@
     }
 }
 
+/// Asks whether the target is an incarnation that a report names.
+async fn check(shared: Rc<Shared>, identity: TargetIdentity, token: u64) {
+    let poll = TargetPoll {
+        lease_end_ms: None,
+        token,
+        acknowledged: 0,
+        wait_ms: 0,
+        timeout_ms: TARGET_CALL_TIMEOUT_MS,
+    };
+    let sent_at_ms = uptime_ms();
+    let request = adapter::poll_request(Some(&identity.instance), &poll);
+    let limit = Duration::from_millis(poll.timeout_ms);
+    let outcome = adapter::poll_outcome(&shared.target.call(&request, limit).await);
+    let result = shared.update(|host, now_ms, actions| {
+        host.check_ended(now_ms, sent_at_ms, &identity, &outcome, actions)
+    });
+    shared.metrics.record_check(result);
+    let (instance, born_unix_ms) = (&*identity.instance, identity.born_unix_ms);
+    match result {
+        CheckOutcome::Confirmed => {
+            log::info!(target: "sidecar", event = "target", instance = instance,
+                born_unix_ms = born_unix_ms; "target confirmed its report");
+        }
+        CheckOutcome::Refused => {
+            log::warn!(target: "sidecar", event = "report_refused", instance = instance,
+                born_unix_ms = born_unix_ms;
+                "report ignored: the target at the address of this host is another one");
+        }
+        CheckOutcome::Undecided => {
+            log::debug!(target: "sidecar", event = "report_unconfirmed", instance = instance,
+                born_unix_ms = born_unix_ms;
+                "target did not answer whether a report is its own; asking again");
+        }
+    }
+}
+
 /// Polls the target for its runs, which also renews their lease; never returns.
 ///
 /// The target holds each poll until a run ends or the wait is over (long polling).
--- a/components/sidecar/src/metrics.rs
+++ b/components/sidecar/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of an agent.
 
-use hosting::{StartOutcome, TargetPollOutcome};
+use hosting::{CheckOutcome, StartOutcome, TargetPollOutcome};
 use runtime::prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 use runtime::{Metrics, MetricsError, uptime_ms};
 
@@ -108,6 +108,13 @@
         self.target_calls.with_label_values(&["hold", result]).inc();
     }
 
+    /// Counts a question about an incarnation that a report names, by what the target has answered.
+    pub(crate) fn record_check(&self, outcome: CheckOutcome) {
+        self.target_calls
+            .with_label_values(&["check", outcome.into()])
+            .inc();
+    }
+
     /// Updates the gauges and returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/components/sidecar/src/registration.rs
+++ b/components/sidecar/src/registration.rs
@@ -64,9 +64,11 @@
             if let Some(target) = registration.target {
                 log::info!(target: "sidecar", event = "target_recalled",
                     instance = target.instance.as_str(), born_unix_ms = target.born_unix_ms;
-                    "target restored from the registration of an earlier agent");
+                    "target of an earlier agent found in its registration");
                 let report = target_report(target);
-                shared.update(|host, _, _| host.restore_target(report));
+                shared.update(|host, now_ms, actions| {
+                    host.restore_target(now_ms, report, actions);
+                });
             }
         }
         Err(error) => {
--- a/components/sidecar/src/reports.rs
+++ b/components/sidecar/src/reports.rs
@@ -2,7 +2,8 @@
 
 use std::rc::Rc;
 
-use adapter::TargetRequest;
+use adapter::{DecodedReport, TargetRequest};
+use hosting::ReportOutcome;
 use monoio::net::TcpListener;
 use web::{Request, Response, ServerLimits, StopSignal};
 
@@ -30,18 +31,34 @@
     .await;
 }
 
+/// Logs a report that changes something or names an incarnation that has not answered; others are
+/// logged at debug level.
+fn log_report(decoded: &DecodedReport, outcome: ReportOutcome) {
+    let level = match outcome {
+        ReportOutcome::Changed | ReportOutcome::Unconfirmed => log::Level::Info,
+        ReportOutcome::Contradictory => log::Level::Warn,
+        ReportOutcome::Unchanged | ReportOutcome::Old => log::Level::Debug,
+    };
+    let report = &decoded.report;
+    log::log!(target: "sidecar", level, event = "report", outcome = <&str>::from(outcome),
+        instance = &*report.instance, born_unix_ms = report.born_unix_ms,
+        sequence = report.sequence, is_draining = report.is_draining,
+        leaves_in_ms = decoded.leaves_in_ms, cpu_millis = report.capacity.cpu_millis;
+        "report of a target");
+}
+
 fn answer(shared: &Rc<Shared>, request: &Request) -> Response {
     match adapter::target_request(request) {
         TargetRequest::Report(Ok(decoded)) => {
             let report = decoded.report.clone();
-            let has_changed = shared
+            let outcome = shared
                 .update(|host, now_ms, actions| host.handle_target_report(now_ms, report, actions));
-            if has_changed {
-                log::info!(target: "sidecar", event = "target", instance = &*decoded.report.instance,
-                    born_unix_ms = decoded.report.born_unix_ms, sequence = decoded.report.sequence,
-                    is_draining = decoded.report.is_draining, leaves_in_ms = decoded.leaves_in_ms,
-                    cpu_millis = decoded.report.capacity.cpu_millis;
-                    "target reported a change of its state");
+            log_report(&decoded, outcome);
+            if outcome == ReportOutcome::Contradictory {
+                return Response::error(
+                    400,
+                    "service or labels differ from earlier reports of this target since its start",
+                );
             }
             adapter::acknowledgement()
         }
--- a/components/sim/src/agent.rs
+++ b/components/sim/src/agent.rs
@@ -2,7 +2,7 @@
 
 use hosting::{
     Host, MAX_PARALLEL_POLLS, StartOutcome, StartRefusal, TARGET_CALL_TIMEOUT_MS, TargetCall,
-    TargetPollOutcome, TargetReport,
+    TargetIdentity, TargetPollOutcome, TargetReport,
 };
 use model::{KnownEvacuations, ProcessKey, TaskRef};
 use rand::Rng;
@@ -266,6 +266,19 @@
                 poll,
                 outcome,
             } => self.target_poll_ended(host, poll, outcome),
+            Event::TargetCheckResult {
+                host,
+                incarnation,
+                sent_ms,
+                identity,
+                outcome,
+            } => {
+                if self.is_agent_current(host, incarnation) {
+                    self.update_host(host, |host, now_ms, actions| {
+                        host.check_ended(now_ms, sent_ms, &identity, &outcome, actions);
+                    });
+                }
+            }
             _ => self.handle_target_event(event),
         }
     }
@@ -442,8 +455,9 @@
         let delay_us = if is_late { late_us } else { LOCAL_DELAY_US };
         let incarnation = self.agents[host].incarnation;
         let timeout_us = TARGET_CALL_TIMEOUT_MS * 1_000;
-        match *action {
-            TargetCall::Start {
+        match action {
+            TargetCall::Check { identity, .. } => self.check_target(host, identity, is_late),
+            &TargetCall::Start {
                 task,
                 number,
                 lease_end_ms,
@@ -491,7 +505,7 @@
                 };
                 self.schedule(delay_us, arrives);
             }
-            TargetCall::Stop {
+            &TargetCall::Stop {
                 task,
                 number,
                 token,
@@ -510,6 +524,30 @@
         }
     }
 
+    /// Schedules the target's answer to a question about its incarnation.
+    fn check_target(&mut self, host: usize, identity: &TargetIdentity, is_late: bool) {
+        let incarnation = self.agents[host].incarnation;
+        let target = &mut self.agents[host].target;
+        let (outcome, delay_us) = if is_late {
+            (
+                TargetPollOutcome::Unanswered,
+                TARGET_CALL_TIMEOUT_MS * 1_000,
+            )
+        } else if !target.is_up {
+            (TargetPollOutcome::NobodyListens, 2 * LOCAL_DELAY_US)
+        } else {
+            (target.poll_answer(self.now_us), 2 * LOCAL_DELAY_US)
+        };
+        let result = Event::TargetCheckResult {
+            host,
+            incarnation,
+            sent_ms: self.now_ms(),
+            identity: identity.clone(),
+            outcome,
+        };
+        self.schedule(delay_us, result);
+    }
+
     fn poll_target(&mut self, host: usize, lane: usize) {
         let now_ms = self.now_ms();
         let incarnation = self.agents[host].incarnation;
--- a/components/sim/src/event.rs
+++ b/components/sim/src/event.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Ordering;
 
-use hosting::{StartOutcome, TargetPoll, TargetPollOutcome};
+use hosting::{StartOutcome, TargetIdentity, TargetPoll, TargetPollOutcome};
 use model::{Evacuations, HostUpdate, HostUpdateRequest, Orders, TaskRef};
 
 use crate::agent::TargetPollCall;
@@ -121,6 +121,14 @@
         poll: TargetPollCall,
         outcome: TargetPollOutcome,
     },
+    /// The answer of a target to a question about its incarnation arrives at an agent.
+    TargetCheckResult {
+        host: usize,
+        incarnation: u32,
+        sent_ms: u64,
+        identity: TargetIdentity,
+        outcome: TargetPollOutcome,
+    },
     /// A run at a target ends or the target's lease expires.
     RunEnds { host: usize },
     /// A target sends its periodic report to the agent.
--- a/components/sim/src/world.rs
+++ b/components/sim/src/world.rs
@@ -192,6 +192,7 @@
             | Event::StopResult { host, .. }
             | Event::TargetPoll { host, .. }
             | Event::TargetPollResult { host, .. }
+            | Event::TargetCheckResult { host, .. }
             | Event::Report { host } => self.agents[*host].frozen_until_us,
             _ => 0,
         };
