Stop at the next incarnation of a target what it may have started

Cause: nothing in a start tells incarnations of one name apart, so that the new one executes starts that were repeated while it was silent. The agent reported all runs as over with the earlier incarnation.

Change: only runs that the earlier incarnation has certainly begun are over with it; others are stopped at the new one, and reported once its list shows that they are gone. Each call carries the name it is meant for, and a stop is sent without one while the target has not reported. Run numbers outlive incarnations.

--- a/components/hosting/src/action.rs
+++ b/components/hosting/src/action.rs
@@ -11,6 +11,8 @@
 pub enum TargetCall {
     /// Start a run.
     Start {
+        /// Instance name of the target that is meant; another one refuses the call.
+        instance: Rc<str>,
         /// Task.
         task: TaskRef,
         /// Number of the run among those of the task on this host; a repeated start has the same.
@@ -25,6 +27,9 @@
     },
     /// Stop a run, or prevent its start if that is still on the way.
     Stop {
+        /// Instance name of the target that is meant; `None` if the one that answers has not
+        /// reported yet.
+        instance: Option<Rc<str>>,
         /// Task.
         task: TaskRef,
         /// Number of the run.
--- a/components/hosting/src/host/crashes.rs
+++ b/components/hosting/src/host/crashes.rs
@@ -8,7 +8,10 @@
 use model::{JobId, RunEnd, TaskRef};
 
 use super::Host;
+use crate::action::TargetCall;
+use crate::incarnation::Incarnation;
 use crate::limits::SUSPECT_AGE_MS;
+use crate::repeats::Repeats;
 use crate::run::{Run, RunState};
 
 impl Host {
@@ -19,6 +22,77 @@
 
     /// Ends all runs at a target that is gone: as crashed, unless the target had announced its end.
     pub(super) fn end_all_with_target(&mut self, now_ms: u64) {
+        for (task, end) in self.crash_ends(now_ms) {
+            self.remove_ended(now_ms, task, end);
+        }
+    }
+
+    /// Ends the runs of an incarnation of the target that is over, since another one answers. Runs
+    /// that the next one may have started are stopped there first.
+    pub(super) fn end_with_incarnation(
+        &mut self,
+        now_ms: u64,
+        previous: &Incarnation,
+        actions: &mut Vec<TargetCall>,
+    ) {
+        let last_answer_at_ms = self.last_answer_at_ms;
+        for (task, end) in self.crash_ends(last_answer_at_ms) {
+            let is_over = self
+                .runs
+                .get(&task)
+                .is_some_and(|run| was_started_by(run, previous));
+            if is_over {
+                self.remove_ended(last_answer_at_ms, task, end);
+            } else {
+                self.stop_at_next_incarnation(now_ms, task, end, actions);
+            }
+        }
+    }
+
+    /// Sends a stop to an incarnation of the target that may have executed a start meant for the
+    /// previous one; nothing in a start tells incarnations with the same instance name apart.
+    fn stop_at_next_incarnation(
+        &mut self,
+        now_ms: u64,
+        task: TaskRef,
+        end: RunEnd,
+        actions: &mut Vec<TargetCall>,
+    ) {
+        let seed = self.jitter_seed(task);
+        let Some(run) = self.runs.get_mut(&task) else {
+            return;
+        };
+        let Some(number) = run.number() else {
+            return;
+        };
+        let must_end_by_ms = match run.state {
+            RunState::Stopping { must_end_by_ms, .. } => must_end_by_ms,
+            _ => None,
+        };
+        run.crash_end.get_or_insert(end);
+        run.repeats = Repeats::of_stop(seed);
+        run.state = RunState::Stopping {
+            number,
+            retry_at_ms: run.repeats.next_stop_ms(now_ms),
+            accepted_at_ms: None,
+            must_end_by_ms,
+        };
+        actions.push(TargetCall::Stop {
+            instance: None,
+            task,
+            number,
+            token: self.token,
+        });
+    }
+
+    /// Returns whether a run that may be at the next incarnation of the target has not been confirmed
+    /// there as ended.
+    pub(super) fn has_unconfirmed_end(&self) -> bool {
+        self.runs.values().any(|run| run.crash_end.is_some())
+    }
+
+    /// Returns how each run at the target ends if the target has crashed.
+    fn crash_ends(&self, now_ms: u64) -> Vec<(TaskRef, RunEnd)> {
         let is_expected = self.has_target_left
             || self
                 .target
@@ -28,7 +102,7 @@
         let at_target = || self.runs.iter().filter(|(_, run)| run.occupies_resources());
         let suspects = at_target().filter(|(_, run)| is_suspect(run, crashed_at_ms));
         let suspect_jobs: BTreeSet<JobId> = suspects.map(|(task, _)| task.job).collect();
-        let ends: Vec<(TaskRef, RunEnd)> = at_target()
+        at_target()
             .map(|(task, run)| {
                 let end = if is_expected {
                     RunEnd::Lost
@@ -41,10 +115,19 @@
                 };
                 (*task, end)
             })
-            .collect();
-        for (task, end) in ends {
-            self.remove_ended(now_ms, task, end);
+            .collect()
+    }
+}
+
+/// Returns whether an incarnation of the target has certainly executed the start of a run, so that the
+/// run is over with it: no copy of the start was left unanswered, and the incarnation has answered a
+/// poll that was sent after the start had been answered.
+fn was_started_by(run: &Run, incarnation: &Incarnation) -> bool {
+    match run.state {
+        RunState::Running { started_at_ms, .. } => {
+            !run.may_have_arrived && started_at_ms < incarnation.last_poll_sent_at_ms
         }
+        RunState::Waiting { .. } | RunState::Starting { .. } | RunState::Stopping { .. } => false,
     }
 }
 
--- a/components/hosting/src/host/ends.rs
+++ b/components/hosting/src/host/ends.rs
@@ -1,5 +1,7 @@
 //! Stops of runs, and removal of ended and rejected ones.
 
+use std::rc::Rc;
+
 use model::{NotStartedReason, RunDurations, RunEnd, RunEvent, TaskRef};
 
 use super::Host;
@@ -35,6 +37,7 @@
         actions: &mut Vec<TargetCall>,
     ) {
         let seed = self.jitter_seed(task);
+        let instance = self.instance();
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
@@ -55,12 +58,19 @@
             must_end_by_ms,
         };
         actions.push(TargetCall::Stop {
+            instance,
             task,
             number,
             token: self.token,
         });
     }
 
+    /// Returns the instance name of the target, if it has reported.
+    pub(super) fn instance(&self) -> Option<Rc<str>> {
+        let target = self.target.as_ref();
+        target.map(|target| Rc::clone(&target.instance))
+    }
+
     /// Returns whether a run that had to end may still be running. Until it has ended, neither a poll
     /// nor a start may renew the lease, which covers all runs at the target.
     pub(super) fn has_overdue_run(&self, now_ms: u64) -> bool {
@@ -72,6 +82,7 @@
 
     /// Repeats the stops of runs that have not ended.
     pub(super) fn retry_stops(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
+        let instance = self.instance();
         for run in self.runs.values_mut() {
             if let RunState::Stopping {
                 number,
@@ -82,6 +93,7 @@
             {
                 *retry_at_ms = run.repeats.next_stop_ms(now_ms);
                 actions.push(TargetCall::Stop {
+                    instance: instance.clone(),
                     task: run.id.task,
                     number: *number,
                     token: self.token,
@@ -135,6 +147,10 @@
         if let Some(number) = run.number() {
             self.record_run_number(now_ms, task, number);
         }
+        let end = match (end, run.crash_end) {
+            (RunEnd::Stopped | RunEnd::Lost, Some(crash_end)) => crash_end,
+            _ => end,
+        };
         let started_at_ms = match run.state {
             RunState::Running { started_at_ms, .. } => started_at_ms,
             _ => run.ordered_at_ms,
--- a/components/hosting/src/host/incarnations.rs
+++ b/components/hosting/src/host/incarnations.rs
@@ -146,7 +146,7 @@
                 let report = report.filter(|_| runs.born_unix_ms == identity.born_unix_ms);
                 let is_confirmed = report.is_some();
                 if let Some(report) = report {
-                    self.adopt_target(now_ms, report);
+                    self.adopt_target(now_ms, report, actions);
                 }
                 self.apply_target_runs(now_ms, sent_at_ms, runs, actions);
                 if is_confirmed {
@@ -176,11 +176,11 @@
     }
 
     /// Makes the incarnation of a report, which has answered, the present one.
-    fn adopt_target(&mut self, now_ms: u64, report: TargetReport) {
+    fn adopt_target(&mut self, now_ms: u64, report: TargetReport, actions: &mut Vec<TargetCall>) {
         let target = self.target.as_ref();
         let is_same_instance = target.is_none_or(|target| target.instance == report.instance);
         if !self.is_incarnation(report.born_unix_ms) || !is_same_instance {
-            self.begin_incarnation(now_ms, report.born_unix_ms);
+            self.begin_incarnation(now_ms, report.born_unix_ms, actions);
         }
         self.target_since_ms = now_ms;
         self.use_report(now_ms, report);
@@ -213,18 +213,22 @@
 
     /// Begins an incarnation of the target that has answered.
     ///
-    /// It has no runs, leases or run numbers of the previous one, so that the state that depends on
-    /// them is reset.
-    pub(super) fn begin_incarnation(&mut self, now_ms: u64, born_unix_ms: u64) {
+    /// It has no runs and leases of the previous one, so that the state that depends on them is reset.
+    pub(super) fn begin_incarnation(
+        &mut self,
+        now_ms: u64,
+        born_unix_ms: u64,
+        actions: &mut Vec<TargetCall>,
+    ) {
         let previous = self.incarnation.replace(Incarnation {
             born_unix_ms,
             first_answer_at_ms: now_ms,
             last_poll_sent_at_ms: 0,
         });
-        if previous.is_none() {
+        let Some(previous) = previous else {
             return;
-        }
-        self.end_all_with_target(self.last_answer_at_ms);
+        };
+        self.end_with_incarnation(now_ms, &previous, actions);
         self.has_target_left = false;
         self.first_broken_call_ms = None;
         // The capacity of the new incarnation comes with its report; until then nothing starts.
@@ -233,7 +237,6 @@
         self.acknowledged = 0;
         self.speed = HostSpeed::default();
         self.health = Health::default();
-        self.last_run_numbers.clear();
         self.starts_paused_until_ms = 0;
     }
 
--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -9,8 +9,9 @@
 use crate::action::TargetCall;
 use crate::lease::TargetPoll;
 use crate::limits::{
-    LEASE_MS, MAX_PARALLEL_POLLS, MIN_POLL_PAUSE_MS, MIN_STALL_MS, PARALLEL_POLL_MS,
-    PARALLEL_POLL_WAIT_MS, TARGET_CALL_TIMEOUT_MS, TARGET_POLL_TIMEOUT_MS, TARGET_POLL_WAIT_MS,
+    CONFIRM_WAIT_MS, LEASE_MS, MAX_PARALLEL_POLLS, MIN_POLL_PAUSE_MS, MIN_STALL_MS,
+    PARALLEL_POLL_MS, PARALLEL_POLL_WAIT_MS, TARGET_CALL_TIMEOUT_MS, TARGET_POLL_TIMEOUT_MS,
+    TARGET_POLL_WAIT_MS,
 };
 use crate::run::{Run, RunState};
 use crate::target::{EndedRun, RunningRun, TargetEnd, TargetPollOutcome, TargetRuns};
@@ -33,11 +34,18 @@
             (TARGET_POLL_WAIT_MS, TARGET_POLL_TIMEOUT_MS)
         };
         TargetPoll {
+            instance: self.instance(),
             lease_end_ms,
             token: self.token,
             acknowledged: self.acknowledged,
             // A new agent needs to know at once which runs an earlier one left.
-            wait_ms: if self.has_no_earlier_runs { wait_ms } else { 0 },
+            wait_ms: if !self.has_no_earlier_runs {
+                0
+            } else if self.has_unconfirmed_end() {
+                wait_ms.min(CONFIRM_WAIT_MS)
+            } else {
+                wait_ms
+            },
             timeout_ms,
         }
     }
@@ -147,7 +155,7 @@
             return;
         }
         if !self.is_incarnation(born_unix_ms) {
-            self.begin_incarnation(now_ms, born_unix_ms);
+            self.begin_incarnation(now_ms, born_unix_ms, actions);
         }
         if let Some(incarnation) = &mut self.incarnation {
             incarnation.last_poll_sent_at_ms = incarnation.last_poll_sent_at_ms.max(sent_at_ms);
@@ -167,6 +175,7 @@
         self.has_no_earlier_runs |= unknown.is_empty();
         for run in unknown {
             actions.push(TargetCall::Stop {
+                instance: self.instance(),
                 task: run.task,
                 number: run.number,
                 token: self.token,
--- a/components/hosting/src/host/starts.rs
+++ b/components/hosting/src/host/starts.rs
@@ -223,7 +223,8 @@
         number: u32,
         actions: &mut Vec<TargetCall>,
     ) {
-        let Some(lease_end_ms) = self.lease.grant(now_ms) else {
+        let (Some(instance), Some(lease_end_ms)) = (self.instance(), self.lease.grant(now_ms))
+        else {
             self.give_up_start(now_ms, task, NotStartedReason::NoTarget, actions);
             return;
         };
@@ -235,6 +236,7 @@
             repeat_at_ms: None,
         };
         actions.push(TargetCall::Start {
+            instance,
             task,
             number,
             specification: Rc::clone(&run.specification),
--- a/components/hosting/src/lease.rs
+++ b/components/hosting/src/lease.rs
@@ -3,14 +3,18 @@
 //! The target stops its runs when the lease ends on its own clock, so that they end even if the
 //! agent crashes or is cut off.
 
+use std::rc::Rc;
+
 use crate::limits::LEASE_MS;
 
 /// Lowest rate at which a target's clock may advance, in percent of the agent's.
 const MIN_CLOCK_RATE_PERCENT: u64 = 98;
 
 /// A poll of the target: asks for its runs and renews their lease.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetPoll {
+    /// Instance name of the target that is meant; `None` if it has not reported yet.
+    pub instance: Option<Rc<str>>,
     /// New end of the lease on the target's clock, in milliseconds; `None` does not renew it.
     pub lease_end_ms: Option<u64>,
     /// Fencing token.
--- a/components/hosting/src/limits.rs
+++ b/components/hosting/src/limits.rs
@@ -20,6 +20,10 @@
 /// How long a poll of the target waits there for the end of a run, in milliseconds.
 pub const TARGET_POLL_WAIT_MS: u64 = 100;
 
+/// How long a poll waits at the target while runs are stopped that it may have started in place of its
+/// previous incarnation, in milliseconds; a stop is answered in one or two.
+pub(crate) const CONFIRM_WAIT_MS: u64 = 10;
+
 /// Timeout of a poll in addition to the wait asked for, in milliseconds; the target is on the
 /// same host.
 pub const TARGET_POLL_TIMEOUT_MS: u64 = 80;
--- a/components/hosting/src/run.rs
+++ b/components/hosting/src/run.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use interference::Start;
-use model::{KindKey, ProcessKey, Resources, RunId};
+use model::{KindKey, ProcessKey, Resources, RunEnd, RunId};
 use run_times::SpeedSample;
 
 use crate::repeats::Repeats;
@@ -82,6 +82,9 @@
     /// Whether a copy of the start had no conclusive answer, so that the target may have executed it or
     /// may still do so.
     pub(crate) may_have_arrived: bool,
+    /// How the run is reported unless it ends by itself, after the incarnation of the target that it
+    /// was started at has ended.
+    pub(crate) crash_end: Option<RunEnd>,
     /// Repeats of the start, or of the stop once one was sent.
     pub(crate) repeats: Repeats,
     pub(crate) ordered_at_ms: u64,
--- a/components/hosting/src/target.rs
+++ b/components/hosting/src/target.rs
@@ -23,6 +23,8 @@
     pub capacity: Resources,
     /// Whether the target is draining before it shuts down.
     pub is_draining: bool,
+    /// Shortest time from this report until a draining target shuts down, in milliseconds, if told.
+    pub leaves_in_ms: Option<u64>,
 }
 
 impl TargetReport {
--- a/components/hosting/tests/host/harness.rs
+++ b/components/hosting/tests/host/harness.rs
@@ -41,6 +41,7 @@
             gpus: 0,
         },
         is_draining: false,
+        leaves_in_ms: None,
     }
 }
 
--- a/components/hosting/tests/host/incarnations.rs
+++ b/components/hosting/tests/host/incarnations.rs
@@ -2,7 +2,9 @@
 
 use std::rc::Rc;
 
-use hosting::{ReportOutcome, RunningRun, TargetPollOutcome, TargetReport};
+use hosting::{
+    ReportOutcome, RunningRun, StartOutcome, TargetCall, TargetEnd, TargetPollOutcome, TargetReport,
+};
 use model::{RunEnd, RunEvent};
 
 use crate::harness::{BORN_UNIX_MS, Bench, ENTRY, report, task};
@@ -64,7 +66,7 @@
     assert!(bench.request_update(ENTRY).view.is_open);
     bench.start([2]);
     assert_eq!(bench.execute_starts().len(), 1);
-    bench.end_run(task(1), hosting::TargetEnd::Done);
+    bench.end_run(task(1), TargetEnd::Done);
     bench.advance(50);
     let done = bench.outcome(1);
     assert!(matches!(done, Some(RunEvent::Ended(RunEnd::Done, _))));
@@ -241,3 +243,97 @@
     assert_eq!(bench.execute_starts(), []);
     assert!(!bench.host.view(bench.now_ms).is_open);
 }
+
+/// Restarts the target under its name after it has been silent, and lets it execute the pending starts,
+/// with or without an answer to them.
+fn restart_and_execute(bench: &mut Bench, is_answered: bool) {
+    bench.now_ms += 300;
+    bench.running.clear();
+    bench.identity.born_unix_ms += 500;
+    for action in std::mem::take(&mut bench.actions) {
+        let TargetCall::Start { task, number, .. } = action else {
+            continue;
+        };
+        bench.running.push(RunningRun {
+            task,
+            number,
+            percent: 0,
+        });
+        let outcome = if is_answered {
+            StartOutcome::Started
+        } else {
+            StartOutcome::Unanswered
+        };
+        bench.end_start(task, number, outcome);
+    }
+    bench.actions.clear();
+}
+
+// A target that starts again under its name executes the starts that were repeated while it was silent.
+// The runs were reported as ended with its earlier incarnation and repeated elsewhere beside them.
+#[test]
+fn a_run_that_the_next_incarnation_has_started_is_stopped_there_before_it_is_reported() {
+    for is_answered in [true, false] {
+        let mut bench = Bench::new();
+        bench.start([1]);
+        restart_and_execute(&mut bench, is_answered);
+        bench.poll_target();
+        assert_eq!(bench.stops(), [task(1)], "{is_answered}");
+        let event = bench.outcome(1);
+        assert!(matches!(event, None | Some(RunEvent::Started)), "{event:?}");
+        bench.host.stop_accepted(bench.now_ms, task(1), 1);
+        bench.end_run(task(1), TargetEnd::Stopped);
+        bench.poll_target();
+        let event = bench.outcome(1);
+        assert!(
+            matches!(event, Some(RunEvent::Ended(RunEnd::CausedCrash, _))),
+            "{event:?}"
+        );
+    }
+}
+
+#[test]
+fn a_start_that_the_next_incarnation_has_not_executed_is_reported_once_it_is_refused_there() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    restart_and_execute(&mut bench, false);
+    bench.running.clear();
+    bench.poll_target();
+    assert_eq!(bench.outcome(1), None);
+    let poll = bench.host.target_poll(bench.now_ms, &mut bench.actions);
+    assert!(poll.wait_ms <= 10, "{poll:?}");
+    bench.host.stop_accepted(bench.now_ms, task(1), 1);
+    bench.now_ms += 1;
+    bench.poll_target();
+    let event = bench.outcome(1);
+    assert!(matches!(event, Some(RunEvent::Ended(..))), "{event:?}");
+}
+
+#[test]
+fn a_run_that_the_next_incarnation_has_completed_is_done() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    restart_and_execute(&mut bench, true);
+    bench.poll_target();
+    bench.end_run(task(1), TargetEnd::Done);
+    bench.poll_target();
+    let event = bench.outcome(1);
+    assert!(
+        matches!(event, Some(RunEvent::Ended(RunEnd::Done, _))),
+        "{event:?}"
+    );
+}
+
+// Stops were dropped while the incarnation that answered had not reported.
+#[test]
+fn a_stop_is_sent_to_a_target_that_has_not_reported() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    restart_and_execute(&mut bench, true);
+    bench.poll_target();
+    let stop = bench.actions.first();
+    assert!(
+        matches!(stop, Some(TargetCall::Stop { instance: None, .. })),
+        "{stop:?}"
+    );
+}
--- a/components/sidecar/src/calls.rs
+++ b/components/sidecar/src/calls.rs
@@ -14,6 +14,7 @@
 use web::Request;
 
 use crate::process::Shared;
+use crate::reports::log_target;
 
 /// Interval at which the parallel polls check whether they are needed, and pause after one that
 /// failed immediately, in milliseconds.
@@ -24,15 +25,13 @@
     let shared = Rc::clone(shared);
     match call {
         TargetCall::Start {
+            instance,
             task,
             number,
             specification,
             lease_end_ms,
             token,
         } => {
-            let Some(instance) = instance(&shared) else {
-                return;
-            };
             let request = adapter::start_request(
                 &instance,
                 task,
@@ -44,14 +43,12 @@
             monoio::spawn(start(shared, request, task, number));
         }
         TargetCall::Stop {
+            instance,
             task,
             number,
             token,
         } => {
-            let Some(instance) = instance(&shared) else {
-                return;
-            };
-            let request = adapter::stop_request(&instance, task, number, token);
+            let request = adapter::stop_request(instance.as_deref(), task, number, token);
             monoio::spawn(stop(shared, request, task, number));
         }
         TargetCall::Check { identity, token } => {
@@ -60,11 +57,6 @@
     }
 }
 
-fn instance(shared: &Shared) -> Option<Rc<str>> {
-    let host = shared.host.borrow();
-    host.target().map(|target| Rc::clone(&target.instance))
-}
-
 async fn start(shared: Rc<Shared>, request: Request, task: TaskRef, number: u32) {
     let limit = Duration::from_millis(TARGET_CALL_TIMEOUT_MS);
     let result = shared.target.call(&request, limit).await;
@@ -119,6 +111,7 @@
 /// Asks whether the target is an incarnation that a report names.
 async fn check(shared: Rc<Shared>, identity: TargetIdentity, token: u64) {
     let poll = TargetPoll {
+        instance: Some(Rc::clone(&identity.instance)),
         lease_end_ms: None,
         token,
         acknowledged: 0,
@@ -126,7 +119,7 @@
         timeout_ms: TARGET_CALL_TIMEOUT_MS,
     };
     let sent_at_ms = uptime_ms();
-    let request = adapter::poll_request(Some(&identity.instance), &poll);
+    let request = adapter::poll_request(&poll);
     let limit = Duration::from_millis(poll.timeout_ms);
     let outcome = adapter::poll_outcome(&shared.target.call(&request, limit).await);
     let result = shared.update(|host, now_ms, actions| {
@@ -136,8 +129,9 @@
     let (instance, born_unix_ms) = (&*identity.instance, identity.born_unix_ms);
     match result {
         CheckOutcome::Confirmed => {
-            log::info!(target: "sidecar", event = "target", instance = instance,
-                born_unix_ms = born_unix_ms; "target confirmed its report");
+            if let Some(report) = shared.host.borrow().target() {
+                log_target(report, "target confirmed its report");
+            }
         }
         CheckOutcome::Refused => {
             log::warn!(target: "sidecar", event = "report_refused", instance = instance,
@@ -223,9 +217,8 @@
 
 async fn poll_once(shared: &Rc<Shared>) -> TargetPollOutcome {
     let request = shared.update(|host, now_ms, actions| host.target_poll(now_ms, actions));
-    let instance = instance(shared);
     let limit = Duration::from_millis(request.wait_ms + request.timeout_ms);
-    let call = adapter::poll_request(instance.as_deref(), &request);
+    let call = adapter::poll_request(&request);
     let result = shared.target.call(&call, limit).await;
     let outcome = adapter::poll_outcome(&result);
     shared.metrics.record_poll(&outcome);
--- a/components/sidecar/src/registration.rs
+++ b/components/sidecar/src/registration.rs
@@ -160,5 +160,6 @@
         labels: target.labels.into_iter().map(Rc::from).collect(),
         capacity: target.capacity,
         is_draining: target.is_draining,
+        leaves_in_ms: None,
     }
 }
--- a/components/sidecar/src/reports.rs
+++ b/components/sidecar/src/reports.rs
@@ -2,8 +2,8 @@
 
 use std::rc::Rc;
 
-use adapter::{DecodedReport, TargetRequest};
-use hosting::ReportOutcome;
+use adapter::TargetRequest;
+use hosting::{ReportOutcome, TargetReport};
 use monoio::net::TcpListener;
 use web::{Request, Response, ServerLimits, StopSignal};
 
@@ -31,29 +31,39 @@
     .await;
 }
 
-/// Logs a report that changes something or names an incarnation that has not answered; others are
-/// logged at debug level.
-fn log_report(decoded: &DecodedReport, outcome: ReportOutcome) {
+/// Logs what a report has changed, or why it was not used; reports that change nothing are logged at
+/// debug level.
+fn log_report(report: &TargetReport, outcome: ReportOutcome) {
     let level = match outcome {
-        ReportOutcome::Changed | ReportOutcome::Unconfirmed => log::Level::Info,
+        ReportOutcome::Changed => {
+            log_target(report, "target reported a change of its state");
+            return;
+        }
+        ReportOutcome::Unconfirmed => log::Level::Info,
         ReportOutcome::Contradictory => log::Level::Warn,
         ReportOutcome::Unchanged | ReportOutcome::Old => log::Level::Debug,
     };
-    let report = &decoded.report;
     log::log!(target: "sidecar", level, event = "report", outcome = <&str>::from(outcome),
         instance = &*report.instance, born_unix_ms = report.born_unix_ms,
-        sequence = report.sequence, is_draining = report.is_draining,
-        leaves_in_ms = decoded.leaves_in_ms, cpu_millis = report.capacity.cpu_millis;
-        "report of a target");
+        sequence = report.sequence; "report of a target not used");
+}
+
+/// Logs the state of the target in use.
+pub(crate) fn log_target(report: &TargetReport, message: &str) {
+    log::info!(target: "sidecar", event = "target", instance = &*report.instance,
+        born_unix_ms = report.born_unix_ms, sequence = report.sequence,
+        is_draining = report.is_draining, leaves_in_ms = report.leaves_in_ms,
+        cpu_millis = report.capacity.cpu_millis; "{message}");
 }
 
 fn answer(shared: &Rc<Shared>, request: &Request) -> Response {
     match adapter::target_request(request) {
-        TargetRequest::Report(Ok(decoded)) => {
-            let report = decoded.report.clone();
-            let outcome = shared
-                .update(|host, now_ms, actions| host.handle_target_report(now_ms, report, actions));
-            log_report(&decoded, outcome);
+        TargetRequest::Report(Ok(report)) => {
+            let received = report.clone();
+            let outcome = shared.update(|host, now_ms, actions| {
+                host.handle_target_report(now_ms, received, actions)
+            });
+            log_report(&report, outcome);
             if outcome == ReportOutcome::Contradictory {
                 return Response::error(
                     400,
--- a/components/sim/src/agent.rs
+++ b/components/sim/src/agent.rs
@@ -509,6 +509,7 @@
                 task,
                 number,
                 token,
+                ..
             } => {
                 self.report.timed_out_calls += u64::from(is_late);
                 let arrives = Event::TargetStop {
@@ -790,6 +791,7 @@
             labels: Vec::new(),
             capacity: node.target.spec.capacity,
             is_draining: false,
+            leaves_in_ms: None,
         };
         self.update_host(host, |host, now_ms, actions| {
             host.handle_target_report(now_ms, report, actions);
