Give back what waits for a target when another incarnation takes its place

Cause: a task is placed by the labels of the target in the entry's view, but neither the agent's queue nor the order named that target, so that its next incarnation inherited both.

Change: waiting tasks are given back when another incarnation answers. Views and orders name the target by a number that the agent counts; the agent gives back orders for another one, and orders of older entries whose permit is older than the target.

--- a/components/hosting/src/host/incarnations.rs
+++ b/components/hosting/src/host/incarnations.rs
@@ -183,6 +183,7 @@
             self.begin_incarnation(now_ms, report.born_unix_ms, actions);
         }
         self.target_since_ms = now_ms;
+        self.target_number = self.target_number.wrapping_add(1);
         self.use_report(now_ms, report);
     }
 
@@ -229,6 +230,8 @@
             return;
         };
         self.end_with_incarnation(now_ms, &previous, actions);
+        // They were placed here for the labels and the capacity of the previous one.
+        self.reject_waiting(NotStartedReason::NoTarget);
         self.has_target_left = false;
         self.first_broken_call_ms = None;
         // The capacity of the new incarnation comes with its report; until then nothing starts.
--- a/components/hosting/src/host/mod.rs
+++ b/components/hosting/src/host/mod.rs
@@ -17,8 +17,8 @@
 use std::rc::Rc;
 
 use model::{
-    HostUpdate, HostUpdateRequest, HostView, MOST_URGENT, Orders, ProcessKey, Quarantines,
-    Resources, RunEvent, RunId, RunPermit, TaskRef,
+    HostUpdate, HostUpdateRequest, HostView, MOST_URGENT, NotStartedReason, Orders, ProcessKey,
+    Quarantines, Resources, RunEvent, RunId, RunPermit, TaskRef,
 };
 use run_times::HostSpeed;
 use runtime::Backoff;
@@ -101,6 +101,8 @@
     claims: Claims,
     /// When the report of the present target was confirmed, in milliseconds.
     target_since_ms: u64,
+    /// Number of incarnations that have been the target, the present one included.
+    target_number: u32,
     /// Records for the estimate of interference, if it is on.
     neighbors: Option<NeighborEffects>,
     /// Quarantines that entries have told, passed on to other entries.
@@ -144,6 +146,7 @@
             incarnation: None,
             claims: Claims::default(),
             target_since_ms: 0,
+            target_number: 0,
             neighbors: None,
             quarantines: Quarantines::default(),
         }
@@ -196,7 +199,13 @@
             self.withdraw(now_ms, run, actions);
         }
         for start in orders.starts {
-            self.accept_order(now_ms, orders.from, &start, has_authority, actions);
+            let is_placed_here = self.is_placed_at_target(&start, orders.permit);
+            let refusal = if !has_authority {
+                Some(NotStartedReason::PermitExpired)
+            } else {
+                (!is_placed_here).then_some(NotStartedReason::NoTarget)
+            };
+            self.accept_order(now_ms, orders.from, &start, refusal, actions);
         }
         self.reject_unfinished(now_ms);
         self.start_waiting(now_ms, actions);
@@ -378,6 +387,7 @@
             openings: self.openings(now_ms, |_| true),
             urgent_openings: self.openings(now_ms, |run| run.priority == MOST_URGENT),
             neighbors: self.neighbor_runs(now_ms),
+            target_number: target.map(|_| self.target_number),
         }
     }
 }
--- a/components/hosting/src/host/orders.rs
+++ b/components/hosting/src/host/orders.rs
@@ -3,7 +3,7 @@
 
 use std::rc::Rc;
 
-use model::{NotStartedReason, ProcessKey, RunEvent, RunId, StartOrder, TaskRef};
+use model::{NotStartedReason, ProcessKey, RunEvent, RunId, RunPermit, StartOrder, TaskRef};
 
 use super::Host;
 use crate::action::TargetCall;
@@ -15,13 +15,14 @@
 impl Host {
     /// Queues the tasks of an order as waiting runs.
     ///
-    /// Reports to the entry the tasks that are rejected, and those of which another run exists.
+    /// Reports to the entry the tasks that are rejected, with `refusal` as the reason if there is one,
+    /// and those of which another run exists.
     pub(super) fn accept_order(
         &mut self,
         now_ms: u64,
         from: ProcessKey,
         order: &StartOrder,
-        has_authority: bool,
+        refusal: Option<NotStartedReason>,
         actions: &mut Vec<TargetCall>,
     ) {
         for &(index, attempt) in &order.tasks {
@@ -40,7 +41,8 @@
                 }
                 continue;
             }
-            if let Some(reason) = self.rejection_reason(now_ms, order, has_authority) {
+            let reason = refusal.or_else(|| self.rejection_reason(now_ms, order));
+            if let Some(reason) = reason {
                 self.count_rejection(reason);
                 self.push_event(from, id, RunEvent::NotStarted(reason));
                 continue;
@@ -77,11 +79,7 @@
         &self,
         now_ms: u64,
         order: &StartOrder,
-        has_authority: bool,
     ) -> Option<NotStartedReason> {
-        if !has_authority {
-            return Some(NotStartedReason::PermitExpired);
-        }
         if self.is_evacuated {
             return Some(NotStartedReason::Evacuated);
         }
@@ -95,6 +93,20 @@
         is_full.then_some(NotStartedReason::NoRoom)
     }
 
+    /// Returns whether the tasks of an order were placed by the labels and the capacity of the present
+    /// target, and not of an earlier incarnation. Entries that do not tell have a permit that is as
+    /// old as their view at the most.
+    pub(super) fn is_placed_at_target(
+        &self,
+        order: &StartOrder,
+        permit: Option<RunPermit>,
+    ) -> bool {
+        match order.target_number {
+            Some(number) => number == self.target_number,
+            None => permit.is_some_and(|permit| permit.issued_ms >= self.target_since_ms),
+        }
+    }
+
     /// Ends a run whose job was sent again by the caller at another entry.
     pub(super) fn end_replaced(
         &mut self,
--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -83,6 +83,7 @@
             TargetPollOutcome::OtherIncarnation => {
                 if sent_at_ms >= self.target_since_ms {
                     self.target = None;
+                    self.reject_waiting(NotStartedReason::NoTarget);
                 }
             }
             TargetPollOutcome::Inconclusive | TargetPollOutcome::Unanswered => {
--- a/components/hosting/tests/host/harness.rs
+++ b/components/hosting/tests/host/harness.rs
@@ -65,6 +65,7 @@
         has_started_tasks: false,
         kind: KindKey(1),
         is_data_remote: false,
+        target_number: None,
     }
 }
 
--- a/components/hosting/tests/host/incarnations.rs
+++ b/components/hosting/tests/host/incarnations.rs
@@ -5,9 +5,9 @@
 use hosting::{
     ReportOutcome, RunningRun, StartOutcome, TargetCall, TargetEnd, TargetPollOutcome, TargetReport,
 };
-use model::{RunEnd, RunEvent};
+use model::{NotStartedReason, RunEnd, RunEvent, StartOrder};
 
-use crate::harness::{BORN_UNIX_MS, Bench, ENTRY, report, task};
+use crate::harness::{BORN_UNIX_MS, Bench, ENTRY, order, report, task};
 
 #[test]
 fn runs_of_an_earlier_agent_are_stopped_before_the_host_opens() {
@@ -337,3 +337,97 @@
         "{stop:?}"
     );
 }
+
+const NO_TARGET: Option<RunEvent> = Some(RunEvent::NotStarted(NotStartedReason::NoTarget));
+
+/// Returns the report of a later incarnation of another kind.
+fn report_of_other_kind(bench: &Bench) -> TargetReport {
+    TargetReport {
+        instance: Rc::from("target of another kind"),
+        labels: vec![Rc::from("other kind")],
+        ..report(bench.identity.born_unix_ms + 500, 1)
+    }
+}
+
+/// Orders tasks that wait for room as long as it takes.
+fn start_patient(bench: &mut Bench, count: u64) {
+    let patient = |number| StartOrder {
+        slack_ms: 5_000,
+        queue_timeout_ms: 5_000,
+        ..order(number)
+    };
+    let orders = bench.orders(ENTRY, (1..=count).map(patient).collect());
+    bench.send(orders);
+}
+
+// Tasks that waited at a host started on its next target, which lacked the label that they required.
+#[test]
+fn tasks_that_wait_for_a_target_do_not_start_on_its_next_incarnation() {
+    let mut bench = Bench::new();
+    start_patient(&mut bench, 6);
+    assert_eq!(bench.execute_starts().len(), 4);
+    bench.now_ms += 5;
+    bench.running.clear();
+    let next = report_of_other_kind(&bench);
+    bench.report(next);
+    bench.poll_target();
+    assert!(bench.request_update(ENTRY).view.is_open);
+    bench.advance(50);
+    assert_eq!(bench.execute_starts(), []);
+    assert_eq!([bench.outcome(5), bench.outcome(6)], [NO_TARGET; 2]);
+}
+
+#[test]
+fn tasks_that_wait_are_given_back_when_another_incarnation_answers() {
+    let mut bench = Bench::new();
+    start_patient(&mut bench, 5);
+    let (now_ms, actions) = (bench.now_ms, &mut bench.actions);
+    let other = TargetPollOutcome::OtherIncarnation;
+    bench.host.poll_ended(now_ms, now_ms, other, actions);
+    assert_eq!(bench.outcome(5), NO_TARGET);
+}
+
+// An order that was on its way was accepted, although it had been placed by the labels of the target
+// before. Entries of earlier releases do not tell by which view they placed a task.
+#[test]
+fn an_order_that_was_placed_by_the_view_of_an_earlier_target_is_given_back() {
+    for tells_target in [true, false] {
+        let mut bench = Bench::new();
+        let number = bench.request_update(ENTRY).view.target_number;
+        let placed = |id, number| StartOrder {
+            target_number: tells_target.then_some(number).flatten(),
+            ..order(id)
+        };
+        let early = bench.orders(ENTRY, vec![placed(1, number)]);
+        bench.now_ms += 5;
+        let next = report_of_other_kind(&bench);
+        bench.report(next);
+        bench.poll_target();
+        bench.send(early);
+        assert_eq!(bench.outcome(1), NO_TARGET, "{tells_target}");
+        let newer = bench.request_update(ENTRY).view.target_number;
+        assert_ne!(newer, number);
+        let late = bench.orders(ENTRY, vec![placed(2, newer)]);
+        bench.send(late);
+        assert_eq!(bench.execute_starts(), [(task(2), 1)]);
+    }
+}
+
+// The permit of an order that is sent again is renewed, so that its age does not tell.
+#[test]
+fn an_order_with_a_newer_permit_is_given_back_if_it_names_an_earlier_target() {
+    let mut bench = Bench::new();
+    let number = bench.request_update(ENTRY).view.target_number;
+    let next = report_of_other_kind(&bench);
+    bench.now_ms += 5;
+    bench.report(next);
+    bench.poll_target();
+    bench.request_update(ENTRY);
+    let early = StartOrder {
+        target_number: number,
+        ..order(1)
+    };
+    let orders = bench.orders(ENTRY, vec![early]);
+    bench.send(orders);
+    assert_eq!(bench.outcome(1), NO_TARGET);
+}
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod message;
 mod mix;
+mod named_only;
 mod quarantine;
 mod resources_row;
 mod roster;
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -8,10 +8,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::resources_row;
 use crate::{
     EvacuationsDigest, EvacuationsReport, KindKey, Neighbors, ProcessKey, QueueQuarantine,
 };
+use crate::{named_only, resources_row};
 
 /// Length of a job's id, in hexadecimal digits.
 pub const JOB_ID_DIGITS: usize = 16;
@@ -189,6 +189,15 @@
     /// Whether the target is away from the data of the tasks, so that they take longer there.
     #[serde(rename = "r")]
     pub is_data_remote: bool,
+    /// Number of the target in the view that the tasks were placed by; `None` from peers that do not
+    /// tell it.
+    #[serde(
+        rename = "tn",
+        default,
+        with = "named_only",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub target_number: Option<u32>,
 }
 
 /// Orders of an entry to an agent.
@@ -383,6 +392,15 @@
     /// that.
     #[serde(rename = "n")]
     pub neighbors: Neighbors,
+    /// Number of the target that the view is of: each incarnation has another one, which the agent
+    /// counts. `None` without a target, and from peers that do not tell it.
+    #[serde(
+        rename = "tn",
+        default,
+        with = "named_only",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub target_number: Option<u32>,
 }
 
 /// Resources expected to be free on a host from some time on.
--- a/components/protocol/tests/samples/mod.rs
+++ b/components/protocol/tests/samples/mod.rs
@@ -252,6 +252,7 @@
             has_started_tasks: false,
             kind: KindKey(9),
             is_data_remote: true,
+            target_number: None,
         }],
         stops: vec![run_id()],
     }
@@ -323,6 +324,7 @@
                     deviation_permille: 40,
                 }],
             },
+            target_number: None,
         },
         events: events
             .zip(58..)
--- a/components/protocol/tests/unknown_fields.rs
+++ b/components/protocol/tests/unknown_fields.rs
@@ -5,7 +5,7 @@
 use std::fmt::Debug;
 
 use proptest::prelude::*;
-use protocol::{VERSION, decode_message, encode_message};
+use protocol::{OLDEST_VERSION, VERSION, decode_message, encode_message};
 use rmpv::Value;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -75,6 +75,18 @@
     check(&samples::job());
 }
 
+#[test]
+fn the_number_of_a_target_is_told_where_fields_have_names() {
+    let mut orders = samples::orders();
+    orders.starts[0].target_number = Some(7);
+    for (version, expected) in [(VERSION, Some(7)), (OLDEST_VERSION, None)] {
+        let bytes = encode_message(version, &orders).expect("the message is encoded");
+        let decoded: model::Orders = decode_message(version, &bytes).expect("it is decoded");
+        assert_eq!(decoded.starts[0].target_number, expected);
+        assert_eq!(decoded.stops, orders.stops);
+    }
+}
+
 #[test]
 fn an_unknown_variant_is_named() {
     let variant = rmpv::Value::from("Restarted");
--- a/components/scheduling/src/host.rs
+++ b/components/scheduling/src/host.rs
@@ -239,10 +239,16 @@
             && now_ms < self.permit_received_at_ms + VIEW_MAX_AGE_MS
     }
 
-    /// Queues tasks to start; consecutive tasks of one step are merged into one order.
+    /// Queues tasks to start; consecutive tasks of one step are merged into one order if they were
+    /// placed at the same target.
     pub(crate) fn push_start(&mut self, order: StartOrder) {
         let last = self.starts.last_mut();
-        match last.filter(|last| last.job == order.job && last.step == order.step) {
+        let is_same_step = |last: &&mut StartOrder| {
+            last.job == order.job
+                && last.step == order.step
+                && last.target_number == order.target_number
+        };
+        match last.filter(is_same_step) {
             Some(last) => last.tasks.extend(order.tasks),
             None => self.starts.push(order),
         }
--- a/components/scheduling/src/scheduler/planning.rs
+++ b/components/scheduling/src/scheduler/planning.rs
@@ -239,6 +239,7 @@
                 .preferred_label
                 .as_ref()
                 .is_some_and(|label| !host.has_label(label)),
+            target_number: host.view.as_ref().and_then(|view| view.target_number),
         };
         let Some(record) = job.task_mut(task) else {
             return;
--- a/components/scheduling/tests/scheduler/jobs.rs
+++ b/components/scheduling/tests/scheduler/jobs.rs
@@ -475,3 +475,22 @@
     let wanted = wanted_host_count(&bench);
     assert!(wanted < 2 * MIN_CONNECTED_HOSTS, "{wanted}");
 }
+
+// An agent could not tell that tasks had been placed by the labels of an earlier target of its host.
+#[test]
+fn orders_name_the_target_that_their_tasks_were_placed_at() {
+    let mut bench = Bench::new(1);
+    let of_target = |number| model::HostView {
+        target_number: Some(number),
+        ..view(8_000)
+    };
+    bench.report_view(0, of_target(3), &[]);
+    bench.submit(job(1, 1));
+    bench.report_view(0, of_target(4), &[]);
+    bench.submit(job(2, 1));
+    let orders = bench.orders(0).expect("orders");
+    let numbers: Vec<Option<u32>> = orders.starts.iter().map(|s| s.target_number).collect();
+    assert_eq!(numbers, [Some(3), Some(4)]);
+    bench.report_view(0, of_target(5), &[]);
+    assert_eq!(bench.orders(0).expect("resent").starts, orders.starts);
+}
--- a/components/scheduling/tests/scheduler/support.rs
+++ b/components/scheduling/tests/scheduler/support.rs
@@ -80,6 +80,7 @@
         openings: vec![opening(0, free_millis)],
         urgent_openings: vec![opening(0, free_millis)],
         neighbors: Neighbors::default(),
+        target_number: None,
     }
 }
 
--- a/components/sidecar/src/process.rs
+++ b/components/sidecar/src/process.rs
@@ -235,6 +235,7 @@
     json!({
         "is_open": view.is_open,
         "closes_in_ms": view.closes_in_ms,
+        "target_number": view.target_number,
         "group": view.group,
         "labels": view.labels,
         "capacity": view.capacity,
