Keep runs until their lease has expired when their target refuses a connection

Killed, frozen and stopped agents, restarted targets, a second entry and an older build were ruled out (docs/incidents/twice-of-the-users-runs.md).

Cause of the second: one refused poll ended all runs at a target at once, but a refusal is not the target's word: a relay or a filter refuses while it works on.

Change: after a refused poll nothing starts and waiting tasks are given back, but runs end with their target only when their lease, which is not renewed until an answer, has expired.

The tests of crashes, and that of starts that may have arrived, asserted the end at the first refusal, which is the fault; they now let refusals last until the lease has expired, with the same ends expected.

--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -20,10 +20,12 @@
     /// Returns the next poll of the target.
     ///
     /// It does not renew the lease while a run that should have ended may still be running: then
-    /// the target ends all runs.
+    /// the target ends all runs. Nor does it after a connection was refused, until an answer, so that
+    /// it is certain when the lease has expired.
     pub fn target_poll(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) -> TargetPoll {
         self.end_unauthorized(now_ms, actions);
-        let lease_end_ms = if self.has_overdue_run(now_ms) || self.runs.is_empty() {
+        let is_withheld = self.is_target_gone || self.has_overdue_run(now_ms);
+        let lease_end_ms = if is_withheld || self.runs.is_empty() {
             None
         } else {
             self.lease.grant(now_ms)
@@ -74,9 +76,10 @@
                 self.apply_target_runs(now_ms, sent_at_ms, &target_runs, actions);
             }
             TargetPollOutcome::StaleToken => self.raise_token(),
+            // The target may still work on its runs, until their lease expires.
             TargetPollOutcome::NobodyListens => {
+                self.record_broken_call(now_ms);
                 self.is_target_gone = true;
-                self.end_all_with_target(now_ms);
                 self.reject_waiting(NotStartedReason::NoTarget);
             }
             // A poll that was sent before the present target was confirmed named an earlier one.
@@ -116,7 +119,7 @@
     /// Returns whether runs may be at the target whose lease the next poll can still renew.
     fn depends_on_lease(&self, now_ms: u64) -> bool {
         let is_silent = now_ms >= self.last_answer_at_ms + LEASE_MS;
-        !is_silent && self.runs.values().any(Run::occupies_resources)
+        !self.is_target_gone && !is_silent && self.runs.values().any(Run::occupies_resources)
     }
 
     /// Sets the time of the next poll: after a pause if the last one failed immediately, since the
@@ -358,11 +361,16 @@
         }
     }
 
-    /// Ends as lost all runs at the target if it does not answer and their lease has expired.
+    /// Ends all runs at the target if it does not answer and their lease has expired: as lost, or with
+    /// the target if nobody listens at its address.
     pub(super) fn end_lapsed(&mut self, now_ms: u64) {
         let is_silent = now_ms >= self.last_answer_at_ms + LEASE_MS;
         if is_silent && now_ms >= self.lease.expired_at_ms() {
-            self.end_all_as_lost(now_ms);
+            if self.is_target_gone {
+                self.end_all_with_target(now_ms);
+            } else {
+                self.end_all_as_lost(now_ms);
+            }
         }
     }
 }
--- a/components/hosting/tests/host/harness.rs
+++ b/components/hosting/tests/host/harness.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use hosting::{
-    EndedRun, Host, ReportOutcome, RunningRun, StartOutcome, TargetCall, TargetEnd, TargetIdentity,
-    TargetPollOutcome, TargetReport, TargetRuns,
+    EndedRun, Host, LEASE_MS, ReportOutcome, RunningRun, StartOutcome, TargetCall, TargetEnd,
+    TargetIdentity, TargetPollOutcome, TargetReport, TargetRuns,
 };
 use model::{
     HostUpdate, HostUpdateRequest, JobId, KindKey, Orders, ProcessKey, Resources, RunEvent, RunId,
@@ -265,6 +265,20 @@
         stops
     }
 
+    /// Advances the time until the lease has expired, while nobody listens at the target's address and
+    /// the entry sends update requests.
+    pub fn refuse_polls(&mut self) {
+        let until_ms = self.now_ms + 2 * LEASE_MS;
+        while self.now_ms < until_ms {
+            let (now_ms, actions) = (self.now_ms, &mut self.actions);
+            self.host.target_poll(now_ms, actions);
+            let refused = TargetPollOutcome::NobodyListens;
+            self.host.poll_ended(now_ms, now_ms, refused, actions);
+            self.now_ms += 50;
+            self.request_update(ENTRY);
+        }
+    }
+
     /// Advances the time while the entry sends update requests and the target answers polls.
     pub fn advance(&mut self, ms: u64) {
         let until_ms = self.now_ms + ms;
