Follow registrations, changes and runs beside entries that cannot be read

Here no process ends: decoders limit their depth, and numbers out of range are errors. But one item of a listing or of a watch that cannot be read failed the whole answer, again and again, and one row of a target's list of runs failed the list. A port out of range was taken for a host, and connected to for good. A clock near the largest number would overflow.

Change: items and rows are decoded one by one; those that cannot be read are left out and logged. Where a missing item matters, as in evacuations and in the configuration, the answer still counts as unreadable. Registrations whose address is no address and port are refused by a log line that names the value.

--- a/components/gateway/src/configuration.rs
+++ b/components/gateway/src/configuration.rs
@@ -144,6 +144,10 @@
             apply(shared, item);
         }
     }
+    if let Some(error) = watch.unreadable.first() {
+        let error = StoreError::Unreadable(error.to_string());
+        return Err(ReadFailure::new("watch", called_at_ms, error));
+    }
     // The revision of the answer may include changes that the watch has missed; a watch from the last
     // change reports them as long as the history contains them.
     let newest = watch.changes.iter().map(WatchedChange::revision).max();
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use adapter::{StoreItem, WatchedChange};
+use std::net::SocketAddr;
+
+use adapter::{DecodeError, StoreItem, WatchedChange};
 use model::{HOSTS_PREFIX, HostRegistration};
 use peers::{MAX_HOSTS_IN_REPLY, StorePart};
 use platform::StoreError;
@@ -71,6 +73,7 @@
     bootstrap::record_store_read(shared, StorePart::Hosts, is_answered(&listed));
     let list = listed?;
     log_uncounted_failures(failures);
+    log_unreadable(&list.unreadable);
     registered.clear();
     for item in &list.items {
         add_registered(shared, item, registered);
@@ -85,6 +88,7 @@
         shared.metrics.record_store_call("watch", watched.is_ok());
         bootstrap::record_store_read(shared, StorePart::Hosts, is_answered(&watched));
         let watch = watched?;
+        log_unreadable(&watch.unreadable);
         for change in &watch.changes {
             match change {
                 WatchedChange::Put(item) => {
@@ -114,7 +118,7 @@
 }
 
 fn add_registered(shared: &Rc<Shared>, item: &StoreItem, registered: &mut RegisteredAddresses) {
-    match serde_json::from_slice::<HostRegistration>(&item.value) {
+    match read_registration(&item.value) {
         Ok(registration) => {
             registered.insert(item.key.clone(), registration.address.clone());
             add_host(shared, &registration, "store");
@@ -122,11 +126,35 @@
         }
         Err(error) => {
             log::warn!(target: "gateway", event = "bad_registration", key = item.key.as_str(),
-                reason = error.to_string(); "registration of a host is malformed and is ignored");
+                reason = error; "registration of a host is malformed and is ignored");
         }
     }
 }
 
+/// Decodes a registration.
+///
+/// # Errors
+///
+/// Fails if it is malformed or its address cannot be connected to.
+fn read_registration(value: &[u8]) -> Result<HostRegistration, String> {
+    let registration: HostRegistration =
+        serde_json::from_slice(value).map_err(|error| error.to_string())?;
+    match registration.address.parse::<SocketAddr>() {
+        Ok(address) if address.port() != 0 => Ok(registration),
+        _ => Err(format!(
+            "`address` is `{}`, but must be an IP address and a port from 1 to 65535",
+            registration.address
+        )),
+    }
+}
+
+fn log_unreadable(errors: &[DecodeError]) {
+    for error in errors {
+        log::warn!(target: "gateway", event = "bad_item", reason = error.to_string();
+            "item among the registrations of hosts cannot be read and is ignored");
+    }
+}
+
 /// Makes the entry connect to a host that was registered anew without waiting for the end of a
 /// pause: its agent is there.
 fn end_reconnect_pause(shared: &Shared, address: &String) {
--- a/components/hosting/src/lease.rs
+++ b/components/hosting/src/lease.rs
@@ -67,9 +67,9 @@
     pub(crate) fn grant(&mut self, now_ms: u64) -> Option<u64> {
         let reading = self.reading?;
         let elapsed_ms = now_ms.saturating_sub(reading.read_at_ms);
-        let clock_ms = reading.clock_ms + elapsed_ms * MIN_CLOCK_RATE_PERCENT / 100;
+        let advance_ms = elapsed_ms * MIN_CLOCK_RATE_PERCENT / 100;
         self.granted_at_ms = Some(now_ms);
-        Some(clock_ms + LEASE_MS)
+        Some(reading.clock_ms.saturating_add(advance_ms + LEASE_MS))
     }
 
     /// Returns the time on the agent's clock at which the last lease has expired at the target even
--- a/components/platform/src/key_set.rs
+++ b/components/platform/src/key_set.rs
@@ -26,7 +26,7 @@
     ) -> Result<(), StoreError> {
         let listed = self.list(prefix, false).await;
         on_call("list", listed.is_ok());
-        let (mut revision, mut keys) = revision_and_keys(listed?);
+        let (mut revision, mut keys) = revision_and_keys(whole(listed?)?);
         on_set(revision, &keys);
         loop {
             let watched = self.watch(prefix, revision, watch_wait_ms).await;
@@ -41,7 +41,7 @@
             }
             // The answer may lack one of several events. The set is listed before it is reported,
             // since a later listing of the same revision would not replace the faulty set.
-            let listed = self.list(prefix, false).await;
+            let listed = self.list(prefix, false).await.and_then(whole);
             on_call("list", listed.is_ok());
             let error = match listed {
                 Ok(list) if list.revision >= watch.revision => {
@@ -68,6 +68,14 @@
     }
 }
 
+/// Refuses a listing of which items are left out: the set would lack their keys.
+fn whole(list: StoreList) -> Result<StoreList, StoreError> {
+    match list.unreadable.first() {
+        None => Ok(list),
+        Some(error) => Err(StoreError::Unreadable(error.to_string())),
+    }
+}
+
 fn revision_and_keys(list: StoreList) -> (u64, BTreeSet<String>) {
     let keys = list.items.into_iter().map(|item| item.key).collect();
     (list.revision, keys)
--- a/components/platform/src/store.rs
+++ b/components/platform/src/store.rs
@@ -79,6 +79,7 @@
         is_stale_allowed: bool,
     ) -> Result<StoreList, StoreError> {
         let mut listed: Vec<StoreItem> = Vec::new();
+        let mut unreadable = Vec::new();
         let mut revision = None;
         loop {
             let after = listed.last().map_or("", |item| item.key.as_str());
@@ -89,9 +90,11 @@
             let revision = *revision.get_or_insert(page.revision);
             let is_last = !page.has_more || page.items.is_empty() || listed.len() >= MAX_LISTED;
             listed.extend(page.items);
+            unreadable.extend(page.unreadable);
             if is_last {
                 return Ok(StoreList {
                     items: listed,
+                    unreadable,
                     has_more: false,
                     revision,
                 });
