Answer the jobs that are left when an entry's drain timeout is over

Cause: the process ended with what it had in progress. Ruled out: answers that were cut, since the log has no `answered` and ends with is_complete=false, jobs=4.

Change: 250 ms before the end jobs without a started task are withdrawn and answered as not run once their agents confirm it, and the others 200 ms later as lost, so that each connection ends with an answer.

--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use futures::channel::oneshot;
 use model::ProcessKey;
 use monoio::net::TcpListener;
+use monoio::time::timeout;
 use peers::{Download, Exchange};
 use platform::StoreClient;
 use protocol::{Connector, LinkCounters, VERSION};
@@ -49,6 +51,14 @@
 /// readiness once per second and takes the entry out of rotation after the second failure.
 const BALANCER_DRAIN_MS: u64 = 2_500;
 
+/// Time before the end of the drain timeout in which the jobs that are left are answered, in
+/// milliseconds.
+const CLOSING_MS: u64 = 250;
+
+/// The part of [`CLOSING_MS`] in which agents confirm that the runs of unstarted jobs have not begun, in
+/// milliseconds; the scheduler gives up waiting for that after 150 ms.
+const WITHDRAWAL_MS: u64 = 200;
+
 /// The answer to a job, for its callers.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct JobAnswer {
@@ -210,14 +220,39 @@
         let left_ms = shared
             .settings()
             .drain_timeout_ms
-            .saturating_sub(BALANCER_DRAIN_MS);
-        let is_done = monoio::time::timeout(Duration::from_millis(left_ms), callers).await;
-        log::info!(target: "gateway", event = "stopped", is_complete = is_done.is_ok(),
+            .saturating_sub(BALANCER_DRAIN_MS + CLOSING_MS);
+        let is_complete = finish(&shared, callers, left_ms).await;
+        log::info!(target: "gateway", event = "stopped", is_complete = is_complete,
             jobs = shared.scheduler.borrow().job_count(); "entry stopped");
         runtime::flush_log();
     }
 }
 
+/// Waits until all callers have their answers, for `left_ms`; then answers the jobs that are left: those
+/// that have not started as not run, the others as lost. Returns whether all callers were answered.
+async fn finish(shared: &Rc<Shared>, callers: impl Future, left_ms: u64) -> bool {
+    let mut callers = pin!(callers);
+    if timeout(Duration::from_millis(left_ms), &mut callers)
+        .await
+        .is_ok()
+    {
+        return true;
+    }
+    let jobs = shared.scheduler.borrow().job_count();
+    log::warn!(target: "gateway", event = "closing", jobs = jobs;
+        "drain timeout is over; jobs that have not started are answered as not run");
+    shared.update_scheduler(Scheduler::withdraw_unstarted);
+    if timeout(Duration::from_millis(WITHDRAWAL_MS), &mut callers)
+        .await
+        .is_ok()
+    {
+        return true;
+    }
+    shared.update_scheduler(Scheduler::abandon_jobs);
+    let flush = Duration::from_millis(CLOSING_MS - WITHDRAWAL_MS);
+    timeout(flush, callers).await.is_ok()
+}
+
 async fn run_timers(shared: Rc<Shared>) {
     loop {
         let now_ms = shared.advance_clock();
@@ -266,12 +301,23 @@
             let mut actions = Vec::new();
             self.scheduler
                 .borrow_mut()
-                .process_resumed(now_ms, &mut actions);
+                .abandon_jobs(now_ms, &mut actions);
             self.perform(actions);
         }
         now_ms
     }
 
+    /// Updates the scheduler and executes the actions that it returns.
+    fn update_scheduler(
+        &self,
+        update: impl FnOnce(&mut Scheduler, u64, &mut Vec<SchedulerAction>),
+    ) {
+        let now_ms = self.advance_clock();
+        let mut actions = Vec::new();
+        update(&mut self.scheduler.borrow_mut(), now_ms, &mut actions);
+        self.perform(actions);
+    }
+
     /// Returns whether a request that was read at this time may have been sent before the end of a
     /// suspension.
     pub(crate) fn is_from_before_suspension(&self, read_ms: u64) -> bool {
--- a/components/scheduling/src/scheduler/answers.rs
+++ b/components/scheduling/src/scheduler/answers.rs
@@ -58,6 +58,16 @@
         self.finish_withdrawal(now_ms, slot, actions);
     }
 
+    /// Withdraws every job of which no task is known to have started, since the entry shuts down.
+    pub fn withdraw_unstarted(&mut self, now_ms: u64, actions: &mut Vec<SchedulerAction>) {
+        let is_unstarted = |job: &Job| !job.has_started_tasks && job.withdrawal.is_none();
+        let unstarted = self.jobs.iter().filter(|(_, job)| is_unstarted(job));
+        let slots: Vec<JobSlot> = unstarted.map(|(slot, _)| slot).collect();
+        for slot in slots {
+            self.withdraw(now_ms, slot, NotRunReason::ShuttingDown, actions);
+        }
+    }
+
     /// Answers a job under withdrawal once all its runs are known to have ended or not started.
     pub(super) fn finish_withdrawal(
         &mut self,
--- a/components/scheduling/src/scheduler/recovery.rs
+++ b/components/scheduling/src/scheduler/recovery.rs
@@ -6,9 +6,9 @@
 use crate::verdict::{NotRunReason, Verdict};
 
 impl Scheduler {
-    /// Answers every job in progress as lost, after the process was suspended for so long that
-    /// callers may have retried at other entries.
-    pub fn process_resumed(&mut self, now_ms: u64, actions: &mut Vec<SchedulerAction>) {
+    /// Answers every job in progress as lost: after the process was suspended for so long that callers
+    /// may have retried at other entries, or before it ends.
+    pub fn abandon_jobs(&mut self, now_ms: u64, actions: &mut Vec<SchedulerAction>) {
         let slots: Vec<JobSlot> = self.jobs.keys().collect();
         for slot in slots {
             self.answer(now_ms, slot, Verdict::Lost, actions);
--- a/components/scheduling/src/verdict.rs
+++ b/components/scheduling/src/verdict.rs
@@ -18,6 +18,8 @@
     TooLarge,
     /// The caller has stopped waiting.
     TooLate,
+    /// The entry shuts down before the job could start.
+    ShuttingDown,
 }
 
 impl NotRunReason {
--- a/components/scheduling/tests/scheduler/jobs.rs
+++ b/components/scheduling/tests/scheduler/jobs.rs
@@ -234,7 +234,7 @@
     bench.orders(0).expect("orders");
     bench.now_ms += 3_000;
     let now_ms = bench.now_ms;
-    bench.scheduler.process_resumed(now_ms, &mut bench.actions);
+    bench.scheduler.abandon_jobs(now_ms, &mut bench.actions);
     assert_eq!(bench.verdict(), Some(Verdict::Lost));
 }
 
@@ -494,3 +494,37 @@
     bench.report_view(0, of_target(5), &[]);
     assert_eq!(bench.orders(0).expect("resent").starts, orders.starts);
 }
+
+// A planned stop closed the connections of jobs that waited for room, with no answer.
+#[test]
+fn jobs_that_have_not_started_are_answered_as_not_run_when_the_entry_shuts_down() {
+    let mut bench = Bench::new(1);
+    bench.submit(job(1, 1));
+    let started = Bench::runs(&bench.orders(0).expect("orders"));
+    bench.report(0, &[(started[0], RunEvent::Started)]);
+    let first = bench.orders(0).expect("in flight");
+    bench.answer_orders(0, &first);
+    bench.submit(job(2, 1));
+    let waiting = bench.orders(0).expect("orders");
+    let runs = Bench::runs(&waiting);
+    bench.answer_orders(0, &waiting);
+    let (now_ms, actions) = (bench.now_ms, &mut bench.actions);
+    bench.scheduler.withdraw_unstarted(now_ms, actions);
+    assert_eq!(bench.verdict(), None);
+    let stops = bench.orders(0).expect("a stop").stops;
+    assert_eq!(stops, runs);
+    let withdrawn = RunEvent::NotStarted(NotStartedReason::Withdrawn);
+    bench.report(0, &[(runs[0], withdrawn)]);
+    let verdict = bench.verdict();
+    assert!(
+        matches!(
+            verdict,
+            Some(Verdict::NotRun {
+                reason: NotRunReason::ShuttingDown,
+                ..
+            })
+        ),
+        "{verdict:?}"
+    );
+    assert_eq!(bench.scheduler.job_count(), 1);
+}
--- a/components/sim/src/entry.rs
+++ b/components/sim/src/entry.rs
@@ -161,7 +161,7 @@
         node.last_turn_ms = now_ms;
         if gap_ms >= SUSPENSION_GAP_MS {
             let mut actions = Vec::new();
-            node.scheduler.process_resumed(now_ms, &mut actions);
+            node.scheduler.abandon_jobs(now_ms, &mut actions);
             self.perform(entry, actions);
         }
     }
