Refuse a job with too many tasks before a record is made of each

What was seen: a request of 4 KB with 3.6 million tasks put an entry over its memory, and the next one when it was sent again.

Cause: `submit` recorded and planned every task before the limit was checked.

Change: the limit is checked first.

--- a/components/scheduling/src/request.rs
+++ b/components/scheduling/src/request.rs
@@ -4,6 +4,8 @@
 
 use model::{JobId, Resources};
 
+use crate::limits::MAX_TASKS;
+
 /// Rules of a job queue, set by the operators.
 #[derive(Debug, Clone, PartialEq)]
 pub struct QueueRules {
@@ -64,6 +66,12 @@
         self.steps.iter().map(|step| usize::from(step.count)).sum()
     }
 
+    /// Returns whether the job has more tasks than an entry takes, or none.
+    #[must_use]
+    pub fn is_too_large(&self) -> bool {
+        !(1..=MAX_TASKS).contains(&self.task_count())
+    }
+
     /// Returns, for each step, the duration of the longest chain of steps that depend on it, given
     /// the duration of each step in milliseconds.
     #[must_use]
--- a/components/scheduling/src/scheduler/mod.rs
+++ b/components/scheduling/src/scheduler/mod.rs
@@ -252,6 +252,10 @@
             self.jobs[slot].waiters += 1;
             return SubmitOutcome::Joined(slot);
         }
+        // Each task of a job that is planned has a record.
+        if request.is_too_large() {
+            return refuse_unplanned(&request, NotRunReason::TooLarge);
+        }
         let mut candidates = self.candidates(now_ms, &request.queue.group);
         let job = self.new_job(now_ms, request, &candidates);
         let plan = self.plan(now_ms, &job, &mut candidates);
@@ -413,6 +417,24 @@
     }
 }
 
+/// Refuses a job for what it asks for, whatever the state of the hosts.
+fn refuse_unplanned(request: &JobRequest, reason: NotRunReason) -> SubmitOutcome {
+    let inputs = AdmissionInputs {
+        usable_hosts: 0,
+        oldest_view_ms: 0,
+        finish_ms: None,
+        chance_in_time: 0.0,
+        objective_ms: 0,
+        time_left_ms: request.time_left_ms,
+    };
+    let retry_after_ms = admission::retry_after_ms(request.id, 0.0);
+    let verdict = Verdict::NotRun {
+        reason,
+        retry_after_ms,
+    };
+    SubmitOutcome::Refused(verdict, inputs)
+}
+
 fn saturating_u32(ms: u64) -> u32 {
     u32::try_from(ms).unwrap_or(u32::MAX)
 }
