Acknowledge no ends to a target that may be another incarnation

Numbers of ends start anew with an incarnation. A poll that was sent after a failure still acknowledged the number of the earlier one, and a target that had started again under its name forgot as many ends of its own, so that runs that had completed were reported as lost.

A poll after one that was not answered acknowledges nothing; ends are listed once more and have no effect twice. a_poll_after_a_failure_acknowledges_no_ends expects 0 where the poll named 1 before.

--- a/components/hosting/src/host/mod.rs
+++ b/components/hosting/src/host/mod.rs
@@ -82,6 +82,8 @@
     lease: Lease,
     /// Number of the last processed end, acknowledged to the target with the next poll.
     acknowledged: u64,
+    /// Whether the last poll was not answered.
+    has_poll_failed: bool,
     /// When the target last answered a poll, in milliseconds.
     last_answer_at_ms: u64,
     parallel_poll_until_ms: u64,
@@ -130,6 +132,7 @@
             has_no_earlier_runs: false,
             lease: Lease::default(),
             acknowledged: 0,
+            has_poll_failed: false,
             last_answer_at_ms: 0,
             parallel_poll_until_ms: 0,
             poll_backoff: Backoff::builder(MIN_POLL_PAUSE_MS, MAX_POLL_PAUSE_MS)
--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -39,7 +39,12 @@
             instance: self.instance(),
             lease_end_ms,
             token: self.token,
-            acknowledged: self.acknowledged,
+            // The numbers of ends start anew with an incarnation, and another one may answer now.
+            acknowledged: if self.has_poll_failed {
+                0
+            } else {
+                self.acknowledged
+            },
             // A new agent needs to know at once which runs an earlier one left.
             wait_ms: if !self.has_no_earlier_runs {
                 0
@@ -71,6 +76,7 @@
         actions: &mut Vec<TargetCall>,
     ) {
         self.schedule_poll(now_ms, sent_at_ms, &outcome);
+        self.has_poll_failed = !matches!(outcome, TargetPollOutcome::Answered(_));
         match outcome {
             TargetPollOutcome::Answered(target_runs) => {
                 self.apply_target_runs(now_ms, sent_at_ms, &target_runs, actions);
--- a/components/hosting/tests/host/incarnations.rs
+++ b/components/hosting/tests/host/incarnations.rs
@@ -431,3 +431,29 @@
     bench.send(orders);
     assert_eq!(bench.outcome(1), NO_TARGET);
 }
+
+// The first poll that a new incarnation answered acknowledged as many of its ends as the one before had
+// had, so that the target forgot ends that the agent had not seen.
+#[test]
+fn a_poll_after_a_failure_acknowledges_no_ends() {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    bench.execute_starts();
+    bench.end_run(task(1), TargetEnd::Done);
+    bench.poll_target();
+    let (now_ms, actions) = (bench.now_ms, &mut bench.actions);
+    assert_eq!(bench.host.target_poll(now_ms, actions).acknowledged, 1);
+    for failure in [
+        TargetPollOutcome::Unanswered,
+        TargetPollOutcome::Inconclusive,
+        TargetPollOutcome::NobodyListens,
+        TargetPollOutcome::OtherIncarnation,
+    ] {
+        let (now_ms, actions) = (bench.now_ms, &mut bench.actions);
+        bench.host.poll_ended(now_ms, now_ms, failure, actions);
+        assert_eq!(bench.host.target_poll(now_ms, actions).acknowledged, 0);
+    }
+    bench.poll_target();
+    let (now_ms, actions) = (bench.now_ms, &mut bench.actions);
+    assert_eq!(bench.host.target_poll(now_ms, actions).acknowledged, 1);
+}
