Send stops from one place

Stops at the next incarnation of a target repeated what send_stop does; both now begin a stop in the same way.

--- a/components/hosting/src/host/crashes.rs
+++ b/components/hosting/src/host/crashes.rs
@@ -11,7 +11,6 @@
 use crate::action::TargetCall;
 use crate::incarnation::Incarnation;
 use crate::limits::SUSPECT_AGE_MS;
-use crate::repeats::Repeats;
 use crate::run::{Run, RunState};
 
 impl Host {
@@ -58,31 +57,12 @@
         end: RunEnd,
         actions: &mut Vec<TargetCall>,
     ) {
-        let seed = self.jitter_seed(task);
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
-        let Some(number) = run.number() else {
-            return;
-        };
-        let must_end_by_ms = match run.state {
-            RunState::Stopping { must_end_by_ms, .. } => must_end_by_ms,
-            _ => None,
-        };
         run.crash_end.get_or_insert(end);
-        run.repeats = Repeats::of_stop(seed);
-        run.state = RunState::Stopping {
-            number,
-            retry_at_ms: run.repeats.next_stop_ms(now_ms),
-            accepted_at_ms: None,
-            must_end_by_ms,
-        };
-        actions.push(TargetCall::Stop {
-            instance: None,
-            task,
-            number,
-            token: self.token,
-        });
+        let must_end_by_ms = run.must_end_by_ms();
+        self.begin_stop(now_ms, task, None, must_end_by_ms, actions);
     }
 
     /// Returns whether a run that may be at the next incarnation of the target has not been confirmed
--- a/components/hosting/src/host/ends.rs
+++ b/components/hosting/src/host/ends.rs
@@ -35,21 +35,36 @@
         task: TaskRef,
         must_end_by_ms: Option<u64>,
         actions: &mut Vec<TargetCall>,
+    ) {
+        let Some(run) = self.runs.get(&task) else {
+            return;
+        };
+        let is_stopping = matches!(run.state, RunState::Stopping { .. });
+        if is_stopping && must_end_by_ms.is_none() {
+            return;
+        }
+        let present_ms = run.must_end_by_ms();
+        let must_end_by_ms = present_ms.into_iter().chain(must_end_by_ms).min();
+        self.begin_stop(now_ms, task, self.instance(), must_end_by_ms, actions);
+    }
+
+    /// Sends a stop to the target with this instance name, or to the one that answers, and repeats it
+    /// until it has been accepted; does nothing if no start was sent.
+    pub(super) fn begin_stop(
+        &mut self,
+        now_ms: u64,
+        task: TaskRef,
+        instance: Option<Rc<str>>,
+        must_end_by_ms: Option<u64>,
+        actions: &mut Vec<TargetCall>,
     ) {
         let seed = self.jitter_seed(task);
-        let instance = self.instance();
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
         let Some(number) = run.number() else {
             return;
         };
-        let present_ms = match run.state {
-            RunState::Stopping { .. } if must_end_by_ms.is_none() => return,
-            RunState::Stopping { must_end_by_ms, .. } => must_end_by_ms,
-            _ => None,
-        };
-        let must_end_by_ms = present_ms.into_iter().chain(must_end_by_ms).min();
         run.repeats = Repeats::of_stop(seed);
         run.state = RunState::Stopping {
             number,
--- a/components/hosting/src/run.rs
+++ b/components/hosting/src/run.rs
@@ -141,6 +141,15 @@
         }
     }
 
+    /// Returns when the run must have ended, if it is being stopped because its task may then start
+    /// elsewhere, in milliseconds.
+    pub(crate) fn must_end_by_ms(&self) -> Option<u64> {
+        match self.state {
+            RunState::Stopping { must_end_by_ms, .. } => must_end_by_ms,
+            _ => None,
+        }
+    }
+
     /// Returns the sample of the target's speed that a part of the run yields, and counts its weight.
     ///
     /// `done_share` is the part of the run's work that was done in `elapsed_ms`.
