Doubt refused connections only where they may not be the target's host's word

Within one host the kernel refuses only if no process listens, so that the runs end at once again there. With `relayed_target`, or a target whose address is neither a loopback address nor the agent's own, they end with their lease. The tests of crashes are back in their earlier form; those of refusals use a relayed target.

--- a/components/config/src/settings/sidecar.rs
+++ b/components/config/src/settings/sidecar.rs
@@ -14,6 +14,7 @@
     Key::required("target_address", Kind::Address),
     Key::required("reports_address", Kind::Address),
     Key::required("peer_address", Kind::Address),
+    Key::optional("relayed_target", Kind::Boolean),
     Key::optional("advertised_peer_address", Kind::Address),
     Key::optional("metrics_address", Kind::Address),
     Key::required("store_address", Kind::Address),
@@ -33,6 +34,10 @@
     pub failure_domain: String,
     /// Address of the target on the same host.
     pub target_address: SocketAddr,
+    /// Whether something between the agent and the target may refuse connections in its place, such as a
+    /// relay or a packet filter; if absent, [`Self::may_refusals_be_foreign`] tells.
+    #[serde(default)]
+    pub relayed_target: Option<bool>,
     /// Address to which the target sends its reports.
     pub reports_address: SocketAddr,
     /// Address that entries connect to.
@@ -82,6 +87,15 @@
         load::differing_keys(KEYS, self, newer)
     }
 
+    /// Returns whether a refused connection may not be the word of the host that the target runs on: if
+    /// the target is relayed, or else if its address is neither a loopback address nor the agent's own.
+    #[must_use]
+    pub fn may_refusals_be_foreign(&self) -> bool {
+        let target = self.target_address.ip();
+        let is_local = target.is_loopback() || target == self.advertised_peer_address().ip();
+        self.relayed_target.unwrap_or(!is_local)
+    }
+
     /// Returns the address that entries connect to.
     #[must_use]
     pub fn advertised_peer_address(&self) -> SocketAddr {
--- a/components/config/tests/settings.rs
+++ b/components/config/tests/settings.rs
@@ -203,3 +203,35 @@
         assert_eq!((gateway_is_on, sidecar_is_on), (is_on, is_on), "{line}");
     }
 }
+
+// One refused connection ended all runs of a target that a relay stood before.
+#[test]
+fn refusals_are_taken_for_the_end_of_a_target_on_the_same_host_only() {
+    let settings = |target: &str, more: &str| {
+        let text = format!(
+            "name = 'host'\nfailure_domain = 'a'\ntarget_address = '{target}'\n\
+             reports_address = '10.0.0.1:2'\npeer_address = '10.0.0.1:3'\n\
+             store_address = '10.0.0.9:4'\n{more}"
+        );
+        SidecarSettings::from_toml("agent.toml", &text).expect("valid settings")
+    };
+    for (target, more, is_doubted) in [
+        ("127.0.0.1:1", "", false),
+        ("10.0.0.1:1", "", false),
+        ("10.0.0.2:1", "", true),
+        (
+            "10.0.0.2:1",
+            "advertised_peer_address = '10.0.0.2:3'",
+            false,
+        ),
+        ("127.0.0.1:1", "relayed_target = true", true),
+        ("10.0.0.2:1", "relayed_target = false", false),
+    ] {
+        let settings = settings(target, more);
+        assert_eq!(
+            settings.may_refusals_be_foreign(),
+            is_doubted,
+            "{target} {more}"
+        );
+    }
+}
--- a/components/hosting/src/host/mod.rs
+++ b/components/hosting/src/host/mod.rs
@@ -66,6 +66,8 @@
     /// Last report of the target that has answered under its name.
     target: Option<TargetReport>,
     is_target_gone: bool,
+    /// Whether the target may work on although connections to its address are refused.
+    are_refusals_doubted: bool,
     /// Whether the target has announced that it shuts down.
     has_target_left: bool,
     /// When the first call since the target's last answer broke off, in milliseconds.
@@ -124,6 +126,7 @@
             token_step: FIRST_TOKEN_STEP,
             target: None,
             is_target_gone: false,
+            are_refusals_doubted: false,
             has_target_left: false,
             first_broken_call_ms: None,
             closes_at_ms: None,
@@ -155,6 +158,15 @@
         }
     }
 
+    /// Sets whether something between the agent and the target may refuse connections in its place. Then
+    /// the runs end only when their lease has expired, and otherwise with the first refusal: the kernel
+    /// refuses connections of its own host only if no process listens.
+    #[must_use]
+    pub fn doubting_refusals(mut self, are_doubted: bool) -> Self {
+        self.are_refusals_doubted = are_doubted;
+        self
+    }
+
     /// Returns the fencing token in use.
     #[must_use]
     pub fn token(&self) -> u64 {
--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -82,10 +82,12 @@
                 self.apply_target_runs(now_ms, sent_at_ms, &target_runs, actions);
             }
             TargetPollOutcome::StaleToken => self.raise_token(),
-            // The target may still work on its runs, until their lease expires.
             TargetPollOutcome::NobodyListens => {
                 self.record_broken_call(now_ms);
                 self.is_target_gone = true;
+                if !self.are_refusals_doubted {
+                    self.end_all_with_target(now_ms);
+                }
                 self.reject_waiting(NotStartedReason::NoTarget);
             }
             // A poll that was sent before the present target was confirmed named an earlier one.
--- a/components/hosting/tests/host/crashes.rs
+++ b/components/hosting/tests/host/crashes.rs
@@ -37,7 +37,7 @@
     bench.end_poll(TargetPollOutcome::Inconclusive);
     // The agent learns later that the target is gone.
     bench.now_ms += 25;
-    bench.refuse_polls();
+    bench.end_poll(TargetPollOutcome::NobodyListens);
     assert_eq!(bench.end_of(1), Some(RunEnd::Crashed));
     assert_eq!(bench.end_of(2), Some(RunEnd::CausedCrash));
 }
@@ -46,7 +46,7 @@
 fn no_job_is_the_likely_cause_of_a_crash_if_several_had_just_started() {
     let mut bench = Bench::new();
     bench.start_two(0);
-    bench.refuse_polls();
+    bench.end_poll(TargetPollOutcome::NobodyListens);
     assert_eq!(bench.end_of(1), Some(RunEnd::CrashedAtStart));
     assert_eq!(bench.end_of(2), Some(RunEnd::CrashedAtStart));
 }
@@ -58,7 +58,7 @@
     bench.end_poll(TargetPollOutcome::Inconclusive);
     bench.poll_target();
     bench.advance(60);
-    bench.refuse_polls();
+    bench.end_poll(TargetPollOutcome::NobodyListens);
     assert_eq!(bench.end_of(1), Some(RunEnd::Crashed));
 }
 
@@ -75,7 +75,7 @@
                 ..report(BORN_UNIX_MS, 2)
             });
         }
-        bench.refuse_polls();
+        bench.end_poll(TargetPollOutcome::NobodyListens);
         assert_eq!(bench.end_of(1), Some(RunEnd::Lost));
     }
 }
@@ -84,7 +84,7 @@
 // them.
 #[test]
 fn a_refused_connection_ends_no_run_before_the_lease_has_expired() {
-    let mut bench = Bench::new();
+    let mut bench = Bench::with_relayed_target();
     bench.start_two(0);
     bench.advance(20);
     let granted_ms = bench.now_ms;
@@ -100,12 +100,12 @@
     bench.now_ms += 50;
     bench.request_update(ENTRY);
     bench.end_poll(TargetPollOutcome::NobodyListens);
-    assert!(bench.end_of(1).is_some());
+    assert_eq!(bench.end_of(1), Some(RunEnd::CrashedAtStart));
 }
 
 #[test]
 fn a_run_that_ends_while_connections_are_refused_is_done() {
-    let mut bench = Bench::new();
+    let mut bench = Bench::with_relayed_target();
     bench.start([1]);
     bench.execute_starts();
     bench.advance(20);
--- a/components/hosting/tests/host/harness.rs
+++ b/components/hosting/tests/host/harness.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use hosting::{
-    EndedRun, Host, LEASE_MS, ReportOutcome, RunningRun, StartOutcome, TargetCall, TargetEnd,
-    TargetIdentity, TargetPollOutcome, TargetReport, TargetRuns,
+    EndedRun, Host, ReportOutcome, RunningRun, StartOutcome, TargetCall, TargetEnd, TargetIdentity,
+    TargetPollOutcome, TargetReport, TargetRuns,
 };
 use model::{
     HostUpdate, HostUpdateRequest, JobId, KindKey, Orders, ProcessKey, Resources, RunEvent, RunId,
@@ -87,11 +87,21 @@
 impl Bench {
     /// Creates a host whose target has reported and answered a poll.
     pub fn new() -> Self {
+        Self::without_target().with_target()
+    }
+
+    /// Creates such a host whose target is behind a relay.
+    pub fn with_relayed_target() -> Self {
         let mut bench = Self::without_target();
-        bench.report(report(BORN_UNIX_MS, 1));
-        bench.poll_target();
-        bench.request_update(ENTRY);
-        bench
+        bench.host = Host::new(AGENT, 5).doubting_refusals(true);
+        bench.with_target()
+    }
+
+    fn with_target(mut self) -> Self {
+        self.report(report(BORN_UNIX_MS, 1));
+        self.poll_target();
+        self.request_update(ENTRY);
+        self
     }
 
     /// Creates a host whose target has neither reported nor answered a poll.
@@ -265,20 +275,6 @@
         stops
     }
 
-    /// Advances the time until the lease has expired, while nobody listens at the target's address and
-    /// the entry sends update requests.
-    pub fn refuse_polls(&mut self) {
-        let until_ms = self.now_ms + 2 * LEASE_MS;
-        while self.now_ms < until_ms {
-            let (now_ms, actions) = (self.now_ms, &mut self.actions);
-            self.host.target_poll(now_ms, actions);
-            let refused = TargetPollOutcome::NobodyListens;
-            self.host.poll_ended(now_ms, now_ms, refused, actions);
-            self.now_ms += 50;
-            self.request_update(ENTRY);
-        }
-    }
-
     /// Advances the time while the entry sends update requests and the target answers polls.
     pub fn advance(&mut self, ms: u64) {
         let until_ms = self.now_ms + ms;
--- a/components/hosting/tests/host/retries.rs
+++ b/components/hosting/tests/host/retries.rs
@@ -203,7 +203,7 @@
                 bench.advance(200);
                 assert!(!is_not_started(bench.outcome(1)), "{first:?}, {last:?}");
             }
-            bench.refuse_polls();
+            end_poll(&mut bench, TargetPollOutcome::NobodyListens);
             let lost = bench.outcome(1);
             let expected = match last {
                 StartOutcome::Refused(StartRefusal::OtherIncarnation) => RunEnd::Lost,
--- a/components/sidecar/src/process.rs
+++ b/components/sidecar/src/process.rs
@@ -81,7 +81,8 @@
             // back; the target then refuses the token, and the agent raises it.
             host: RefCell::new(
                 Host::new(key, unix_ms())
-                    .separating_interfering_tasks(settings.separate_interfering_tasks),
+                    .separating_interfering_tasks(settings.separate_interfering_tasks)
+                    .doubting_refusals(settings.may_refusals_be_foreign()),
             ),
             target: Client::new(settings.target_address, MAX_TARGET_CONNECTIONS),
             store: StoreClient::new(settings.store_address, STORE_TIMEOUT_MS),
--- a/tests/platform_incarnations.rs
+++ b/tests/platform_incarnations.rs
@@ -6,7 +6,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use platform_standins::{
     CONFIGURATION_KEY, SharedLedger, StoreServer, TargetServer, TargetSettings, configuration, job,
@@ -25,6 +25,9 @@
 /// Tasks of the job, more than one target has room for.
 const TASKS: u32 = 12;
 
+/// Tasks that take all room of both targets.
+const ALL_ROOM: u32 = 16;
+
 /// Forwards connections to a target. While it is cut, new connections are refused and open ones are
 /// reset, as by a packet filter; the target itself goes on.
 #[derive(Clone)]
@@ -130,7 +133,8 @@
         let mut agents = Vec::new();
         for (host, target) in [(0, relay.address), (1, targets[1].address())] {
             let (folder, store) = (folders[host].path(), store.address());
-            write_agent_settings(folder, store, target, reports[host], "info", "");
+            let more = "relayed_target = true\n";
+            write_agent_settings(folder, store, target, reports[host], "info", more);
             let settings = folder.join("agent.toml");
             let text = std::fs::read_to_string(&settings).expect("the file is read");
             let text = text.replacen("\"host\"", &format!("\"host-{host}\""), 1);
@@ -150,9 +154,10 @@
         let mut number = 0;
         wait_until("both hosts are in use", async || {
             number += 1;
-            let id = format!("{number:016x}");
-            let status = hosts.entry.status_of(&id, &job(TASKS, 1)).await;
-            status == Some(200)
+            let (id, sent) = (format!("{number:016x}"), Instant::now());
+            let status = hosts.entry.status_of(&id, &job(ALL_ROOM, TASK_MS)).await;
+            // One target alone would take twice the time of a task.
+            status == Some(200) && sent.elapsed() < Duration::from_millis(TASK_MS * 3 / 2)
         })
         .await;
         hosts
