Tell the state of an answered job only under its own queue

GET of a job looked among recent answers by id alone, so that a caller of one queue could read the state of another queue's job with the same id. Answers are kept with their queue, and job_state compares it.

A line in the test of cancelled jobs asserts it; it fails without the comparison (Some(Cancelled) for None).

--- a/components/scheduling/src/scheduler/answers.rs
+++ b/components/scheduling/src/scheduler/answers.rs
@@ -69,7 +69,7 @@
     /// Returns the state of a job of a queue that is in progress or has recently been answered.
     #[must_use]
     pub fn job_state(&self, queue: &str, id: JobId) -> Option<JobState> {
-        match self.answers.get(id) {
+        match self.answers.get_of(queue, id) {
             Some(Verdict::Completed) => return Some(JobState::Completed),
             Some(Verdict::Failed) => return Some(JobState::Failed),
             Some(Verdict::Cancelled) => return Some(JobState::Cancelled),
@@ -147,7 +147,8 @@
         let Some(job) = self.remove_job(slot, actions) else {
             return;
         };
-        self.answers.insert(now_ms, job.id(), verdict);
+        let queue = &job.request.queue.name;
+        self.answers.insert(now_ms, queue, job.id(), verdict);
         if verdict == Verdict::Completed {
             let outcome = forecasts::job_outcome(now_ms, &job);
             actions.push(SchedulerAction::RecordForecast(outcome));
--- a/components/scheduling/tests/scheduler/jobs.rs
+++ b/components/scheduling/tests/scheduler/jobs.rs
@@ -547,6 +547,8 @@
     assert_eq!(bench.orders(0).expect("stops").stops, runs);
     let state = bench.scheduler.job_state("queue", id(1));
     assert_eq!(state, Some(JobState::Cancelled));
+    // The state of a job is not told to callers of another queue.
+    assert_eq!(bench.scheduler.job_state("another queue", id(1)), None);
     assert_eq!(
         bench.submit(job(1, 2)),
         SubmitOutcome::AlreadyAnswered(Verdict::Cancelled)
