--- /dev/null
+++ b/review/standins-2/src/record.rs
@@ -0,0 +1,107 @@
+//! The record of a case: what was sent, answered and run, and whether two runs of a task overlapped.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::Instant;
+
+/// A run of a task that is in progress.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Place {
+    executor: String,
+    run: u64,
+}
+
+#[derive(Default)]
+struct Inner {
+    lines: Vec<String>,
+    running: BTreeMap<String, Vec<Place>>,
+    /// Task, executor of the first run, executor of the second, when the second began.
+    overlaps: Vec<(String, String, String, u64)>,
+    /// Start of each run: time, task, executor.
+    starts: Vec<(u64, String, String)>,
+    /// End of each run: time, task, executor, how.
+    ends: Vec<(u64, String, String, String)>,
+}
+
+pub struct Record {
+    begin: Instant,
+    inner: Mutex<Inner>,
+}
+
+impl Record {
+    pub fn new() -> Self {
+        Self {
+            begin: Instant::now(),
+            inner: Mutex::default(),
+        }
+    }
+
+    pub fn now_ms(&self) -> u64 {
+        self.begin.elapsed().as_millis() as u64
+    }
+
+    pub fn line(&self, text: impl AsRef<str>) {
+        let now_ms = self.now_ms();
+        let line = format!("{:>7.3} s  {}", now_ms as f64 / 1_000.0, text.as_ref());
+        self.inner.lock().unwrap().lines.push(line);
+    }
+
+    pub fn run_began(&self, task: &str, run: u64, executor: &str) {
+        self.line(format!("{executor} runs {task} run {run}"));
+        let now_ms = self.now_ms();
+        let mut inner = self.inner.lock().unwrap();
+        inner.starts.push((now_ms, task.to_owned(), executor.to_owned()));
+        let places = inner.running.entry(task.to_owned()).or_default();
+        let place = Place {
+            executor: executor.to_owned(),
+            run,
+        };
+        let others = places.clone();
+        places.push(place);
+        for other in others {
+            let overlap = (task.to_owned(), other.executor, executor.to_owned(), now_ms);
+            inner.overlaps.push(overlap);
+        }
+    }
+
+    pub fn run_ended(&self, task: &str, run: u64, executor: &str, how: &str) {
+        self.line(format!("{executor} ended {task} run {run}: {how}"));
+        let now_ms = self.now_ms();
+        let mut inner = self.inner.lock().unwrap();
+        let (task_name, executor_name) = (task.to_owned(), executor.to_owned());
+        inner.ends.push((now_ms, task_name, executor_name, how.to_owned()));
+        if let Some(places) = inner.running.get_mut(task) {
+            let at = places
+                .iter()
+                .position(|place| place.executor == executor && place.run == run);
+            if let Some(at) = at {
+                places.remove(at);
+            }
+        }
+    }
+
+    /// Returns the overlaps of two runs of one task.
+    pub fn overlaps(&self) -> Vec<(String, String, String, u64)> {
+        self.inner.lock().unwrap().overlaps.clone()
+    }
+
+    /// Returns the starts of tasks whose names begin with this.
+    pub fn starts_of(&self, prefix: &str) -> Vec<(u64, String, String)> {
+        let inner = self.inner.lock().unwrap();
+        let starts = inner.starts.iter().filter(|(_, task, _)| task.starts_with(prefix));
+        starts.cloned().collect()
+    }
+
+    /// Returns the ends of tasks whose names begin with this.
+    pub fn ends_of(&self, prefix: &str) -> Vec<(u64, String, String, String)> {
+        let inner = self.inner.lock().unwrap();
+        let ends = inner.ends.iter().filter(|(_, task, ..)| task.starts_with(prefix));
+        ends.cloned().collect()
+    }
+
+    pub fn write(&self, path: &str) -> std::io::Result<()> {
+        let mut text = self.inner.lock().unwrap().lines.join("\n");
+        text.push('\n');
+        std::fs::write(path, text)
+    }
+}
