--- a/review/standins-2/src/cases/cancel_elsewhere.rs
+++ b/review/standins-2/src/cases/cancel_elsewhere.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
-use super::{Outcome, Verdict};
+use super::{Outcome, Verdict, verdict_on_cancelled};
 use crate::executor::Lateness;
 use crate::http::Relay;
 use crate::rig::{self, QUEUE, RESEND_INTERVAL_MS, Rig};
@@ -19,9 +19,6 @@
 
 const DEADLINE_MS: u64 = 15_000;
 
-/// Time from the acknowledgement of a cancellation after which nothing of the job starts, `cancel_ms`.
-const CANCEL_MS: u64 = 3_000;
-
 pub fn run(has_trouble: bool) -> Outcome {
     let lateness: Lateness = Arc::new(|_| None);
     let services = [QUEUE.service; 3];
@@ -57,21 +54,9 @@
         let is_acknowledged = response.status() / 100 == 2 || response.status() == 410;
         io::Result::Ok(is_acknowledged.then(|| record.now_ms()))
     })?;
-    let Some(acknowledged_ms) = acknowledged_ms else {
-        let verdict = Verdict::NotRun("the cancellation was not acknowledged".to_owned());
-        return Ok((Arc::clone(&rig.record), verdict));
-    };
-    let starts = record.starts_of(ID);
-    let is_late = |at_ms: u64| at_ms > acknowledged_ms + CANCEL_MS;
-    let late: Vec<_> = starts.iter().filter(|(at_ms, ..)| is_late(*at_ms)).collect();
-    let verdict = match late.first() {
-        None if starts.is_empty() => Verdict::NotRun("nothing of the job started".to_owned()),
-        None => Verdict::Held,
-        Some((at_ms, task, executor)) => Verdict::Broken(format!(
-            "UNASKED: {} tasks of the job began later than {CANCEL_MS} ms after its cancellation was \
-             acknowledged at {acknowledged_ms} ms, the first, {task}, at {executor} at {at_ms} ms",
-            late.len()
-        )),
+    let verdict = match acknowledged_ms {
+        None => Verdict::NotRun("the cancellation was not acknowledged".to_owned()),
+        Some(acknowledged_ms) => verdict_on_cancelled(record, ID, acknowledged_ms),
     };
     Ok((Arc::clone(&rig.record), verdict))
 }
--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -1,8 +1,8 @@
 //! The cases.
 
 mod cancel_elsewhere;
+mod copy_after_cancel;
 mod late_start;
-mod same_id;
 mod unanswered_stop;
 
 use std::io;
@@ -10,6 +10,9 @@
 
 use crate::record::Record;
 
+/// Time from the acknowledgement of a cancellation after which nothing of the job starts, `cancel_ms`.
+const CANCEL_MS: u64 = 3_000;
+
 pub enum Verdict {
     Held,
     Broken(String),
@@ -23,7 +26,7 @@
         "late-start" => late_start::run(has_trouble),
         "unanswered-stop" => unanswered_stop::run(has_trouble),
         "cancel-elsewhere" => cancel_elsewhere::run(has_trouble),
-        "same-id" => same_id::run(has_trouble),
+        "copy-after-cancel" => copy_after_cancel::run(has_trouble),
         _ => Err(io::Error::other(format!("no case `{name}`"))),
     }
 }
@@ -39,3 +42,19 @@
         )),
     }
 }
+
+/// Returns the verdict on a job whose cancellation was acknowledged at this time.
+fn verdict_on_cancelled(record: &Record, id: &str, acknowledged_ms: u64) -> Verdict {
+    let starts = record.starts_of(id);
+    let is_late = |at_ms: u64| at_ms > acknowledged_ms + CANCEL_MS;
+    let late: Vec<_> = starts.iter().filter(|(at_ms, ..)| is_late(*at_ms)).collect();
+    match late.first() {
+        None if starts.is_empty() => Verdict::NotRun("nothing of the job started".to_owned()),
+        None => Verdict::Held,
+        Some((at_ms, task, executor)) => Verdict::Broken(format!(
+            "UNASKED: {} tasks of the job began later than {CANCEL_MS} ms after its cancellation was \
+             acknowledged at {acknowledged_ms} ms, the first, {task}, at {executor} at {at_ms} ms",
+            late.len()
+        )),
+    }
+}
--- a/review/standins-2/src/record.rs
+++ b/review/standins-2/src/record.rs
@@ -19,8 +19,6 @@
     overlaps: Vec<(String, String, String, u64)>,
     /// Start of each run: time, task, executor.
     starts: Vec<(u64, String, String)>,
-    /// End of each run: time, task, executor, how.
-    ends: Vec<(u64, String, String, String)>,
 }
 
 pub struct Record {
@@ -66,10 +64,7 @@
 
     pub fn run_ended(&self, task: &str, run: u64, executor: &str, how: &str) {
         self.line(format!("{executor} ended {task} run {run}: {how}"));
-        let now_ms = self.now_ms();
         let mut inner = self.inner.lock().unwrap();
-        let (task_name, executor_name) = (task.to_owned(), executor.to_owned());
-        inner.ends.push((now_ms, task_name, executor_name, how.to_owned()));
         if let Some(places) = inner.running.get_mut(task) {
             let at = places
                 .iter()
@@ -92,13 +87,6 @@
         starts.cloned().collect()
     }
 
-    /// Returns the ends of tasks whose names begin with this.
-    pub fn ends_of(&self, prefix: &str) -> Vec<(u64, String, String, String)> {
-        let inner = self.inner.lock().unwrap();
-        let ends = inner.ends.iter().filter(|(_, task, ..)| task.starts_with(prefix));
-        ends.cloned().collect()
-    }
-
     pub fn write(&self, path: &str) -> std::io::Result<()> {
         let mut text = self.inner.lock().unwrap().lines.join("\n");
         text.push('\n');
--- a/review/standins-2/src/rig.rs
+++ b/review/standins-2/src/rig.rs
@@ -32,12 +32,6 @@
     service: "huvo11a",
 };
 
-pub const OTHER_QUEUE: Queue = Queue {
-    host: "ficu95.example",
-    prefix: "/pufi791/",
-    service: "dele69a",
-};
-
 /// Ids of the processes that were started and have not ended.
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
