--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod cancel_elsewhere;
 mod copy_after_cancel;
 mod late_start;
+mod other_kind;
 mod unanswered_stop;
 
 use std::io;
@@ -26,6 +27,7 @@
         "late-start" => late_start::run(has_trouble),
         "unanswered-stop" => unanswered_stop::run(has_trouble),
         "cancel-elsewhere" => cancel_elsewhere::run(has_trouble),
+        "other-kind" => other_kind::run(has_trouble),
         "copy-after-cancel" => copy_after_cancel::run(has_trouble),
         _ => Err(io::Error::other(format!("no case `{name}`"))),
     }
@@ -47,14 +49,17 @@
 fn verdict_on_cancelled(record: &Record, id: &str, acknowledged_ms: u64) -> Verdict {
     let starts = record.starts_of(id);
     let is_late = |at_ms: u64| at_ms > acknowledged_ms + CANCEL_MS;
-    let late: Vec<_> = starts.iter().filter(|(at_ms, ..)| is_late(*at_ms)).collect();
+    let late: Vec<_> = starts.iter().filter(|start| is_late(start.at_ms)).collect();
     match late.first() {
         None if starts.is_empty() => Verdict::NotRun("nothing of the job started".to_owned()),
         None => Verdict::Held,
-        Some((at_ms, task, executor)) => Verdict::Broken(format!(
+        Some(first) => Verdict::Broken(format!(
             "UNASKED: {} tasks of the job began later than {CANCEL_MS} ms after its cancellation was \
-             acknowledged at {acknowledged_ms} ms, the first, {task}, at {executor} at {at_ms} ms",
-            late.len()
+             acknowledged at {acknowledged_ms} ms, the first, {}, at {} at {} ms",
+            late.len(),
+            first.task,
+            first.executor,
+            first.at_ms
         )),
     }
 }
--- a/review/standins-2/src/executor.rs
+++ b/review/standins-2/src/executor.rs
@@ -31,6 +31,8 @@
     /// Address of the agent for heartbeats.
     pub reports: SocketAddr,
     pub cpu: u64,
+    /// Kind at first, one of its labels.
+    pub kind: &'static str,
 }
 
 struct Run {
@@ -45,6 +47,8 @@
 /// One life of the executor.
 struct Life {
     born: u64,
+    /// Kind of the executor, one of its labels.
+    kind: &'static str,
     begin: Instant,
     token: u64,
     lease_end_ms: u64,
@@ -57,10 +61,11 @@
 }
 
 impl Life {
-    fn new() -> Self {
+    fn new(kind: &'static str) -> Self {
         let born = SystemTime::now().duration_since(UNIX_EPOCH);
         Self {
             born: born.map_or(1, |born| born.as_millis() as u64),
+            kind,
             begin: Instant::now(),
             token: 0,
             lease_end_ms: 0,
@@ -129,7 +134,7 @@
 
     /// Begins a life under the same id.
     pub fn start(&self) -> std::io::Result<()> {
-        *self.life.0.lock().unwrap() = Some(Life::new());
+        *self.life.0.lock().unwrap() = Some(Life::new(self.settings.kind));
         let serving = self.clone();
         let handler = Arc::new(move |request: &Message| serving.receive(request));
         let server = Server::start(self.settings.address, handler)?;
@@ -152,6 +157,28 @@
         self.life.1.notify_all();
     }
 
+    /// Loses power: all that runs ends, and calls get no answer.
+    pub fn go_dark(&self) {
+        let mut guard = self.life.0.lock().unwrap();
+        self.record.line(format!("{} goes dark", self.id()));
+        for (task, run) in guard.take().into_iter().flat_map(|life| life.runs) {
+            self.record.run_ended(&task, run.number, self.id(), "crashed");
+        }
+        drop(guard);
+        self.life.1.notify_all();
+    }
+
+    /// Begins a life of this kind under the same id and at the same address, after [`Self::go_dark`].
+    pub fn come_back(&self, kind: &'static str) {
+        // What was sent meanwhile is lost, and connections of before are reset.
+        if let Some(server) = &*self.server.lock().unwrap() {
+            server.reset_connections();
+        }
+        let mut guard = self.life.0.lock().unwrap();
+        self.record.line(format!("{} is back as kind {kind}", self.id()));
+        *guard = Some(Life::new(kind));
+    }
+
     fn report(&self) {
         loop {
             let body = self.life.0.lock().unwrap().as_mut().map(|life| {
@@ -172,7 +199,7 @@
                             ("gpu", 0.into()),
                         ]),
                     ),
-                    ("labels", Json::List(vec!["a".into(), "r1-1".into()])),
+                    ("labels", Json::List(vec![life.kind.into(), "r1-1".into()])),
                     ("clockMs", life.clock_ms().into()),
                     ("sequence", life.sequence.into()),
                     ("born", life.born.into()),
@@ -371,7 +398,7 @@
             stops_at_ms: None,
         };
         life.runs.insert(task.clone(), run);
-        self.record.run_began(&task, number, self.id());
+        self.record.run_began(&task, number, self.id(), life.kind);
         Reply::Answer(200, clock(life).to_string())
     }
 }
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -145,12 +145,16 @@
         Ok(server)
     }
 
-    /// Closes the port and all connections, as when the process ends.
-    pub fn close(&self) {
-        self.is_up.store(false, Ordering::SeqCst);
+    pub fn reset_connections(&self) {
         for stream in self.streams.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
+    }
+
+    /// Closes the port and all connections, as when the process ends.
+    pub fn close(&self) {
+        self.is_up.store(false, Ordering::SeqCst);
+        self.reset_connections();
         // The accepting thread drops the listener.
         thread::sleep(Duration::from_millis(5));
     }
--- a/review/standins-2/src/record.rs
+++ b/review/standins-2/src/record.rs
@@ -11,14 +11,23 @@
     run: u64,
 }
 
+/// A run that has begun.
+#[derive(Debug, Clone)]
+pub struct Start {
+    pub at_ms: u64,
+    pub task: String,
+    pub executor: String,
+    /// Kind of the executor, one of its labels.
+    pub kind: String,
+}
+
 #[derive(Default)]
 struct Inner {
     lines: Vec<String>,
     running: BTreeMap<String, Vec<Place>>,
     /// Task, executor of the first run, executor of the second, when the second began.
     overlaps: Vec<(String, String, String, u64)>,
-    /// Start of each run: time, task, executor.
-    starts: Vec<(u64, String, String)>,
+    starts: Vec<Start>,
 }
 
 pub struct Record {
@@ -44,11 +53,16 @@
         self.inner.lock().unwrap().lines.push(line);
     }
 
-    pub fn run_began(&self, task: &str, run: u64, executor: &str) {
-        self.line(format!("{executor} runs {task} run {run}"));
+    pub fn run_began(&self, task: &str, run: u64, executor: &str, kind: &str) {
+        self.line(format!("{executor} of kind {kind} runs {task} run {run}"));
         let now_ms = self.now_ms();
         let mut inner = self.inner.lock().unwrap();
-        inner.starts.push((now_ms, task.to_owned(), executor.to_owned()));
+        inner.starts.push(Start {
+            at_ms: now_ms,
+            task: task.to_owned(),
+            executor: executor.to_owned(),
+            kind: kind.to_owned(),
+        });
         let places = inner.running.entry(task.to_owned()).or_default();
         let place = Place {
             executor: executor.to_owned(),
@@ -81,9 +95,9 @@
     }
 
     /// Returns the starts of tasks whose names begin with this.
-    pub fn starts_of(&self, prefix: &str) -> Vec<(u64, String, String)> {
+    pub fn starts_of(&self, prefix: &str) -> Vec<Start> {
         let inner = self.inner.lock().unwrap();
-        let starts = inner.starts.iter().filter(|(_, task, _)| task.starts_with(prefix));
+        let starts = inner.starts.iter().filter(|start| start.task.starts_with(prefix));
         starts.cloned().collect()
     }
 
--- a/review/standins-2/src/rig.rs
+++ b/review/standins-2/src/rig.rs
@@ -201,6 +201,7 @@
                 address: target,
                 reports,
                 cpu: 8_000,
+                kind: if number % 2 == 0 { "a" } else { "b" },
             };
             let executor =
                 Executor::new(number, settings, Arc::clone(&record), Arc::clone(&lateness));
@@ -244,6 +245,17 @@
 
 /// Returns a job of a chain of steps, each with `count` tasks that work for `work_ms`.
 pub fn job(work_ms: u64, estimate_ms: u64, steps: usize, count: u64) -> String {
+    job_for_kind("", work_ms, estimate_ms, steps, count)
+}
+
+/// Returns a job as [`job`] does whose tasks require a label, if that isn't empty.
+pub fn job_for_kind(
+    kind: &str,
+    work_ms: u64,
+    estimate_ms: u64,
+    steps: usize,
+    count: u64,
+) -> String {
     let step = |number: usize| {
         let mut after = Vec::new();
         if number > 0 {
@@ -254,6 +266,7 @@
             ("cpu", 1_000.into()),
             ("memoryRequestMb", 64.into()),
             ("estimatedMs", estimate_ms.into()),
+            ("requirements", kind.into()),
             ("after", Json::List(after)),
         ])
     };
