--- a/review/standins-2/src/cases/other_kind.rs
+++ b/review/standins-2/src/cases/other_kind.rs
@@ -14,13 +14,13 @@
 
 const KINDS: [&str; 2] = ["a", "b"];
 
-const CRASHES: usize = 10;
+const CRASHES: usize = 20;
 
 const DARK: Duration = Duration::from_millis(400);
 
-const PAUSE: Duration = Duration::from_millis(2_600);
+const PAUSE: Duration = Duration::from_millis(2_400);
 
-const JOB_INTERVAL: Duration = Duration::from_millis(40);
+const JOB_INTERVAL: Duration = Duration::from_millis(25);
 
 pub fn run(has_trouble: bool) -> Outcome {
     let lateness: Lateness = Arc::new(|_| None);
