--- a/review/standins-2/src/cases/other_kind.rs
+++ b/review/standins-2/src/cases/other_kind.rs
@@ -14,13 +14,13 @@
 
 const KINDS: [&str; 2] = ["a", "b"];
 
-const CRASHES: usize = 20;
+const CRASHES: usize = 45;
 
 const DARK: Duration = Duration::from_millis(400);
 
-const PAUSE: Duration = Duration::from_millis(2_400);
+const PAUSE: Duration = Duration::from_millis(1_100);
 
-const JOB_INTERVAL: Duration = Duration::from_millis(25);
+const JOB_INTERVAL: Duration = Duration::from_millis(20);
 
 pub fn run(has_trouble: bool) -> Outcome {
     let lateness: Lateness = Arc::new(|_| None);
