End withdrawn runs before their caller sends the job again

Cause: a run that its entry withdraws was stopped without a time by which it had to end. While the stops were unanswered, the polls went on renewing the lease, and the caller's next copy, 1,300 ms after the answer, was started at another target.

Ruled out: stops that are carried out late and end another run (two targets); an answer that comes too early (it is final, the time has to come from the agent).

The host is closed meanwhile. A stop that was accepted is repeated after 50 ms.

Tests: four of the five new ones in tests/host/stops.rs failed before. The test of five stops after the loss of authority reaches a stopping run without a time to end through a start that was given up, since a withdrawn one has a time now; its bound and steps are the same.

--- a/components/hosting/src/host/ends.rs
+++ b/components/hosting/src/host/ends.rs
@@ -6,6 +6,7 @@
 
 use super::Host;
 use crate::action::TargetCall;
+use crate::limits::STOP_MS;
 use crate::repeats::Repeats;
 use crate::run::RunState;
 
@@ -19,11 +20,13 @@
         if let RunState::Stopping {
             number,
             accepted_at_ms,
+            retry_at_ms,
             ..
         } = &mut run.state
             && *number == accepted_number
         {
             accepted_at_ms.get_or_insert(now_ms);
+            *retry_at_ms = (*retry_at_ms).max(now_ms + STOP_MS);
         }
     }
 
@@ -68,7 +71,7 @@
         run.repeats = Repeats::of_stop(seed);
         run.state = RunState::Stopping {
             number,
-            retry_at_ms: run.repeats.next_stop_ms(now_ms),
+            retry_at_ms: run.repeats.next_stop_ms(now_ms, must_end_by_ms),
             accepted_at_ms: None,
             must_end_by_ms,
         };
@@ -102,11 +105,12 @@
             if let RunState::Stopping {
                 number,
                 retry_at_ms,
+                must_end_by_ms,
                 ..
             } = &mut run.state
                 && *retry_at_ms <= now_ms
             {
-                *retry_at_ms = run.repeats.next_stop_ms(now_ms);
+                *retry_at_ms = run.repeats.next_stop_ms(now_ms, *must_end_by_ms);
                 actions.push(TargetCall::Stop {
                     instance: instance.clone(),
                     task: run.id.task,
--- a/components/hosting/src/host/mod.rs
+++ b/components/hosting/src/host/mod.rs
@@ -370,6 +370,7 @@
         let has_single_slot = self.health.is_on_probation();
         self.usable_target(now_ms)
             .is_some_and(|target| !target.is_draining)
+            && !self.has_overdue_run(now_ms)
             && !self.is_closed(now_ms)
             && !self.is_evacuated
             && (!has_single_slot || self.runs.is_empty())
--- a/components/hosting/src/host/orders.rs
+++ b/components/hosting/src/host/orders.rs
@@ -7,7 +7,7 @@
 
 use super::Host;
 use crate::action::TargetCall;
-use crate::limits::{MAX_RUNS, STOP_CONFIRM_MS, STOP_RETRY_MS};
+use crate::limits::{MAX_RUNS, STOP_CONFIRM_MS, URGENT_STOP_RETRY_MS, WITHDRAWAL_CONFIRM_MS};
 use crate::repeats::Repeats;
 use crate::run::{Run, RunState};
 use crate::session::Session;
@@ -128,7 +128,8 @@
         }
     }
 
-    /// Ends a run that its entry withdraws.
+    /// Ends a run that its entry withdraws. The entry may have answered the caller, who sends the job
+    /// again, so that the run must end within [`WITHDRAWAL_CONFIRM_MS`].
     pub(super) fn withdraw(&mut self, now_ms: u64, id: RunId, actions: &mut Vec<TargetCall>) {
         let Some(run) = self.runs.get(&id.task) else {
             return;
@@ -137,7 +138,8 @@
             return;
         }
         if run.occupies_resources() {
-            self.send_stop(now_ms, id.task, None, actions);
+            let must_end_by_ms = now_ms + WITHDRAWAL_CONFIRM_MS;
+            self.send_stop(now_ms, id.task, Some(must_end_by_ms), actions);
         } else {
             self.reject(id.task, NotStartedReason::Withdrawn);
         }
@@ -172,7 +174,7 @@
                     ..
                 } => {
                     *by_ms = Some(must_end_by_ms);
-                    *retry_at_ms = (*retry_at_ms).min(now_ms + STOP_RETRY_MS);
+                    *retry_at_ms = (*retry_at_ms).min(now_ms + URGENT_STOP_RETRY_MS);
                     // The stop may have been repeated so often that its pauses have grown.
                     run.repeats = Repeats::of_stop(seed);
                 }
--- a/components/hosting/src/lib.rs
+++ b/components/hosting/src/lib.rs
@@ -26,7 +26,7 @@
 pub use lease::TargetPoll;
 pub use limits::{
     LEASE_MS, MAX_PARALLEL_POLLS, PERMIT_TTL_MS, RECONNECT_GRACE_MS, STOP_CONFIRM_MS,
-    TARGET_CALL_TIMEOUT_MS,
+    TARGET_CALL_TIMEOUT_MS, WITHDRAWAL_CONFIRM_MS,
 };
 pub use target::{
     EndedRun, RunningRun, StartOutcome, StartRefusal, TargetEnd, TargetPollOutcome, TargetReport,
--- a/components/hosting/src/limits.rs
+++ b/components/hosting/src/limits.rs
@@ -47,18 +47,29 @@
 /// for a task to begin its work, and so short that few runs start in it on a busy host.
 pub(crate) const SUSPECT_AGE_MS: u64 = 30;
 
-/// How long the runs of an entry may take to end after it lost its authority, in milliseconds:
-/// five stops, sent every 50 ms. After that the lease of the whole target is not renewed.
+/// How long the runs of an entry may take to end after it lost its authority, in milliseconds. After
+/// that the lease of the whole target is not renewed.
 pub const STOP_CONFIRM_MS: u64 = 250;
 
-/// Pause before each of the first [`STEADY_STOPS`] repeats of a stop, in milliseconds; a stop takes
-/// up to 50 ms.
+/// How long a run that its entry withdraws may take to end, in milliseconds. After that the lease of the
+/// whole target is not renewed, and has expired before the caller of the run can send the job again
+/// ([`model::CALLER_RETRY_MS`]).
+pub const WITHDRAWAL_CONFIRM_MS: u64 = 450;
+
+/// Pause before a stop is repeated while its run has a time to end that has not passed, in milliseconds:
+/// by then the call has failed or been answered.
+pub(crate) const URGENT_STOP_RETRY_MS: u64 = TARGET_CALL_TIMEOUT_MS;
+
+/// Pause before each of the first [`STEADY_STOPS`] repeats of any other stop, in milliseconds; a stop
+/// takes up to 50 ms.
 pub(crate) const STOP_RETRY_MS: u64 = 50;
 
-/// Number of repeats of a stop after which its pauses grow: those within [`STOP_CONFIRM_MS`]. After
-/// that the lease ends a run that should not be there.
+/// Number of repeats of a stop after which its pauses grow.
 pub(crate) const STEADY_STOPS: u32 = 5;
 
+/// Time that a target takes to end a run after it has accepted the stop, in milliseconds.
+pub(crate) const STOP_MS: u64 = 50;
+
 /// Longest pause before a stop is repeated, in milliseconds.
 pub(crate) const MAX_STOP_PAUSE_MS: u64 = 200;
 
--- a/components/hosting/src/run.rs
+++ b/components/hosting/src/run.rs
@@ -6,6 +6,7 @@
 use model::{KindKey, ProcessKey, Resources, RunEnd, RunId};
 use run_times::SpeedSample;
 
+use crate::limits::STOP_MS;
 use crate::repeats::Repeats;
 
 /// Progress from which on the end of a run is extrapolated from it; declared run times are off by
@@ -16,9 +17,6 @@
 /// exceeds its expected time is likely to exceed it by far.
 const OVERDUE_DIVISOR: u64 = 8;
 
-/// Time that a stop takes at the target, in milliseconds.
-const STOP_MS: u64 = 50;
-
 /// State of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunState {
--- a/components/hosting/tests/host/stops.rs
+++ b/components/hosting/tests/host/stops.rs
@@ -1,6 +1,10 @@
 //! Runs that must have ended by a given time: their stops, and the lease if they do not end.
 
-use hosting::{PERMIT_TTL_MS, STOP_CONFIRM_MS, StartOutcome, TargetCall};
+use hosting::{
+    LEASE_MS, PERMIT_TTL_MS, STOP_CONFIRM_MS, StartOutcome, StartRefusal, TargetCall,
+    WITHDRAWAL_CONFIRM_MS,
+};
+use model::CALLER_RETRY_MS;
 
 use crate::harness::{Bench, ENTRY, OTHER_ENTRY, order, task};
 
@@ -80,17 +84,16 @@
     assert!(!renews_lease(&mut bench));
 }
 
-// The stop of a withdrawn run that had been repeated five times was in its growing pauses when the
-// entry lost its authority, and was sent only once or twice before the run had to end.
+// The stop of a run whose start was given up had been repeated five times and was in its growing pauses
+// when the entry lost its authority, and was sent only once or twice before the run had to end.
 #[test]
-fn a_withdrawn_run_gets_five_stops_after_its_entry_lost_its_authority() {
+fn a_run_given_up_gets_five_stops_after_its_entry_lost_its_authority() {
     let mut bench = Bench::new();
     bench.start([1]);
-    bench.execute_starts();
-    bench.advance(100);
-    let mut withdrawal = bench.orders(ENTRY, Vec::new());
-    withdrawal.stops.push(bench.events[0].0);
-    bench.send(withdrawal);
+    bench.end_start(task(1), 1, StartOutcome::Unanswered);
+    let refusal = StartOutcome::Refused(StartRefusal::NoRoom);
+    bench.end_start(task(1), 1, refusal);
+    assert_eq!(bench.stops(), [task(1)]);
     bench.advance(2_000);
     let advance = |bench: &mut Bench, ms: u64| {
         for _ in 0..ms / 10 {
@@ -104,3 +107,91 @@
     let stops = bench.stops();
     assert!(stops.len() >= 5, "{stops:?}");
 }
+
+/// Creates a host that runs task 1, whose entry has just withdrawn it.
+fn withdrawn_bench() -> Bench {
+    let mut bench = Bench::new();
+    bench.start([1]);
+    bench.execute_starts();
+    bench.advance(100);
+    withdraw(&mut bench);
+    bench
+}
+
+fn withdraw(bench: &mut Bench) {
+    let mut withdrawal = bench.orders(ENTRY, Vec::new());
+    withdrawal.stops.push(bench.events[0].0);
+    bench.send(withdrawal);
+}
+
+// The lease was renewed for as long as the stops of a withdrawn run were unanswered, so that the run met
+// the one for the caller's next copy at another host.
+#[test]
+fn the_lease_of_a_withdrawn_run_expires_before_its_caller_sends_the_job_again() {
+    let mut bench = withdrawn_bench();
+    let withdrawn_at_ms = bench.now_ms;
+    let mut lease_end_ms = 0;
+    while bench.now_ms < withdrawn_at_ms + CALLER_RETRY_MS {
+        let poll = bench.host.target_poll(bench.now_ms, &mut bench.actions);
+        lease_end_ms = poll.lease_end_ms.unwrap_or(lease_end_ms);
+        bench.now_ms += 10;
+        bench.request_update(ENTRY);
+        bench.poll_target();
+    }
+    let on_a_slow_clock_ms = (lease_end_ms - withdrawn_at_ms) * 100 / 98;
+    assert!(
+        on_a_slow_clock_ms < CALLER_RETRY_MS,
+        "{on_a_slow_clock_ms} ms"
+    );
+    assert!(on_a_slow_clock_ms > LEASE_MS);
+}
+
+// A stop that the entry sent for another reason left the run without a time by which it had to end.
+#[test]
+fn a_run_that_is_stopping_gets_a_time_to_end_when_it_is_withdrawn_again() {
+    let mut bench = withdrawn_bench();
+    bench.advance(WITHDRAWAL_CONFIRM_MS - 50);
+    assert!(renews_lease(&mut bench));
+    withdraw(&mut bench);
+    bench.advance(50);
+    assert!(!renews_lease(&mut bench), "the earlier time stays in force");
+}
+
+// With a stop every 50 ms, one run in a thousand kept its target's lease from being renewed where half of
+// the calls are left unanswered.
+#[test]
+fn a_withdrawn_run_gets_twelve_stops_before_the_lease_is_withheld() {
+    let mut bench = withdrawn_bench();
+    let mut count = bench.stops().len();
+    for _ in 0..WITHDRAWAL_CONFIRM_MS / 20 {
+        bench.now_ms += 20;
+        bench.request_update(ENTRY);
+        bench.poll_target();
+        count += bench.stops().len();
+    }
+    assert!(count >= 12, "{count}");
+}
+
+#[test]
+fn a_stop_that_was_accepted_is_not_repeated_before_the_run_can_have_ended() {
+    let mut bench = withdrawn_bench();
+    assert_eq!(bench.stops().len(), 1);
+    bench.host.stop_accepted(bench.now_ms, task(1), 1);
+    bench.now_ms += 45;
+    bench.poll_target();
+    assert_eq!(bench.stops().len(), 0);
+    bench.now_ms += 10;
+    bench.poll_target();
+    assert_eq!(bench.stops().len(), 1);
+}
+
+// Entries went on placing tasks at a host that starts nothing until its lease has expired.
+#[test]
+fn a_host_is_closed_while_a_run_that_had_to_end_may_still_run() {
+    let mut bench = withdrawn_bench();
+    bench.advance(WITHDRAWAL_CONFIRM_MS);
+    assert!(!bench.host.view(bench.now_ms).is_open);
+    bench.end_run(task(1), hosting::TargetEnd::Lapsed);
+    bench.poll_target();
+    assert!(bench.host.view(bench.now_ms).is_open);
+}
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -40,7 +40,8 @@
 pub use quarantine::{QUARANTINE_MS, Quarantines, QueueQuarantine};
 pub use roster::{AgentInfo, EntryInfo, Member, MemberState, ShardRecord, TargetInfo};
 pub use run::{
-    HOSTS_PREFIX, HostRegistration, HostUpdate, HostUpdateRequest, HostView, JOB_ID_DIGITS, JobId,
-    MOST_URGENT, NotStartedReason, Opening, Orders, RegisteredTarget, Resources, RunDurations,
-    RunEnd, RunEvent, RunId, RunPermit, StartOrder, TaskRef, required_free_resources,
+    CALLER_RETRY_MS, HOSTS_PREFIX, HostRegistration, HostUpdate, HostUpdateRequest, HostView,
+    JOB_ID_DIGITS, JobId, MOST_URGENT, NotStartedReason, Opening, Orders, RegisteredTarget,
+    Resources, RunDurations, RunEnd, RunEvent, RunId, RunPermit, StartOrder, TaskRef,
+    required_free_resources,
 };
--- a/components/model/src/run.rs
+++ b/components/model/src/run.rs
@@ -13,6 +13,10 @@
 };
 use crate::{named_only, resources_row};
 
+/// Time after which a caller sends a job again when it was answered that the outcome is unknown, or was
+/// not answered, in milliseconds; defined by the callers' interface.
+pub const CALLER_RETRY_MS: u64 = 1_300;
+
 /// Length of a job's id, in hexadecimal digits.
 pub const JOB_ID_DIGITS: usize = 16;
 
--- a/components/scheduling/src/lib.rs
+++ b/components/scheduling/src/lib.rs
@@ -26,9 +26,7 @@
 pub use forecast::{ForecastOutcome, ForecastStage};
 pub use host::{HostInfo, HostSlot, HostStatus};
 pub use job::JobSlot;
-pub use limits::{
-    CALLER_RETRY_MS, HOST_RETENTION_MS, MAX_RUN_AFTER_PERMIT_MS, UPDATE_TIMEOUT_MS, UPDATE_WAIT_MS,
-};
+pub use limits::{HOST_RETENTION_MS, MAX_RUN_AFTER_PERMIT_MS, UPDATE_TIMEOUT_MS, UPDATE_WAIT_MS};
 pub use request::{JobRequest, QueueRules, StepRequest};
 pub use routes::{Route, RouteTable};
 pub use scheduler::{AdmissionInputs, Scheduler, SchedulerAction, SubmitOutcome};
--- a/components/scheduling/src/limits.rs
+++ b/components/scheduling/src/limits.rs
@@ -17,10 +17,6 @@
 /// target on a clock that is 2 % slow (717), and timer delays.
 pub const MAX_RUN_AFTER_PERMIT_MS: u64 = 1_750;
 
-/// Time after which a caller sends a job again when it was answered that the outcome is unknown,
-/// in milliseconds; defined by the callers' interface.
-pub const CALLER_RETRY_MS: u64 = 1_300;
-
 /// Time that a host has to deliver its first view after the entry starts to connect to it, in
 /// milliseconds: some connection attempts and a round trip.
 pub(crate) const FIRST_VIEW_TIMEOUT_MS: u64 = 500;
--- a/components/scheduling/src/scheduler/recovery.rs
+++ b/components/scheduling/src/scheduler/recovery.rs
@@ -1,8 +1,10 @@
 //! Recovery from lost hosts and suspensions, and enforcement of deadlines.
 
+use model::CALLER_RETRY_MS;
+
 use super::{Scheduler, SchedulerAction};
 use crate::job::JobSlot;
-use crate::limits::{CALLER_RETRY_MS, MAX_RUN_AFTER_PERMIT_MS};
+use crate::limits::MAX_RUN_AFTER_PERMIT_MS;
 use crate::verdict::{NotRunReason, Verdict};
 
 impl Scheduler {
--- a/components/sim/src/scenario.rs
+++ b/components/sim/src/scenario.rs
@@ -92,7 +92,7 @@
         declared_deviation: 0.4,
         task_deviation: 0.15,
         early_leave_share: 0.0,
-        retry_delay_ms: scheduling::CALLER_RETRY_MS,
+        retry_delay_ms: model::CALLER_RETRY_MS,
     }
 }
 
