--- a/tests/platform_incarnations.rs
+++ b/tests/platform_incarnations.rs
@@ -25,6 +25,9 @@
 /// Tasks of the job, more than one target has room for.
 const TASKS: u32 = 12;
 
+/// Restarts of a target while jobs arrive.
+const RESTARTS: u64 = 12;
+
 /// Tasks that take all room of both targets.
 const ALL_ROOM: u32 = 16;
 
@@ -194,6 +197,37 @@
     run.expect("the runtime starts");
 }
 
+// The next incarnation of a target began the starts that had waited at its port, after the agent had
+// reported their runs as ended with the earlier one and the entry had started their tasks elsewhere.
+#[test]
+fn starts_that_wait_at_a_restarting_target_are_not_repeated_beside_it() {
+    let run = runtime::run(async {
+        let hosts = Hosts::start().await;
+        hosts.targets[0].faults().stop_ms.set(40);
+        let submissions = (0..RESTARTS * 25).map(|number| {
+            let hosts = &hosts;
+            async move {
+                monoio::time::sleep(Duration::from_millis(10 * number)).await;
+                let id = format!("a{number:015x}");
+                hosts.entry.status_of(&id, &job(2, 60)).await
+            }
+        });
+        let restarts = async {
+            for _ in 0..RESTARTS {
+                monoio::time::sleep(Duration::from_millis(150)).await;
+                hosts.targets[0].restart(Duration::from_millis(100)).await;
+            }
+        };
+        let (statuses, ()) = futures::join!(futures::future::join_all(submissions), restarts);
+        assert_eq!(hosts.ledger.borrow().violations, Vec::<String>::new());
+        let is_completed = |status: &&Option<u16>| **status == Some(200);
+        let completed = statuses.iter().filter(is_completed).count();
+        // The other target alone has room for half of them.
+        assert!(completed * 2 > statuses.len(), "{completed} completed");
+    });
+    run.expect("the runtime starts");
+}
+
 // The agent took the report of another writer for a new incarnation of its target.
 #[test]
 fn runs_are_not_repeated_after_a_report_of_another_writer() {
