Hold runs of which a start is on the way when their target is gone

Cause: a refused connection ended all runs at the target, also those with a start that had not been answered; and the next incarnation has seen no fencing token, so that it executed the start with the present one.

Ruled out: that the run goes on through the crash, as it ends with the process.

Change: the token is raised for each incarnation. A run with a start that timed out or is in progress is held while nobody answers, stopped at the next incarnation, and reported when that has confirmed it, or after 15 s. A start whose connection broke ended with the process, as before.

The test of starts that may have arrived asked for the end of a run without an answer on a refused connection, which is this fault; it now asks for the end after the next incarnation has refused the start.

--- a/components/hosting/src/host/crashes.rs
+++ b/components/hosting/src/host/crashes.rs
@@ -19,10 +19,44 @@
         self.first_broken_call_ms.get_or_insert(now_ms);
     }
 
-    /// Ends all runs at a target that is gone: as crashed, unless the target had announced its end.
+    /// Ends all runs at a target that is gone, but for those that its next incarnation may start: as
+    /// crashed, unless the target had announced its end.
     pub(super) fn end_all_with_target(&mut self, now_ms: u64) {
         for (task, end) in self.crash_ends(now_ms) {
+            self.end_or_hold(now_ms, task, end);
+        }
+    }
+
+    /// Ends a run at a target that does not answer. A run of which a start is on the way is held instead,
+    /// since the next incarnation may execute it, until that has refused it; see
+    /// [`Self::stop_at_next_incarnation`].
+    pub(super) fn end_or_hold(&mut self, now_ms: u64, task: TaskRef, end: RunEnd) {
+        let Some(run) = self.runs.get_mut(&task) else {
+            return;
+        };
+        let is_call_in_progress = matches!(
+            run.state,
+            RunState::Starting {
+                repeat_at_ms: None,
+                ..
+            }
+        );
+        if !is_call_in_progress && !run.has_unanswered_start {
             self.remove_ended(now_ms, task, end);
+            return;
+        }
+        run.crash_end.get_or_insert(end);
+        let is_stopping = matches!(run.state, RunState::Stopping { .. });
+        if let Some(number) = run.number()
+            && !is_call_in_progress
+            && !is_stopping
+        {
+            run.state = RunState::Stopping {
+                number,
+                retry_at_ms: now_ms,
+                accepted_at_ms: None,
+                must_end_by_ms: None,
+            };
         }
     }
 
--- a/components/hosting/src/host/ends.rs
+++ b/components/hosting/src/host/ends.rs
@@ -8,7 +8,7 @@
 use crate::action::TargetCall;
 use crate::limits::STOP_MS;
 use crate::repeats::Repeats;
-use crate::run::RunState;
+use crate::run::{Run, RunState};
 
 impl Host {
     /// Processes the acceptance of a stop: the run has ended or will within the target's stop time,
@@ -101,7 +101,9 @@
     /// Repeats the stops of runs that have not ended.
     pub(super) fn retry_stops(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
         let instance = self.instance();
-        for run in self.runs.values_mut() {
+        let is_target_gone = self.is_target_gone;
+        let is_held = |run: &Run| is_target_gone && run.crash_end.is_some();
+        for run in self.runs.values_mut().filter(|run| !is_held(run)) {
             if let RunState::Stopping {
                 number,
                 retry_at_ms,
--- a/components/hosting/src/host/incarnations.rs
+++ b/components/hosting/src/host/incarnations.rs
@@ -160,7 +160,7 @@
                 CheckOutcome::Refused
             }
             TargetPollOutcome::StaleToken => {
-                self.raise_token();
+                self.raise_token_after(sent_at_ms);
                 self.claims.retry(now_ms, identity, false);
                 CheckOutcome::Undecided
             }
@@ -229,6 +229,9 @@
         let Some(previous) = previous else {
             return;
         };
+        // Starts that were meant for the previous one are refused from the next call on.
+        self.token = self.token.saturating_add(1);
+        self.token_since_ms = now_ms;
         self.end_with_incarnation(now_ms, &previous, actions);
         // They were placed here for the labels and the capacity of the previous one.
         self.reject_waiting(NotStartedReason::NoTarget);
@@ -243,6 +246,14 @@
         self.starts_paused_until_ms = 0;
     }
 
+    /// Raises the fencing token after the target rejected that of a call, unless it has been raised for a
+    /// new incarnation since the call was sent.
+    pub(super) fn raise_token_after(&mut self, sent_at_ms: u64) {
+        if sent_at_ms >= self.token_since_ms {
+            self.raise_token();
+        }
+    }
+
     /// Raises the fencing token after the target rejected it as stale.
     pub(super) fn raise_token(&mut self) {
         self.token = self.token.saturating_add(self.token_step);
--- a/components/hosting/src/host/mod.rs
+++ b/components/hosting/src/host/mod.rs
@@ -63,6 +63,8 @@
     key: ProcessKey,
     token: u64,
     token_step: u64,
+    /// When the token was raised for the present incarnation of the target, in milliseconds.
+    token_since_ms: u64,
     /// Last report of the target that has answered under its name.
     target: Option<TargetReport>,
     is_target_gone: bool,
@@ -124,6 +126,7 @@
             key,
             token,
             token_step: FIRST_TOKEN_STEP,
+            token_since_ms: 0,
             target: None,
             is_target_gone: false,
             are_refusals_doubted: false,
--- a/components/hosting/src/host/orders.rs
+++ b/components/hosting/src/host/orders.rs
@@ -59,6 +59,7 @@
                 priority: order.priority,
                 has_started_tasks: order.has_started_tasks,
                 may_have_arrived: false,
+                has_unanswered_start: false,
                 crash_end: None,
                 repeats: Repeats::of_start(self.jitter_seed(task)),
                 ordered_at_ms: now_ms,
--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -9,9 +9,9 @@
 use crate::action::TargetCall;
 use crate::lease::TargetPoll;
 use crate::limits::{
-    CONFIRM_WAIT_MS, LEASE_MS, MAX_PARALLEL_POLLS, MIN_POLL_PAUSE_MS, MIN_STALL_MS,
-    PARALLEL_POLL_MS, PARALLEL_POLL_WAIT_MS, TARGET_CALL_TIMEOUT_MS, TARGET_POLL_TIMEOUT_MS,
-    TARGET_POLL_WAIT_MS,
+    CONFIRM_WAIT_MS, HELD_RUN_RETENTION_MS, LEASE_MS, MAX_PARALLEL_POLLS, MIN_POLL_PAUSE_MS,
+    MIN_STALL_MS, PARALLEL_POLL_MS, PARALLEL_POLL_WAIT_MS, TARGET_CALL_TIMEOUT_MS,
+    TARGET_POLL_TIMEOUT_MS, TARGET_POLL_WAIT_MS,
 };
 use crate::run::{Run, RunState};
 use crate::target::{EndedRun, RunningRun, TargetEnd, TargetPollOutcome, TargetRuns};
@@ -81,7 +81,7 @@
             TargetPollOutcome::Answered(target_runs) => {
                 self.apply_target_runs(now_ms, sent_at_ms, &target_runs, actions);
             }
-            TargetPollOutcome::StaleToken => self.raise_token(),
+            TargetPollOutcome::StaleToken => self.raise_token_after(sent_at_ms),
             TargetPollOutcome::NobodyListens => {
                 self.record_broken_call(now_ms);
                 self.is_target_gone = true;
@@ -356,8 +356,8 @@
         }
     }
 
-    /// Ends as lost all runs at the target.
-    pub(super) fn end_all_as_lost(&mut self, now_ms: u64) {
+    /// Ends as lost all runs at the target, but for those that its next incarnation may start.
+    fn end_all_as_lost(&mut self, now_ms: u64) {
         let running: Vec<TaskRef> = self
             .runs
             .iter()
@@ -365,20 +365,27 @@
             .map(|(task, _)| *task)
             .collect();
         for task in running {
-            self.remove_ended(now_ms, task, RunEnd::Lost);
+            self.end_or_hold(now_ms, task, RunEnd::Lost);
         }
     }
 
     /// Ends all runs at the target if it does not answer and their lease has expired: as lost, or with
-    /// the target if nobody listens at its address.
+    /// the target if nobody listens at its address. Those that its next incarnation may start end when
+    /// it has been silent for [`HELD_RUN_RETENTION_MS`].
     pub(super) fn end_lapsed(&mut self, now_ms: u64) {
-        let is_silent = now_ms >= self.last_answer_at_ms + LEASE_MS;
-        if is_silent && now_ms >= self.lease.expired_at_ms() {
-            if self.is_target_gone {
-                self.end_all_with_target(now_ms);
-            } else {
-                self.end_all_as_lost(now_ms);
+        let silent_ms = now_ms.saturating_sub(self.last_answer_at_ms);
+        if silent_ms < LEASE_MS || now_ms < self.lease.expired_at_ms() {
+            return;
+        }
+        if silent_ms >= HELD_RUN_RETENTION_MS {
+            for run in self.runs.values_mut() {
+                run.has_unanswered_start = false;
             }
         }
+        if self.is_target_gone {
+            self.end_all_with_target(now_ms);
+        } else {
+            self.end_all_as_lost(now_ms);
+        }
     }
 }
--- a/components/hosting/src/host/starts.rs
+++ b/components/hosting/src/host/starts.rs
@@ -45,11 +45,12 @@
                     self.give_up_start(now_ms, task, NotStartedReason::NoTarget, actions);
                 }
                 StartOutcome::Inconclusive => {
-                    self.record_unanswered_start(now_ms, task);
+                    self.record_inconclusive_start(now_ms, task);
                     self.repeat_start(now_ms, task, number, IMMEDIATE_AFTER_FAILURE, actions);
                 }
                 StartOutcome::Unanswered => {
-                    self.record_unanswered_start(now_ms, task);
+                    self.record_inconclusive_start(now_ms, task);
+                    self.record_unanswered_start(task);
                     self.repeat_start(now_ms, task, number, IMMEDIATE_AFTER_TIMEOUT, actions);
                 }
                 StartOutcome::Refused(reason) => {
@@ -131,13 +132,21 @@
     }
 
     /// Records that a copy of a run's start may have arrived, since it had no conclusive answer.
-    fn record_unanswered_start(&mut self, now_ms: u64, task: TaskRef) {
+    fn record_inconclusive_start(&mut self, now_ms: u64, task: TaskRef) {
         self.parallel_poll_until_ms = now_ms + PARALLEL_POLL_MS;
         if let Some(run) = self.runs.get_mut(&task) {
             run.may_have_arrived = true;
         }
     }
 
+    /// Records that a copy of a run's start timed out. Unlike one whose connection broke, it does not end
+    /// with the process of the target.
+    fn record_unanswered_start(&mut self, task: TaskRef) {
+        if let Some(run) = self.runs.get_mut(&task) {
+            run.has_unanswered_start = true;
+        }
+    }
+
     /// Returns why no start may be repeated, if that is so.
     fn obstacle_to_repeats(&self) -> Option<NotStartedReason> {
         if self.is_evacuated {
--- a/components/hosting/src/limits.rs
+++ b/components/hosting/src/limits.rs
@@ -120,6 +120,10 @@
 /// for a few seconds.
 pub(crate) const RUN_NUMBER_RETENTION_MS: u64 = 30_000;
 
+/// How long a run is kept whose start the next incarnation of a target may execute, while the target is
+/// silent, in milliseconds; calls are executed up to 12 s late.
+pub(crate) const HELD_RUN_RETENTION_MS: u64 = 15_000;
+
 /// Most events kept for an entry that does not fetch them.
 pub(crate) const MAX_EVENTS: usize = 8_192;
 
--- a/components/hosting/src/run.rs
+++ b/components/hosting/src/run.rs
@@ -80,6 +80,9 @@
     /// Whether a copy of the start had no conclusive answer, so that the target may have executed it or
     /// may still do so.
     pub(crate) may_have_arrived: bool,
+    /// Whether a copy of the start timed out, so that a later incarnation of the target may still execute
+    /// it.
+    pub(crate) has_unanswered_start: bool,
     /// How the run is reported unless it ends by itself, after the incarnation of the target that it
     /// was started at has ended.
     pub(crate) crash_end: Option<RunEnd>,
--- a/components/hosting/tests/host/harness.rs
+++ b/components/hosting/tests/host/harness.rs
@@ -296,6 +296,16 @@
         }
     }
 
+    /// Advances the time while the entry sends update requests and the target answers nothing.
+    pub fn advance_without_target(&mut self, ms: u64) {
+        let until_ms = self.now_ms + ms;
+        while self.now_ms < until_ms {
+            self.now_ms = (self.now_ms + 50).min(until_ms);
+            self.request_update(ENTRY);
+            self.host.tick(self.now_ms, &mut self.actions);
+        }
+    }
+
     pub fn outcome(&mut self, number: u64) -> Option<RunEvent> {
         self.request_update(ENTRY);
         let is_of_task = |(run, _): &&(RunId, RunEvent)| run.task == task(number);
--- a/components/hosting/tests/host/retries.rs
+++ b/components/hosting/tests/host/retries.rs
@@ -204,6 +204,16 @@
                 assert!(!is_not_started(bench.outcome(1)), "{first:?}, {last:?}");
             }
             end_poll(&mut bench, TargetPollOutcome::NobodyListens);
+            let was_removed = last == StartOutcome::Refused(StartRefusal::OtherIncarnation);
+            if first == StartOutcome::Unanswered && !was_removed {
+                // The next incarnation may execute the copy that got no answer.
+                let event = bench.outcome(1);
+                assert!(!matches!(event, Some(RunEvent::Ended(..))), "{event:?}");
+                bench.report(report(BORN_UNIX_MS + 500, 1));
+                bench.host.stop_accepted(bench.now_ms, task(1), 1);
+                bench.now_ms += 1;
+                bench.poll_target();
+            }
             let lost = bench.outcome(1);
             let expected = match last {
                 StartOutcome::Refused(StartRefusal::OtherIncarnation) => RunEnd::Lost,
