Start nothing at a target that left a call unanswered before it answers

Cause: a start names the instance and not the incarnation, and the agent sent starts for 700 ms after the target's last answer, also after calls had failed.

Ruled out: starts that were under way when the target fell silent, which are lost with its power; orders placed by an earlier view, which name the target's number.

Change: after a start or a poll without an answer nothing starts until the target has answered a poll that was sent later. It is asked at once. After 75 ms of silence the host is closed and its waiting tasks go back.

Tests that repeat a start after one without an answer let the target answer first; the test of targets that hang also bounds the checks.

--- a/components/hosting/src/host/incarnations.rs
+++ b/components/hosting/src/host/incarnations.rs
@@ -33,6 +33,8 @@
 pub enum CheckOutcome {
     /// The incarnation answers: it is the target from now on.
     Confirmed,
+    /// The incarnation answers, and is the target already.
+    Present,
     /// Another one answers.
     Refused,
     /// There was no conclusive answer; the target is asked again.
@@ -125,6 +127,21 @@
         );
     }
 
+    /// Asks the target whether it is still the present incarnation, if there is doubt; gives the waiting
+    /// tasks back if it has not answered for some time.
+    pub(super) fn resolve_doubt(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
+        if self.doubt.is_lasting(now_ms) {
+            self.reject_waiting(NotStartedReason::NoTarget);
+        }
+        let Some(identity) = self.target.as_ref().map(TargetReport::identity) else {
+            return;
+        };
+        if !self.is_target_gone && self.doubt.begin_check(now_ms, &identity) {
+            let token = self.token;
+            actions.push(TargetCall::Check { identity, token });
+        }
+    }
+
     /// Processes the result of a [`TargetCall::Check`] that was sent at `sent_at_ms`.
     pub fn check_ended(
         &mut self,
@@ -134,6 +151,8 @@
         outcome: &TargetPollOutcome,
         actions: &mut Vec<TargetCall>,
     ) -> CheckOutcome {
+        let is_answered = matches!(outcome, TargetPollOutcome::Answered(_));
+        let was_in_doubt = self.doubt.end_check(now_ms, identity, is_answered);
         let result = match outcome {
             TargetPollOutcome::Answered(runs)
                 if self.may_be_earlier_answer(sent_at_ms, runs.born_unix_ms) =>
@@ -151,6 +170,8 @@
                 self.apply_target_runs(now_ms, sent_at_ms, runs, actions);
                 if is_confirmed {
                     CheckOutcome::Confirmed
+                } else if was_in_doubt && runs.born_unix_ms == identity.born_unix_ms {
+                    CheckOutcome::Present
                 } else {
                     CheckOutcome::Refused
                 }
--- a/components/hosting/src/host/mod.rs
+++ b/components/hosting/src/host/mod.rs
@@ -25,6 +25,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::action::TargetCall;
+use crate::doubt::Doubt;
 use crate::health::Health;
 use crate::incarnation::{Claims, Incarnation};
 use crate::lease::Lease;
@@ -88,6 +89,7 @@
     acknowledged: u64,
     /// Whether the last poll was not answered.
     has_poll_failed: bool,
+    doubt: Doubt,
     /// When the target last answered a poll, in milliseconds.
     last_answer_at_ms: u64,
     parallel_poll_until_ms: u64,
@@ -139,6 +141,7 @@
             lease: Lease::default(),
             acknowledged: 0,
             has_poll_failed: false,
+            doubt: Doubt::new(key.0),
             last_answer_at_ms: 0,
             parallel_poll_until_ms: 0,
             poll_backoff: Backoff::builder(MIN_POLL_PAUSE_MS, MAX_POLL_PAUSE_MS)
@@ -293,6 +296,7 @@
         self.end_unauthorized(now_ms, actions);
         self.end_lapsed(now_ms);
         self.check_claims(now_ms, actions);
+        self.resolve_doubt(now_ms, actions);
         self.retry_stops(now_ms, actions);
         self.repeat_starts(now_ms, actions);
         self.reject_overdue(now_ms);
@@ -374,6 +378,7 @@
         self.usable_target(now_ms)
             .is_some_and(|target| !target.is_draining)
             && !self.has_overdue_run(now_ms)
+            && !self.doubt.is_lasting(now_ms)
             && !self.is_closed(now_ms)
             && !self.is_evacuated
             && (!has_single_slot || self.runs.is_empty())
--- a/components/hosting/src/host/polls.rs
+++ b/components/hosting/src/host/polls.rs
@@ -45,8 +45,9 @@
             } else {
                 self.acknowledged
             },
-            // A new agent needs to know at once which runs an earlier one left.
-            wait_ms: if !self.has_no_earlier_runs {
+            // A new agent needs to know at once which runs an earlier one left. While there is doubt about
+            // the target, starts wait for its answer.
+            wait_ms: if !self.has_no_earlier_runs || self.doubt.is_present() {
                 0
             } else if self.has_unconfirmed_end() {
                 wait_ms.min(CONFIRM_WAIT_MS)
@@ -100,7 +101,10 @@
             TargetPollOutcome::Inconclusive | TargetPollOutcome::Unanswered => {
                 self.parallel_poll_until_ms = now_ms + PARALLEL_POLL_MS;
                 if outcome == TargetPollOutcome::Inconclusive {
+                    self.doubt.record_failure(now_ms, now_ms);
                     self.record_broken_call(now_ms);
+                } else {
+                    self.doubt.record_failure(now_ms, sent_at_ms);
                 }
             }
         }
@@ -176,6 +180,7 @@
         let usual_ms = TARGET_POLL_WAIT_MS + SPEED_SAMPLE_SLACK_MS;
         self.has_polling_gap = now_ms > self.last_answer_at_ms + usual_ms;
         self.last_answer_at_ms = now_ms;
+        self.doubt.record_answer(sent_at_ms);
         self.is_target_gone = false;
         self.first_broken_call_ms = None;
         self.lease.record_clock(now_ms, target_runs.clock_ms);
--- a/components/hosting/src/host/starts.rs
+++ b/components/hosting/src/host/starts.rs
@@ -8,7 +8,7 @@
 use crate::action::TargetCall;
 use crate::limits::{
     IMMEDIATE_AFTER_FAILURE, IMMEDIATE_AFTER_REFUSAL, IMMEDIATE_AFTER_TIMEOUT, NO_ROOM_BACKOFF_MS,
-    PARALLEL_POLL_MS, RESERVATION_SLACK_MS,
+    PARALLEL_POLL_MS, RESERVATION_SLACK_MS, TARGET_CALL_TIMEOUT_MS,
 };
 use crate::run::{Run, RunState};
 use crate::target::{StartOutcome, StartRefusal};
@@ -46,11 +46,14 @@
                 }
                 StartOutcome::Inconclusive => {
                     self.record_inconclusive_start(now_ms, task);
+                    self.doubt.record_failure(now_ms, now_ms);
                     self.repeat_start(now_ms, task, number, IMMEDIATE_AFTER_FAILURE, actions);
                 }
                 StartOutcome::Unanswered => {
                     self.record_inconclusive_start(now_ms, task);
                     self.record_unanswered_start(task);
+                    let sent_at_ms = now_ms.saturating_sub(TARGET_CALL_TIMEOUT_MS);
+                    self.doubt.record_failure(now_ms, sent_at_ms);
                     self.repeat_start(now_ms, task, number, IMMEDIATE_AFTER_TIMEOUT, actions);
                 }
                 StartOutcome::Refused(reason) => {
@@ -163,7 +166,8 @@
     }
 
     /// Sends a start again, the first `immediate` times at once and then after growing pauses; without
-    /// a target, or while the lease may not be renewed, it waits for [`Self::repeat_starts`].
+    /// a target, in doubt about it, or while the lease may not be renewed, it waits for
+    /// [`Self::repeat_starts`].
     fn repeat_start(
         &mut self,
         now_ms: u64,
@@ -176,7 +180,8 @@
             self.give_up_start(now_ms, task, NotStartedReason::Evacuated, actions);
             return;
         }
-        let may_send = self.target.is_some() && !self.has_overdue_run(now_ms);
+        let may_send =
+            self.target.is_some() && !self.doubt.is_present() && !self.has_overdue_run(now_ms);
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
@@ -196,13 +201,14 @@
 
     /// Sends the starts again whose pause is over; a draining, leaving or evacuated target gets none,
     /// since it may not have received an earlier copy. Without a target they wait for its report, which
-    /// resolves them if it is a new incarnation. While a run is overdue they wait for its end.
+    /// resolves them if it is a new incarnation. While a run is overdue they wait for its end, and in doubt
+    /// about the target for its answer.
     pub(super) fn repeat_starts(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
         if self.target.is_none() {
             return;
         }
         let obstacle = self.obstacle_to_repeats();
-        if obstacle.is_none() && self.has_overdue_run(now_ms) {
+        if obstacle.is_none() && (self.has_overdue_run(now_ms) || self.doubt.is_present()) {
             return;
         }
         let due: Vec<(TaskRef, u32)> = self
@@ -255,10 +261,10 @@
     }
 
     /// Starts waiting tasks in the order of [`QueuePosition`], as far as they fit; none while a run is
-    /// overdue, since a start renews the lease.
+    /// overdue, since a start renews the lease, or in doubt about the target.
     pub(super) fn start_waiting(&mut self, now_ms: u64, actions: &mut Vec<TargetCall>) {
-        if self.is_evacuated || now_ms < self.starts_paused_until_ms || self.has_overdue_run(now_ms)
-        {
+        let is_paused = now_ms < self.starts_paused_until_ms || self.doubt.is_present();
+        if self.is_evacuated || is_paused || self.has_overdue_run(now_ms) {
             return;
         }
         let Some(target) = self.usable_target(now_ms) else {
--- a/components/hosting/src/lib.rs
+++ b/components/hosting/src/lib.rs
@@ -7,6 +7,7 @@
 //! milliseconds on a clock that also advances while the host is suspended.
 
 mod action;
+mod doubt;
 mod forecast;
 mod health;
 mod host;
--- a/components/hosting/src/limits.rs
+++ b/components/hosting/src/limits.rs
@@ -102,6 +102,10 @@
 /// [`MIN_POLL_PAUSE_MS`]: with growing pauses, resets for 500 ms let the lease lapse.
 pub(crate) const MAX_POLL_PAUSE_MS: u64 = 200;
 
+/// How long a target may leave calls without an answer before its host is closed and waiting tasks are
+/// given back, in milliseconds: three calls in a row.
+pub(crate) const DOUBT_TOLERANCE_MS: u64 = 3 * TARGET_CALL_TIMEOUT_MS;
+
 /// Most incarnations of the target that are known from reports only; the oldest are dropped.
 pub(crate) const MAX_CLAIMS: usize = 8;
 
--- a/components/hosting/tests/host/evacuation.rs
+++ b/components/hosting/tests/host/evacuation.rs
@@ -110,6 +110,9 @@
 fn a_refused_start_with_an_unanswered_copy_is_stopped() {
     let mut bench = starting();
     fail_start(&mut bench, StartOutcome::Unanswered);
+    bench.execute_checks();
+    assert_eq!(starts(&bench), 1);
+    bench.actions.clear();
     set_evacuated(&mut bench, true);
     fail_start(&mut bench, StartOutcome::Refused(StartRefusal::LeaseOver));
     assert_eq!(starts(&bench), 0);
--- a/components/hosting/tests/host/leases.rs
+++ b/components/hosting/tests/host/leases.rs
@@ -102,6 +102,7 @@
         unanswered,
         &mut bench.actions,
     );
+    bench.execute_checks();
     let again = std::mem::take(&mut bench.actions);
     assert!(
         matches!(again[..], [TargetCall::Start { number: again, .. }] if again == number),
@@ -121,6 +122,7 @@
         bench
             .host
             .handle_start_outcome(now_ms, task(1), 1, outcome, &mut bench.actions);
+        bench.execute_checks();
     }
     assert_eq!(bench.stops(), [task(1)]);
     bench.advance(50);
--- a/components/hosting/tests/host/retries.rs
+++ b/components/hosting/tests/host/retries.rs
@@ -1,6 +1,9 @@
 //! Orders and polls that fail: how often they are repeated, and what is claimed about the run.
 
-use hosting::{LEASE_MS, StartOutcome, StartRefusal, TargetCall, TargetPollOutcome};
+use hosting::{
+    LEASE_MS, StartOutcome, StartRefusal, TARGET_CALL_TIMEOUT_MS, TargetCall, TargetIdentity,
+    TargetPollOutcome,
+};
 use model::{NotStartedReason, RunEnd, RunEvent, TaskRef};
 
 use crate::harness::{BORN_UNIX_MS, Bench, ENTRY, report, task};
@@ -24,6 +27,7 @@
     starts: usize,
     stops: usize,
     polls: usize,
+    checks: usize,
 }
 
 /// Counts the calls to a target whose starts and polls end so after a time in milliseconds.
@@ -34,6 +38,7 @@
 ) -> Calls {
     let mut calls = Calls::default();
     let mut starts: Vec<(u64, TaskRef, u32)> = Vec::new();
+    let mut checks: Vec<(u64, TargetIdentity)> = Vec::new();
     let mut poll_sent_ms = None;
     for now_ms in bench.now_ms..bench.now_ms + DURATION_MS {
         bench.now_ms = now_ms;
@@ -44,6 +49,16 @@
             }
             bench.end_start(task, number, start.0);
         }
+        for (sent_ms, identity) in std::mem::take(&mut checks) {
+            if sent_ms + poll.1.min(TARGET_CALL_TIMEOUT_MS) > now_ms {
+                checks.push((sent_ms, identity));
+                continue;
+            }
+            let actions = &mut bench.actions;
+            bench
+                .host
+                .check_ended(now_ms, sent_ms, &identity, &poll.0, actions);
+        }
         if let Some(sent_ms) = poll_sent_ms.filter(|sent_ms| sent_ms + poll.1 <= now_ms) {
             let (poll, actions) = (poll.0.clone(), &mut bench.actions);
             bench.host.poll_ended(now_ms, sent_ms, poll, actions);
@@ -65,7 +80,10 @@
                     starts.push((now_ms, task, number));
                 }
                 TargetCall::Stop { .. } => calls.stops += 1,
-                TargetCall::Check { .. } => {}
+                TargetCall::Check { identity, .. } => {
+                    calls.checks += 1;
+                    checks.push((now_ms, identity));
+                }
             }
         }
     }
@@ -78,10 +96,12 @@
     bench
 }
 
-/// Lets the call in progress for task 1 end so, and returns the calls that follow.
+/// Lets the call in progress for task 1 end so, and returns the calls that follow once the target has
+/// answered whether it is still there.
 fn end_start(bench: &mut Bench, outcome: StartOutcome) -> Vec<TargetCall> {
     bench.actions.clear();
     bench.end_start(task(1), 1, outcome);
+    bench.execute_checks();
     std::mem::take(&mut bench.actions)
 }
 
@@ -127,6 +147,7 @@
         // Six in 250 ms and then, after the 20 repeats of the start, one in 160 ms at most.
         assert!(calls.stops <= RUNS * 24, "{calls:?}");
         assert!(calls.polls <= max_polls, "{calls:?}");
+        assert!(calls.checks <= 42, "{calls:?}");
         assert!(!is_not_started(bench.outcome(1)));
     }
 }
--- a/components/hosting/tests/host/stops.rs
+++ b/components/hosting/tests/host/stops.rs
@@ -91,6 +91,7 @@
     let mut bench = Bench::new();
     bench.start([1]);
     bench.end_start(task(1), 1, StartOutcome::Unanswered);
+    bench.execute_checks();
     let refusal = StartOutcome::Refused(StartRefusal::NoRoom);
     bench.end_start(task(1), 1, refusal);
     assert_eq!(bench.stops(), [task(1)]);
--- a/components/sidecar/src/calls.rs
+++ b/components/sidecar/src/calls.rs
@@ -133,6 +133,7 @@
                 log_target(report, "target confirmed its report");
             }
         }
+        CheckOutcome::Present => {}
         CheckOutcome::Refused => {
             log::warn!(target: "sidecar", event = "report_refused", instance = instance,
                 born_unix_ms = born_unix_ms;
