--- a/components/hosting/tests/host/doubt.rs
+++ b/components/hosting/tests/host/doubt.rs
@@ -1,11 +1,8 @@
 //! Starts at a target that has left a call unanswered.
 
 use hosting::{StartOutcome, TargetCall, TargetPollOutcome};
-use model::{NotStartedReason, RunEvent};
 
-use crate::harness::{Bench, task};
-
-const NO_TARGET: Option<RunEvent> = Some(RunEvent::NotStarted(NotStartedReason::NoTarget));
+use crate::harness::{Bench, NO_TARGET, task};
 
 fn starts(bench: &Bench) -> usize {
     let is_start = |action: &&TargetCall| matches!(action, TargetCall::Start { .. });
--- a/components/hosting/tests/host/harness.rs
+++ b/components/hosting/tests/host/harness.rs
@@ -7,8 +7,8 @@
     TargetPollOutcome, TargetReport, TargetRuns,
 };
 use model::{
-    HostUpdate, HostUpdateRequest, JobId, KindKey, Orders, ProcessKey, Resources, RunEvent, RunId,
-    RunPermit, StartOrder, TaskRef,
+    HostUpdate, HostUpdateRequest, JobId, KindKey, NotStartedReason, Orders, ProcessKey, Resources,
+    RunEvent, RunId, RunPermit, StartOrder, TaskRef,
 };
 
 pub const AGENT: ProcessKey = ProcessKey(1);
@@ -16,6 +16,9 @@
 pub const OTHER_ENTRY: ProcessKey = ProcessKey(8);
 pub const BORN_UNIX_MS: u64 = 1_000;
 
+/// Event of a task that is given back because no target may start it.
+pub const NO_TARGET: Option<RunEvent> = Some(RunEvent::NotStarted(NotStartedReason::NoTarget));
+
 pub fn job(number: u64) -> JobId {
     JobId::parse(&format!("{number:016x}")).expect("sixteen digits")
 }
--- a/components/hosting/tests/host/held_runs.rs
+++ b/components/hosting/tests/host/held_runs.rs
@@ -2,11 +2,9 @@
 //! incarnation gets.
 
 use hosting::{StartOutcome, TargetPollOutcome};
-use model::{NotStartedReason, RunEnd, RunEvent};
+use model::{RunEnd, RunEvent};
 
-use crate::harness::{BORN_UNIX_MS, Bench, report, task};
-
-const NO_TARGET: Option<RunEvent> = Some(RunEvent::NotStarted(NotStartedReason::NoTarget));
+use crate::harness::{BORN_UNIX_MS, Bench, NO_TARGET, report, task};
 
 /// Lets the connections of the target be refused, so that its process is gone.
 fn refuse_connections(bench: &mut Bench) {
--- a/components/hosting/tests/host/incarnations.rs
+++ b/components/hosting/tests/host/incarnations.rs
@@ -5,9 +5,9 @@
 use hosting::{
     ReportOutcome, RunningRun, StartOutcome, TargetCall, TargetEnd, TargetPollOutcome, TargetReport,
 };
-use model::{NotStartedReason, RunEnd, RunEvent, StartOrder};
+use model::{RunEnd, RunEvent, StartOrder};
 
-use crate::harness::{BORN_UNIX_MS, Bench, ENTRY, order, report, task};
+use crate::harness::{BORN_UNIX_MS, Bench, ENTRY, NO_TARGET, order, report, task};
 
 #[test]
 fn runs_of_an_earlier_agent_are_stopped_before_the_host_opens() {
@@ -338,8 +338,6 @@
     );
 }
 
-const NO_TARGET: Option<RunEvent> = Some(RunEvent::NotStarted(NotStartedReason::NoTarget));
-
 /// Returns the report of a later incarnation of another kind.
 fn report_of_other_kind(bench: &Bench) -> TargetReport {
     TargetReport {
